--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -10,11 +10,11 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/boxlist"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
-	"github.com/madderpond/madderpond/pkg/platform"
 	"github.com/madderpond/madderpond/pkg/replica"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -162,7 +162,7 @@
 	Entry    *entry.Status    `json:"entry,omitempty"`
 	Control  *replica.Status  `json:"control,omitempty"`
 	Table    *table.Table     `json:"table,omitempty"`
-	Platform *platform.Status `json:"platform,omitempty"`
+	Platform *boxlist.Status  `json:"platform,omitempty"`
 	Runtime  Runtime          `json:"runtime"`
 }
 
@@ -192,8 +192,8 @@
 		d.Control = &status
 		d.Table = s.replica.Table()
 	}
-	if s.platform != nil {
-		status := s.platform.Status()
+	if s.boxList != nil {
+		status := s.boxList.Status()
 		d.Platform = &status
 	}
 	return writeJSON(ctx, &d)
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -16,10 +16,10 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
+	"github.com/madderpond/madderpond/pkg/boxlist"
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
-	"github.com/madderpond/madderpond/pkg/platform"
 	"github.com/madderpond/madderpond/pkg/replica"
 )
 
@@ -28,7 +28,7 @@
 	*common.Common
 	entry    *entry.Entry
 	replica  *replica.Replica
-	platform *platform.Watcher
+	boxList  *boxlist.Watcher
 	token    []byte
 	server   *fasthttp.Server
 	listener net.Listener
@@ -36,8 +36,8 @@
 
 // NewServer returns a server that doesn't listen yet. The error is a Settings
 // fault when the token can't be read.
-func NewServer(c *common.Common, e *entry.Entry, r *replica.Replica, p *platform.Watcher) (*Server, error) {
-	s := &Server{Common: c, entry: e, replica: r, platform: p}
+func NewServer(c *common.Common, e *entry.Entry, r *replica.Replica, p *boxlist.Watcher) (*Server, error) {
+	s := &Server{Common: c, entry: e, replica: r, boxList: p}
 	if path := c.Settings.Admin.TokenFile; path != "" {
 		data, err := os.ReadFile(path)
 		if err != nil {
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -13,12 +13,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/madderpond/madderpond/pkg/admin"
+	"github.com/madderpond/madderpond/pkg/boxlist"
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
-	"github.com/madderpond/madderpond/pkg/platform"
 	"github.com/madderpond/madderpond/pkg/replica"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -31,15 +31,36 @@
 	replica  *replica.Replica
 	entry    *entry.Entry
 	admin    *admin.Server
-	platform *platform.Watcher
+	boxList  *boxlist.Watcher
+	// extensions are parts that a program adds to the daemon's own.
+	extensions []Extension
 	// formAlone has a cluster of one formed at the start.
 	formAlone bool
 }
 
-// NewLog returns a log that writes JSON lines to standard error.
+// Extension is a part that a program adds to the daemon's own, such as another
+// interface to the same operations.
+type Extension interface {
+	// Start begins to serve; the error is an Unavailable fault.
+	Start() error
+	// Stop ends the serving.
+	Stop(ctx context.Context)
+}
+
+// Parts are a process's roles as extensions see them; what it lacks is nil.
+type Parts struct {
+	*common.Common
+	Entry   *entry.Entry
+	Replica *replica.Replica
+}
+
+// Extend makes an extension for a process.
+type Extend func(Parts) Extension
+
+// NewLog returns a log that writes JSON lines to standard output.
 func NewLog(s *config.Settings) *logrus.Entry {
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	log.SetOutput(os.Stdout)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
 		log.SetLevel(level)
@@ -48,12 +69,15 @@
 }
 
 // NewApp returns a process that serves nobody yet.
-func NewApp(s *config.Settings) (*App, error) {
+func NewApp(s *config.Settings, extend ...Extend) (*App, error) {
 	a := &App{Common: &common.Common{Log: NewLog(s), Settings: s, Clock: clock.NewClock()}}
 	if err := a.build(); err != nil {
 		a.abandon()
 		return nil, err
 	}
+	for _, x := range extend {
+		a.extensions = append(a.extensions, x(Parts{Common: a.Common, Entry: a.entry, Replica: a.replica}))
+	}
 	return a, nil
 }
 
@@ -80,8 +104,8 @@
 			return err
 		}
 	}
-	a.platform = platform.NewWatcher(a.Common)
-	a.admin, err = admin.NewServer(a.Common, a.entry, a.replica, a.platform)
+	a.boxList = boxlist.NewWatcher(a.Common)
+	a.admin, err = admin.NewServer(a.Common, a.entry, a.replica, a.boxList)
 	return err
 }
 
@@ -144,8 +168,13 @@
 		return err
 	}
 	a.admin.Publish()
-	if a.platform != nil {
-		a.platform.Start(a.notePlatform)
+	for _, x := range a.extensions {
+		if err := x.Start(); err != nil {
+			return err
+		}
+	}
+	if a.boxList != nil {
+		a.boxList.Start(a.notePlatform)
 	}
 	fields := logrus.Fields{"admin": a.admin.Address(), "peer": a.listener.Address(), "kind": "started"}
 	if a.entry != nil {
@@ -159,6 +188,9 @@
 // Run serves until a signal asks for a planned stop, or the process can't go
 // on. A second signal ends the stop at once.
 func (a *App) Run() error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go a.noteReloads(reloads)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := a.Start(); err != nil {
@@ -180,6 +212,14 @@
 	return a.Stop(ctx)
 }
 
+// noteReloads says that a changed settings file counts from the next start on: every
+// setting either ties the process to its ports or is part of what it promised others.
+func (a *App) noteReloads(signals <-chan os.Signal) {
+	for range signals {
+		a.Log.WithField("kind", "reload").Info("the settings are read at the next start; calls go on")
+	}
+}
+
 // warnIfOpen says that strangers could speak to this process, if they can reach it.
 func (a *App) warnIfOpen() {
 	address, err := netip.ParseAddrPort(a.listener.Address())
@@ -217,8 +257,8 @@
 // platform learns of it, and ends when every call has its answer.
 func (a *App) Stop(ctx context.Context) error {
 	a.Log.WithField("kind", "leaving").Info("planned stop has begun")
-	if a.platform != nil {
-		a.platform.Stop()
+	if a.boxList != nil {
+		a.boxList.Stop()
 	}
 	var err error
 	if a.entry != nil {
@@ -229,6 +269,9 @@
 		}
 		err = a.entry.Stop(ctx)
 	}
+	for _, x := range a.extensions {
+		x.Stop(ctx)
+	}
 	if a.replica != nil {
 		a.replica.Stop(ctx)
 	}
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -56,11 +56,13 @@
 		fmt.Println("the settings have no faults")
 		return exitDone
 	}
-	return run(s, o.Form)
+	return Serve(s, o.Form)
 }
 
-func run(s *config.Settings, form bool) int {
-	a, err := NewApp(s)
+// Serve runs a process with the given settings until it is asked to stop, and returns
+// its exit code. form has a cluster of one formed.
+func Serve(s *config.Settings, form bool, extend ...Extend) int {
+	a, err := NewApp(s, extend...)
 	if err != nil {
 		NewLog(s).WithError(err).WithField("kind", fault.KindOf(err)).Error("madderpond can't start")
 		return exitCode(err)
--- a/pkg/platform/platform.go
+++ b/pkg/boxlist/boxlist.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's list of live and leaving boxes. The list
+// Package boxlist reads the platform's list of live and leaving boxes. The list
 // lags, so it only ever adds caution: a box that stands on it as leaving calls
 // itself not ready, and serves on.
-package platform
+package boxlist
 
 import (
 	"encoding/json"
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -94,7 +94,11 @@
 		Problem{"admin.tokenFile", "the administration API would be open to the network", "name a file that holds a token, or listen on a loopback address"},
 	},
 	{
-		func(s *Settings) bool { return s.Has(RoleControl) && !isReplica(s) },
+		func(s *Settings) bool { return (len(s.Replicas) == 0) == (len(s.Seeds) == 0) },
+		Problem{"replicas", "the control replicas are named twice, or not at all", "give either replicas or seeds"},
+	},
+	{
+		func(s *Settings) bool { return s.Has(RoleControl) && len(s.Replicas) > 0 && !isReplica(s) },
 		Problem{"replicas", "this box has the role control but isn't on the list", "add it, or take the role away"},
 	},
 	{
@@ -109,6 +113,10 @@
 		func(s *Settings) bool { return s.Entry.ShareDelay <= s.Control.Lease+s.Control.ElectionTimeout },
 		Problem{"entry.shareDelay", "it is no longer than lease plus electionTimeout", "lengthen it; the margin makes up for clocks of different speed"},
 	},
+	{
+		func(s *Settings) bool { return len(s.Seeds) > 0 && s.Has(RoleControl) && s.OwnPeerAddress() == "" },
+		Problem{"peer.listen", "a replica that goes by its address needs a fixed one", "give an IP number and a port in peer.listen or peer.advertise"},
+	},
 	{
 		func(s *Settings) bool { return s.Has(RoleControl) && replicaPort(s) == "0" },
 		Problem{"replicas", "a replica's port is 0", "give each replica a port of its own"},
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -2,6 +2,8 @@
 // with a default and a description for every field, checked as a whole.
 package config
 
+import "strings"
+
 // Settings are a process's settings. The doc tag is what docs/SETTINGS.md says
 // of a field, the validate tag what it must keep to.
 type Settings struct {
@@ -10,7 +12,8 @@
 	Roles    []Role     `json:"roles" validate:"required,min=1,unique,dive,oneof=entry control" doc:"What this process does: entry, control, or both."`
 	LogLevel string     `json:"logLevel" validate:"oneof=error warn info debug" doc:"The least level that is logged: error, warn, info or debug."`
 	Peer     Peer       `json:"peer" doc:"The port for madderpond's own processes."`
-	Replicas []Replica  `json:"replicas" validate:"required,min=1,max=7,unique=Box,unique=Address,dive" doc:"All control replicas, the same list on every box."`
+	Replicas []Replica  `json:"replicas" validate:"max=7,unique=Box,unique=Address,dive" doc:"All control replicas, the same list on every box. Either this or seeds is given."`
+	Seeds    []string   `json:"seeds" validate:"max=7,unique,dive,ipport" doc:"Peer addresses of some control replicas, for a cluster that forms and grows by itself. A replica then goes by its own peer address, and the others are learned."`
 	Control  Control    `json:"control" doc:"The control replica; used only with the role control."`
 	Entry    Entry      `json:"entry" doc:"The entry for callers; used only with the role entry."`
 	Admin    Admin      `json:"admin" doc:"The port for operators and for the platform's health checks."`
@@ -37,6 +40,37 @@
 	return false
 }
 
+// OwnPeerAddress returns the fixed address where other processes reach this one, or
+// an empty string when the settings name none.
+func (s *Settings) OwnPeerAddress() string {
+	for _, address := range []string{s.Peer.Advertise, s.Peer.Listen} {
+		if address != "" && !strings.HasSuffix(address, ":0") {
+			return address
+		}
+	}
+	return ""
+}
+
+// ReplicaName returns the name by which this process's replica goes.
+func (s *Settings) ReplicaName() string {
+	if len(s.Seeds) > 0 {
+		return s.OwnPeerAddress()
+	}
+	return s.Box
+}
+
+// ReplicaNames returns the names of the replicas that the settings know.
+func (s *Settings) ReplicaNames() []string {
+	if len(s.Seeds) > 0 {
+		return s.Seeds
+	}
+	names := make([]string, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		names = append(names, r.Box)
+	}
+	return names
+}
+
 // Peer is the port for madderpond's own processes.
 type Peer struct {
 	Listen    string `json:"listen" validate:"ipport" doc:"IP number and port to listen on; port 0 takes a free one."`
@@ -59,11 +93,22 @@
 	ElectionTimeout Duration `json:"electionTimeout" validate:"min=20ms,max=30s" doc:"The least time without a leader before an election. It must be well above the slowest round trip between replicas."`
 	Heartbeat       Duration `json:"heartbeat" validate:"min=5ms,max=10s" doc:"The time between two messages of the leader; at most a third of electionTimeout."`
 	Lease           Duration `json:"lease" validate:"min=100ms,max=60s" doc:"How long a box serves on without hearing of the leader. An accepted edit is in force everywhere within lease plus electionTimeout, or the box in question serves no more."`
+	Growth          Growth   `json:"growth" doc:"How a cluster with seeds forms and grows; unused with replicas."`
+	MinCopies       int      `json:"minCopies" validate:"min=0,max=7" doc:"How many disks must hold a change before it is accepted, where that is more than a quorum; one more than the disks that may be lost at once. 0 asks for a quorum."`
+	SilentAfter     Duration `json:"silentAfter" validate:"min=0s,max=1h" doc:"How long a registered target may go without a report before it counts as silent; 0s never takes one for silent."`
+	ReadTimeout     Duration `json:"readTimeout" validate:"min=10ms,max=60s" doc:"How long a read of the newest document may wait for the leader's word."`
 	EditTimeout     Duration `json:"editTimeout" validate:"min=100ms,max=60s" doc:"How long an edit may wait for a quorum before its outcome is called unknown."`
 	SnapshotEvery   int      `json:"snapshotEvery" validate:"min=10,max=1000000" doc:"How many log entries go between two snapshots."`
 	KeepEntries     int      `json:"keepEntries" validate:"min=0,max=1000000" doc:"How many entries stay in the log behind a snapshot, for replicas that are a little behind."`
 }
 
+// Growth says how a cluster with seeds forms and grows by itself.
+type Growth struct {
+	Bootstrap    bool     `json:"bootstrap" doc:"Whether a new cluster may be formed. It is true only when the whole system starts for the first time."`
+	Voters       int      `json:"voters" validate:"min=1,max=9" doc:"How many voting replicas the cluster grows to; twice the disks that may be lost at once, and one."`
+	ReplaceAfter Duration `json:"replaceAfter" validate:"min=100ms,max=24h" doc:"How long a voter must be silent for another replica that reports to take its place."`
+}
+
 // Entry is the entry for callers.
 type Entry struct {
 	Listen         string   `json:"listen" validate:"ipport" doc:"IP number and port for callers; port 0 takes a free one."`
@@ -84,10 +129,16 @@
 	MaxDeadline    Duration `json:"maxDeadline" validate:"min=10ms,max=1h" doc:"The longest deadline that a caller may ask for."`
 	ProbePath      string   `json:"probePath" validate:"startswith=/" doc:"The path that probes ask for."`
 	ProbeCost      Duration `json:"probeCost" validate:"min=1us,max=10s" doc:"How long a probe keeps a slot of a target busy."`
-	ShedStatus     int      `json:"shedStatus" validate:"min=400,max=599" doc:"The status by which a target says that it shed a call unrun; it counts only together with shedHeader."`
+	ShedStatus     int      `json:"shedStatus" validate:"min=0,max=599" doc:"The status by which a target says that it shed a call unrun; it counts only together with shedHeader. 0 takes any status."`
 	ShedHeader     string   `json:"shedHeader" validate:"required" doc:"The header, with any value, that a target must add to say so."`
 	LoadHeader     string   `json:"loadHeader" validate:"required" doc:"The header in which a target reports how many calls it has."`
 	DeadlineHeader string   `json:"deadlineHeader" validate:"required" doc:"The header that carries the time left, in milliseconds, from callers and to targets."`
+	CallIDHeader   string   `json:"callIdHeader" doc:"The header by which callers name a call, and that targets give back; an answer with another name isn't the call's. Empty compares nothing."`
+	IdentityHeader string   `json:"identityHeader" doc:"The header that tells a registered target which one is meant; another one at its address answers 421 and doesn't run the call. Empty sends none."`
+	PromiseStatus  bool     `json:"promiseStatus" doc:"Whether callers take 408, 421, 429 and 503 as a promise that a call hasn't run. Then a target's answer of that status without shedHeader isn't passed on."`
+	Unframed       bool     `json:"unframed" doc:"Whether an answer with neither a length nor chunks counts as whole when its connection ends cleanly. Otherwise it counts as broken."`
+	Fractions      bool     `json:"retryAfterFractions" doc:"Whether Retry-After carries fractions of a second; otherwise whole seconds, as RFC 9110 has it."`
+	HangUpCheck    Duration `json:"hangUpCheck" validate:"min=5ms,max=10s" doc:"How often the callers of waiting calls are looked for, so that a call is canceled when its caller hangs up."`
 }
 
 // Admin is the port for operators.
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -44,6 +44,28 @@
 	Cluster string
 }
 
+// DocumentSubmitted is an operator's whole table.
+type DocumentSubmitted struct {
+	Request  RequestID
+	Document *table.Document
+}
+
+// TargetReported is a report of a target that registers by itself.
+type TargetReported struct {
+	Request      RequestID
+	Registration *table.Registration
+}
+
+// TargetDeparted is a registered target's word that it leaves for good.
+type TargetDeparted struct {
+	Request RequestID
+	Target  units.TargetID
+}
+
+// ReadRequested asks for the newest state; the answer comes once this replica is
+// sure to have it.
+type ReadRequested struct{ Request RequestID }
+
 // BoxMessage is a message from a box on a connection of its own.
 type BoxMessage struct {
 	Connection ConnectionID
@@ -56,15 +78,19 @@
 // StopRequested says that this replica is about to stop as planned.
 type StopRequested struct{}
 
-func (Tick) controlEvent()          {}
-func (PeerMessage) controlEvent()   {}
-func (DiskSynced) controlEvent()    {}
-func (DiskFailed) controlEvent()    {}
-func (EditSubmitted) controlEvent() {}
-func (FormRequested) controlEvent() {}
-func (BoxMessage) controlEvent()    {}
-func (BoxDetached) controlEvent()   {}
-func (StopRequested) controlEvent() {}
+func (Tick) controlEvent()              {}
+func (PeerMessage) controlEvent()       {}
+func (DiskSynced) controlEvent()        {}
+func (DiskFailed) controlEvent()        {}
+func (EditSubmitted) controlEvent()     {}
+func (FormRequested) controlEvent()     {}
+func (DocumentSubmitted) controlEvent() {}
+func (TargetReported) controlEvent()    {}
+func (TargetDeparted) controlEvent()    {}
+func (ReadRequested) controlEvent()     {}
+func (BoxMessage) controlEvent()        {}
+func (BoxDetached) controlEvent()       {}
+func (StopRequested) controlEvent()     {}
 
 // EditAnswer is the answer to an EditSubmitted: a result, or an error of kind
 // Unknown when the edit's fate couldn't be learned in time.
@@ -80,6 +106,16 @@
 	Err     error
 }
 
+// Answer is the answer to a DocumentSubmitted, TargetReported, TargetDeparted or
+// ReadRequested. Without an error, what was asked for is on enough disks, or held
+// already; an error is of kind Invalid, Unavailable or Unknown.
+type Answer struct {
+	Request RequestID
+	Err     error
+	// Document is the document in force, for a ReadRequested.
+	Document *table.Document
+}
+
 // BoxSend is a message to a box.
 type BoxSend struct {
 	Connection ConnectionID
@@ -94,9 +130,39 @@
 	BoxSends    []BoxSend
 	EditAnswers []EditAnswer
 	FormAnswers []FormAnswer
+	Answers     []Answer
 	// TableChanged is set when Table returns a new table.
 	TableChanged bool
 	Halt         error
+	// Changes says what this event changed in the state, for the log.
+	Changes []Change
+}
+
+// ChangeKind says what a change is about.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	DocumentInForce ChangeKind = "document"
+	TargetActive    ChangeKind = "target-active"
+	TargetLeaving   ChangeKind = "target-leaving"
+	TargetGone      ChangeKind = "target-gone"
+	TargetSilent    ChangeKind = "target-silent"
+	TargetHeard     ChangeKind = "target-heard"
+	LeaderChanged   ChangeKind = "leader"
+	VotersChanged   ChangeKind = "voters"
+)
+
+// Change is something that a replica has come to believe.
+type Change struct {
+	Kind     ChangeKind
+	Revision units.Revision
+	Target   units.TargetID
+	Document units.DocumentVersion
+	// Sequence is the target's own count of its reports.
+	Sequence uint64
+	Leader   units.ReplicaID
+	Term     units.Term
 }
 
 // BoxStatus is what the control state knows of a box.
--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -48,10 +48,24 @@
 		Start:    request.Start,
 		Revision: uint64(r.state.Table().Revision),
 		Duration: int64(r.settings.Lease),
+		Replicas: r.liveReplicas(),
 	}}
 	send(m)
 }
 
+// liveReplicas names the replicas that boxes may attach to. Boxes of a cluster that
+// doesn't grow have them from their settings.
+func (r *Replica) liveReplicas() []string {
+	if r.settings.Replication.Growth == nil {
+		return nil
+	}
+	var names []string
+	for _, id := range r.node.LiveMembers(r.now) {
+		names = append(names, string(id))
+	}
+	return names
+}
+
 // leaseEnds returns when a box's lease has run out for sure.
 func (r *Replica) leaseEnds(id units.BoxID) units.Instant {
 	renewed := r.ledSince
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -21,6 +21,11 @@
 	Lease time.Duration
 	// LeaseMargin is added before a silent box's share is given to others.
 	LeaseMargin time.Duration
+	// ReadTimeout is how long a read may wait for the leader's word.
+	ReadTimeout time.Duration
+	// SilentAfter is how long a registered target may go without a report before it
+	// counts as silent; zero never takes one for silent.
+	SilentAfter time.Duration
 	// EditTimeout is how long an edit may wait for a quorum.
 	EditTimeout time.Duration
 	// SnapshotEvery is how many log entries go between snapshots.
@@ -34,10 +39,14 @@
 	DefaultLease         = 2 * time.Second
 	DefaultLeaseMargin   = 500 * time.Millisecond
 	DefaultEditTimeout   = 5 * time.Second
+	DefaultReadTimeout   = 800 * time.Millisecond
+	DefaultSilentAfter   = 6 * time.Second
 	DefaultSnapshotEvery = 1000
 	DefaultKeepEntries   = 500
 	// retryPeriod is how often a waiting edit is passed to the leader again.
 	retryPeriod = 300 * time.Millisecond
+	// readRetryPeriod is how often the leader is asked again for a read.
+	readRetryPeriod = 100 * time.Millisecond
 	// tickPeriod bounds how late timeouts are noticed.
 	tickPeriod = 50 * time.Millisecond
 	// maxDeltas is how many changes are kept for boxes that fell behind.
@@ -56,6 +65,11 @@
 	order  []ConnectionID
 	deltas *container.Ring[*table.Delta]
 	leases leaseBook
+	// requests are those for whole tables, registered targets and reads.
+	requests requestBook
+	hearing  hearingBook
+	// knownLeader is the leader that was last told of in the log.
+	knownLeader units.ReplicaID
 	// leading is set while this replica leads; ledSince is when that began.
 	leading  bool
 	ledSince units.Instant
@@ -75,6 +89,8 @@
 		sessions: map[ConnectionID]*session{},
 		deltas:   container.NewRing[*table.Delta](maxDeltas),
 		leases:   newLeaseBook(),
+		requests: newRequestBook(),
+		hearing:  newHearingBook(),
 		now:      now,
 	}
 	if d.Snapshot == nil {
@@ -107,6 +123,14 @@
 		r.submit(v, &log, e)
 	case FormRequested:
 		r.form(v, &log, e)
+	case DocumentSubmitted:
+		r.submitDocument(v, &log, e)
+	case TargetReported:
+		r.reportTarget(v, &log, e)
+	case TargetDeparted:
+		r.departTarget(v, &log, e)
+	case ReadRequested:
+		r.read(v, &log, e)
 	case BoxMessage:
 		r.receiveBox(v, &log, e)
 	case BoxDetached:
@@ -162,7 +186,10 @@
 	case *wire.Command_Boxes:
 		delta = r.state.ApplyBoxes(wire.ToBoxChange(k.Boxes))
 		r.leases.proposing = false
+	default:
+		delta = r.applyRequest(c, e)
 	}
+	r.answerCommand(c, e)
 	if delta == nil {
 		return
 	}
@@ -171,21 +198,86 @@
 	r.pushAll(e)
 }
 
+// applyRequest applies a whole table, or what registered targets have said.
+func (r *Replica) applyRequest(c *wire.Command, e *Effects) *table.Delta {
+	var delta *table.Delta
+	change := Change{}
+	switch k := c.Kind.(type) {
+	case *wire.Command_Document:
+		delta = r.state.ApplyDocument(wire.ToDocument(k.Document))
+		change = Change{Kind: DocumentInForce, Document: units.DocumentVersion(k.Document.Version)}
+	case *wire.Command_Registration:
+		registration := wire.ToRegistration(k.Registration)
+		delta = r.state.ApplyRegistration(registration)
+		change = Change{Kind: TargetActive, Target: registration.Target, Sequence: registration.Sequence}
+		if registration.State == table.Leaving {
+			change.Kind = TargetLeaving
+		}
+	case *wire.Command_Departure:
+		id := units.TargetID(k.Departure.Target)
+		delta = r.state.ApplyDeparture(id)
+		delete(r.hearing.last, id)
+		change = Change{Kind: TargetGone, Target: id}
+	case *wire.Command_Silence:
+		r.hearing.proposing = false
+		delta = r.state.ApplySilence(targetIDs(k.Silence.Silent), targetIDs(k.Silence.Heard))
+		r.noteSilenceChanges(k.Silence, e)
+		return delta
+	}
+	if delta != nil {
+		change.Revision = delta.Revision
+		e.Changes = append(e.Changes, change)
+	}
+	return delta
+}
+
+func (r *Replica) noteSilenceChanges(s *wire.Silence, e *Effects) {
+	revision := r.state.Table().Revision
+	for _, id := range s.Silent {
+		e.Changes = append(e.Changes, Change{Kind: TargetSilent, Target: units.TargetID(id), Revision: revision})
+	}
+	for _, id := range s.Heard {
+		e.Changes = append(e.Changes, Change{Kind: TargetHeard, Target: units.TargetID(id), Revision: revision})
+	}
+}
+
 // housekeep does what follows from any event: changes of leadership, timeouts,
 // the list of boxes and snapshots.
 func (r *Replica) housekeep(e *Effects) {
 	var log replication.Effects
-	r.noticeLeadership()
+	r.noticeLeadership(e)
+	r.formAlone(&log)
+	r.answerReads(e)
 	if r.now >= r.tickAt {
 		r.tickAt = r.now.Add(tickPeriod)
 		r.retryEdits(&log, e)
+		r.retryRequests(&log, e)
+		r.tellHeard(&log)
+		r.noteSilence(&log)
 		r.updateBoxes(&log)
 	}
 	r.compact(&log, e)
 	r.absorb(&log, e)
 }
 
-func (r *Replica) noticeLeadership() {
+// formAlone forms the cluster by itself where that is this replica's part.
+func (r *Replica) formAlone(log *replication.Effects) {
+	if !r.node.MayForm(r.now) {
+		return
+	}
+	empty, err := wire.EncodeState(table.NewState())
+	if err != nil {
+		return
+	}
+	// A form that can't be done yet is tried again with the next event.
+	_ = r.node.Form(r.now, string(r.settings.Replication.Incarnation), empty, log)
+}
+
+func (r *Replica) noticeLeadership(e *Effects) {
+	if leader := r.node.Leader(); leader != r.knownLeader {
+		r.knownLeader = leader
+		e.Changes = append(e.Changes, Change{Kind: LeaderChanged, Leader: leader, Term: r.node.Term(), Revision: r.state.Table().Revision})
+	}
 	leads := r.node.IsLeader()
 	if leads == r.leading {
 		return
@@ -193,6 +285,7 @@
 	r.leading = leads
 	r.ledSince = r.now
 	r.leases = newLeaseBook()
+	r.hearing.proposing = false
 	r.edits.forgetProposals()
 }
 
@@ -219,7 +312,13 @@
 func (r *Replica) receivePeer(m *wire.Envelope, log *replication.Effects, e *Effects) {
 	switch b := m.Body.(type) {
 	case *wire.Envelope_ProposeRequest:
-		r.propose(wire.ToEdit(b.ProposeRequest.Edit), log)
+		r.receiveProposal(b.ProposeRequest, log)
+	case *wire.Envelope_HeardRequest:
+		r.takeHeard(b.HeardRequest)
+	case *wire.Envelope_ReadRequest:
+		r.nameIndex(m, e)
+	case *wire.Envelope_ReadResponse:
+		r.takeIndex(b.ReadResponse)
 	case *wire.Envelope_RenewRequest:
 		r.grant(b.RenewRequest, e, func(answer *wire.Envelope) {
 			answer.To = m.From
--- /dev/null
+++ b/pkg/core/control/requests.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// commandNumber names a command that this replica waits for.
+type commandNumber uint64
+
+// waitingCommand is a command that came to this replica and isn't applied yet. It
+// may be proposed more than once: applying it again changes nothing.
+type waitingCommand struct {
+	request  RequestID
+	encoded  []byte
+	what     string
+	deadline units.Instant
+	retryAt  units.Instant
+}
+
+// waitingRead is a read that waits for the index that the leader names.
+type waitingRead struct {
+	request  RequestID
+	deadline units.Instant
+	retryAt  units.Instant
+	// index is zero until the leader has named it.
+	index units.Index
+}
+
+// requestBook holds the requests that wait at this replica.
+type requestBook struct {
+	number   commandNumber
+	commands map[commandNumber]*waitingCommand
+	order    []commandNumber
+	reads    map[commandNumber]*waitingRead
+	readings []commandNumber
+}
+
+func newRequestBook() requestBook {
+	return requestBook{commands: map[commandNumber]*waitingCommand{}, reads: map[commandNumber]*waitingRead{}}
+}
+
+// submitDocument takes a whole table. An invalid one is refused whatever its
+// version; one whose version isn't above the committed one is held already.
+func (r *Replica) submitDocument(v DocumentSubmitted, log *replication.Effects, e *Effects) {
+	if detail := table.CheckDocument(v.Document); detail != "" {
+		err := fault.New(fault.Invalid, "mend the document and put it again", "%s", detail)
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
+		return
+	}
+	if held := r.state.Document(); held != nil && v.Document.Version <= held.Version {
+		e.Answers = append(e.Answers, Answer{Request: v.Request})
+		return
+	}
+	c := &wire.Command{Kind: &wire.Command_Document{Document: wire.FromDocument(v.Document)}}
+	r.submitCommand(v.Request, c, fmt.Sprintf("document %d", v.Document.Version), log, e)
+}
+
+// reportTarget takes a target's report. One that says nothing new is answered from
+// the committed state.
+func (r *Replica) reportTarget(v TargetReported, log *replication.Effects, e *Effects) {
+	if problems := table.CheckRegistration(v.Registration); len(problems) > 0 {
+		err := fault.New(fault.Invalid, problems[0].Remedy, "the report of target %s has a bad %s", v.Registration.Target, problems[0].Column)
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
+		return
+	}
+	r.hear(v.Registration.Target)
+	if !r.state.Fresh(v.Registration) {
+		e.Answers = append(e.Answers, Answer{Request: v.Request})
+		return
+	}
+	c := &wire.Command{Kind: &wire.Command_Registration{Registration: wire.FromRegistration(v.Registration)}}
+	r.submitCommand(v.Request, c, fmt.Sprintf("report of target %s", v.Registration.Target), log, e)
+}
+
+func (r *Replica) departTarget(v TargetDeparted, log *replication.Effects, e *Effects) {
+	if r.state.Departed(v.Target) {
+		e.Answers = append(e.Answers, Answer{Request: v.Request})
+		return
+	}
+	c := &wire.Command{Kind: &wire.Command_Departure{Departure: &wire.Departure{Target: string(v.Target)}}}
+	r.submitCommand(v.Request, c, fmt.Sprintf("departure of target %s", v.Target), log, e)
+}
+
+func (r *Replica) submitCommand(id RequestID, c *wire.Command, what string, log *replication.Effects, e *Effects) {
+	if !r.node.Formed() {
+		e.Answers = append(e.Answers, Answer{Request: id, Err: errNotFormed()})
+		return
+	}
+	r.requests.number++
+	c.Number = uint64(r.requests.number)
+	c.Origin = r.origin()
+	c.At = int64(r.wall)
+	encoded, err := proto.Marshal(c)
+	if err != nil {
+		e.Answers = append(e.Answers, Answer{Request: id, Err: fault.Wrap(err, fault.Internal, "report this as a fault of madderpond", "a command can't be encoded")})
+		return
+	}
+	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout)}
+	r.requests.commands[r.requests.number] = w
+	r.requests.order = append(r.requests.order, r.requests.number)
+	r.passCommand(w, log)
+}
+
+// origin names this start of this replica in the commands that it waits for.
+func (r *Replica) origin() string {
+	s := &r.settings.Replication
+	return fmt.Sprintf("%s/%d", s.Incarnation, s.Boot)
+}
+
+// passCommand hands a waiting command to whoever leads now.
+func (r *Replica) passCommand(w *waitingCommand, log *replication.Effects) {
+	w.retryAt = r.now.Add(retryPeriod)
+	if r.node.IsLeader() {
+		r.node.Propose(r.now, [][]byte{w.encoded}, log)
+		return
+	}
+	r.sendLeader(&wire.Envelope{Body: &wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded}}}, log)
+}
+
+// receiveProposal takes what another replica passes on to its leader.
+func (r *Replica) receiveProposal(p *wire.ProposeRequest, log *replication.Effects) {
+	if len(p.Command) > 0 {
+		r.node.Propose(r.now, [][]byte{p.Command}, log)
+		return
+	}
+	r.propose(wire.ToEdit(p.Edit), log)
+}
+
+// sendLeader sends a message to the leader, if one is known.
+func (r *Replica) sendLeader(m *wire.Envelope, log *replication.Effects) {
+	to := r.node.Leader()
+	if to == "" || to == r.settings.Replication.ID {
+		return
+	}
+	named := r.envelope()
+	named.To = string(to)
+	named.Body = m.Body
+	log.Sends = append(log.Sends, named)
+}
+
+// answerCommand answers the request that an applied command came from, if it came
+// to this replica in this life.
+func (r *Replica) answerCommand(c *wire.Command, e *Effects) {
+	n := commandNumber(c.Number)
+	w := r.requests.commands[n]
+	if w == nil || c.Origin != r.origin() {
+		return
+	}
+	e.Answers = append(e.Answers, Answer{Request: w.request})
+	r.requests.forgetCommand(n)
+}
+
+func (b *requestBook) forgetCommand(n commandNumber) {
+	delete(b.commands, n)
+	b.order = slices.DeleteFunc(b.order, func(o commandNumber) bool { return o == n })
+}
+
+func (b *requestBook) forgetRead(n commandNumber) {
+	delete(b.reads, n)
+	b.readings = slices.DeleteFunc(b.readings, func(o commandNumber) bool { return o == n })
+}
+
+// retryRequests passes waiting commands and reads on again, and gives up on those
+// whose time has run out.
+func (r *Replica) retryRequests(log *replication.Effects, e *Effects) {
+	for _, n := range slices.Clone(r.requests.order) {
+		w := r.requests.commands[n]
+		if r.now >= w.deadline {
+			err := fault.New(fault.Unknown, "send it again; it takes effect once at most", "no quorum of control replicas answered in time, so it isn't known whether the %s was taken", w.what)
+			e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
+			r.requests.forgetCommand(n)
+			continue
+		}
+		if r.now >= w.retryAt {
+			r.passCommand(w, log)
+		}
+	}
+	for _, n := range slices.Clone(r.requests.readings) {
+		w := r.requests.reads[n]
+		if r.now >= w.deadline {
+			err := fault.New(fault.Unavailable, "ask again, or ask another replica", "this replica can't be sure of the newest table")
+			e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
+			r.requests.forgetRead(n)
+			continue
+		}
+		if w.index == 0 && r.now >= w.retryAt {
+			r.askIndex(n, w, log)
+		}
+	}
+}
+
+// read answers with the newest state, at once on a leader that can be sure of its
+// office, else when the leader has said what the newest is and it is applied here.
+func (r *Replica) read(v ReadRequested, log *replication.Effects, e *Effects) {
+	if r.node.HasLease(r.now) {
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Document: r.state.Document()})
+		return
+	}
+	r.requests.number++
+	n := r.requests.number
+	w := &waitingRead{request: v.Request, deadline: r.now.Add(r.settings.ReadTimeout)}
+	r.requests.reads[n] = w
+	r.requests.readings = append(r.requests.readings, n)
+	r.askIndex(n, w, log)
+}
+
+func (r *Replica) askIndex(n commandNumber, w *waitingRead, log *replication.Effects) {
+	w.retryAt = r.now.Add(readRetryPeriod)
+	if r.node.HasLease(r.now) {
+		w.index = r.node.Commit()
+		return
+	}
+	r.sendLeader(&wire.Envelope{Body: &wire.Envelope_ReadRequest{ReadRequest: &wire.ReadRequest{Nonce: uint64(n)}}}, log)
+}
+
+// nameIndex answers another replica's question for the newest index.
+func (r *Replica) nameIndex(m *wire.Envelope, e *Effects) {
+	if !r.node.HasLease(r.now) {
+		return
+	}
+	answer := r.envelope()
+	answer.To = m.From
+	answer.Body = &wire.Envelope_ReadResponse{ReadResponse: &wire.ReadResponse{
+		Nonce: m.GetReadRequest().Nonce, Index: uint64(r.node.Commit()),
+	}}
+	e.PeerSends = append(e.PeerSends, answer)
+}
+
+func (r *Replica) takeIndex(m *wire.ReadResponse) {
+	if w := r.requests.reads[commandNumber(m.Nonce)]; w != nil && w.index == 0 {
+		w.index = units.Index(m.Index)
+	}
+}
+
+// answerReads answers the reads whose index has been applied.
+func (r *Replica) answerReads(e *Effects) {
+	if len(r.requests.readings) == 0 {
+		return
+	}
+	for _, n := range slices.Clone(r.requests.readings) {
+		w := r.requests.reads[n]
+		if w.index == 0 || r.node.Commit() < w.index {
+			continue
+		}
+		e.Answers = append(e.Answers, Answer{Request: w.request, Document: r.state.Document()})
+		r.requests.forgetRead(n)
+	}
+}
--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -11,12 +11,25 @@
 	n.resetElection(now)
 	n.leaderID = ""
 	if !n.isVoter(n.self()) {
+		n.report(e)
 		return
 	}
 	n.role = preCandidate
 	n.askVotes(now, true, false, e)
 }
 
+// report lets the others know of a replica that doesn't vote and hears no leader: it
+// may have come back under a new incarnation, or at an address that none of them
+// knows.
+func (n *Node) report(e *Effects) {
+	if n.settings.Growth == nil {
+		return
+	}
+	for _, id := range n.order {
+		n.sendPresence(id, true, e)
+	}
+}
+
 func (n *Node) startElection(now units.Instant, transfer bool, e *Effects) {
 	n.resetElection(now)
 	n.role = candidate
@@ -151,6 +164,7 @@
 
 func (n *Node) becomeLeader(now units.Instant, e *Effects) {
 	n.role = leader
+	n.ledSince = now
 	n.leaderID = n.settings.ID
 	for _, p := range n.peers {
 		p.restart(n.log.last() + 1)
--- a/pkg/core/replication/formation.go
+++ b/pkg/core/replication/formation.go
@@ -19,26 +19,36 @@
 	firstIndex = 1
 )
 
-// askPresence asks the other replicas whether a cluster exists.
+// askPresence asks the other replicas whether a cluster exists, and forms one where
+// that is this replica's part.
 func (n *Node) askPresence(now units.Instant, e *Effects) {
 	if now < n.heartbeatAt {
 		return
 	}
 	n.heartbeatAt = now.Add(presencePeriod)
-	for _, id := range n.settings.Peers {
+	for _, id := range n.order {
 		n.sendPresence(id, true, e)
 	}
 }
 
 func (n *Node) sendPresence(to units.ReplicaID, asks bool, e *Effects) {
 	m := n.envelope(to)
-	m.Body = &wire.Envelope_Presence{Presence: &wire.Presence{Asks: asks, Formed: n.formed()}}
+	presence := &wire.Presence{Asks: asks, Formed: n.formed()}
+	if g := n.settings.Growth; g != nil {
+		presence.Bootstrap = g.Bootstrap
+		for _, id := range n.Members() {
+			presence.Members = append(presence.Members, string(id))
+		}
+	}
+	m.Body = &wire.Envelope_Presence{Presence: presence}
 	e.Sends = append(e.Sends, m)
 }
 
 func (n *Node) receivePresence(now units.Instant, p *progress, r *wire.Presence, e *Effects) {
 	p.formed = r.Formed
+	p.bootstrap = r.Bootstrap
 	p.asked = now
+	n.meetMembers(r)
 	if !r.Asks {
 		return
 	}
@@ -49,6 +59,34 @@
 	}
 }
 
+// meetMembers lets a replica that belongs to no cluster ask those that a formed one
+// names; a seed may know the leader's address where this one doesn't.
+func (n *Node) meetMembers(r *wire.Presence) {
+	if n.settings.Growth == nil || n.formed() || !r.Formed {
+		return
+	}
+	for _, id := range r.Members {
+		n.addPeer(units.ReplicaID(id))
+	}
+}
+
+// MayForm tells whether this replica is the one that forms the cluster by itself:
+// the first of the seeds, once all of them have answered that they are empty and
+// may form one as well. Only one replica can be that, so no two clusters form.
+func (n *Node) MayForm(now units.Instant) bool {
+	g := n.settings.Growth
+	if g == nil || !g.Bootstrap || !g.Seed || n.formed() {
+		return false
+	}
+	for _, id := range n.settings.Peers {
+		p := n.peers[id]
+		if id < n.settings.ID || p.asked == 0 || now.Sub(p.asked) > presenceAge || p.formed || !p.bootstrap {
+			return false
+		}
+	}
+	return true
+}
+
 // stillFirst tells whether the log holds nothing but the cluster's formation.
 func (n *Node) stillFirst() bool {
 	return n.log.snapshot != nil && n.log.snapshot.Index == firstIndex && n.log.commit == firstIndex
--- a/pkg/core/replication/leadership.go
+++ b/pkg/core/replication/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -20,7 +21,7 @@
 		n.heartbeatAt = now.Add(n.settings.Heartbeat)
 		n.broadcast(now, e)
 	}
-	n.changeMembership(e)
+	n.changeMembership(now, e)
 	n.sendPending(now, e)
 }
 
@@ -65,16 +66,31 @@
 
 // broadcast sends every other replica an append request, empty or not.
 func (n *Node) broadcast(now units.Instant, e *Effects) {
-	for _, id := range n.settings.Peers {
-		n.sendAppend(now, n.peers[id], e)
+	for _, id := range n.order {
+		if p := n.peers[id]; n.wantsAppends(now, p) {
+			n.sendAppend(now, p, e)
+		}
+	}
+}
+
+// wantsAppends tells whether a replica is worth sending to: every one that the
+// settings or the membership name, and others as long as they are heard.
+func (n *Node) wantsAppends(now units.Instant, p *progress) bool {
+	if n.settings.Growth == nil || n.hasMember(p.id) {
+		return true
 	}
+	return p.incarnation != "" && now.Sub(p.heard) < forgetAfter
 }
 
+// forgetAfter is how long a replica that doesn't vote may be silent before a leader
+// stops sending to it.
+const forgetAfter = 5 * time.Second
+
 // sendPending sends the entries that a follower hasn't been sent yet.
 func (n *Node) sendPending(now units.Instant, e *Effects) {
-	for _, id := range n.settings.Peers {
+	for _, id := range n.order {
 		p := n.peers[id]
-		if p.incarnation != "" && p.next <= n.log.last() {
+		if p.incarnation != "" && p.next <= n.log.last() && n.wantsAppends(now, p) {
 			n.sendAppend(now, p, e)
 		}
 	}
@@ -150,19 +166,29 @@
 		p.match = match
 		p.next = max(p.next, match+1)
 		n.advanceCommit(now, e)
-		n.changeMembership(e)
+		n.changeMembership(now, e)
 	}
 	n.sendPending(now, e)
 }
 
-// advanceCommit moves the commit index to what a quorum has synced.
+// copies is how many voters must have synced an entry before it is committed. A
+// young cluster may have fewer voters than copies are asked for; then all of them
+// must, and nothing is committed before the cluster has grown.
+func (n *Node) copies() int {
+	return max(n.quorum(), n.settings.MinCopies)
+}
+
+// advanceCommit moves the commit index to what enough voters have synced.
 func (n *Node) advanceCommit(now units.Instant, e *Effects) {
 	matches := make([]units.Index, 0, len(n.voters()))
 	for _, m := range n.voters() {
 		matches = append(matches, n.matchOf(voterOf(m)))
 	}
+	if len(matches) < n.copies() {
+		return
+	}
 	slices.Sort(matches)
-	index := matches[len(matches)-n.quorum()]
+	index := matches[len(matches)-n.copies()]
 	term, kept := n.log.term(index)
 	if index <= n.log.commit || !kept || term != n.term {
 		return
@@ -170,7 +196,7 @@
 	n.commitTo(index, e)
 	// Followers learn of the commit at once, not with the next heartbeat.
 	n.broadcast(now, e)
-	n.changeMembership(e)
+	n.changeMembership(now, e)
 	n.sendPending(now, e)
 }
 
@@ -236,7 +262,7 @@
 
 func (n *Node) pickHeir(now units.Instant) *progress {
 	var heir *progress
-	for _, id := range n.settings.Peers {
+	for _, id := range n.order {
 		p := n.peers[id]
 		fresh := now.Sub(p.contact) < n.settings.ElectionTimeout
 		if !fresh || !n.isVoter(voter{id: id, incarnation: p.incarnation}) {
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -30,6 +30,7 @@
 	if s := n.log.snapshot; s != nil {
 		n.membership = membershipState{current: s.Membership, index: units.Index(s.Index)}
 	}
+	n.addMembers()
 	for _, e := range n.log.entries {
 		n.adoptMembership(e)
 	}
@@ -40,6 +41,7 @@
 		return
 	}
 	n.membership = membershipState{current: e.Membership, index: units.Index(e.Index)}
+	n.addMembers()
 }
 
 // formed tells whether this replica belongs to a cluster at all.
@@ -56,32 +58,70 @@
 	return slices.ContainsFunc(n.voters(), func(m *wire.Member) bool { return voterOf(m) == v })
 }
 
+// hasMember tells whether a replica votes under any incarnation.
+func (n *Node) hasMember(id units.ReplicaID) bool {
+	return slices.ContainsFunc(n.voters(), func(m *wire.Member) bool { return m.Id == string(id) })
+}
+
 func (n *Node) self() voter {
 	return voter{id: n.settings.ID, incarnation: n.settings.Incarnation}
 }
 
 func (n *Node) quorum() int { return len(n.voters())/2 + 1 }
 
-// changeMembership brings the voters a step closer to the replicas that the
-// settings name, one replica at a time: a replica whose disk was lost first
-// leaves under its old incarnation, then joins under the new one. Two steps
-// keep any two quorums overlapping, whatever becomes of the old disk.
-func (n *Node) changeMembership(e *Effects) {
+// changeMembership brings the voters a step closer to the replicas there are, one
+// replica at a time: a replica whose disk was lost first leaves under its old
+// incarnation, then joins under the new one. Two steps keep any two quorums
+// overlapping, whatever becomes of the old disk.
+func (n *Node) changeMembership(now units.Instant, e *Effects) {
 	if n.role != leader || !n.termCommitted() || n.membership.index > n.log.commit {
 		return
 	}
-	for _, id := range n.settings.peerIDs() {
+	for _, id := range n.order {
 		p := n.peers[id]
 		if p.incarnation == "" || n.isVoter(voter{id: id, incarnation: p.incarnation}) || !n.caughtUp(p) {
 			continue
 		}
-		next := n.membershipWithout(id)
-		if len(next.Voters) == len(n.voters()) {
-			next.Voters = append(next.Voters, &wire.Member{Id: string(id), Incarnation: string(p.incarnation)})
+		if next := n.stepTowards(now, p); next != nil {
+			n.appendEntry(&wire.Entry{Membership: next}, e)
+			return
+		}
+	}
+}
+
+// stepTowards returns the membership that comes next on the way to having a
+// replica as a voter, or nil when it has to wait.
+func (n *Node) stepTowards(now units.Instant, p *progress) *wire.Membership {
+	without := n.membershipWithout(p.id)
+	if len(without.Voters) < len(n.voters()) {
+		return without
+	}
+	if n.isFull() {
+		return n.withoutSilent(now)
+	}
+	without.Voters = append(without.Voters, &wire.Member{Id: string(p.id), Incarnation: string(p.incarnation)})
+	return without
+}
+
+// isFull tells whether the cluster has as many voters as it may grow to.
+func (n *Node) isFull() bool {
+	return n.settings.Growth != nil && len(n.voters()) >= n.settings.Growth.Voters
+}
+
+// withoutSilent returns the membership without a voter that has been silent for so
+// long that another replica may take its place, or nil when there is none.
+func (n *Node) withoutSilent(now units.Instant) *wire.Membership {
+	for _, m := range n.voters() {
+		v := voterOf(m)
+		if v == n.self() {
+			continue
+		}
+		last := max(n.ledSince, n.contactOf(v, now))
+		if now.Sub(last) >= n.settings.Growth.ReplaceAfter {
+			return n.membershipWithout(v.id)
 		}
-		n.appendEntry(&wire.Entry{Membership: next}, e)
-		return
 	}
+	return nil
 }
 
 func (n *Node) membershipWithout(id units.ReplicaID) *wire.Membership {
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -45,7 +45,11 @@
 	role     role
 	leaderID units.ReplicaID
 	peers    map[units.ReplicaID]*progress
-	votes    map[units.ReplicaID]bool
+	// order holds the peers' ids, in the order in which they became known.
+	order []units.ReplicaID
+	votes map[units.ReplicaID]bool
+	// ledSince is when this node last became the leader.
+	ledSince units.Instant
 	// termStart is the index of the leader's first entry in its term.
 	termStart units.Index
 
@@ -82,9 +86,10 @@
 		leaderHeard: now,
 	}
 	for _, id := range s.Peers {
-		n.peers[id] = &progress{id: id}
+		n.addPeer(id)
 	}
 	n.recomputeMembership()
+	n.addMembers()
 	n.resetElection(now)
 	return n
 }
@@ -143,7 +148,7 @@
 
 // Receive takes a message from another replica.
 func (n *Node) Receive(now units.Instant, m *wire.Envelope, e *Effects) {
-	p := n.peers[units.ReplicaID(m.From)]
+	p := n.peerOf(m)
 	if p == nil || !n.admit(now, p, m, e) {
 		return
 	}
@@ -344,7 +349,7 @@
 	if n.log.snapshot != nil {
 		s.Snapshot = units.Index(n.log.snapshot.Index)
 	}
-	for _, id := range n.settings.Peers {
+	for _, id := range n.order {
 		p := n.peers[id]
 		s.Peers = append(s.Peers, PeerStatus{
 			ID: id, Incarnation: p.incarnation, Match: p.match,
--- /dev/null
+++ b/pkg/core/replication/peers.go
@@ -0,0 +1,70 @@
+package replication
+
+import (
+	"slices"
+
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// maxPeers bounds the replicas that a node keeps account of; it is well above any
+// size that a cluster grows to.
+const maxPeers = 64
+
+// addPeer begins to keep account of another replica.
+func (n *Node) addPeer(id units.ReplicaID) *progress {
+	if p := n.peers[id]; p != nil || id == n.settings.ID || id == "" || len(n.order) >= maxPeers {
+		return p
+	}
+	p := &progress{id: id, next: n.log.last() + 1}
+	n.peers[id] = p
+	n.order = append(n.order, id)
+	return p
+}
+
+// addMembers makes sure that all voters are kept account of.
+func (n *Node) addMembers() {
+	if n.settings.Growth == nil {
+		return
+	}
+	for _, m := range n.voters() {
+		n.addPeer(units.ReplicaID(m.Id))
+	}
+}
+
+// peerOf returns a message's sender, or nil when it is none of the cluster's. A
+// cluster that grows takes in whoever reports; others keep to their settings.
+func (n *Node) peerOf(m *wire.Envelope) *progress {
+	id := units.ReplicaID(m.From)
+	if p := n.peers[id]; p != nil || n.settings.Growth == nil {
+		return p
+	}
+	return n.addPeer(id)
+}
+
+// Members returns the replicas that are known here, this one among them: the
+// voters first, then those that follow.
+func (n *Node) Members() []units.ReplicaID {
+	var members []units.ReplicaID
+	for _, m := range n.voters() {
+		members = append(members, units.ReplicaID(m.Id))
+	}
+	for _, id := range append([]units.ReplicaID{n.settings.ID}, n.order...) {
+		if !slices.Contains(members, id) {
+			members = append(members, id)
+		}
+	}
+	return members
+}
+
+// LiveMembers returns those of the members that this leader has had answers from
+// within two election timeouts, itself among them.
+func (n *Node) LiveMembers(now units.Instant) []units.ReplicaID {
+	live := []units.ReplicaID{n.settings.ID}
+	for _, id := range n.order {
+		if p := n.peers[id]; p.contact != 0 && now.Sub(p.contact) < 2*n.settings.ElectionTimeout {
+			live = append(live, id)
+		}
+	}
+	return live
+}
--- a/pkg/core/replication/progress.go
+++ b/pkg/core/replication/progress.go
@@ -24,8 +24,9 @@
 	// snapshotAt is when a snapshot was last sent; another waits its turn.
 	snapshotAt units.Instant
 	// formed is what the replica said of itself when it was last asked.
-	formed bool
-	asked  units.Instant
+	formed    bool
+	bootstrap bool
+	asked     units.Instant
 }
 
 // restart forgets the log position, as after a change of leader or disk.
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -14,20 +14,25 @@
 	c.reset()
 	c.owner = v.Owner
 	c.arrived = r.now
-	c.service = r.routes.find(v.Host, v.Path)
 	if !r.leased() {
 		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetry}, e)
 		return
 	}
-	s := c.service
+	c.route = r.routes.find(v.Host, v.Path)
+	if c.route == nil {
+		r.refuse(id, c, r.noRoute(), e)
+		return
+	}
+	s := c.route.pick()
 	if s == nil {
-		r.refuse(id, c, Refusal{Reason: NoService, Outcome: NotRun}, e)
+		r.refuse(id, c, Refusal{Reason: NoTarget, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
 		return
 	}
+	c.service = s
 	s.calls++
-	s.retries.earn(s.row.RetryBudget)
-	s.hedges.earn(s.row.HedgeBudget)
-	c.deadline = r.now.Add(r.deadlineOf(s, v.Deadline))
+	s.retries.earn(s.row.RetryBudget, s.burst)
+	s.hedges.earn(s.row.HedgeBudget, s.burst)
+	c.deadline = r.now.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
 			r.send(id, c, t, false, e)
@@ -41,11 +46,17 @@
 // noLeaseRetry is when a caller may come back to a box that lost its lease.
 const noLeaseRetry = time.Second
 
-func (r *Router) deadlineOf(s *service, asked time.Duration) time.Duration {
-	if asked <= 0 {
-		return s.row.Deadline
+// noRoute is the refusal of a call that the table has no route for. A box whose table
+// is still empty can't know that there is none.
+func (r *Router) noRoute() Refusal {
+	if r.tableIsEmpty() {
+		return Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noLeaseRetry}
 	}
-	return min(asked, r.settings.MaxDeadline)
+	return Refusal{Reason: NoService, Outcome: NotRun}
+}
+
+func (r *Router) tableIsEmpty() bool {
+	return len(r.table.Services) == 0 && r.table.Document == 0
 }
 
 // choose picks a target for a call, or returns nil when none takes work now.
@@ -86,7 +97,7 @@
 	if s.held.length >= s.row.HoldCount {
 		return TooManyHeld
 	}
-	if !s.hasActiveTarget() && s.row.Work != table.Patient {
+	if !s.hasActiveTarget() && c.route.work != table.Patient {
 		return NoTarget
 	}
 	wait := max(s.expectedWait(), r.frontAge(s))
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -10,6 +10,7 @@
 func (r *Router) send(id CallID, c *call, t *target, hedge bool, e *Effects) {
 	a := c.freePlace()
 	c.sends++
+	c.arrivals++
 	c.past[c.tries%maxAttempts] = t
 	c.tries++
 	*a = attempt{number: c.sends, target: t, sent: r.now, hedge: hedge}
@@ -29,13 +30,21 @@
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections,
 	})
-	if !hedge && c.service.row.Work == table.Repeatable && c.service.row.HedgeBudget > 0 {
-		r.timers.Push(timer{at: r.now.Add(c.service.hedgeDelay()), call: id, kind: hedgeTimer})
+	if !hedge && c.route.work == table.Repeatable && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
+		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
 }
 
-// hedgeDelay is how long a call may go unanswered before it is worth a second
-// send: longer than nearly all calls take.
+// hedgeDelay is how long a call may go unanswered before it is worth a second send:
+// half of its aim, so that the second may still make it, or longer than nearly all
+// calls take where there is no aim.
+func (c *call) hedgeDelay() time.Duration {
+	if c.route.aim > 0 {
+		return max(minHedgeDelay, c.route.aim/2)
+	}
+	return c.service.hedgeDelay()
+}
+
 func (s *service) hedgeDelay() time.Duration {
 	return max(minHedgeDelay, s.latency.quantile())
 }
@@ -46,7 +55,7 @@
 // allows it and another target has room.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
 	s := c.service
-	if c.held || c.streaming || c.underWay() != 1 || c.tries >= maxAttempts || s.held.length > 0 || !r.leased() {
+	if c.held || c.streaming || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
 		return
 	}
 	t := r.choose(s, c)
@@ -136,9 +145,10 @@
 	case Failed:
 		c.mayHaveRun = true
 		r.failedAnswer(v, c, t, e)
-	case Shed:
+	case Shed, Misdirected:
 		r.resend(v.Call, c, TargetShed, e)
 	case NotSent:
+		c.arrivals--
 		r.resend(v.Call, c, RetriesSpent, e)
 	case Broken, Canceled:
 		c.mayHaveRun = true
@@ -164,6 +174,9 @@
 	case NotSent:
 		t.failures++
 		turned = t.health.unreachable(r.now)
+	case Misdirected:
+		t.sheds++
+		turned = t.health.misdirected(r.now)
 	case Shed:
 		t.sheds++
 		t.reading.contradicted()
@@ -197,7 +210,7 @@
 	if c.underWay() > 0 {
 		return
 	}
-	if c.service.row.Work == table.Repeatable && r.retry(v.Call, c, e) {
+	if c.route.work == table.Repeatable && r.retry(v.Call, c, false, e) {
 		return
 	}
 	r.deliver(v, c, t, e)
@@ -208,19 +221,20 @@
 	if c.underWay() > 0 {
 		return
 	}
-	if c.service.row.Work == table.Repeatable && r.retry(id, c, e) {
+	if c.route.work == table.Repeatable && r.retry(id, c, false, e) {
 		return
 	}
 	r.refuse(id, c, Refusal{Reason: AttemptBroken, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
 }
 
-// retry sends a call again to another target, if the budget allows it.
-func (r *Router) retry(id CallID, c *call, e *Effects) bool {
-	if c.tries >= maxAttempts || !r.leased() || c.service.held.length > 0 {
+// retry sends a call again to another target, if the budget allows it. A retry is free
+// when nothing of the call can have arrived anywhere.
+func (r *Router) retry(id CallID, c *call, free bool, e *Effects) bool {
+	if c.spentAttempts() || !r.leased() || c.service.held.length > 0 {
 		return false
 	}
 	t := r.choose(c.service, c)
-	if t == nil || !c.service.retries.spend() {
+	if t == nil || !free && !c.service.retries.spend() {
 		return false
 	}
 	r.send(id, c, t, false, e)
@@ -233,10 +247,10 @@
 	if c.underWay() > 0 {
 		return
 	}
-	if r.retry(id, c, e) {
+	if r.retry(id, c, reason == RetriesSpent, e) {
 		return
 	}
-	if c.service.row.Work == table.Patient && r.holdAgain(id, c, e) {
+	if c.route.work == table.Patient && r.holdAgain(id, c, e) {
 		return
 	}
 	r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -10,11 +10,20 @@
 	spent uint64
 }
 
-// budgetBurst bounds the tokens that can be saved up.
+// budgetBurst bounds the tokens that a box can save up where the table doesn't say
+// how many all boxes may.
 const budgetBurst = 10
 
-func (b *budget) earn(share units.Percent) {
-	b.tokens = min(budgetBurst, b.tokens+share.Of(1))
+// burstOf is how many tokens a box may save up for a service.
+func (r *Router) burstOf(s *service) float64 {
+	if s.row.ExtraBurst == 0 {
+		return budgetBurst
+	}
+	return float64(s.row.ExtraBurst) / float64(max(1, r.rank.count))
+}
+
+func (b *budget) earn(share units.Percent, burst float64) {
+	b.tokens = min(burst, b.tokens+share.Of(1))
 }
 
 func (b *budget) spend() bool {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -25,7 +25,9 @@
 
 // call is a call that hasn't been answered yet.
 type call struct {
-	owner    any
+	owner any
+	route *route
+	// service is the one of the route's services that the call goes to.
 	service  *service
 	arrived  units.Instant
 	deadline units.Instant
@@ -34,6 +36,8 @@
 	sends AttemptNumber
 	// tries counts the attempts since the call was last held.
 	tries int
+	// arrivals counts the sends that may have reached a target.
+	arrivals int
 	// past are the targets of those attempts.
 	past [maxAttempts]*target
 	// mayHaveRun is set once a byte may have reached a target that didn't say
@@ -94,6 +98,11 @@
 	return false
 }
 
+// spentAttempts tells whether the call may be sent to no further target.
+func (c *call) spentAttempts() bool {
+	return c.tries >= maxAttempts || c.arrivals >= c.route.maxAttempts
+}
+
 // uses tells whether an attempt at this target is under way.
 func (c *call) uses(t *target) bool {
 	for i := range c.attempts {
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -99,6 +99,8 @@
 	Failed
 	// Shed: the target said that it didn't run the call.
 	Shed
+	// Misdirected: another target is at the address; it didn't run the call.
+	Misdirected
 	// NotSent: no byte can have reached the target.
 	NotSent
 	// Broken: a byte may have reached the target, and no whole answer came.
@@ -112,6 +114,10 @@
 	Known bool
 	// InFlight is the number of calls that the target said it had.
 	InFlight float64
+	// Slots is how many calls it works on at a time; zero when it didn't say.
+	Slots float64
+	// Pace is how long work takes there now, over the usual; zero when it didn't say.
+	Pace float64
 }
 
 // Endpoint is a target of a service as the shell needs to know it. It is never
@@ -121,6 +127,8 @@
 	Target  units.TargetID
 	Address string
 	Domain  units.Domain
+	// Registered is set for a target that registered by itself under its id.
+	Registered bool
 }
 
 // EffectKind says what the shell is to do.
--- a/pkg/core/routing/health.go
+++ b/pkg/core/routing/health.go
@@ -25,6 +25,8 @@
 	// firstEjection doubles with each ejection up to maxEjection.
 	firstEjection = 250 * time.Millisecond
 	maxEjection   = time.Second
+	// maxEjections is after how many ejections in a row the wait grows no longer.
+	maxEjections = 4
 	// rampTime is how long a target takes to reach its full weight.
 	rampTime = time.Second
 	// rampFloor is the part of the weight that a target starts with.
@@ -53,8 +55,18 @@
 	return h.failed(now)
 }
 
+// misdirected notes that another target answers at the address; it returns true when
+// the target was ejected by that. Only the table will bring it back soon.
+func (h *health) misdirected(now units.Instant) bool {
+	turned := !h.ejected
+	h.ejected = true
+	h.times = max(h.times, maxEjections)
+	h.eject(now)
+	return turned
+}
+
 func (h *health) eject(now units.Instant) {
-	wait := min(maxEjection, firstEjection<<min(h.times, 4))
+	wait := min(maxEjection, firstEjection<<min(h.times, maxEjections))
 	h.times++
 	h.retryAt = now.Add(wait)
 }
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Outcome says what a refused caller may know of its call.
 type Outcome uint8
@@ -37,6 +40,7 @@
 	TargetShed
 	RetriesSpent
 	CallerLeft
+	NoTable
 	reasonCount
 )
 
@@ -59,6 +63,7 @@
 	AttemptBroken:  {"broken-answer", 502, "find out what became of the call before sending it again"},
 	TargetShed:     {"target-shed", 503, "come back later; the target refused the call before running it"},
 	RetriesSpent:   {"not-sent", 502, "come back later; no target could be reached"},
+	NoTable:        {"no-table", 503, "try another box; this one has no table yet"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
@@ -68,6 +73,16 @@
 // Status returns the HTTP status of a refusal for this reason.
 func (r Reason) Status() int { return reasonTable[r].status }
 
+// Status returns the HTTP status of the refusal. A call that hasn't run gets a status
+// that says so, whatever kept it from running.
+func (r Refusal) Status() int {
+	status := r.Reason.Status()
+	if r.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
 // Remedy says what the caller can do.
 func (r Reason) Remedy() string { return reasonTable[r].remedy }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -203,6 +203,7 @@
 // changeTable puts a table in force. What it doesn't change costs nothing, so
 // that an edit of one service is cheap however many there are.
 func (r *Router) changeTable(t *table.Table, e *Effects) {
+	tableRoutesChanged := t.Document != r.table.Document
 	r.table = t
 	boxesChanged := r.changeBoxes(t.Boxes)
 	routesChanged := r.dropMissing(t, e)
@@ -217,9 +218,9 @@
 		}
 		r.putService(entry, e)
 	}
-	if routesChanged {
+	if routesChanged || tableRoutesChanged {
 		slices.SortFunc(r.order, compareServices)
-		r.routes = newRouteIndex(r.order)
+		r.indexRoutes()
 	}
 }
 
@@ -272,6 +273,7 @@
 		s.update(entry, r.now)
 	}
 	r.sweepBy(s, r.now)
+	s.burst = r.burstOf(s)
 	for _, t := range s.targets {
 		r.wantShare(t)
 	}
@@ -291,6 +293,10 @@
 }
 
 func (r *Router) wantShare(t *target) {
+	if t.row.Registered {
+		r.shareRegistered(t)
+		return
+	}
 	r.placeTarget(t)
 	limit := r.rank.wholeShare(t.row.MaxInFlight, t.place)
 	connections := r.rank.wholeShare(t.row.MaxConnections, t.place)
@@ -300,6 +306,22 @@
 	r.want(&t.probeShare, r.rank.rateShare(1))
 }
 
+// shareRegistered gives this box its part of a registered target's connections. It
+// holds at once: the bound is the target's own, which sheds what is too much.
+func (r *Router) shareRegistered(t *target) {
+	t.connections = 0
+	if t.row.MaxConnections > 0 {
+		t.connections = max(1, t.row.MaxConnections/max(1, r.rank.count))
+	}
+	limit := float64(unlimited)
+	if t.row.MaxInFlight > 0 {
+		limit = max(1, float64(t.row.MaxInFlight)/float64(max(1, r.rank.count)))
+	}
+	t.share = fixedValue(limit)
+	t.rateShare = fixedValue(unlimited)
+	t.probeShare = fixedValue(1 / float64(max(1, r.rank.count)))
+}
+
 // placeTarget works out how many boxes come before this one for a target, from the
 // boxes that came and went where the others have been counted already.
 func (r *Router) placeTarget(t *target) {
--- /dev/null
+++ b/pkg/core/routing/routes.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+)
+
+// routeIndex finds the route of a host name and a path.
+type routeIndex struct {
+	byHost map[string][]*route
+}
+
+// route is what a box knows of a route: one of the table's, or the one that a
+// service's own hosts and prefix make.
+type route struct {
+	prefix string
+	work   table.Work
+	// deadline bounds what a caller may ask for; zero leaves that to the settings.
+	deadline time.Duration
+	// usual is the deadline of a caller that asks for none.
+	usual       time.Duration
+	aim         time.Duration
+	maxAttempts int
+	priority    int
+	parts       []routePart
+}
+
+// routePart is a service's part of a route's calls. Credits make each part come up
+// in proportion to its weight, evenly spread.
+type routePart struct {
+	service *service
+	weight  int
+	credit  int
+}
+
+// serviceRoute is the route that a service's own hosts and prefix make.
+func serviceRoute(s *service) *route {
+	return &route{
+		prefix: s.row.PathPrefix, work: s.row.Work, usual: s.row.Deadline, maxAttempts: maxAttempts,
+		parts: []routePart{{service: s, weight: 1}},
+	}
+}
+
+// newRoute returns a route of the table. A part whose service the table lacks takes
+// no calls.
+func (r *Router) newRoute(row *table.Route) *route {
+	x := &route{
+		prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
+		maxAttempts: maxAttempts, priority: row.Priority,
+	}
+	if row.MaxAttempts > 0 {
+		x.maxAttempts = min(row.MaxAttempts, maxAttempts)
+	}
+	for _, p := range row.Parts {
+		if s := r.services[p.Service]; s != nil && p.Weight > 0 {
+			x.parts = append(x.parts, routePart{service: s, weight: p.Weight})
+		}
+	}
+	return x
+}
+
+// indexRoutes makes the index anew. The table's routes come before the services' own
+// ones of the same host and prefix.
+func (r *Router) indexRoutes() {
+	x := routeIndex{byHost: map[string][]*route{}}
+	for _, row := range r.table.Routes {
+		x.byHost[row.Host] = append(x.byHost[row.Host], r.newRoute(row))
+	}
+	for _, s := range r.order {
+		for _, h := range ownHosts(&s.row) {
+			x.byHost[h] = append(x.byHost[h], serviceRoute(s))
+		}
+	}
+	for _, routes := range x.byHost {
+		slices.SortStableFunc(routes, func(a, b *route) int { return len(b.prefix) - len(a.prefix) })
+	}
+	r.routes = x
+}
+
+// ownHosts are the hosts under which a service is reached without a route of the
+// table; an empty one stands for any.
+func ownHosts(s *table.Service) []string {
+	if len(s.Hosts) == 0 && s.PathPrefix != "" {
+		return []string{""}
+	}
+	return s.Hosts
+}
+
+// find returns the route for a host and a path: the longest prefix of the host's own
+// routes, else of those for any host. It returns nil for none.
+func (x *routeIndex) find(host, path []byte) *route {
+	if found := longestPrefix(x.byHost[string(host)], path); found != nil {
+		return found
+	}
+	return longestPrefix(x.byHost[""], path)
+}
+
+func longestPrefix(routes []*route, path []byte) *route {
+	for _, r := range routes {
+		if len(path) >= len(r.prefix) && string(path[:len(r.prefix)]) == r.prefix {
+			return r
+		}
+	}
+	return nil
+}
+
+// pick returns the service whose turn it is, or nil when the route has none.
+func (x *route) pick() *service {
+	if len(x.parts) == 0 {
+		return nil
+	}
+	total, best := 0, 0
+	for i := range x.parts {
+		p := &x.parts[i]
+		p.credit += p.weight
+		total += p.weight
+		if p.credit > x.parts[best].credit {
+			best = i
+		}
+	}
+	x.parts[best].credit -= total
+	return x.parts[best].service
+}
+
+// deadlineOf is how long a call of the route may take.
+func (x *route) deadlineOf(asked, most time.Duration) time.Duration {
+	if asked <= 0 {
+		return x.usual
+	}
+	if x.deadline > 0 {
+		most = x.deadline
+	}
+	return min(asked, most)
+}
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -23,8 +23,10 @@
 	// rest would collapse; then their health doesn't count.
 	mostlyEjected bool
 	// recent counts the last sends.
-	recent  float64
-	held    heldQueue
+	recent float64
+	held   heldQueue
+	// burst bounds what each of the budgets saves up.
+	burst   float64
 	retries budget
 	hedges  budget
 	latency latencyEstimate
@@ -36,7 +38,12 @@
 }
 
 func newService(row table.Service) *service {
-	return &service{row: row, retries: budget{tokens: initialTokens}, hedges: budget{tokens: initialTokens}, wants: wantState{peers: map[units.BoxID]spare{}}}
+	tokens := float64(initialTokens)
+	if row.ExtraBurst > 0 {
+		// The total over all boxes holds from the start.
+		tokens = 0
+	}
+	return &service{row: row, retries: budget{tokens: tokens}, hedges: budget{tokens: tokens}, wants: wantState{peers: map[units.BoxID]spare{}}}
 }
 
 // initialTokens let a service retry a few of its first calls.
@@ -153,48 +160,3 @@
 	}
 	return t.takesWork(c.now, c.anyHealth) && !c.call.uses(t)
 }
-
-// routeIndex finds the service of a host name and a path.
-type routeIndex struct {
-	byHost map[string][]route
-}
-
-type route struct {
-	prefix  string
-	service *service
-}
-
-func newRouteIndex(services []*service) routeIndex {
-	x := routeIndex{byHost: map[string][]route{}}
-	for _, s := range services {
-		hosts := s.row.Hosts
-		if len(hosts) == 0 {
-			hosts = []string{""}
-		}
-		for _, h := range hosts {
-			x.byHost[h] = append(x.byHost[h], route{prefix: s.row.PathPrefix, service: s})
-		}
-	}
-	for _, routes := range x.byHost {
-		slices.SortStableFunc(routes, func(a, b route) int { return len(b.prefix) - len(a.prefix) })
-	}
-	return x
-}
-
-// find returns the service for a host and a path: the longest prefix of the
-// host's own routes, else of those for any host. It returns nil for none.
-func (x *routeIndex) find(host, path []byte) *service {
-	if s := longestPrefix(x.byHost[string(host)], path); s != nil {
-		return s
-	}
-	return longestPrefix(x.byHost[""], path)
-}
-
-func longestPrefix(routes []route, path []byte) *service {
-	for _, r := range routes {
-		if len(path) >= len(r.prefix) && string(path[:len(r.prefix)]) == r.prefix {
-			return r.service
-		}
-	}
-	return nil
-}
--- a/pkg/core/routing/share.go
+++ b/pkg/core/routing/share.go
@@ -114,6 +114,11 @@
 	value float64
 }
 
+// fixedValue is a share that has settled.
+func fixedValue(value float64) settledValue {
+	return settledValue{history: []wantedValue{{value: value, at: -units.Instant(time.Hour)}}, value: value}
+}
+
 // want notes a new wanted value.
 func (s *settledValue) want(now units.Instant, value float64, delay time.Duration) {
 	if value >= unlimited {
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -140,8 +140,22 @@
 // trust, and has been on the list of boxes for long enough to have its shares. A
 // box that isn't serving does what it can with calls that come all the same.
 func (r *Router) Serving(now units.Instant) bool {
-	leased := r.settings.ServeStale || now < r.leaseUntil
-	return leased && r.rank.listed && now >= r.servesFrom
+	if r.settings.ServeStale {
+		return !r.tableIsEmpty() && (now >= r.servesFrom || !r.hasLimits())
+	}
+	return now < r.leaseUntil && r.rank.listed && now >= r.servesFrom
+}
+
+// hasLimits tells whether any target has a limit that is divided among the boxes.
+func (r *Router) hasLimits() bool {
+	for _, s := range r.order {
+		for _, t := range s.targets {
+			if !t.row.Registered && (t.row.MaxInFlight > 0 || t.row.MaxConnections > 0 || t.row.MaxRate > 0) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // ServesStale tells whether this box serves on without a lease.
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -64,11 +64,16 @@
 		window:  maxWindow,
 		endpoint: &Endpoint{
 			Service: row.Service, Target: row.Target, Address: row.Address, Domain: row.Domain,
+			Registered: row.Registered,
 		},
 	}
 }
 
 func (t *target) update(row table.Row) {
+	if t.row.Silent && !row.Silent {
+		// A target that reports again may be tried at once.
+		t.health.retryAt = 0
+	}
 	t.row = row
 	t.gone = false
 }
@@ -130,7 +135,7 @@
 	if t.gone || t.row.State != table.Active || t.row.Weight == 0 || now < t.notBefore {
 		return false
 	}
-	if !anyHealth && !t.health.admits(now, t.inFlight) {
+	if !anyHealth && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
 		return false
 	}
 	if !t.hasRoom(now) {
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -22,7 +22,8 @@
 // Settings are what a box needs to know to subscribe.
 type Settings struct {
 	Box table.Box
-	// Replicas are the control replicas, in the settings' order.
+	// Replicas are the control replicas, in the settings' order, or those of them
+	// that the settings know; the leader names the others.
 	Replicas []units.ReplicaID
 	// RenewEvery is the time between two requests for a lease.
 	RenewEvery time.Duration
@@ -91,7 +92,7 @@
 	random     *rand.Rand
 	table      *table.Table
 	attachment Attachment
-	replica    int
+	replicas   replicaList
 	attached   bool
 	attachedAt units.Instant
 	grantedAt  units.Instant
@@ -113,7 +114,7 @@
 		settings: s,
 		random:   random,
 		table:    table.NewTable(),
-		replica:  random.IntN(max(1, len(s.Replicas))),
+		replicas: newReplicaList(s.Replicas, random),
 		sentAt:   map[uint64]units.Instant{},
 		renewAt:  now,
 	}
@@ -155,15 +156,15 @@
 }
 
 func (s *Subscription) attachNext(now units.Instant, e *Effects) {
-	if len(s.settings.Replicas) == 0 {
+	next := s.replicas.next(now)
+	if next == "" {
 		return
 	}
-	s.replica = (s.replica + 1) % len(s.settings.Replicas)
 	s.attachment++
 	s.attached = true
 	s.attachedAt = now
 	e.Attach = true
-	e.Replica = s.settings.Replicas[s.replica]
+	e.Replica = next
 	e.Attachment = s.attachment
 }
 
@@ -221,6 +222,7 @@
 		return
 	}
 	delete(s.sentAt, r.Nonce)
+	s.replicas.learn(r.Replicas)
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
 	s.grants = append(s.grants, grant{
@@ -282,8 +284,6 @@
 		Box: s.settings.Box.ID, Attached: s.attached, Revision: s.table.Revision,
 		LeaseLeft: s.leaseUntil.Sub(now), GrantAge: now.Sub(s.grantedAt), Leaving: s.leaving,
 	}
-	if len(s.settings.Replicas) > 0 {
-		status.Replica = s.settings.Replicas[s.replica]
-	}
+	status.Replica = s.replicas.current
 	return status
 }
--- /dev/null
+++ b/pkg/core/table/registration.go
@@ -0,0 +1,202 @@
+package table
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Registration is what a target that registers by itself says of itself. Every
+// start of a target has an id of its own.
+type Registration struct {
+	Target  units.TargetID    `json:"target"`
+	Service units.ServiceName `json:"service"`
+	// Address is an IP number and a port.
+	Address string       `json:"address"`
+	Domain  units.Domain `json:"domain,omitempty"`
+	// Software is the version of the target's software.
+	Software string   `json:"software,omitempty"`
+	Slots    int      `json:"slots,omitempty"`
+	State    RowState `json:"state"`
+	// Sequence rises with each report, so that a late one can be recognized.
+	Sequence uint64 `json:"sequence"`
+	// Cold is how long the target stays slow from its start, as it said when it
+	// first registered.
+	Cold time.Duration `json:"cold,omitempty"`
+	// Silent is set while no report comes, although reports of others do.
+	Silent bool `json:"silent,omitempty"`
+}
+
+// MaxDeparted bounds the ids of departed targets that are remembered, so that a
+// late report doesn't bring one of them back.
+const MaxDeparted = 4096
+
+// registeredWeight is the weight of every registered target.
+const registeredWeight = 100
+
+var registrationRules = []rule[Registration]{
+	{"target", func(r *Registration) bool { return r.Target != "" && len(r.Target) <= MaxNameLength }, "use 1 to 64 characters"},
+	{"service", func(r *Registration) bool { return validName(string(r.Service)) }, "use 1 to 64 of a-z, 0-9, '-', '.' and '_'"},
+	{"address", func(r *Registration) bool { return validAddress(r.Address) }, "write an IP number and a port, such as 10.0.0.7:8080"},
+	{"state", func(r *Registration) bool { return r.State == Active || r.State == Leaving }, "write active or leaving"},
+}
+
+// CheckRegistration returns what is wrong with a registration, or nothing.
+func CheckRegistration(r *Registration) []Problem { return check(registrationRules, r) }
+
+// row is the registered target's row of the table.
+func (r *Registration) row(s *Service) Row {
+	return Row{
+		Service: r.Service, Target: r.Target, Address: r.Address, Domain: r.Domain, Weight: registeredWeight,
+		MaxConnections: s.TargetConnections, State: r.State, Registered: true, Slots: r.Slots, Cold: r.Cold, Silent: r.Silent,
+	}
+}
+
+// sameFacts tells whether two registrations differ in nothing but the sequence.
+func (r *Registration) sameFacts(o *Registration) bool {
+	a, b := *r, *o
+	a.Sequence, b.Sequence = 0, 0
+	a.Cold, b.Cold = 0, 0
+	a.Silent, b.Silent = false, false
+	return a == b
+}
+
+// Registration returns a registered target, or nil.
+func (s *State) Registration(id units.TargetID) *Registration { return s.targets[id] }
+
+// Registrations returns the number of registered targets.
+func (s *State) Registrations() int { return len(s.targets) }
+
+// EachRegistration calls f with every registered target.
+func (s *State) EachRegistration(f func(*Registration)) {
+	for _, r := range s.targets {
+		f(r)
+	}
+}
+
+// Departed tells whether a target has left for good.
+func (s *State) Departed(id units.TargetID) bool { return s.departed[id] }
+
+// Fresh tells whether a report says anything that the state doesn't hold. A report
+// that is older than what is held says nothing.
+func (s *State) Fresh(r *Registration) bool {
+	if s.departed[r.Target] {
+		return false
+	}
+	held := s.targets[r.Target]
+	if held == nil {
+		return true
+	}
+	return r.Sequence > held.Sequence && !held.sameFacts(r)
+}
+
+// ApplyRegistration takes a target's report. A target that registers at another
+// one's address takes its place: the other must have ended. The delta is nil when
+// the table isn't changed.
+func (s *State) ApplyRegistration(r *Registration) *Delta {
+	if !s.Fresh(r) {
+		return nil
+	}
+	delta := s.newDelta()
+	if held := s.targets[r.Target]; held != nil {
+		r.Cold = held.Cold
+		if held.Service != r.Service {
+			s.dropRow(held, delta)
+		}
+	}
+	for id, o := range s.targets {
+		if id != r.Target && o.Address == r.Address {
+			s.dropRow(o, delta)
+			delete(s.targets, id)
+			s.rememberDeparted(id)
+		}
+	}
+	s.targets[r.Target] = r
+	s.putRow(r, delta)
+	return s.commitIfChanged(delta)
+}
+
+// ApplyDeparture takes a target out for good.
+func (s *State) ApplyDeparture(id units.TargetID) *Delta {
+	s.rememberDeparted(id)
+	r := s.targets[id]
+	if r == nil {
+		return nil
+	}
+	delete(s.targets, id)
+	delta := s.newDelta()
+	s.dropRow(r, delta)
+	return s.commitIfChanged(delta)
+}
+
+// ApplySilence notes which targets have fallen silent or are heard again.
+func (s *State) ApplySilence(silent, heard []units.TargetID) *Delta {
+	delta := s.newDelta()
+	for _, id := range silent {
+		s.setSilent(id, true, delta)
+	}
+	for _, id := range heard {
+		s.setSilent(id, false, delta)
+	}
+	return s.commitIfChanged(delta)
+}
+
+func (s *State) setSilent(id units.TargetID, silent bool, delta *Delta) {
+	held := s.targets[id]
+	if held == nil || held.Silent == silent {
+		return
+	}
+	r := *held
+	r.Silent = silent
+	s.targets[id] = &r
+	s.putRow(&r, delta)
+}
+
+func (s *State) commitIfChanged(d *Delta) *Delta {
+	if len(d.Changed) == 0 {
+		return nil
+	}
+	return s.commit(d)
+}
+
+// draftEntry returns the delta's own copy of a service's entry, or nil when there
+// is no such service.
+func (s *State) draftEntry(name units.ServiceName, delta *Delta) *Entry {
+	for _, e := range delta.Changed {
+		if e.Service.Name == name {
+			return e
+		}
+	}
+	old := s.table.Services[name]
+	if old == nil {
+		return nil
+	}
+	entry := &Entry{Service: old.Service, Version: units.Version(delta.Revision), Rows: old.Rows}
+	delta.Changed = append(delta.Changed, entry)
+	return entry
+}
+
+func (s *State) putRow(r *Registration, delta *Delta) {
+	if entry := s.draftEntry(r.Service, delta); entry != nil {
+		entry.Rows = entry.withRow(r.row(&entry.Service))
+	}
+}
+
+func (s *State) dropRow(r *Registration, delta *Delta) {
+	if entry := s.draftEntry(r.Service, delta); entry != nil {
+		entry.Rows = entry.withoutRow(r.Target)
+	}
+}
+
+func (s *State) rememberDeparted(id units.TargetID) {
+	if s.departed[id] {
+		return
+	}
+	if len(s.departedOrder) >= MaxDeparted {
+		delete(s.departed, s.departedOrder[0])
+		s.departedOrder = slices.Delete(s.departedOrder, 0, 1)
+	}
+	s.departed[id] = true
+	s.departedOrder = append(s.departedOrder, id)
+}
--- /dev/null
+++ b/pkg/core/table/route.go
@@ -0,0 +1,126 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Route sends the calls of a host and a path prefix to services. Where no route
+// matches, the hosts and prefixes of the services themselves count.
+type Route struct {
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"pathPrefix"`
+	Work       Work   `json:"work"`
+	// Deadline is how long a call may be held at the most, whatever its caller
+	// asks for.
+	Deadline time.Duration `json:"deadline"`
+	// Aim is the time within which an answer is worth its full value; zero means
+	// that none is known.
+	Aim time.Duration `json:"aim,omitempty"`
+	// MaxAttempts is how many targets a call may be sent to; zero leaves it to the
+	// box.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Priority ranks routes when not all calls can be served; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// Parts are the services that share the calls by weight.
+	Parts []Part `json:"parts"`
+}
+
+// Part is one service's part of a route's calls.
+type Part struct {
+	Service units.ServiceName `json:"service"`
+	Weight  int               `json:"weight"`
+}
+
+// RouteKey is what a route matches; no two routes have the same.
+type RouteKey struct {
+	Host       string `json:"host"`
+	PathPrefix string `json:"pathPrefix"`
+}
+
+// Key returns what the route matches.
+func (r *Route) Key() RouteKey { return RouteKey{Host: r.Host, PathPrefix: r.PathPrefix} }
+
+// equal tells whether two routes say the same.
+func (r *Route) equal(o *Route) bool {
+	return r.Name == o.Name && r.Key() == o.Key() && r.Work == o.Work && r.Deadline == o.Deadline && r.Aim == o.Aim &&
+		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && slices.Equal(r.Parts, o.Parts)
+}
+
+func (k RouteKey) compare(o RouteKey) int {
+	return cmp.Or(strings.Compare(k.Host, o.Host), strings.Compare(k.PathPrefix, o.PathPrefix))
+}
+
+// RouteChange is a change of the list of routes; it holds what differs only.
+type RouteChange struct {
+	Put     []*Route   `json:"put,omitempty"`
+	Removed []RouteKey `json:"removed,omitempty"`
+}
+
+// Empty tells whether nothing changes.
+func (c RouteChange) Empty() bool { return len(c.Put)+len(c.Removed) == 0 }
+
+// routeDifference returns the change that leads from one set of routes to another.
+func routeDifference(from, to map[RouteKey]*Route) RouteChange {
+	var c RouteChange
+	for k, r := range to {
+		if old := from[k]; old == nil || !old.equal(r) {
+			c.Put = append(c.Put, r)
+		}
+	}
+	for k := range from {
+		if to[k] == nil {
+			c.Removed = append(c.Removed, k)
+		}
+	}
+	slices.SortFunc(c.Put, func(a, b *Route) int { return a.Key().compare(b.Key()) })
+	slices.SortFunc(c.Removed, RouteKey.compare)
+	return c
+}
+
+// patchRoutes returns the routes after a change.
+func patchRoutes(routes map[RouteKey]*Route, c RouteChange) map[RouteKey]*Route {
+	if c.Empty() {
+		return routes
+	}
+	next := make(map[RouteKey]*Route, len(routes)+len(c.Put))
+	for k, r := range routes {
+		next[k] = r
+	}
+	for _, k := range c.Removed {
+		delete(next, k)
+	}
+	for _, r := range c.Put {
+		next[r.Key()] = r
+	}
+	return next
+}
+
+var routeRules = []rule[Route]{
+	{"path_prefix", func(r *Route) bool { return strings.HasPrefix(r.PathPrefix, "/") }, "start it with a slash"},
+	{"work", func(r *Route) bool { return r.Work >= Repeatable && r.Work <= Patient }, "write repeatable, once or patient"},
+	{"deadline", func(r *Route) bool { return r.Deadline > 0 }, "give a positive duration such as 2s"},
+	{"aim", func(r *Route) bool { return r.Aim >= 0 }, "give a duration, or 0s for none"},
+	{"max_attempts", func(r *Route) bool { return r.MaxAttempts >= 0 }, "give 0 for the box's own bound, or a positive number"},
+	{"parts", func(r *Route) bool { return partWeight(r.Parts) > 0 }, "give at least one service a positive weight, and none a negative one"},
+}
+
+// partWeight adds up the weights; a negative one makes the sum zero.
+func partWeight(parts []Part) int {
+	sum := 0
+	for _, p := range parts {
+		if p.Weight < 0 || p.Weight > MaxWeight {
+			return 0
+		}
+		sum += p.Weight
+	}
+	return sum
+}
+
+// CheckRoute returns what is wrong with a route, or nothing.
+func CheckRoute(r *Route) []Problem { return check(routeRules, r) }
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -31,6 +32,17 @@
 	// MaxRate is in calls per second.
 	MaxRate float64  `json:"maxRate"`
 	State   RowState `json:"state"`
+	// Registered is set for a target that registered by itself. Its connections are
+	// divided among the boxes without a delay, since its own bound is no limit that
+	// an operator relies on.
+	Registered bool `json:"registered,omitempty"`
+	// Slots is how many calls the target says it works on at a time; zero means
+	// that it didn't say.
+	Slots int `json:"slots,omitempty"`
+	// Cold is how long the target stays slow from its start.
+	Cold time.Duration `json:"cold,omitempty"`
+	// Silent is set while a registered target doesn't report.
+	Silent bool `json:"silent,omitempty"`
 }
 
 func (e *Entry) find(target units.TargetID) (int, bool) {
--- a/pkg/core/table/rules.go
+++ b/pkg/core/table/rules.go
@@ -36,6 +36,8 @@
 	{"hold_count", func(s *Service) bool { return s.HoldCount >= 0 && s.HoldCount <= maxHoldCount }, "give a number from 0 to 1000000"},
 	{"retry_budget", func(s *Service) bool { return validPercent(s.RetryBudget) }, "give a percentage from 0 to 100"},
 	{"hedge_budget", func(s *Service) bool { return validPercent(s.HedgeBudget) }, "give a percentage from 0 to 100"},
+	{"extra_burst", func(s *Service) bool { return s.ExtraBurst >= 0 }, "give 0 for the boxes' own bound, or a positive number"},
+	{"target_connections", func(s *Service) bool { return s.TargetConnections >= 0 }, "give 0 for no bound, or a positive number"},
 	{"measure_budget", func(s *Service) bool { return validPercent(s.MeasureBudget) }, "give a percentage from 0 to 100"},
 }
 
--- a/pkg/core/table/service.go
+++ b/pkg/core/table/service.go
@@ -4,6 +4,8 @@
 package table
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
@@ -51,6 +53,21 @@
 	HedgeBudget units.Percent `json:"hedgeBudget"`
 	// MeasureBudget is the share of a target's capacity that probes may take.
 	MeasureBudget units.Percent `json:"measureBudget"`
+	// ExtraBurst is how many extra sends, retries and hedges each, all boxes
+	// together may save up; zero leaves each box a few.
+	ExtraBurst int `json:"extraBurst,omitempty"`
+	// TargetConnections bounds the connections to each registered target, from all
+	// boxes together; zero means no bound.
+	TargetConnections int `json:"targetConnections,omitempty"`
+	// ProbePath is what probes ask for; empty means the box's own setting.
+	ProbePath string `json:"probePath,omitempty"`
+}
+
+// equal tells whether two services say the same.
+func (s *Service) equal(o *Service) bool {
+	a, b := *s, *o
+	a.Hosts, b.Hosts = nil, nil
+	return reflect.DeepEqual(a, b) && slices.Equal(s.Hosts, o.Hosts)
 }
 
 // Entry is a service with its rows and version. Entries are never changed in
--- a/pkg/core/table/state.go
+++ b/pkg/core/table/state.go
@@ -30,6 +30,13 @@
 	// order holds the ids of results, oldest first.
 	order   []units.EditID
 	history *container.Ring[Result]
+	// document is the whole document in force, nil before the first.
+	document *Document
+	// targets are those that registered by themselves.
+	targets map[units.TargetID]*Registration
+	// departed are targets that left for good, oldest first in departedOrder.
+	departed      map[units.TargetID]bool
+	departedOrder []units.TargetID
 }
 
 // NewState returns the state before the first edit.
@@ -38,9 +45,27 @@
 		table:   NewTable(),
 		results: map[units.EditID]*Result{},
 		history: container.NewRing[Result](MaxHistory),
+
+		targets:  map[units.TargetID]*Registration{},
+		departed: map[units.TargetID]bool{},
+	}
+}
+
+// RestoreDocument gives a restored state its document, the registered targets and
+// those that departed, oldest first.
+func (s *State) RestoreDocument(d *Document, targets []*Registration, departed []units.TargetID) {
+	s.document = d
+	for _, r := range targets {
+		s.targets[r.Target] = r
+	}
+	for _, id := range departed {
+		s.rememberDeparted(id)
 	}
 }
 
+// DepartedTargets returns the targets that left for good, oldest first.
+func (s *State) DepartedTargets() []units.TargetID { return s.departedOrder }
+
 // RestoreState returns a state with the given content. Results must be in the
 // order in which they were given.
 func RestoreState(t *Table, results, history []Result) *State {
@@ -94,9 +119,9 @@
 
 // ApplyBoxes changes the list of live boxes.
 func (s *State) ApplyBoxes(c BoxChange) *Delta {
-	d := &Delta{From: s.table.Revision, Revision: s.table.Revision + 1, Boxes: c}
-	s.table, _ = s.table.Patch(d)
-	return d
+	d := s.newDelta()
+	d.Boxes = c
+	return s.commit(d)
 }
 
 func (s *State) decide(e *Edit, at units.WallTime) (Result, *Delta) {
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -15,6 +15,11 @@
 	Services map[units.ServiceName]*Entry `json:"services"`
 	// Boxes are sorted by id.
 	Boxes []Box `json:"boxes"`
+	// Document is the version of the whole document that was put last; zero stands
+	// for none.
+	Document units.DocumentVersion `json:"document,omitempty"`
+	// Routes come before the services' own hosts and prefixes.
+	Routes map[RouteKey]*Route `json:"-"`
 }
 
 // Delta carries a table from one revision to the next.
@@ -25,6 +30,9 @@
 	Removed  []units.ServiceName `json:"removed,omitempty"`
 	// Boxes is what changes in the list of boxes.
 	Boxes BoxChange `json:"boxes"`
+	// Document is the version of a document that comes in force, or zero.
+	Document units.DocumentVersion `json:"document,omitempty"`
+	Routes   RouteChange           `json:"routes"`
 }
 
 // BoxChange is a change of the list of boxes. It holds what differs only, since
@@ -94,7 +102,10 @@
 	if d.From != t.Revision || d.Revision <= d.From {
 		return t, false
 	}
-	next = &Table{Revision: d.Revision, Services: t.Services, Boxes: patchBoxes(t.Boxes, d.Boxes)}
+	next = &Table{
+		Revision: d.Revision, Services: t.Services, Boxes: patchBoxes(t.Boxes, d.Boxes),
+		Document: max(t.Document, d.Document), Routes: patchRoutes(t.Routes, d.Routes),
+	}
 	if len(d.Changed)+len(d.Removed) == 0 {
 		return next, true
 	}
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -38,7 +38,16 @@
 	a := &attachment{number: n, queue: make(chan *wire.Envelope, attachmentQueue), done: make(chan struct{})}
 	c.current = a
 	c.entry.Log.WithField("replica", to).Debug("attaching to a control replica")
-	go c.run(a, c.addresses[to])
+	go c.run(a, c.addressOf(to))
+}
+
+// addressOf returns where a replica is reached. In a cluster that grows by itself a
+// replica goes by its address.
+func (c *controlClient) addressOf(id units.ReplicaID) string {
+	if address := c.addresses[id]; address != "" {
+		return address
+	}
+	return string(id)
 }
 
 func (c *controlClient) send(m *wire.Envelope) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -83,9 +83,9 @@
 func newCore(c *common.Common, peerAddress string) (*box.Box, error) {
 	s := c.Settings
 	id := units.BoxID(s.Box)
-	replicas := make([]units.ReplicaID, 0, len(s.Replicas))
-	for _, r := range s.Replicas {
-		replicas = append(replicas, units.ReplicaID(r.Box))
+	var replicas []units.ReplicaID
+	for _, name := range s.ReplicaNames() {
+		replicas = append(replicas, units.ReplicaID(name))
 	}
 	return box.NewBox(subscription.Settings{
 		Box:        table.Box{ID: id, Domain: units.Domain(s.Domain), Address: peerAddress},
@@ -213,7 +213,7 @@
 // runJanitor does what must be done now and then.
 func (e *Entry) runJanitor() {
 	defer e.stopped.Done()
-	idle, hangUps := time.NewTicker(time.Second), time.NewTicker(hangUpCheck)
+	idle, hangUps := time.NewTicker(time.Second), time.NewTicker(e.Settings.Entry.HangUpCheck.Std())
 	defer idle.Stop()
 	defer hangUps.Stop()
 	for {
@@ -289,6 +289,7 @@
 	return target.Settings{
 		ConnectTimeout: s.ConnectTimeout.Std(), IdleLimit: s.IdleTarget.Std(), BufferBody: s.BufferBody,
 		ShedStatus: s.ShedStatus, ShedHeader: s.ShedHeader, LoadHeader: s.LoadHeader,
-		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath,
+		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath, CallIDHeader: s.CallIDHeader,
+		IdentityHeader: s.IdentityHeader, PromiseStatus: s.PromiseStatus, Unframed: s.Unframed,
 	}
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -136,10 +136,6 @@
 	return a
 }
 
-// hangUpCheck is how often the waiting calls' callers are looked for, and from
-// which age on.
-const hangUpCheck = 20 * time.Millisecond
-
 // reportHangUps lets the core know of calls whose callers have hung up.
 func (e *Entry) reportHangUps() {
 	for _, c := range e.oldCalls() {
@@ -159,7 +155,7 @@
 func (e *Entry) oldCalls() []*call {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	oldest := e.Clock.Now().Add(-hangUpCheck)
+	oldest := e.Clock.Now().Add(-e.Settings.Entry.HangUpCheck.Std())
 	var old []*call
 	for c := range e.waiting {
 		if c.arrived < oldest {
@@ -177,16 +173,22 @@
 	ctx.Response.Header.Set(outcomeHeader, r.Outcome.String())
 	ctx.Response.Header.Set(reasonHeader, r.Reason.String())
 	if r.RetryAfter > 0 {
-		seconds := int64(math.Ceil(r.RetryAfter.Seconds()))
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.retryAfterText(r.RetryAfter))
 		ctx.Response.Header.Set(retryAfterMillis, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
 	writeProblem(ctx, &problem{
-		Type: "madderpond:" + r.Reason.String(), Title: r.Reason.String(), Status: r.Reason.Status(),
+		Type: "madderpond:" + r.Reason.String(), Title: r.Reason.String(), Status: r.Status(),
 		Outcome: r.Outcome.String(), Remedy: r.Reason.Remedy(), RetryAfter: r.RetryAfter.Milliseconds(),
 	})
 }
 
+func (e *Entry) retryAfterText(d time.Duration) string {
+	if e.Settings.Entry.Fractions {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(int64(math.Ceil(d.Seconds())), 10)
+}
+
 func writeProblem(ctx *fasthttp.RequestCtx, p *problem) {
 	data, _ := json.Marshal(p)
 	ctx.SetStatusCode(p.Status)
--- a/pkg/lab/process.go
+++ b/pkg/lab/process.go
@@ -34,20 +34,22 @@
 // keptLines bounds the log lines kept of a process.
 const keptLines = 500
 
-// StartProcess starts a program and follows its log on standard error.
+// StartProcess starts a program and follows what it writes: its log, and whatever the
+// runtime says on standard error.
 func StartProcess(name, program string, arguments ...string) (*Process, error) {
 	p := &Process{
 		Name: name, command: exec.Command(program, arguments...),
 		started: make(chan Started, 1), ended: make(chan struct{}),
 	}
-	stderr, err := p.command.StderrPipe()
+	output, err := p.command.StdoutPipe()
 	if err != nil {
 		return nil, err
 	}
+	p.command.Stderr = p.command.Stdout
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
-	go p.follow(stderr)
+	go p.follow(output)
 	return p, nil
 }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -35,6 +35,7 @@
 	requests control.RequestID
 	answers  map[control.RequestID]chan control.EditAnswer
 	forms    map[control.RequestID]chan error
+	replies  map[control.RequestID]chan control.Answer
 	boxes    map[control.ConnectionID]*boxConn
 	nextConn control.ConnectionID
 
@@ -54,7 +55,7 @@
 // NewReplica opens the data folder and returns a replica that goes on from it.
 // The error is of a kind of package store.
 func NewReplica(c *common.Common) (*Replica, error) {
-	s, err := store.Open(c.Settings.Control.DataFolder, units.ReplicaID(c.Settings.Box), c.Clock.Wall())
+	s, err := store.Open(c.Settings.Control.DataFolder, units.ReplicaID(c.Settings.ReplicaName()), c.Clock.Wall())
 	if err != nil {
 		return nil, err
 	}
@@ -63,6 +64,7 @@
 		changed:  make(chan struct{}),
 		answers:  map[control.RequestID]chan control.EditAnswer{},
 		forms:    map[control.RequestID]chan error{},
+		replies:  map[control.RequestID]chan control.Answer{},
 		boxes:    map[control.ConnectionID]*boxConn{},
 		store:    s,
 		disk:     pond.NewPool(1),
@@ -83,34 +85,63 @@
 func (r *Replica) coreSettings() control.Settings {
 	s := &r.Settings.Control
 	var peers []units.ReplicaID
-	for _, p := range r.Settings.Replicas {
-		if p.Box != r.Settings.Box {
-			peers = append(peers, units.ReplicaID(p.Box))
+	for _, name := range r.Settings.ReplicaNames() {
+		if id := units.ReplicaID(name); id != r.identity.Replica {
+			peers = append(peers, id)
 		}
 	}
 	return control.Settings{
 		Replication: replication.Settings{
 			ID: r.identity.Replica, Incarnation: r.identity.Incarnation, Boot: r.identity.Boot, Peers: peers,
 			ElectionTimeout: s.ElectionTimeout.Std(), Heartbeat: s.Heartbeat.Std(), Seed: rand.Uint64(),
+			MinCopies: s.MinCopies, Growth: r.growth(len(peers)),
 		},
+		ReadTimeout: s.ReadTimeout.Std(), SilentAfter: s.SilentAfter.Std(),
 		Lease: s.Lease.Std(), LeaseMargin: control.DefaultLeaseMargin, EditTimeout: s.EditTimeout.Std(),
 		SnapshotEvery: s.SnapshotEvery, KeepEntries: s.KeepEntries,
 	}
 }
 
+// growth returns how the cluster forms and grows by itself, or nil when the settings
+// name all replicas. A replica that is a seed has one peer fewer than there are seeds.
+func (r *Replica) growth(peers int) *replication.Growth {
+	if len(r.Settings.Seeds) == 0 {
+		return nil
+	}
+	g := r.Settings.Control.Growth
+	return &replication.Growth{
+		Bootstrap: g.Bootstrap, Seed: peers < len(r.Settings.Seeds), Voters: g.Voters, ReplaceAfter: g.ReplaceAfter.Std(),
+	}
+}
+
 // Start connects to the other replicas and lets the time run.
 func (r *Replica) Start() {
 	for _, p := range r.Settings.Replicas {
 		if p.Box != r.Settings.Box {
-			r.links[units.ReplicaID(p.Box)] = transport.NewLink(p.Address, r.Security, func() *wire.Hello {
-				return &wire.Hello{Replica: r.Settings.Box}
-			})
+			r.links[units.ReplicaID(p.Box)] = r.newLink(p.Address)
 		}
 	}
 	r.waker.Add(1)
 	go r.runWaker()
 }
 
+func (r *Replica) newLink(address string) *transport.Link {
+	return transport.NewLink(address, r.Security, func() *wire.Hello {
+		return &wire.Hello{Replica: string(r.identity.Replica)}
+	})
+}
+
+// linkTo returns the link to another replica, or nil when nothing is known of it. In
+// a cluster that grows by itself a replica's name is its address.
+func (r *Replica) linkTo(id units.ReplicaID) *transport.Link {
+	link := r.links[id]
+	if link == nil && len(r.Settings.Seeds) > 0 {
+		link = r.newLink(string(id))
+		r.links[id] = link
+	}
+	return link
+}
+
 // Halted gives the reason when the replica had to stop by itself.
 func (r *Replica) Halted() <-chan error { return r.halted }
 
@@ -153,7 +184,7 @@
 	r.pending = append(r.pending, e.Writes...)
 	r.startWriting()
 	for _, m := range e.PeerSends {
-		if link := r.links[units.ReplicaID(m.To)]; link != nil {
+		if link := r.linkTo(units.ReplicaID(m.To)); link != nil {
 			link.Send(m)
 		}
 	}
@@ -167,6 +198,14 @@
 			waiting <- a
 		}
 	}
+	for _, a := range e.Answers {
+		if waiting := r.replies[a.Request]; waiting != nil {
+			waiting <- a
+		}
+	}
+	for _, c := range e.Changes {
+		r.logChange(c)
+	}
 	for _, a := range e.FormAnswers {
 		if waiting := r.forms[a.Request]; waiting != nil {
 			waiting <- a.Err
@@ -261,6 +300,7 @@
 	defer r.lock.Unlock()
 	delete(r.answers, id)
 	delete(r.forms, id)
+	delete(r.replies, id)
 }
 
 // Form forms the cluster; see replication.Node.Form for the errors.
--- /dev/null
+++ b/pkg/replica/requests.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/madderpond/madderpond/pkg/core/control"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// PutDocument has a whole table put in force. Without an error it is on enough disks,
+// or a table of its version or a higher one is. The error is of kind Invalid, Unknown
+// or Unavailable.
+func (r *Replica) PutDocument(d *table.Document) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.DocumentSubmitted{Request: id, Document: d}
+	}).Err
+}
+
+// ReadDocument returns the newest document, or nil when there is none yet. The error
+// is an Unavailable fault when this replica can't be sure of it.
+func (r *Replica) ReadDocument() (*table.Document, error) {
+	a := r.ask(func(id control.RequestID) control.Event { return control.ReadRequested{Request: id} })
+	return a.Document, a.Err
+}
+
+// Report takes the report of a target that registers by itself. Without an error what
+// it says is on enough disks. The error is of kind Invalid, Unknown or Unavailable.
+func (r *Replica) Report(t *table.Registration) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.TargetReported{Request: id, Registration: t}
+	}).Err
+}
+
+// Depart takes a registered target out for good, as Report does.
+func (r *Replica) Depart(t units.TargetID) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.TargetDeparted{Request: id, Target: t}
+	}).Err
+}
+
+// ask gives the core a request and waits for its answer.
+func (r *Replica) ask(event func(control.RequestID) control.Event) control.Answer {
+	reply := make(chan control.Answer, 1)
+	r.lock.Lock()
+	r.requests++
+	id := r.requests
+	r.replies[id] = reply
+	r.reduce(event(id))
+	r.lock.Unlock()
+	defer r.forget(id)
+	timer := time.NewTimer(r.Settings.Control.EditTimeout.Std() + time.Second)
+	defer timer.Stop()
+	select {
+	case a := <-reply:
+		return a
+	case <-timer.C:
+	case <-r.done:
+	}
+	return control.Answer{Err: fault.New(fault.Unknown, "send it again; it takes effect once at most", "this replica can't answer now")}
+}
+
+// logChange tells what this replica has come to believe.
+func (r *Replica) logChange(c control.Change) {
+	fields := logrus.Fields{"kind": string(c.Kind), "revision": c.Revision}
+	switch c.Kind {
+	case control.DocumentInForce:
+		fields["document"] = c.Document
+	case control.LeaderChanged:
+		fields["leader"], fields["term"] = c.Leader, c.Term
+	default:
+		fields["target"], fields["sequence"] = c.Target, c.Sequence
+	}
+	r.Log.WithFields(fields).Info("the control state has changed")
+}
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -37,7 +37,10 @@
 	stopDial context.CancelFunc
 	before   int64
 	whole    bool
-	prefix   []byte
+	// surplus is set when the connection can't be used again: an answer to another
+	// call came on it, or it ended with this answer.
+	surplus bool
+	prefix  []byte
 }
 
 // NewAttempt returns an attempt that hasn't begun.
@@ -151,6 +154,7 @@
 	}
 	left := a.pools.clock.Until(a.deadline).Milliseconds()
 	a.Request.Header.Set(a.pools.settings.DeadlineHeader, strconv.FormatInt(max(1, left), 10))
+	a.nameTarget()
 	if err := a.write(c); err != nil {
 		if c.raw.written == a.before {
 			return routing.NotSent, false
@@ -160,6 +164,14 @@
 	return a.read(c)
 }
 
+// nameTarget tells a registered target which one is meant, since its address may
+// belong to another one by now.
+func (a *Attempt) nameTarget() {
+	if header := a.pools.settings.IdentityHeader; header != "" && a.endpoint.Registered {
+		a.Request.Header.Set(header, string(a.endpoint.Target))
+	}
+}
+
 func (a *Attempt) write(c *conn) error {
 	if err := a.Request.Write(c.writer); err != nil {
 		return err
@@ -168,16 +180,19 @@
 }
 
 func (a *Attempt) read(c *conn) (routing.AttemptResult, bool) {
-	r := a.Response
-	r.StreamBody = true
-	r.SkipBody = a.Request.Header.IsHead()
-	if err := r.ReadLimitBody(c.reader, 0); err != nil {
+	if !a.readOwn(c) {
 		return routing.Broken, false
 	}
+	r := a.Response
 	a.readLoad()
 	if r.Header.ContentLength() < -1 && !a.bodiless() {
-		// An answer without a length can't be told from one that was cut short.
-		return routing.Broken, false
+		// An answer without a length can't be told from one that was cut short, unless
+		// targets are known to reset what they cut.
+		if !a.pools.settings.Unframed {
+			return routing.Broken, false
+		}
+		a.surplus = true
+		a.prefix = r.Body()
 	}
 	if r.BodyStream() == nil {
 		a.whole = true
@@ -186,6 +201,44 @@
 	return a.readBody()
 }
 
+// maxSurplus is how many answers to earlier calls may come before the call's own.
+const maxSurplus = 3
+
+// readOwn reads the head of the call's own answer, and the body if it is short.
+// Answers that name another call are passed over; the connection isn't used again
+// after one.
+func (a *Attempt) readOwn(c *conn) bool {
+	r := a.Response
+	for range maxSurplus + 1 {
+		r.StreamBody = true
+		r.SkipBody = a.Request.Header.IsHead()
+		if err := r.ReadLimitBody(c.reader, 0); err != nil {
+			return false
+		}
+		if a.isOwn() {
+			return true
+		}
+		a.surplus = true
+		if stream := r.BodyStream(); stream != nil {
+			if _, err := io.Copy(io.Discard, stream); err != nil {
+				return false
+			}
+		}
+		r.Reset()
+	}
+	return false
+}
+
+// isOwn tells whether the answer names the call that was sent.
+func (a *Attempt) isOwn() bool {
+	header := a.pools.settings.CallIDHeader
+	if header == "" {
+		return true
+	}
+	sent := a.Request.Header.Peek(header)
+	return len(sent) == 0 || bytes.Equal(sent, a.Response.Header.Peek(header))
+}
+
 // bodiless tells whether the answer has no body whatever its head says.
 func (a *Attempt) bodiless() bool {
 	code := a.Response.StatusCode()
@@ -221,8 +274,14 @@
 func (a *Attempt) classify() routing.AttemptResult {
 	s := &a.pools.settings
 	code := a.Response.StatusCode()
-	if code == s.ShedStatus && len(a.Response.Header.Peek(s.ShedHeader)) > 0 {
+	marked := len(a.Response.Header.Peek(s.ShedHeader)) > 0
+	switch {
+	case code == fasthttp.StatusMisdirectedRequest && s.IdentityHeader != "" && a.endpoint.Registered:
+		return routing.Misdirected
+	case marked && (code == s.ShedStatus || s.ShedStatus == 0):
 		return routing.Shed
+	case s.PromiseStatus && promises[code]:
+		return routing.Broken
 	}
 	if code >= fasthttp.StatusInternalServerError {
 		return routing.Failed
@@ -230,13 +289,19 @@
 	return routing.Answered
 }
 
+// promises are the statuses by which an answer may promise that the call hasn't run.
+var promises = map[int]bool{
+	fasthttp.StatusRequestTimeout:     true,
+	fasthttp.StatusMisdirectedRequest: true,
+	fasthttp.StatusTooManyRequests:    true,
+	fasthttp.StatusServiceUnavailable: true,
+}
+
 func (a *Attempt) readLoad() {
 	h := &a.Response.Header
-	if load, err := strconv.ParseFloat(string(h.Peek(a.pools.settings.LoadHeader)), 64); err == nil && load >= 0 {
-		a.Reading = routing.Reading{Known: true, InFlight: load}
-	}
-	if seconds, err := strconv.Atoi(string(h.Peek(fasthttp.HeaderRetryAfter))); err == nil && seconds >= 0 {
-		a.RetryAfter = time.Duration(seconds) * time.Second
+	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
+	if seconds, err := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds >= 0 {
+		a.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 }
 
@@ -245,7 +310,7 @@
 func (a *Attempt) end() {
 	c := a.conn
 	untouched := c.raw.written == a.before
-	reusable := a.whole && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
+	reusable := a.whole && !a.surplus && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
 	a.Response.CloseBodyStream()
 	if a.unclaim() && (reusable || untouched) {
 		a.pools.put(a.endpoint, c, a.limit)
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -19,6 +19,14 @@
 	LoadHeader     string
 	DeadlineHeader string
 	ProbePath      string
+	// CallIDHeader names a call and its answer; empty compares nothing.
+	CallIDHeader string
+	// IdentityHeader names the registered target that is meant; empty sends none.
+	IdentityHeader string
+	// PromiseStatus is set where some statuses promise that a call hasn't run.
+	PromiseStatus bool
+	// Unframed lets answers count that end with their connection.
+	Unframed bool
 }
 
 // Pools keeps idle connections, an address each.
--- a/pkg/units/units.go
+++ b/pkg/units/units.go
@@ -32,6 +32,10 @@
 // Version counts the accepted changes of one service and its rows.
 type Version uint64
 
+// DocumentVersion is an operator's own number for a whole table; the highest one
+// holds.
+type DocumentVersion uint64
+
 // Term numbers the leaderships of the replicated log.
 type Term uint64
 
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,6 +32,7 @@
 		Deadline: int64(s.Deadline), HoldLimit: int64(s.HoldLimit), HoldCount: int32(s.HoldCount),
 		RetryBudget: float64(s.RetryBudget), HedgeBudget: float64(s.HedgeBudget),
 		MeasureBudget: float64(s.MeasureBudget), Version: uint64(version),
+		ExtraBurst: int32(s.ExtraBurst), TargetConnections: int32(s.TargetConnections), ProbePath: s.ProbePath,
 	}
 }
 
@@ -44,6 +46,7 @@
 		Deadline: time.Duration(s.Deadline), HoldLimit: time.Duration(s.HoldLimit), HoldCount: int(s.HoldCount),
 		RetryBudget: units.Percent(s.RetryBudget), HedgeBudget: units.Percent(s.HedgeBudget),
 		MeasureBudget: units.Percent(s.MeasureBudget),
+		ExtraBurst:    int(s.ExtraBurst), TargetConnections: int(s.TargetConnections), ProbePath: s.ProbePath,
 	}
 }
 
@@ -53,6 +56,7 @@
 		Service: string(r.Service), Target: string(r.Target), Address: r.Address, Domain: string(r.Domain),
 		Weight: int32(r.Weight), MaxInFlight: int32(r.MaxInFlight), MaxConnections: int32(r.MaxConnections),
 		MaxRate: r.MaxRate, State: int32(r.State),
+		Registered: r.Registered, Slots: int32(r.Slots), Cold: int64(r.Cold), Silent: r.Silent,
 	}
 }
 
@@ -65,6 +69,7 @@
 		Service: units.ServiceName(r.Service), Target: units.TargetID(r.Target), Address: r.Address,
 		Domain: units.Domain(r.Domain), Weight: int(r.Weight), MaxInFlight: int(r.MaxInFlight),
 		MaxConnections: int(r.MaxConnections), MaxRate: r.MaxRate, State: table.RowState(r.State),
+		Registered: r.Registered, Slots: int(r.Slots), Cold: time.Duration(r.Cold), Silent: r.Silent,
 	}
 }
 
@@ -201,7 +206,7 @@
 	parts := fromEntries(entries)
 	return &Table{
 		Revision: uint64(t.Revision), Services: parts.services, Rows: parts.rows,
-		Boxes: mapSlice(t.Boxes, FromBox),
+		Boxes: mapSlice(t.Boxes, FromBox), DocumentVersion: uint64(t.Document), Routes: fromRoutes(t.Routes),
 	}
 }
 
@@ -213,6 +218,8 @@
 		out.Services[e.Service.Name] = e
 	}
 	out.Boxes = mapSlice(t.Boxes, ToBox)
+	out.Document = units.DocumentVersion(t.DocumentVersion)
+	out.Routes = toRoutes(t.Routes)
 	return out
 }
 
@@ -222,6 +229,9 @@
 	out := &Delta{
 		From: uint64(d.From), Revision: uint64(d.Revision), Services: parts.services, Rows: parts.rows,
 		Removed: mapSlice(d.Removed, func(n units.ServiceName) string { return string(n) }),
+
+		DocumentVersion: uint64(d.Document), Routes: mapSlice(d.Routes.Put, FromRoute),
+		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey),
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -235,6 +245,9 @@
 		From: units.Revision(d.From), Revision: units.Revision(d.Revision),
 		Changed: entryParts{services: d.Services, rows: d.Rows}.entries(),
 		Removed: mapSlice(d.Removed, func(n string) units.ServiceName { return units.ServiceName(n) }),
+
+		Document: units.DocumentVersion(d.DocumentVersion),
+		Routes:   table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
 	}
 	if d.Boxes != nil {
 		out.Boxes = ToBoxChange(d.Boxes)
@@ -247,6 +260,10 @@
 	t := FromTable(s.Table())
 	t.Results = mapSlice(s.Results(), fromResult)
 	t.History = mapSlice(s.History(), fromResult)
+	t.Document = FromDocument(s.Document())
+	s.EachRegistration(func(r *table.Registration) { t.Registrations = append(t.Registrations, FromRegistration(r)) })
+	slices.SortFunc(t.Registrations, func(a, b *Registration) int { return strings.Compare(a.Target, b.Target) })
+	t.Departed = mapSlice(s.DepartedTargets(), func(id units.TargetID) string { return string(id) })
 	return proto.MarshalOptions{Deterministic: true}.Marshal(t)
 }
 
@@ -257,5 +274,8 @@
 	if err := proto.Unmarshal(data, t); err != nil {
 		return nil, fault.Wrap(err, fault.Damaged, "start with an empty data folder", "the snapshot's state can't be decoded")
 	}
-	return table.RestoreState(ToTable(t), mapSlice(t.Results, toResult), mapSlice(t.History, toResult)), nil
+	s := table.RestoreState(ToTable(t), mapSlice(t.Results, toResult), mapSlice(t.History, toResult))
+	s.RestoreDocument(ToDocument(t.Document), mapSlice(t.Registrations, ToRegistration),
+		mapSlice(t.Departed, func(id string) units.TargetID { return units.TargetID(id) }))
+	return s, nil
 }
--- /dev/null
+++ b/pkg/wire/convert_document.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// FromRoute converts a route.
+func FromRoute(r *table.Route) *Route {
+	return &Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: int32(r.Work), Deadline: int64(r.Deadline),
+		Aim: int64(r.Aim), MaxAttempts: int32(r.MaxAttempts), Priority: int32(r.Priority),
+		Parts: mapSlice(r.Parts, func(p table.Part) *Part { return &Part{Service: string(p.Service), Weight: int32(p.Weight)} }),
+	}
+}
+
+// ToRoute converts a route back.
+func ToRoute(r *Route) *table.Route {
+	return &table.Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: table.Work(r.Work), Deadline: time.Duration(r.Deadline),
+		Aim: time.Duration(r.Aim), MaxAttempts: int(r.MaxAttempts), Priority: int(r.Priority),
+		Parts: mapSlice(r.Parts, func(p *Part) table.Part {
+			return table.Part{Service: units.ServiceName(p.Service), Weight: int(p.Weight)}
+		}),
+	}
+}
+
+func fromRouteKey(k table.RouteKey) *RouteKey {
+	return &RouteKey{Host: k.Host, PathPrefix: k.PathPrefix}
+}
+
+func toRouteKey(k *RouteKey) table.RouteKey {
+	return table.RouteKey{Host: k.Host, PathPrefix: k.PathPrefix}
+}
+
+func fromRoutes(routes map[table.RouteKey]*table.Route) []*Route {
+	sorted := slices.SortedFunc(maps.Values(routes), func(a, b *table.Route) int {
+		return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.PathPrefix, b.PathPrefix))
+	})
+	return mapSlice(sorted, FromRoute)
+}
+
+func toRoutes(routes []*Route) map[table.RouteKey]*table.Route {
+	if len(routes) == 0 {
+		return nil
+	}
+	out := make(map[table.RouteKey]*table.Route, len(routes))
+	for _, r := range routes {
+		route := ToRoute(r)
+		out[route.Key()] = route
+	}
+	return out
+}
+
+// FromDocument converts a document; nil stays nil.
+func FromDocument(d *table.Document) *Document {
+	if d == nil {
+		return nil
+	}
+	return &Document{
+		Version: uint64(d.Version), Source: d.Source, Routes: mapSlice(d.Routes, FromRoute),
+		Services: mapSlice(d.Services, func(s table.Service) *Service { return FromService(&s, 0) }),
+	}
+}
+
+// ToDocument converts a document back; nil stays nil.
+func ToDocument(d *Document) *table.Document {
+	if d == nil {
+		return nil
+	}
+	return &table.Document{
+		Version: units.DocumentVersion(d.Version), Source: d.Source, Routes: mapSlice(d.Routes, ToRoute),
+		Services: mapSlice(d.Services, func(s *Service) table.Service { return *ToService(s) }),
+	}
+}
+
+// FromRegistration converts a target's report.
+func FromRegistration(r *table.Registration) *Registration {
+	return &Registration{
+		Target: string(r.Target), Service: string(r.Service), Address: r.Address, Domain: string(r.Domain),
+		Software: r.Software, Slots: int32(r.Slots), State: int32(r.State), Sequence: r.Sequence,
+		Cold: int64(r.Cold), Silent: r.Silent,
+	}
+}
+
+// ToRegistration converts a target's report back.
+func ToRegistration(r *Registration) *table.Registration {
+	return &table.Registration{
+		Target: units.TargetID(r.Target), Service: units.ServiceName(r.Service), Address: r.Address,
+		Domain: units.Domain(r.Domain), Software: r.Software, Slots: int(r.Slots), State: table.RowState(r.State),
+		Sequence: r.Sequence, Cold: time.Duration(r.Cold), Silent: r.Silent,
+	}
+}
