Ask a few targets for their load before a call is sent

Cause: with 150 calls a second over 18 boxes, each box hears of a target about every two seconds, while a target's pace changes every 150 ms (measured: a reading of 500 is still 500 for 83% after 50 ms, 43% after 100 ms, 20% after 150 ms), and the pace at a call's start decides how long all of it takes. So one call in four met a target five times slower.

Ruled out: hedging alone (p50 of balance-check stayed at 145 ms).

Registered targets are compared by the time a call is expected to take: pace, calls there, nearly full, another failure domain.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -35,7 +35,7 @@
 	c.deadline = r.now.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
-			r.send(id, c, t, false, e)
+			r.place(id, c, t, firstSend, e)
 			r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
 			return
 		}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -23,6 +23,7 @@
 	t.link(a)
 	t.noteSend()
 	t.sends++
+	t.sentSince++
 	if t.row.MaxRate > 0 {
 		t.rate.take(r.now, t.rateShare.value, rateBurst)
 	}
@@ -55,14 +56,14 @@
 // allows it and another target has room.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
 	s := c.service
-	if c.held || c.streaming || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
+	if c.held || c.streaming || c.inquiry.open || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
 		return
 	}
 	t := r.choose(s, c)
 	if t == nil || !s.hedges.spend() {
 		return
 	}
-	r.send(id, c, t, true, e)
+	r.place(id, c, t, hedgeSend, e)
 }
 
 // release ends an attempt's claim on its target.
@@ -105,7 +106,7 @@
 		return
 	}
 	c.streaming = true
-	a.target.reading.take(r.now, v.Reading)
+	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
 	r.cancelOthers(v.Call, c, a, e)
 }
@@ -158,7 +159,7 @@
 
 // learn takes what an attempt's end says about its target.
 func (r *Router) learn(t *target, v *AttemptEnded, took time.Duration) {
-	t.reading.take(r.now, v.Reading)
+	t.takeReading(r.now, v.Reading)
 	t.lastHeard = r.now
 	turned := false
 	switch v.Result {
@@ -207,7 +208,7 @@
 // failedAnswer deals with a whole answer that reports a server error: a
 // repeatable call may be tried elsewhere, any other gets the answer as it is.
 func (r *Router) failedAnswer(v *AttemptEnded, c *call, t *target, e *Effects) {
-	if c.underWay() > 0 {
+	if c.stillTrying() {
 		return
 	}
 	if c.route.work == table.Repeatable && r.retry(v.Call, c, false, e) {
@@ -218,7 +219,7 @@
 
 // brokenAnswer deals with a call whose fate at the target isn't known.
 func (r *Router) brokenAnswer(id CallID, c *call, e *Effects) {
-	if c.underWay() > 0 {
+	if c.stillTrying() {
 		return
 	}
 	if c.route.work == table.Repeatable && r.retry(id, c, false, e) {
@@ -237,14 +238,14 @@
 	if t == nil || !free && !c.service.retries.spend() {
 		return false
 	}
-	r.send(id, c, t, false, e)
+	r.place(id, c, t, retrySend, e)
 	return true
 }
 
 // resend deals with an attempt that the target certainly didn't run. Any kind
 // of work may be sent again then.
 func (r *Router) resend(id CallID, c *call, reason Reason, e *Effects) {
-	if c.underWay() > 0 {
+	if c.stillTrying() {
 		return
 	}
 	if r.retry(id, c, reason == RetriesSpent, e) {
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -51,6 +51,16 @@
 	return true
 }
 
+// takeMany takes n tokens or none.
+func (l *rateLimit) takeMany(now units.Instant, n, rate, burst float64) bool {
+	l.refill(now, rate, burst)
+	if l.tokens < n {
+		return false
+	}
+	l.tokens -= n
+	return true
+}
+
 func (l *rateLimit) refill(now units.Instant, rate, burst float64) {
 	passed := now.Sub(l.at).Seconds()
 	l.at = now
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -44,6 +44,7 @@
 	// that it shed the call.
 	mayHaveRun bool
 	held       bool
+	inquiry    inquiry
 	// streaming is set once the head of an answer has been passed on.
 	streaming bool
 }
@@ -98,6 +99,9 @@
 	return false
 }
 
+// stillTrying tells whether another send of the call is under way or about to be.
+func (c *call) stillTrying() bool { return c.underWay() > 0 || c.inquiry.open }
+
 // spentAttempts tells whether the call may be sent to no further target.
 func (c *call) spentAttempts() bool {
 	return c.tries >= maxAttempts || c.arrivals >= c.route.maxAttempts
@@ -122,6 +126,8 @@
 	hedgeTimer
 	// coolTimer frees a slot whose call was canceled.
 	coolTimer
+	// askTimer ends the wait for targets' answers.
+	askTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -131,6 +137,8 @@
 	kind timerKind
 	// target is set for a coolTimer only.
 	target *target
+	// inquiry is set for an askTimer only.
+	inquiry AttemptNumber
 }
 
 func timerBefore(a, b timer) bool { return a.at < b.at }
@@ -163,6 +171,10 @@
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
+	case askTimer:
+		if c.inquiry.open && c.inquiry.number == t.inquiry {
+			r.concludeAsking(t.call, c, e)
+		}
 	}
 }
 
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -70,6 +70,14 @@
 	Target  *Endpoint
 	Healthy bool
 	Reading Reading
+	// Call and Attempt are those of the Probe effect; zero for one that no call waits
+	// for.
+	Call    CallID
+	Attempt AttemptNumber
+	// Unreachable is set when no connection could be made.
+	Unreachable bool
+	// Misdirected is set when another target answered at the address.
+	Misdirected bool
 }
 
 // PeerMessage is a message from another box.
@@ -166,9 +174,11 @@
 	// Connections is how many connections this box may have to the endpoint; zero
 	// means no limit.
 	Connections int
-	Refusal     Refusal
-	Peer        units.BoxID
-	Loan        LoanMessage
+	// ProbePath is what a probe asks for; empty means the box's own setting.
+	ProbePath string
+	Refusal   Refusal
+	Peer      units.BoxID
+	Loan      LoanMessage
 }
 
 // Effects collects what the shell is to do; it may be used again after Reset.
--- /dev/null
+++ b/pkg/core/routing/expectation.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// What a registered target is expected to take for a call, in units of the work itself.
+// Such a target works on a few calls at a time, shares its machine with others, and slows
+// down when nearly full.
+
+const (
+	// paceMemory is the age at which a target's word on its pace says nothing more:
+	// neighbours' load on its machine comes and goes in about this time.
+	paceMemory = 150 * time.Millisecond
+	// usualPace is the pace of a target that nothing is known of.
+	usualPace = 1.6
+	// loadMemory is the age at which a target's word on its calls says nothing more.
+	loadMemory = 400 * time.Millisecond
+	// nearlyFull is the part of the slots from which on work takes nearlyFullPace.
+	nearlyFull     = 0.8
+	nearlyFullPace = 1.6
+	// remoteCost is what a target in another failure domain must be better by.
+	remoteCost = 0.25
+)
+
+// expectedTime is the time that a call sent now would take at the target, over that of
+// the work alone.
+func (t *target) expectedTime(now units.Instant) float64 {
+	slots := t.slots()
+	load := t.load(now) + 1
+	time := t.expectedPace(now) * max(1, t.slowness(now))
+	if load >= nearlyFull*slots {
+		time *= nearlyFullPace
+	}
+	if load > slots {
+		time += (load - slots) / slots * usualPace * nearlyFullPace
+	}
+	if t.remote {
+		time += remoteCost
+	}
+	return time
+}
+
+// slots is how many calls the target works on at a time.
+func (t *target) slots() float64 {
+	switch {
+	case t.reading.Slots > 0:
+		return t.reading.Slots
+	case t.row.Slots > 0:
+		return float64(t.row.Slots)
+	}
+	return defaultSlots
+}
+
+// load is how many calls the target seems to have: what it said last, which counts less
+// as it ages, and what this box has sent it since.
+func (t *target) load(now units.Instant) float64 {
+	own := float64(t.inFlight)
+	if !t.reading.Known {
+		return own
+	}
+	left := remaining(now.Sub(t.reading.at), loadMemory)
+	said := t.reading.InFlight + float64(t.sentSince)
+	return max(own, said*left)
+}
+
+// expectedPace is how long work is expected to take there, over the usual.
+func (t *target) expectedPace(now units.Instant) float64 {
+	if !t.reading.Known || t.reading.Pace == 0 {
+		return usualPace
+	}
+	left := remaining(now.Sub(t.reading.at), paceMemory)
+	return usualPace + (t.reading.Pace-usualPace)*left
+}
+
+// remaining is the part of its weight that something keeps at an age, which falls evenly
+// to nothing.
+func remaining(age, memory time.Duration) float64 {
+	return max(0, 1-float64(age)/float64(memory))
+}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -39,12 +39,17 @@
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
 	t := r.findTarget(v.Target)
+	if v.Call != 0 {
+		r.learnAsked(t, v)
+		r.askAnswered(v, t, e)
+		return
+	}
 	if t == nil {
 		return
 	}
 	t.probing = false
 	t.lastHeard = r.now
-	t.reading.take(r.now, v.Reading)
+	t.takeReading(r.now, v.Reading)
 	if !v.Healthy {
 		t.health.failed(r.now)
 		return
@@ -55,6 +60,21 @@
 	}
 }
 
+// learnAsked takes what a question for a target's load has shown. What a target says of
+// its health isn't taken for more than a reading: calls are the better witness.
+func (r *Router) learnAsked(t *target, v *ProbeEnded) {
+	if t == nil {
+		return
+	}
+	t.takeReading(r.now, v.Reading)
+	if v.Unreachable && t.health.unreachable(r.now) {
+		r.healthTurned(t.service)
+	}
+	if v.Misdirected && t.health.misdirected(r.now) {
+		r.healthTurned(t.service)
+	}
+}
+
 func (r *Router) findTarget(x *Endpoint) *target {
 	s := r.services[x.Service]
 	if s == nil {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -43,11 +43,13 @@
 	policy   Policy[*target]
 	// candidates is the set that the policy chooses from at the moment.
 	candidates candidates
-	table      *table.Table
-	services   map[units.ServiceName]*service
-	order      []*service
-	routes     routeIndex
-	rank       boxRank
+	// best is room for the targets that are compared for a question.
+	best     []*target
+	table    *table.Table
+	services map[units.ServiceName]*service
+	order    []*service
+	routes   routeIndex
+	rank     boxRank
 	// moves are the boxes that came and went with the table that is put in force.
 	moves boxMoves
 	// boxesLost is set while a table is put in force that only lacks boxes.
@@ -266,6 +268,7 @@
 	s := r.services[entry.Service.Name]
 	if s == nil {
 		s = newService(entry.Service)
+		s.domain = r.settings.Domain
 		r.services[entry.Service.Name] = s
 		r.order = append(r.order, s)
 	}
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -15,6 +15,8 @@
 	entry   *table.Entry
 	row     table.Service
 	targets []*target
+	// domain is the box's own failure domain.
+	domain units.Domain
 	// sums are running sums of the weights that count now.
 	sums []float64
 	// weight is the sum of all weights that count now.
@@ -31,6 +33,8 @@
 	hedges  budget
 	latency latencyEstimate
 	wants   wantState
+	// asks is what is left of the budget for asking targets for their load.
+	asks rateLimit
 	// sweepAt is when time alone may next bring something about.
 	sweepAt units.Instant
 	calls   uint64
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -12,6 +12,11 @@
 	service  *service
 	row      table.Row
 	endpoint *Endpoint
+	// remote is set for a target in another failure domain than this box.
+	remote bool
+	// sentSince counts the sends since the target last said what it has.
+	sentSince int
+	askCost   float64
 	// gone is set when the table no longer has the row.
 	gone     bool
 	inFlight int
@@ -75,6 +80,7 @@
 		t.health.retryAt = 0
 	}
 	t.row = row
+	t.remote = row.Domain != "" && t.service.domain != "" && row.Domain != t.service.domain
 	t.gone = false
 }
 
@@ -156,6 +162,9 @@
 // its part of the weights. The second keeps to the weights where targets are much
 // alike, the first leaves them where one of them isn't well.
 func (t *target) cost(now units.Instant) float64 {
+	if t.row.Registered {
+		return t.expectedTime(now)
+	}
 	queue := float64(t.inFlight) + t.reading.estimate(now, t.inFlight)
 	return (queue+1)*t.slowness(now) + surplusCost*t.surplus()
 }
@@ -349,6 +358,14 @@
 	r.trust = min(1, r.trust+trustGain)
 }
 
+// takeReading takes a target's word on its load.
+func (t *target) takeReading(now units.Instant, x Reading) {
+	if x.Known {
+		t.sentSince = 0
+	}
+	t.reading.take(now, x)
+}
+
 // contradicted notes that the target shed a call.
 func (r *reading) contradicted() { r.trust *= trustLoss }
 
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -146,13 +146,13 @@
 }
 
 func (e *Entry) startProbe(x routing.Effect) {
-	host := string(x.Endpoint.Service)
 	err := e.workers.Go(func() {
-		healthy, reading := e.pools.Probe(&x, host)
+		ended := e.pools.Probe(&x)
 		e.metrics.probes.Add(1)
-		e.reduce(&routing.ProbeEnded{Target: x.Endpoint, Healthy: healthy, Reading: reading})
+		e.reduce(&ended)
 	})
 	if err != nil {
-		e.core.Reduce(e.Clock.Now(), &routing.ProbeEnded{Target: x.Endpoint}, &e.effects)
+		ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt}
+		e.core.Reduce(e.Clock.Now(), &ended, &e.effects)
 	}
 }
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -192,7 +192,6 @@
 			return routing.Broken, false
 		}
 		a.surplus = true
-		a.prefix = r.Body()
 	}
 	if r.BodyStream() == nil {
 		a.whole = true
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -23,6 +23,8 @@
 	CallIDHeader string
 	// IdentityHeader names the registered target that is meant; empty sends none.
 	IdentityHeader string
+	// TargetHeader is where a target names itself in the answer to a probe.
+	TargetHeader string
 	// PromiseStatus is set where some statuses promise that a call hasn't run.
 	PromiseStatus bool
 	// Unframed lets answers count that end with their connection.
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -7,17 +7,39 @@
 )
 
 // Probe asks a target for its health and load, on a connection like a call's.
-func (p *Pools) Probe(x *routing.Effect, host string) (healthy bool, reading routing.Reading) {
+func (p *Pools) Probe(x *routing.Effect) routing.ProbeEnded {
 	a := p.NewAttempt(x)
 	defer a.Release()
 	a.deadline = p.clock.Now().Add(p.settings.ConnectTimeout)
 	a.Request.Header.SetMethod(fasthttp.MethodGet)
-	a.Request.SetRequestURI(p.settings.ProbePath)
-	a.Request.Header.SetHost(host)
+	a.Request.SetRequestURI(p.probePath(x))
+	a.Request.Header.SetHost(string(x.Endpoint.Service))
 	result, streaming := a.Run()
+	ended := routing.ProbeEnded{
+		Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, Reading: a.Reading,
+		Unreachable: result == routing.NotSent, Misdirected: a.fromAnother(),
+	}
 	if streaming {
 		a.end()
-		return false, a.Reading
+		return ended
+	}
+	ended.Healthy = result == routing.Answered
+	return ended
+}
+
+func (p *Pools) probePath(x *routing.Effect) string {
+	if x.ProbePath != "" {
+		return x.ProbePath
+	}
+	return p.settings.ProbePath
+}
+
+// fromAnother tells whether the answer names another target than the one asked.
+func (a *Attempt) fromAnother() bool {
+	header := a.pools.settings.TargetHeader
+	if header == "" || !a.endpoint.Registered {
+		return false
 	}
-	return result == routing.Answered, a.Reading
+	named := a.Response.Header.Peek(header)
+	return len(named) > 0 && string(named) != string(a.endpoint.Target)
 }
