--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -262,7 +262,7 @@
 	}
 	var err error
 	if a.entry != nil {
-		a.entry.Leave()
+		a.entry.Leave(a.Settings.Stop.Leave.Std() + a.Settings.Stop.Limit.Std())
 		select {
 		case <-time.After(a.Settings.Stop.Leave.Std()):
 		case <-ctx.Done():
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -23,6 +23,10 @@
 		r.refuse(id, c, r.noRoute(), e)
 		return
 	}
+	if r.stopsTooSoon(c.route, v.Deadline) {
+		r.refuse(id, c, Refusal{Reason: Stopping, Outcome: NotRun, RetryAfter: stoppingRetry}, e)
+		return
+	}
 	s := c.route.pick()
 	if s == nil {
 		r.refuse(id, c, Refusal{Reason: NoTarget, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
@@ -46,6 +50,19 @@
 // noLeaseRetry is when a caller may come back to a box that lost its lease.
 const noLeaseRetry = time.Second
 
+// stoppingRetry is when a caller may come back to another box.
+const stoppingRetry = 10 * time.Millisecond
+
+// stopsTooSoon tells whether a call might still be under way when this box stops as
+// planned. Its connection should have been closed by then; the caller had better open
+// another one elsewhere now than lose its answer.
+func (r *Router) stopsTooSoon(x *route, asked time.Duration) bool {
+	if r.stopsAt == 0 || r.now < r.stopsTaking {
+		return false
+	}
+	return r.now.Add(x.deadlineOf(asked, r.settings.MaxDeadline)) > r.stopsAt
+}
+
 // noRoute is the refusal of a call that the table has no route for. A box whose table
 // is still empty can't know that there is none.
 func (r *Router) noRoute() Refusal {
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -31,6 +31,10 @@
 // LeaseChanged says until when the table may be trusted.
 type LeaseChanged struct{ Until units.Instant }
 
+// StopPlanned says when the box will have stopped. From half of the time until then a
+// call is taken only if it is sure to end before.
+type StopPlanned struct{ Until units.Instant }
+
 // CallArrived is a caller's call.
 type CallArrived struct {
 	// Owner is handed back with every effect on the call; the core doesn't look
@@ -89,6 +93,7 @@
 func (*Tick) routingEvent()           {}
 func (*TableChanged) routingEvent()   {}
 func (*LeaseChanged) routingEvent()   {}
+func (*StopPlanned) routingEvent()    {}
 func (*CallArrived) routingEvent()    {}
 func (*CallerGone) routingEvent()     {}
 func (*AttemptEnded) routingEvent()   {}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -41,6 +41,7 @@
 	RetriesSpent
 	CallerLeft
 	NoTable
+	Stopping
 	reasonCount
 )
 
@@ -64,6 +65,7 @@
 	TargetShed:     {"target-shed", 503, "come back later; the target refused the call before running it"},
 	RetriesSpent:   {"not-sent", 502, "come back later; no target could be reached"},
 	NoTable:        {"no-table", 503, "try another box; this one has no table yet"},
+	Stopping:       {"stopping", 503, "open a new connection; this box is about to stop"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -57,6 +57,10 @@
 	// servesFrom is when a box that was listed anew has had time to get its shares.
 	servesFrom units.Instant
 	leaseUntil units.Instant
+	// stopsAt is when the box will have stopped as planned, zero for never; from
+	// stopsTaking on only calls that are sure to end before are taken.
+	stopsAt     units.Instant
+	stopsTaking units.Instant
 	calls      *container.Slab[call]
 	timers     *container.Heap[timer]
 	loans      loanBook
@@ -112,6 +116,9 @@
 		r.tick(e)
 	case *TableChanged:
 		r.changeTable(v.Table, e)
+	case *StopPlanned:
+		r.stopsAt = v.Until
+		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
 	case *LeaseChanged:
 		r.leaseUntil = v.Until
 	case *ProbeEnded:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -229,10 +229,11 @@
 }
 
 // Leave says that this box is about to stop: it is no longer ready, and asks its
-// callers to go elsewhere, but serves whatever still comes.
-func (e *Entry) Leave() {
+// callers to go elsewhere, but serves whatever still comes and can end in time.
+func (e *Entry) Leave(stop time.Duration) {
 	e.leaving.Store(true)
 	e.reduce(subscription.Leaving{On: true})
+	e.reduce(&routing.StopPlanned{Until: e.Clock.Now().Add(stop)})
 }
 
 // SetListedLeaving says whether the platform's list has this box as leaving. Such
