--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -21,6 +21,9 @@
 	askBurst = 3
 )
 
+// goodPace is the expected pace up to which a target is as good as any.
+const goodPace = 1.5
+
 // purpose is what a send is for.
 type purpose uint8
 
@@ -40,29 +43,30 @@
 
 // place sends a call to the target that seems best, or asks a few first.
 func (r *Router) place(id CallID, c *call, best *target, why purpose, e *Effects) {
-	if c.service.row.AskTargets < 2 || best.isFresh(r.now) && best.expectedPace(r.now) < goodPace {
+	if c.service.row.AskTargets < 2 || best.isFresh(r.now) && r.suits(c, best) {
 		r.send(id, c, best, why == hedgeSend, e)
 		return
 	}
-	if !r.ask(id, c, why, e) {
+	c.inquiry.purpose = why
+	if !r.ask(id, c, e) {
 		r.send(id, c, best, why == hedgeSend, e)
+		return
+	}
+	if why == firstSend {
+		e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
 	}
 }
 
-// goodPace is the expected pace up to which a target needs no comparison.
-const goodPace = 1.5
-
 // ask asks the best targets for their load; false means that there is nothing to ask or
 // no budget for it.
-func (r *Router) ask(id CallID, c *call, why purpose, e *Effects) bool {
+func (r *Router) ask(id CallID, c *call, e *Effects) bool {
 	asked := r.bestTargets(c, min(c.service.row.AskTargets, maxAsked))
 	if len(asked) < 2 || !c.service.asks.takeMany(r.now, float64(len(asked)), r.askRate(c.service), askBurst*maxAsked) {
 		return false
 	}
-	c.inquiry = inquiry{open: true, number: c.inquiry.number + 1, purpose: why, pending: len(asked)}
-	if why == firstSend {
-		e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
-	}
+	c.inquiry.open = true
+	c.inquiry.number++
+	c.inquiry.pending = len(asked)
 	for _, t := range asked {
 		t.probesSent++
 		e.add(Effect{
@@ -115,44 +119,96 @@
 	return best
 }
 
-// answered takes an answer to a call's question. A target that is clearly good ends the
-// wait; the rest of the answers only add to what is known.
+// askAnswered takes an answer to a call's question. A target that suits ends the wait;
+// the rest of the answers only add to what is known.
 func (r *Router) askAnswered(v *ProbeEnded, t *target, e *Effects) {
 	c := r.calls.Get(v.Call)
 	if c == nil || !c.inquiry.open || c.inquiry.number != v.Attempt {
 		return
 	}
 	c.inquiry.pending--
-	good := t != nil && t.isFresh(r.now) && t.hasFreeSlot(r.now) && t.expectedPace(r.now) < goodPace
-	if good || c.inquiry.pending == 0 {
+	if c.inquiry.pending == 0 || t != nil && t.isFresh(r.now) && r.suits(c, t) {
 		r.concludeAsking(v.Call, c, e)
 	}
 }
 
-// concludeAsking sends the call to what is now the best target.
+// concludeAsking sends the call to what is now the best target, if that suits; else it
+// asks others a moment later, as long as the call can wait.
 func (r *Router) concludeAsking(id CallID, c *call, e *Effects) {
-	why := c.inquiry.purpose
-	c.inquiry.open = false
 	t := r.choose(c.service, c)
-	if t != nil {
-		r.send(id, c, t, why == hedgeSend, e)
+	late := c.spentPart(r.now) >= lastPart
+	if t != nil && (r.suits(c, t) || late && r.mustDo(c, t)) {
+		c.inquiry.open = false
+		r.send(id, c, t, c.inquiry.purpose == hedgeSend, e)
+		return
+	}
+	if !late {
+		c.inquiry.pending = 0
+		c.inquiry.number++
+		r.timers.Push(timer{at: r.now.Add(askPause), call: id, kind: askTimer, inquiry: c.inquiry.number})
 		return
 	}
-	switch {
-	case why == hedgeSend || c.underWay() > 0:
-	case why == firstSend:
-		r.holdOrRefuse(id, c, e)
-	default:
-		r.refuse(id, c, Refusal{Reason: NoTarget, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
+	c.inquiry.open = false
+	if c.underWay() > 0 {
+		return
+	}
+	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: busyRetry}, e)
+}
+
+// askTimePassed goes on without the answers that haven't come, or asks again.
+func (r *Router) askTimePassed(id CallID, c *call, e *Effects) {
+	if c.inquiry.pending > 0 || !r.ask(id, c, e) {
+		r.concludeAsking(id, c, e)
+	}
+}
+
+const (
+	// askPause is the time between two questions of a call that found no target.
+	askPause = 15 * time.Millisecond
+	// choosyPart and lastPart are parts of a call's aim. Up to the first it waits for a
+	// target that isn't nearly full; at the second it is sent or refused, while its
+	// caller can still be served in time elsewhere.
+	choosyPart = 0.1
+	lastPart   = 0.22
+	// aimOfDeadline stands in for the aim of a route that has none.
+	aimOfDeadline = 0.25
+	// busyRetry is when the caller of a call that found all targets busy may come back.
+	busyRetry = 60 * time.Millisecond
+)
+
+// spentPart is how much of its aim the call has spent so far.
+func (c *call) spentPart(now units.Instant) float64 {
+	aim := float64(c.route.aim)
+	if aim == 0 {
+		aim = aimOfDeadline * float64(c.deadline.Sub(c.arrived))
+	}
+	return float64(now.Sub(c.arrived)) / aim
+}
+
+// suits tells whether a target would serve the call about as well as any could: work
+// goes at its usual pace there, and a slot is free.
+func (r *Router) suits(c *call, t *target) bool {
+	if t.expectedPace(r.now) >= goodPace {
+		return false
+	}
+	load := t.load(r.now) + 1
+	if c.spentPart(r.now) < choosyPart {
+		return load < nearlyFull*t.slots()
 	}
+	return load <= t.slots()
+}
+
+// mustDo tells whether a call that can't wait any longer may go to a target that
+// doesn't suit: one that nothing recent is known of, or any when the call may have run
+// already and so can't be refused for good.
+func (r *Router) mustDo(c *call, t *target) bool {
+	if c.inquiry.purpose == hedgeSend {
+		return false
+	}
+	return c.mayHaveRun || !t.reading.Known || r.now.Sub(t.reading.at) > paceMemory
 }
 
 // isFresh tells whether the target's last word on its load is as good as a new one.
 func (t *target) isFresh(now units.Instant) bool {
 	return t.reading.Known && now.Sub(t.reading.at) <= freshReading
 }
-
-// hasFreeSlot tells whether a call would be worked on at once, as far as is known.
-func (t *target) hasFreeSlot(now units.Instant) bool {
-	return t.load(now) < t.slots()
-}
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -173,7 +173,7 @@
 		r.hedge(t.call, c, e)
 	case askTimer:
 		if c.inquiry.open && c.inquiry.number == t.inquiry {
-			r.concludeAsking(t.call, c, e)
+			r.askTimePassed(t.call, c, e)
 		}
 	}
 }
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -42,6 +42,7 @@
 	CallerLeft
 	NoTable
 	Stopping
+	TargetsBusy
 	reasonCount
 )
 
@@ -66,6 +67,7 @@
 	RetriesSpent:   {"not-sent", 502, "come back later; no target could be reached"},
 	NoTable:        {"no-table", 503, "try another box; this one has no table yet"},
 	Stopping:       {"stopping", 503, "open a new connection; this box is about to stop"},
+	TargetsBusy:    {"targets-busy", 503, "come back after the time given; all targets that were asked are full or slowed"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -61,12 +61,12 @@
 	// stopsTaking on only calls that are sure to end before are taken.
 	stopsAt     units.Instant
 	stopsTaking units.Instant
-	calls      *container.Slab[call]
-	timers     *container.Heap[timer]
-	loans      loanBook
-	now        units.Instant
-	sweepAt    units.Instant
-	refusals   [reasonCount]uint64
+	calls       *container.Slab[call]
+	timers      *container.Heap[timer]
+	loans       loanBook
+	now         units.Instant
+	sweepAt     units.Instant
+	refusals    [reasonCount]uint64
 	// freed are the services at which room has come up during this event.
 	freed []*service
 }
