Give freed slots to calls that wait, and avoid targets that are slow themselves

Change: a call that waits takes a slot as an answer shows it free; a call that has asked in vain, or that others wait beside, is refused instead of sent blind; what calls take beyond their route's typical time at a usual pace counts as the target's drag. Probes carry no more than they need.

--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -16,7 +16,7 @@
 	// maxAsked bounds the targets that are asked for one send.
 	maxAsked = 4
 	// freshReading is the age up to which a reading is as good as a new one.
-	freshReading = 15 * time.Millisecond
+	freshReading = 30 * time.Millisecond
 	// askBurst is for how many calls a box may save up its part of the budget.
 	askBurst = 3
 )
@@ -39,6 +39,10 @@
 	number  AttemptNumber
 	pending int
 	purpose purpose
+	// seeking is set once the call stands among its service's seeking ones.
+	seeking bool
+	// rounds counts the questions that were put.
+	rounds int
 }
 
 // place sends a call to the target that seems best, or asks a few first.
@@ -67,6 +71,7 @@
 	c.inquiry.open = true
 	c.inquiry.number++
 	c.inquiry.pending = len(asked)
+	c.inquiry.rounds++
 	for _, t := range asked {
 		t.probesSent++
 		e.add(Effect{
@@ -145,6 +150,10 @@
 	if !late {
 		c.inquiry.pending = 0
 		c.inquiry.number++
+		if !c.inquiry.seeking {
+			c.inquiry.seeking = true
+			c.service.seeking = append(c.service.seeking, id)
+		}
 		r.timers.Push(timer{at: r.now.Add(askPause), call: id, kind: askTimer, inquiry: c.inquiry.number})
 		return
 	}
@@ -155,6 +164,26 @@
 	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: busyRetry}, e)
 }
 
+// serveSeeking sends calls that wait for a suitable target, oldest first, while there is
+// one. It is done when an answer has shown that a target has room.
+func (r *Router) serveSeeking(s *service, e *Effects) {
+	for len(s.seeking) > 0 {
+		id := s.seeking[0]
+		c := r.calls.Get(id)
+		if c == nil || !c.inquiry.open || c.service != s {
+			s.seeking = s.seeking[1:]
+			continue
+		}
+		t := r.choose(s, c)
+		if t == nil || !t.isFresh(r.now) || !r.suits(c, t) {
+			return
+		}
+		s.seeking = s.seeking[1:]
+		c.inquiry.open = false
+		r.send(id, c, t, c.inquiry.purpose == hedgeSend, e)
+	}
+}
+
 // askTimePassed goes on without the answers that haven't come, or asks again.
 func (r *Router) askTimePassed(id CallID, c *call, e *Effects) {
 	if c.inquiry.pending > 0 || !r.ask(id, c, e) {
@@ -188,7 +217,7 @@
 // suits tells whether a target would serve the call about as well as any could: work
 // goes at its usual pace there, and a slot is free.
 func (r *Router) suits(c *call, t *target) bool {
-	if t.expectedPace(r.now) >= goodPace {
+	if t.expectedPace(r.now) >= goodPace || t.currentDrag(r.now) >= heavyDrag {
 		return false
 	}
 	load := t.load(r.now) + 1
@@ -205,7 +234,11 @@
 	if c.inquiry.purpose == hedgeSend {
 		return false
 	}
-	return c.mayHaveRun || !t.reading.Known || r.now.Sub(t.reading.at) > paceMemory
+	if c.mayHaveRun || !t.reading.Known {
+		return true
+	}
+	// Where others wait as well, what nothing recent is known of is likely to be full.
+	return c.inquiry.rounds == 0 && len(c.service.seeking) <= 1 && r.now.Sub(t.reading.at) > paceMemory
 }
 
 // isFresh tells whether the target's last word on its load is as good as a new one.
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -13,7 +13,10 @@
 	c.arrivals++
 	c.past[c.tries%maxAttempts] = t
 	c.tries++
-	*a = attempt{number: c.sends, target: t, sent: r.now, hedge: hedge}
+	*a = attempt{
+		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.typical,
+		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
+	}
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
 		if a.loan != nil {
@@ -134,6 +137,9 @@
 	}
 	took := r.now.Sub(a.sent)
 	t := a.target
+	if a.atPace && v.Result == Answered {
+		t.noteTime(r.now, c.route, took)
+	}
 	r.learn(t, v, took)
 	r.release(c, a, e)
 	if c.streaming {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -21,6 +21,10 @@
 	next     *attempt
 	hedge    bool
 	loan     *loan
+	// atPace is set when the target was known to go at its usual pace at the sending.
+	atPace bool
+	// typical is the route's typical time then.
+	typical float64
 }
 
 // call is a call that hasn't been answered yet.
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -30,7 +30,7 @@
 func (t *target) expectedTime(now units.Instant) float64 {
 	slots := t.slots()
 	load := t.load(now) + 1
-	time := t.expectedPace(now) * max(1, t.slowness(now))
+	time := t.expectedPace(now) * t.currentDrag(now)
 	if load >= nearlyFull*slots {
 		time *= nearlyFullPace
 	}
@@ -43,6 +43,52 @@
 	return time
 }
 
+const (
+	// dragGain is the weight of the newest answer in a target's drag.
+	dragGain = 0.5
+	// dragMemory is the age at which a target's drag counts for a half.
+	dragMemory = 3 * time.Second
+	// heavyDrag is the drag from which on a target is avoided.
+	heavyDrag = 2
+	// typicalStep is how far a route's typical time moves with each answer.
+	typicalStep = 0.05
+)
+
+// noteTime takes how long an answer took at a target whose pace was known to be usual
+// when the call was sent: what it took beyond the route's typical time is the target's
+// own drag.
+func (t *target) noteTime(now units.Instant, x *route, took time.Duration) {
+	if x.typical == 0 {
+		x.typical = float64(took)
+	}
+	ratio := float64(took) / x.typical
+	t.drag = t.currentDrag(now) + dragGain*(ratio-t.currentDrag(now))
+	t.dragAt = now
+	if ratio > 1 {
+		x.typical *= 1 + typicalStep
+	} else {
+		x.typical *= 1 - typicalStep
+	}
+}
+
+// currentDrag is how much longer than elsewhere calls take at the target; it fades, so
+// that a target which was slow is tried again. A call that is out for long counts too.
+func (t *target) currentDrag(now units.Instant) float64 {
+	drag := 1.0
+	if t.drag > 1 {
+		drag += (t.drag - 1) * freshness(now.Sub(t.dragAt), dragMemory)
+	}
+	if a := t.oldest; a != nil && a.typical > 0 {
+		drag = max(drag, float64(now.Sub(a.sent))/a.typical/oldestPatience)
+	}
+	return drag
+}
+
+// oldestPatience is how many times its typical time a call may be out before that says
+// something about its target: half of the calls take longer than the typical time, and
+// one in four meets a slow moment.
+const oldestPatience = 2.5
+
 // slots is how many calls the target works on at a time.
 func (t *target) slots() float64 {
 	switch {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -134,6 +134,9 @@
 	for len(r.freed) > 0 {
 		s := r.freed[len(r.freed)-1]
 		r.freed = r.freed[:len(r.freed)-1]
+		if len(s.seeking) > 0 {
+			r.serveSeeking(s, e)
+		}
 		if s.held.length > 0 {
 			r.serveHeld(s, e)
 		}
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -24,7 +24,10 @@
 	aim         time.Duration
 	maxAttempts int
 	priority    int
-	parts       []routePart
+	// typical is the median time of the route's calls at a target's usual pace, in
+	// nanoseconds; zero before the first.
+	typical float64
+	parts   []routePart
 }
 
 // routePart is a service's part of a route's calls. Credits make each part come up
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -35,6 +35,9 @@
 	wants   wantState
 	// asks is what is left of the budget for asking targets for their load.
 	asks rateLimit
+	// seeking are the calls that wait for a target that suits, oldest first; those
+	// that have found one stay until they are passed over.
+	seeking []CallID
 	// sweepAt is when time alone may next bring something about.
 	sweepAt units.Instant
 	calls   uint64
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -16,7 +16,10 @@
 	remote bool
 	// sentSince counts the sends since the target last said what it has.
 	sentSince int
-	askCost   float64
+	// drag is how much longer than elsewhere calls take here, as last learnt at dragAt.
+	drag    float64
+	dragAt  units.Instant
+	askCost float64
 	// gone is set when the table no longer has the row.
 	gone     bool
 	inFlight int
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -37,6 +37,8 @@
 	stopDial context.CancelFunc
 	before   int64
 	whole    bool
+	// probe is set for a question about load and health.
+	probe bool
 	// surplus is set when the connection can't be used again: an answer to another
 	// call came on it, or it ended with this answer.
 	surplus bool
@@ -152,9 +154,7 @@
 	if a.pools.clock.Now() >= a.notAfter {
 		return routing.NotSent, false
 	}
-	left := a.pools.clock.Until(a.deadline).Milliseconds()
-	a.Request.Header.Set(a.pools.settings.DeadlineHeader, strconv.FormatInt(max(1, left), 10))
-	a.nameTarget()
+	a.setHeaders()
 	if err := a.write(c); err != nil {
 		if c.raw.written == a.before {
 			return routing.NotSent, false
@@ -164,6 +164,17 @@
 	return a.read(c)
 }
 
+// setHeaders adds what the target has to know. A probe goes without: it is as small as
+// it can be, and its answer says who answered.
+func (a *Attempt) setHeaders() {
+	if a.probe {
+		return
+	}
+	left := a.pools.clock.Until(a.deadline).Milliseconds()
+	a.Request.Header.Set(a.pools.settings.DeadlineHeader, strconv.FormatInt(max(1, left), 10))
+	a.nameTarget()
+}
+
 // nameTarget tells a registered target which one is meant, since its address may
 // belong to another one by now.
 func (a *Attempt) nameTarget() {
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -13,6 +13,9 @@
 	a.deadline = p.clock.Now().Add(p.settings.ConnectTimeout)
 	a.Request.Header.SetMethod(fasthttp.MethodGet)
 	a.Request.SetRequestURI(p.probePath(x))
+	a.Request.Header.SetNoDefaultContentType(true)
+	a.Request.Header.SetUserAgentBytes(nil)
+	a.probe = true
 	a.Request.Header.SetHost(string(x.Endpoint.Service))
 	result, streaming := a.Run()
 	ended := routing.ProbeEnded{
