--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -22,7 +22,7 @@
 	nearlyFull     = 0.8
 	nearlyFullPace = 1.6
 	// remoteCost is what a target in another failure domain must be better by.
-	remoteCost = 0.25
+	remoteCost = 0.6
 )
 
 // expectedTime is the time that a call sent now would take at the target, over that of
