Send nothing blind while calls wait for targets; log the story of calls

Change: while a service is busy a call waits for a slot that comes free or for its turn to ask; only the two oldest ask, since the answers serve all. Each call's decisions are kept and written as log lines when it ends otherwise than most do: targets asked, sends with load, pace, drag and age of the reading, results, refusals.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -39,7 +39,7 @@
 	c.deadline = r.now.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
-			r.place(id, c, t, firstSend, e)
+			r.place(id, c, t, FirstSend, e)
 			r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
 			return
 		}
@@ -164,7 +164,7 @@
 		}
 		s.held.popFront()
 		c.held = false
-		r.send(id, c, t, false, e)
+		r.send(id, c, t, FirstSend, e)
 	}
 }
 
--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
@@ -17,6 +18,10 @@
 	maxAsked = 4
 	// freshReading is the age up to which a reading is as good as a new one.
 	freshReading = 30 * time.Millisecond
+	// maxAskers is how many of a service's calls that found no target ask at a time.
+	maxAskers = 2
+	// busyMemory is how long a service counts as busy after a call found no target.
+	busyMemory = 200 * time.Millisecond
 	// askBurst is for how many calls a box may save up its part of the budget.
 	askBurst = 3
 )
@@ -24,21 +29,25 @@
 // goodPace is the expected pace up to which a target is as good as any.
 const goodPace = 1.5
 
-// purpose is what a send is for.
-type purpose uint8
+// Purpose is what a send is for.
+type Purpose uint8
 
+// The purposes of a send.
 const (
-	firstSend purpose = iota
-	retrySend
-	hedgeSend
+	FirstSend Purpose = iota
+	RetrySend
+	HedgeSend
 )
 
+// String returns the word that logs show.
+func (p Purpose) String() string { return [...]string{"first", "retry", "hedge"}[p] }
+
 // inquiry is a call's question to a few targets.
 type inquiry struct {
 	open    bool
 	number  AttemptNumber
 	pending int
-	purpose purpose
+	purpose Purpose
 	// seeking is set once the call stands among its service's seeking ones.
 	seeking bool
 	// rounds counts the questions that were put.
@@ -46,21 +55,61 @@
 }
 
 // place sends a call to the target that seems best, or asks a few first.
-func (r *Router) place(id CallID, c *call, best *target, why purpose, e *Effects) {
+func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
 	if c.service.row.AskTargets < 2 || best.isFresh(r.now) && r.suits(c, best) {
-		r.send(id, c, best, why == hedgeSend, e)
+		r.send(id, c, best, why, e)
 		return
 	}
 	c.inquiry.purpose = why
-	if !r.ask(id, c, e) {
-		r.send(id, c, best, why == hedgeSend, e)
-		return
+	r.forgetSought(c.service)
+	if len(c.service.seeking) >= maxAskers || !r.ask(id, c, e) {
+		if !c.service.isBusy(r.now) {
+			r.send(id, c, best, why, e)
+			return
+		}
+		c.inquiry.open = true
+		r.seekLater(id, c)
 	}
-	if why == firstSend {
+	if why == FirstSend {
 		e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
 	}
 }
 
+// isBusy tells whether calls have lately found no target that suits. Then one that
+// nothing recent is known of is likely to be full as well.
+func (s *service) isBusy(now units.Instant) bool {
+	return len(s.seeking) > 0 || s.busyAt != 0 && now.Sub(s.busyAt) < busyMemory
+}
+
+// seekLater has a call ask, or ask again, a moment later; a target that comes free
+// before goes to the oldest of those that wait.
+func (r *Router) seekLater(id CallID, c *call) {
+	c.inquiry.pending = 0
+	c.inquiry.number++
+	c.service.busyAt = r.now
+	if !c.inquiry.seeking {
+		c.inquiry.seeking = true
+		c.service.seeking = append(c.service.seeking, id)
+	}
+	r.timers.Push(timer{at: r.now.Add(askPause), call: id, kind: askTimer, inquiry: c.inquiry.number})
+}
+
+// forgetSought drops the calls at the front of the seeking ones that seek no more.
+func (r *Router) forgetSought(s *service) {
+	for len(s.seeking) > 0 {
+		if c := r.calls.Get(s.seeking[0]); c != nil && c.inquiry.open && c.service == s {
+			return
+		}
+		s.seeking = s.seeking[1:]
+	}
+}
+
+// mayAsk tells whether it is a seeking call's turn to ask: the answers serve all, so
+// only the oldest do.
+func (s *service) mayAsk(id CallID) bool {
+	return slices.Contains(s.seeking[:min(len(s.seeking), maxAskers)], id)
+}
+
 // ask asks the best targets for their load; false means that there is nothing to ask or
 // no budget for it.
 func (r *Router) ask(id CallID, c *call, e *Effects) bool {
@@ -75,7 +124,7 @@
 	for _, t := range asked {
 		t.probesSent++
 		e.add(Effect{
-			Kind: Probe, Call: id, Attempt: c.inquiry.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
+			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.inquiry.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
 		})
 	}
@@ -144,17 +193,11 @@
 	late := c.spentPart(r.now) >= lastPart
 	if t != nil && (r.suits(c, t) || late && r.mustDo(c, t)) {
 		c.inquiry.open = false
-		r.send(id, c, t, c.inquiry.purpose == hedgeSend, e)
+		r.send(id, c, t, c.inquiry.purpose, e)
 		return
 	}
 	if !late {
-		c.inquiry.pending = 0
-		c.inquiry.number++
-		if !c.inquiry.seeking {
-			c.inquiry.seeking = true
-			c.service.seeking = append(c.service.seeking, id)
-		}
-		r.timers.Push(timer{at: r.now.Add(askPause), call: id, kind: askTimer, inquiry: c.inquiry.number})
+		r.seekLater(id, c)
 		return
 	}
 	c.inquiry.open = false
@@ -167,26 +210,27 @@
 // serveSeeking sends calls that wait for a suitable target, oldest first, while there is
 // one. It is done when an answer has shown that a target has room.
 func (r *Router) serveSeeking(s *service, e *Effects) {
-	for len(s.seeking) > 0 {
+	for {
+		r.forgetSought(s)
+		if len(s.seeking) == 0 {
+			return
+		}
 		id := s.seeking[0]
 		c := r.calls.Get(id)
-		if c == nil || !c.inquiry.open || c.service != s {
-			s.seeking = s.seeking[1:]
-			continue
-		}
 		t := r.choose(s, c)
 		if t == nil || !t.isFresh(r.now) || !r.suits(c, t) {
 			return
 		}
 		s.seeking = s.seeking[1:]
 		c.inquiry.open = false
-		r.send(id, c, t, c.inquiry.purpose == hedgeSend, e)
+		r.send(id, c, t, c.inquiry.purpose, e)
 	}
 }
 
 // askTimePassed goes on without the answers that haven't come, or asks again.
 func (r *Router) askTimePassed(id CallID, c *call, e *Effects) {
-	if c.inquiry.pending > 0 || !r.ask(id, c, e) {
+	r.forgetSought(c.service)
+	if c.inquiry.pending > 0 || !c.service.mayAsk(id) || !r.ask(id, c, e) {
 		r.concludeAsking(id, c, e)
 	}
 }
@@ -231,14 +275,13 @@
 // doesn't suit: one that nothing recent is known of, or any when the call may have run
 // already and so can't be refused for good.
 func (r *Router) mustDo(c *call, t *target) bool {
-	if c.inquiry.purpose == hedgeSend {
+	if c.inquiry.purpose == HedgeSend {
 		return false
 	}
 	if c.mayHaveRun || !t.reading.Known {
 		return true
 	}
-	// Where others wait as well, what nothing recent is known of is likely to be full.
-	return c.inquiry.rounds == 0 && len(c.service.seeking) <= 1 && r.now.Sub(t.reading.at) > paceMemory
+	return c.inquiry.rounds == 0 && !c.service.isBusy(r.now)
 }
 
 // isFresh tells whether the target's last word on its load is as good as a new one.
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -7,7 +7,9 @@
 )
 
 // send starts an attempt of a call at a target.
-func (r *Router) send(id CallID, c *call, t *target, hedge bool, e *Effects) {
+func (r *Router) send(id CallID, c *call, t *target, why Purpose, e *Effects) {
+	hedge := why == HedgeSend
+	evidence := r.evidenceOf(t)
 	a := c.freePlace()
 	c.sends++
 	c.arrivals++
@@ -33,12 +35,25 @@
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections,
+		Purpose: why, Evidence: evidence,
 	})
 	if !hedge && c.route.work == table.Repeatable && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
 }
 
+// evidenceOf is what is known of a target now.
+func (r *Router) evidenceOf(t *target) Evidence {
+	x := Evidence{
+		Load: t.load(r.now), Pace: t.expectedPace(r.now), Drag: t.currentDrag(r.now), ReadingAge: -1,
+		Revision: r.table.Revision,
+	}
+	if t.reading.Known {
+		x.ReadingAge = r.now.Sub(t.reading.at)
+	}
+	return x
+}
+
 // hedgeDelay is how long a call may go unanswered before it is worth a second send:
 // half of its aim, so that the second may still make it, or longer than nearly all
 // calls take where there is no aim.
@@ -66,7 +81,7 @@
 	if t == nil || !s.hedges.spend() {
 		return
 	}
-	r.place(id, c, t, hedgeSend, e)
+	r.place(id, c, t, HedgeSend, e)
 }
 
 // release ends an attempt's claim on its target.
@@ -244,7 +259,7 @@
 	if t == nil || !free && !c.service.retries.spend() {
 		return false
 	}
-	r.place(id, c, t, retrySend, e)
+	r.place(id, c, t, RetrySend, e)
 	return true
 }
 
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -122,6 +122,14 @@
 	Canceled
 )
 
+var resultNames = map[AttemptResult]string{
+	Answered: "answered", Failed: "failed", Shed: "shed", Misdirected: "misdirected", NotSent: "not-sent",
+	Broken: "broken", Canceled: "canceled",
+}
+
+// String returns the word that logs show.
+func (r AttemptResult) String() string { return resultNames[r] }
+
 // Reading is a target's word on its own load.
 type Reading struct {
 	Known bool
@@ -144,6 +152,16 @@
 	Registered bool
 }
 
+// Evidence is what a choice of a target rested on.
+type Evidence struct {
+	// Load is how many calls the target seemed to have, Pace how long work seemed to
+	// take there over the usual, Drag how much longer than elsewhere calls took.
+	Load, Pace, Drag float64
+	// ReadingAge is how old the target's last word on its load was; negative for none.
+	ReadingAge time.Duration
+	Revision   units.Revision
+}
+
 // EffectKind says what the shell is to do.
 type EffectKind uint8
 
@@ -181,9 +199,12 @@
 	Connections int
 	// ProbePath is what a probe asks for; empty means the box's own setting.
 	ProbePath string
-	Refusal   Refusal
-	Peer      units.BoxID
-	Loan      LoanMessage
+	// Purpose says what a Send is for, Evidence what was known of its target.
+	Purpose  Purpose
+	Evidence Evidence
+	Refusal  Refusal
+	Peer     units.BoxID
+	Loan     LoanMessage
 }
 
 // Effects collects what the shell is to do; it may be used again after Reset.
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -31,6 +31,8 @@
 	// delivered is the attempt whose answer the caller gets.
 	delivered *target.Attempt
 	sends     []send
+	// steps are the decisions on the call so far, for the log.
+	steps []step
 }
 
 // send is one attempt of a call.
@@ -115,6 +117,9 @@
 	a, number := s.attempt, s.number
 	result, streaming := a.Run()
 	e.running.Add(-1)
+	e.lock.Lock()
+	c.note(step{at: e.Clock.Now(), what: stepEnded, attempt: number, result: result})
+	e.lock.Unlock()
 	if streaming {
 		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Reading: a.Reading})
 	} else {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -47,6 +47,8 @@
 	server   *fasthttp.Server
 	listener net.Listener
 	leaving  atomic.Bool
+	// told counts the ordinary calls, of which a sample is logged.
+	told atomic.Uint64
 	// listedLeaving is set while the platform's list has this box as leaving.
 	listedLeaving atomic.Bool
 	done          chan struct{}
@@ -166,6 +168,7 @@
 }
 
 func (e *Entry) carryOutRouting(x routing.Effect) {
+	e.noteEffect(&x)
 	switch x.Kind {
 	case routing.Send:
 		e.startAttempt(x)
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -81,11 +81,13 @@
 		e.refuseFraming(ctx, reason)
 		return
 	}
-	a := e.decide(ctx)
+	a, c := e.decide(ctx)
 	if a.attempt == nil {
+		e.tell(c, false)
 		e.writeRefusal(ctx, a.refusal)
 		return
 	}
+	e.tell(c, a.number == 1)
 	e.writeAnswer(ctx, a)
 	e.metrics.observe(a.endpoint, time.Since(started))
 }
@@ -115,7 +117,7 @@
 const maxDeadlineMillis = int64(math.MaxInt64 / int64(time.Millisecond))
 
 // decide gives the core the call and waits for its one answer.
-func (e *Entry) decide(ctx *fasthttp.RequestCtx) answer {
+func (e *Entry) decide(ctx *fasthttp.RequestCtx) (answer, *call) {
 	c := newCall(ctx, e.Clock.Now())
 	e.lock.Lock()
 	e.waiting[c] = true
@@ -133,7 +135,7 @@
 	e.lock.Lock()
 	delete(e.waiting, c)
 	e.lock.Unlock()
-	return a
+	return a, c
 }
 
 // reportHangUps lets the core know of calls whose callers have hung up.
--- /dev/null
+++ b/pkg/entry/story.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A call's decisions are kept while it is in this box, and written as log lines once it
+// has ended: all of them for a call that didn't go as most do, and a sample of the rest.
+
+const (
+	// maxSteps bounds the decisions kept of one call.
+	maxSteps = 16
+	// sampleEvery is one in how many ordinary calls is written.
+	sampleEvery = 64
+)
+
+// step is one decision on a call, or what came of one.
+type step struct {
+	at       units.Instant
+	what     string
+	attempt  routing.AttemptNumber
+	endpoint *routing.Endpoint
+	purpose  routing.Purpose
+	evidence routing.Evidence
+	result   routing.AttemptResult
+	refusal  routing.Refusal
+}
+
+// The words for the steps of a call.
+const (
+	stepArrived   = "call-arrived"
+	stepAsked     = "call-asked"
+	stepSent      = "call-sent"
+	stepEnded     = "attempt-ended"
+	stepCanceled  = "attempt-canceled"
+	stepDelivered = "call-delivered"
+	stepRefused   = "call-refused"
+)
+
+func (c *call) note(s step) {
+	if len(c.steps) < maxSteps {
+		c.steps = append(c.steps, s)
+	}
+}
+
+// noteEffect keeps what an effect decides about its call.
+func (e *Entry) noteEffect(x *routing.Effect) {
+	c, ok := x.Owner.(*call)
+	if !ok {
+		return
+	}
+	s := step{at: e.Clock.Now(), attempt: x.Attempt, endpoint: x.Endpoint}
+	switch x.Kind {
+	case routing.Send:
+		s.what, s.purpose, s.evidence = stepSent, x.Purpose, x.Evidence
+	case routing.Refuse:
+		s.what, s.refusal = stepRefused, x.Refusal
+	case routing.Deliver:
+		s.what = stepDelivered
+	case routing.Cancel:
+		s.what = stepCanceled
+	case routing.Probe:
+		s.what = stepAsked
+	default:
+		return
+	}
+	c.note(s)
+}
+
+// tell writes a call's steps to the log.
+func (e *Entry) tell(c *call, ordinary bool) {
+	if ordinary && e.told.Add(1)%sampleEvery != 0 {
+		return
+	}
+	id := string(c.request.Header.Peek(e.Settings.Entry.CallIDHeader))
+	e.lock.Lock()
+	steps := slices.Clone(c.steps)
+	e.lock.Unlock()
+	for i := range steps {
+		s := &steps[i]
+		e.Log.WithFields(s.fields(id, c.arrived)).Info("call")
+	}
+}
+
+// fields are what a step's line says.
+func (s *step) fields(id string, arrived units.Instant) logrus.Fields {
+	f := logrus.Fields{"kind": s.what, "call": id, "afterMs": millis(s.at.Sub(arrived))}
+	if s.endpoint != nil {
+		f["service"], f["target"] = s.endpoint.Service, s.endpoint.Target
+	}
+	if s.attempt > 0 {
+		f["attempt"] = s.attempt
+	}
+	switch s.what {
+	case stepSent:
+		f["purpose"] = s.purpose.String()
+		f["load"], f["pace"], f["drag"] = round(s.evidence.Load), round(s.evidence.Pace), round(s.evidence.Drag)
+		f["readingAgeMs"], f["revision"] = millis(s.evidence.ReadingAge), s.evidence.Revision
+	case stepEnded:
+		f["result"] = s.result.String()
+	case stepRefused:
+		f["reason"], f["outcome"], f["retryAfterMs"] = s.refusal.Reason.String(), s.refusal.Outcome.String(), millis(s.refusal.RetryAfter)
+	}
+	return f
+}
+
+func millis(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
+
+// round keeps lines short: two digits behind the point say enough.
+func round(x float64) float64 { return float64(int64(x*100)) / 100 }
