--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -253,6 +253,9 @@
 	return a.replica.Halted()
 }
 
+// adminStop is how long operators' questions may take to end at a planned stop.
+const adminStop = 200 * time.Millisecond
+
 // Stop is the planned stop: the box says that it leaves, serves on while the
 // platform learns of it, and ends when every call has its answer.
 func (a *App) Stop(ctx context.Context) error {
@@ -277,7 +280,7 @@
 	}
 	a.listener.Close()
 	// Operators' open watches don't hold up the stop.
-	adminCtx, cancel := context.WithTimeout(ctx, time.Second)
+	adminCtx, cancel := context.WithTimeout(ctx, adminStop)
 	defer cancel()
 	a.admin.Stop(adminCtx)
 	a.Log.WithField("kind", "stopped").Info("planned stop is done")
--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -21,9 +21,13 @@
 	// maxAskers is how many of a service's calls that found no target ask at a time.
 	maxAskers = 2
 	// busyMemory is how long a service counts as busy after a call found no target.
-	busyMemory = 200 * time.Millisecond
+	busyMemory = 500 * time.Millisecond
+	// busyFrom is the part of calls without a target from which on a service counts
+	// as busy; busyGain is the weight of the newest call.
+	busyFrom = 0.5
+	busyGain = 0.2
 	// askBurst is for how many calls a box may save up its part of the budget.
-	askBurst = 3
+	askBurst = 8
 )
 
 // goodPace is the expected pace up to which a target is as good as any.
@@ -78,7 +82,17 @@
 // isBusy tells whether calls have lately found no target that suits. Then one that
 // nothing recent is known of is likely to be full as well.
 func (s *service) isBusy(now units.Instant) bool {
-	return len(s.seeking) > 0 || s.busyAt != 0 && now.Sub(s.busyAt) < busyMemory
+	return s.busyPart > busyFrom && now.Sub(s.busyAt) < busyMemory
+}
+
+// noteFound keeps account of how many of the calls that ask find no target at once.
+func (s *service) noteFound(now units.Instant, found bool) {
+	miss := 1.0
+	if found {
+		miss = 0
+	}
+	s.busyPart += busyGain * (miss - s.busyPart)
+	s.busyAt = now
 }
 
 // seekLater has a call ask, or ask again, a moment later; a target that comes free
@@ -86,8 +100,8 @@
 func (r *Router) seekLater(id CallID, c *call) {
 	c.inquiry.pending = 0
 	c.inquiry.number++
-	c.service.busyAt = r.now
 	if !c.inquiry.seeking {
+		c.service.noteFound(r.now, false)
 		c.inquiry.seeking = true
 		c.service.seeking = append(c.service.seeking, id)
 	}
@@ -193,6 +207,9 @@
 	late := c.spentPart(r.now) >= lastPart
 	if t != nil && (r.suits(c, t) || late && r.mustDo(c, t)) {
 		c.inquiry.open = false
+		if !c.inquiry.seeking {
+			c.service.noteFound(r.now, true)
+		}
 		r.send(id, c, t, c.inquiry.purpose, e)
 		return
 	}
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -38,8 +38,10 @@
 	// seeking are the calls that wait for a target that suits, oldest first; those
 	// that have found one stay until they are passed over.
 	seeking []CallID
-	// busyAt is when a call last found no target that suits; zero for never.
-	busyAt units.Instant
+	// busyPart is the part of the last calls that found no target that suits at once;
+	// busyAt is when that was last noted.
+	busyPart float64
+	busyAt   units.Instant
 	// sweepAt is when time alone may next bring something about.
 	sweepAt units.Instant
 	calls   uint64
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -15,8 +15,8 @@
 
 // Defaults of the timings.
 const (
-	DefaultRenewEvery = 250 * time.Millisecond
-	DefaultSilence    = time.Second
+	DefaultRenewEvery = 400 * time.Millisecond
+	DefaultSilence    = 850 * time.Millisecond
 )
 
 // Settings are what a box needs to know to subscribe.
