--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -60,7 +60,7 @@
 
 // place sends a call to the target that seems best, or asks a few first.
 func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
-	if c.service.row.AskTargets < 2 || best.isFresh(r.now) && r.suits(c, best) {
+	if c.service.row.AskTargets < 1 || best.isFresh(r.now) && r.suits(c, best) {
 		r.send(id, c, best, why, e)
 		return
 	}
@@ -128,7 +128,7 @@
 // no budget for it.
 func (r *Router) ask(id CallID, c *call, e *Effects) bool {
 	asked := r.bestTargets(c, min(c.service.row.AskTargets, maxAsked))
-	if len(asked) < 2 || !c.service.asks.takeMany(r.now, float64(len(asked)), r.askRate(c.service), askBurst*maxAsked) {
+	if len(asked) < 1 || !c.service.asks.takeMany(r.now, float64(len(asked)), r.askRate(c.service), askBurst*maxAsked) {
 		return false
 	}
 	c.inquiry.open = true
