--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	table   *table.Table
 	effects Effects
 	probes  map[string]*Endpoint
+	// asked holds the last question of each call.
+	asked map[string]Effect
 }
 
 // commands are all that a script can say.
@@ -38,6 +41,10 @@
 	"peer":    (*script).peer,
 	"probed":  (*script).probed,
 	"repeat":  (*script).repeat,
+	"told":    (*script).told,
+	"untold":  (*script).untold,
+	"stop":    (*script).stop,
+	"stale":   (*script).stale,
 	"targets": (*script).targets,
 }
 
@@ -45,10 +52,10 @@
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{
 			t: t, now: units.Instant(time.Second), calls: map[string]CallID{}, table: table.NewTable(),
-			probes: map[string]*Endpoint{},
+			probes: map[string]*Endpoint{}, asked: map[string]Effect{},
 		}
 		router, err := NewRouter(Settings{
-			Box: "me", Seed: 1, ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
+			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
 		}, s.now)
 		if err != nil {
 			t.Fatal(err)
@@ -97,7 +104,12 @@
 		return fmt.Sprintf("cancel %s #%d at %s", name, x.Attempt, x.Endpoint.Target)
 	case Probe:
 		s.probes[string(x.Endpoint.Target)] = x.Endpoint
-		return "probe " + string(x.Endpoint.Target)
+		if x.Call == 0 {
+			return "probe " + string(x.Endpoint.Target)
+		}
+		s.calls[name] = x.Call
+		s.asked[name] = x
+		return fmt.Sprintf("ask %s for %s", x.Endpoint.Target, name)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
@@ -126,7 +138,9 @@
 }
 
 // setTable puts a table in force: lines of "boxes NAMES", "service NAME
-// COLUMN=VALUE..." and "row SERVICE TARGET COLUMN=VALUE...".
+// COLUMN=VALUE...", "row SERVICE TARGET COLUMN=VALUE...", "registered SERVICE TARGET
+// [DOMAIN] [leaving] [silent]" and "route NAME COLUMN=VALUE...", with commas in place of
+// spaces.
 func (s *script) setTable(d *datadriven.TestData) {
 	next := table.NewTable()
 	next.Revision = s.table.Revision + 1
@@ -148,12 +162,45 @@
 			s.setCells(words[3:], func(name, value string) error { return sheet.SetRowCell(&r, name, value) })
 			entry := next.Services[r.Service]
 			entry.Rows = append(entry.Rows, r)
+		case "registered":
+			r := table.Row{
+				Service: units.ServiceName(words[1]), Target: units.TargetID(words[2]), Address: "127.0.0.1:1",
+				Weight: 100, State: table.Active, Registered: true, Slots: 3,
+			}
+			for _, w := range words[3:] {
+				s.setFact(&r, w)
+			}
+			entry := next.Services[r.Service]
+			entry.Rows = append(entry.Rows, r)
+		case "route":
+			v := sheet.NewRoute()
+			v.Name = words[1]
+			s.setCells(words[2:], func(name, value string) error {
+				return sheet.SetRouteCell(&v, name, strings.ReplaceAll(value, ",", " "))
+			})
+			if next.Routes == nil {
+				next.Routes = map[table.RouteKey]*table.Route{}
+			}
+			next.Routes[v.Key()] = &v
+			next.Document = units.DocumentVersion(next.Revision)
 		}
 	}
 	s.table = next
 	s.give(&TableChanged{Table: next})
 }
 
+// setFact sets what a registered target's line says: "leaving", "silent" or a domain.
+func (s *script) setFact(r *table.Row, word string) {
+	switch word {
+	case "leaving":
+		r.State = table.Leaving
+	case "silent":
+		r.Silent = true
+	default:
+		r.Domain = units.Domain(word)
+	}
+}
+
 func (s *script) setCells(words []string, set func(name, value string) error) {
 	for _, w := range words {
 		name, value, _ := strings.Cut(w, "=")
@@ -182,22 +229,63 @@
 	return text
 }
 
-// call NAME service=S [deadline=D]
+// call NAME service=S [path=P] [deadline=D]
 func (s *script) call(d *datadriven.TestData) {
+	path := "/"
+	d.MaybeScanArgs(s.t, "path", &path)
 	s.give(&CallArrived{
-		Owner: d.CmdArgs[0].Key, Host: []byte(s.word(d, "service")), Path: []byte("/"), Deadline: s.duration(d, "deadline"),
+		Owner: d.CmdArgs[0].Key, Host: []byte(s.word(d, "service")), Path: []byte(path), Deadline: s.duration(d, "deadline"),
 	})
 }
 
+// told CALL TARGET load=N pace=P gives the answer to a call's question.
+func (s *script) told(d *datadriven.TestData) {
+	var load int
+	var pace string
+	d.ScanArgs(s.t, "load", &load)
+	d.ScanArgs(s.t, "pace", &pace)
+	x, err := strconv.ParseFloat(pace, 64)
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	s.answer(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x}})
+}
+
+// untold CALL TARGET how=unreachable|misdirected
+func (s *script) untold(d *datadriven.TestData) {
+	how := s.word(d, "how")
+	s.answer(d, ProbeEnded{Unreachable: how == "unreachable", Misdirected: how == "misdirected"})
+}
+
+func (s *script) answer(d *datadriven.TestData, v ProbeEnded) {
+	asked := s.asked[d.CmdArgs[0].Key]
+	v.Target, v.Call, v.Attempt = s.probes[d.CmdArgs[1].Key], asked.Call, asked.Attempt
+	s.give(&v)
+}
+
+// stop within=D
+func (s *script) stop(d *datadriven.TestData) {
+	s.give(&StopPlanned{Until: s.now.Add(s.duration(d, "within"))})
+}
+
+// stale lets the router serve without a lease.
+func (s *script) stale(*datadriven.TestData) { s.router.settings.ServeStale = true }
+
 var resultWords = map[string]AttemptResult{
-	"answered": Answered, "failed": Failed, "shed": Shed, "not-sent": NotSent, "broken": Broken,
+	"answered": Answered, "failed": Failed, "shed": Shed, "misdirected": Misdirected, "not-sent": NotSent, "broken": Broken,
 }
 
-// end NAME attempt=N result=R
+// end NAME attempt=N result=R [load=N]: with a load the answer tells it, at a usual pace.
 func (s *script) end(d *datadriven.TestData) {
 	var n int
 	d.ScanArgs(s.t, "attempt", &n)
-	s.give(&AttemptEnded{Call: s.calls[d.CmdArgs[0].Key], Attempt: AttemptNumber(n), Result: resultWords[s.word(d, "result")]})
+	v := &AttemptEnded{Call: s.calls[d.CmdArgs[0].Key], Attempt: AttemptNumber(n), Result: resultWords[s.word(d, "result")]}
+	if d.HasArg("load") {
+		var load int
+		d.ScanArgs(s.t, "load", &load)
+		v.Reading = Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: 1}
+	}
+	s.give(v)
 }
 
 // start NAME attempt=N
--- /dev/null
+++ b/pkg/sheet/routes.go
@@ -0,0 +1,84 @@
+package sheet
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+var routeColumns = []column[table.Route]{
+	{"route", true, func(r *table.Route, c string) error { r.Name = c; return nil },
+		func(r *table.Route) string { return r.Name }},
+	{"host", true, func(r *table.Route, c string) error { r.Host = c; return nil },
+		func(r *table.Route) string { return r.Host }},
+	{"path_prefix", true, func(r *table.Route, c string) error { r.PathPrefix = c; return nil },
+		func(r *table.Route) string { return r.PathPrefix }},
+	{"work", true, func(r *table.Route, c string) error { return r.Work.UnmarshalText([]byte(c)) },
+		func(r *table.Route) string { return r.Work.String() }},
+	{"services", true, func(r *table.Route, c string) error { return readParts(&r.Parts, c) },
+		func(r *table.Route) string { return writeParts(r.Parts) }},
+	{"deadline", false, func(r *table.Route, c string) error { return readDuration(&r.Deadline, c) },
+		func(r *table.Route) string { return r.Deadline.String() }},
+	{"aim", false, func(r *table.Route, c string) error { return readDuration(&r.Aim, c) },
+		func(r *table.Route) string { return r.Aim.String() }},
+	{"max_attempts", false, func(r *table.Route, c string) error { return readInt(&r.MaxAttempts, c) },
+		func(r *table.Route) string { return strconv.Itoa(r.MaxAttempts) }},
+	{"priority", false, func(r *table.Route, c string) error { return readInt(&r.Priority, c) },
+		func(r *table.Route) string { return strconv.Itoa(r.Priority) }},
+}
+
+// NewRoute returns a route with every default.
+func NewRoute() table.Route {
+	return table.Route{Work: table.Repeatable, Deadline: table.DefaultDeadline}
+}
+
+// ReadRoutes reads a sheet of routes, as ReadServices does.
+func ReadRoutes(r io.Reader) ([]table.Route, error) {
+	return read(r, routeColumns, NewRoute, table.CheckRoute)
+}
+
+// WriteRoutes writes a sheet of routes.
+func WriteRoutes(w io.Writer, routes []table.Route) error {
+	return write(w, routeColumns, routes)
+}
+
+// SetRouteCell is SetRowCell for a route.
+func SetRouteCell(r *table.Route, name, value string) error {
+	return setCell(routeColumns, r, name, value)
+}
+
+// weightSeparator stands between a service and its weight.
+const weightSeparator = ":"
+
+// readParts reads services with their weights, as in "old:90 new:10"; a service alone
+// has the weight 1.
+func readParts(into *[]table.Part, cell string) error {
+	var parts []table.Part
+	for _, word := range strings.Fields(cell) {
+		name, weight, weighted := strings.Cut(word, weightSeparator)
+		p := table.Part{Service: units.ServiceName(name), Weight: 1}
+		if weighted {
+			n, err := strconv.Atoi(weight)
+			if err != nil {
+				return fault.New(fault.Invalid, "write services as in old:90 new:10", "%q is no weight", weight)
+			}
+			p.Weight = n
+		}
+		parts = append(parts, p)
+	}
+	*into = parts
+	return nil
+}
+
+func writeParts(parts []table.Part) string {
+	words := make([]string, 0, len(parts))
+	for _, p := range parts {
+		words = append(words, fmt.Sprintf("%s%s%d", p.Service, weightSeparator, p.Weight))
+	}
+	return strings.Join(words, listSeparator)
+}
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -48,6 +48,14 @@
 		func(s *table.Service) string { return writePercent(s.HedgeBudget) }},
 	{"measure_budget", false, func(s *table.Service, c string) error { return readPercent(&s.MeasureBudget, c) },
 		func(s *table.Service) string { return writePercent(s.MeasureBudget) }},
+	{"extra_burst", false, func(s *table.Service, c string) error { return readInt(&s.ExtraBurst, c) },
+		func(s *table.Service) string { return strconv.Itoa(s.ExtraBurst) }},
+	{"target_connections", false, func(s *table.Service, c string) error { return readInt(&s.TargetConnections, c) },
+		func(s *table.Service) string { return strconv.Itoa(s.TargetConnections) }},
+	{"ask_targets", false, func(s *table.Service, c string) error { return readInt(&s.AskTargets, c) },
+		func(s *table.Service) string { return strconv.Itoa(s.AskTargets) }},
+	{"probe_path", false, func(s *table.Service, c string) error { s.ProbePath = c; return nil },
+		func(s *table.Service) string { return s.ProbePath }},
 }
 
 var rowColumns = []column[table.Row]{
