Random schedules and tests of growing clusters, documents and registrations

The world of the control tests gains clusters that form from three seeds, whole tables, reads, reports of targets, and two of five disks lost at once while the others lose power or not. Each schedule checks that reads are never older than what was acknowledged, that a held version keeps its content, and that a drain or leaving that was acknowledged binds every replica.

Found by it: rows of a service whose last target left were an empty list on replicas and none on boxes; they are none everywhere now.

--- /dev/null
+++ b/pkg/core/control/growth_test.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// growthFaults are those of a cluster that grows by itself and may lose two of its five
+// disks at once.
+var growthFaults = append([]disturbance{
+	{"document", func(w *world, n int) { w.putDocument(w.replicas[n%len(w.replicas)], false) }},
+	{"document again", func(w *world, n int) { w.putDocument(w.replicas[n%len(w.replicas)], n%2 == 0) }},
+	{"read", func(w *world, n int) { w.readDocument(w.replicas[n%len(w.replicas)]) }},
+	{"read all", func(w *world, n int) {
+		for _, r := range w.replicas {
+			w.readDocument(r)
+		}
+	}},
+	{"target", func(w *world, n int) { w.oneTarget(n) }},
+	{"two targets", func(w *world, n int) { w.oneTarget(n); w.oneTarget(n / 3) }},
+	{"lose two disks", func(w *world, n int) { w.loseTwoDisks(n) }},
+	{"crash all", func(w *world, n int) { w.crashAll(0) }},
+}, faults...)
+
+// loseTwoDisks takes two disks at once, while all others lose power or not.
+func (w *world) loseTwoDisks(n int) {
+	if w.voters() < w.growth.Voters {
+		return
+	}
+	first, second := n%len(w.replicas), (n/7)%len(w.replicas)
+	if first == second {
+		return
+	}
+	for i, r := range w.replicas {
+		switch {
+		case i == first || i == second:
+			w.loseDisk(r)
+		case n%3 == 0:
+			w.crash(r)
+		}
+	}
+	for _, r := range w.replicas {
+		if !r.up {
+			w.startReplica(r)
+		}
+	}
+}
+
+func TestAClusterFormsFromSeedsAndGrows(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newGrowingWorld(t, seed, 5, 5, 2)
+		if n := w.voters(); n != 5 {
+			t.Fatalf("seed %d: %d of 5 replicas vote", seed, n)
+		}
+		clusters := map[string]bool{}
+		for _, r := range w.replicas {
+			clusters[r.core.Status(w.now).Log.Cluster] = true
+		}
+		if len(clusters) != 1 {
+			t.Fatalf("seed %d: there are the clusters %v", seed, clusters)
+		}
+	}
+}
+
+func TestNothingIsAcknowledgedBeforeEnoughDisksHoldIt(t *testing.T) {
+	w := emptyWorld(t, 1, 5, 1)
+	w.seeds = 3
+	w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: time.Second}
+	// Two of the three seeds run: the cluster can't form, and must not.
+	w.startReplica(w.replicas[0])
+	w.startReplica(w.replicas[1])
+	w.run(2 * time.Second)
+	w.putDocument(w.replicas[0], false)
+	w.run(2 * time.Second)
+	if w.orders.highest != 0 {
+		t.Fatal("a document was acknowledged by two replicas of five")
+	}
+	w.startReplica(w.replicas[2])
+	w.run(2 * time.Second)
+	// One of the three voters falls: a quorum of the young cluster is still there, but
+	// its two disks could both be lost.
+	w.crash(w.replicas[2])
+	w.putDocument(w.replicas[0], false)
+	w.run(2 * time.Second)
+	if w.orders.highest != 0 {
+		t.Fatal("a document was acknowledged that only two disks hold")
+	}
+	w.growth.Bootstrap = false
+	w.heal()
+	w.run(3 * time.Second)
+	w.putDocument(w.replicas[4], false)
+	w.run(time.Second)
+	if w.orders.highest != w.orders.version {
+		t.Fatalf("document %d wasn't acknowledged by a grown cluster", w.orders.version)
+	}
+}
+
+func TestNoSecondClusterFormsFromEmptyDisks(t *testing.T) {
+	w := newGrowingWorld(t, 5, 5, 5, 1)
+	cluster := w.leader().core.Status(w.now).Log.Cluster
+	for _, r := range w.replicas[:2] {
+		w.loseDisk(r)
+		w.startReplica(r)
+	}
+	w.run(4 * time.Second)
+	for _, r := range w.replicas {
+		if s := r.core.Status(w.now).Log; s.Cluster != cluster || !s.Voter {
+			t.Fatalf("%s: %+v; the cluster is %s", r.id, s, cluster)
+		}
+	}
+}
+
+func TestAVoterThatIsGoneIsReplaced(t *testing.T) {
+	w := newGrowingWorld(t, 9, 6, 5, 1)
+	if n := w.voters(); n != 5 {
+		t.Fatalf("%d voters, not 5", n)
+	}
+	for _, r := range w.replicas {
+		if r.core.Status(w.now).Log.Voter && !r.core.node.IsLeader() {
+			w.crash(r)
+			break
+		}
+	}
+	w.run(6 * time.Second)
+	if n := w.voters(); n != 5 {
+		t.Fatalf("%d voters after one has been gone for long, not 5", n)
+	}
+}
+
+func TestLateReportsBringNobodyBack(t *testing.T) {
+	w := newGrowingWorld(t, 11, 5, 5, 2)
+	w.putDocument(w.replicas[0], false)
+	w.report(w.replicas[1], "t1", table.Active, 1)
+	w.report(w.replicas[1], "t2", table.Active, 1)
+	w.run(200 * time.Millisecond)
+	w.report(w.replicas[2], "t1", table.Leaving, 7)
+	w.depart(w.replicas[3], "t2")
+	w.run(200 * time.Millisecond)
+	if !w.orders.leaving["t1"] || !w.orders.gone["t2"] {
+		t.Fatal("draining and leaving weren't acknowledged")
+	}
+	w.report(w.replicas[4], "t1", table.Active, 6)
+	w.report(w.replicas[4], "t2", table.Active, 9)
+	w.crashAll(0)
+	w.run(2 * time.Second)
+	w.checkOrders()
+}
+
+func TestSilenceOfAllIsNotTakenForTheirs(t *testing.T) {
+	w := newGrowingWorld(t, 13, 5, 5, 1)
+	w.putDocument(w.replicas[0], false)
+	for _, id := range []string{"t1", "t2"} {
+		w.report(w.replicas[1], units.TargetID(id), table.Active, 1)
+	}
+	w.run(3 * time.Second)
+	if n := w.silent(); n != 0 {
+		t.Fatalf("%d targets count as silent while nobody reports at all", n)
+	}
+	for i := range 30 {
+		w.report(w.replicas[2], "t1", table.Active, uint64(i+2))
+		w.run(100 * time.Millisecond)
+	}
+	if n := w.silent(); n != 1 {
+		t.Fatalf("%d targets count as silent, one should", n)
+	}
+	for i := range 10 {
+		w.report(w.replicas[3], "t2", table.Active, uint64(i+2))
+		w.report(w.replicas[2], "t1", table.Active, uint64(i+50))
+		w.run(100 * time.Millisecond)
+	}
+	if n := w.silent(); n != 0 {
+		t.Fatalf("%d targets count as silent after both have reported", n)
+	}
+}
+
+// silent counts the targets that the leader's state has as silent.
+func (w *world) silent() int {
+	n := 0
+	w.leader().core.state.EachRegistration(func(r *table.Registration) {
+		if r.Silent {
+			n++
+		}
+	})
+	return n
+}
+
+func TestRandomFaultsOfAGrowingClusterBreakNoPromise(t *testing.T) {
+	tried := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		tried++
+		w := newGrowingWorld(rt, rapid.Uint64().Draw(rt, "seed"), 5, 5, 3)
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 10, 60).Draw(rt, "faults")
+		for _, s := range steps {
+			f := growthFaults[s%len(growthFaults)]
+			f.do(w, s/len(growthFaults))
+			w.run(pause(s))
+		}
+		w.checkEnd()
+		w.checkOrders()
+		for _, r := range w.replicas {
+			w.readDocument(r)
+		}
+		w.run(time.Second)
+	})
+	t.Logf("%d schedules ran", tried)
+}
--- /dev/null
+++ b/pkg/core/control/orders_test.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// orderBook is what the world's operators and targets were told, and so may rely on.
+type orderBook struct {
+	pending map[RequestID]func(Answer)
+	// highest is the highest document that was acknowledged; sent holds what was sent
+	// under each version.
+	highest units.DocumentVersion
+	sent    map[units.DocumentVersion]string
+	version units.DocumentVersion
+	// leaving and gone are the targets whose word to that effect was acknowledged.
+	leaving map[units.TargetID]bool
+	gone    map[units.TargetID]bool
+	next    int
+}
+
+func newOrderBook() orderBook {
+	return orderBook{
+		pending: map[RequestID]func(Answer){}, sent: map[units.DocumentVersion]string{},
+		leaving: map[units.TargetID]bool{}, gone: map[units.TargetID]bool{},
+	}
+}
+
+// newGrowingWorld returns a world whose cluster forms by itself from three seeds and has
+// grown to as many voters as it may.
+func newGrowingWorld(t fataler, seed uint64, replicas, voters, boxes int) *world {
+	w := emptyWorld(t, seed, replicas, boxes)
+	w.seeds = 3
+	w.growth = &replication.Growth{Bootstrap: true, Voters: voters, ReplaceAfter: 2 * time.Second}
+	for _, r := range w.replicas {
+		w.startReplica(r)
+	}
+	for _, b := range w.boxes {
+		w.startBox(b)
+	}
+	w.run(3 * time.Second)
+	w.growth.Bootstrap = false
+	return w
+}
+
+// setGrowth gives a replica its part in a cluster that grows by itself.
+func (w *world) setGrowth(r *replicaFake, s *replication.Settings) {
+	if w.growth == nil {
+		return
+	}
+	g := *w.growth
+	for i, o := range w.replicas {
+		g.Seed = g.Seed || o == r && i < w.seeds
+	}
+	s.Growth = &g
+	s.MinCopies = g.Voters/2 + 1
+}
+
+func (w *world) order(r *replicaFake, event func(RequestID) Event, answered func(Answer)) {
+	w.requests++
+	w.orders.pending[w.requests] = answered
+	w.give(r, event(w.requests))
+}
+
+func (w *world) takeOrderAnswer(a Answer) {
+	if answered := w.orders.pending[a.Request]; answered != nil {
+		delete(w.orders.pending, a.Request)
+		answered(a)
+	}
+}
+
+// putDocument puts a new version, or the one that is held again with other content.
+func (w *world) putDocument(r *replicaFake, again bool) {
+	version := w.orders.version + 1
+	source := fmt.Sprintf("document %d", version)
+	if again && w.orders.highest > 0 {
+		version = w.orders.highest
+		source += " with other content"
+	} else {
+		w.orders.version = version
+		w.orders.sent[version] = source
+	}
+	d := &table.Document{Version: version, Source: []byte(source), Services: []table.Service{
+		{Name: "s", Work: table.Once, Deadline: time.Second},
+	}, Routes: []*table.Route{{
+		Name: "r", Host: "h", PathPrefix: fmt.Sprintf("/%d/", version%7), Work: table.Once, Deadline: time.Second,
+		Parts: []table.Part{{Service: "s", Weight: 1}},
+	}}}
+	w.order(r, func(id RequestID) Event { return DocumentSubmitted{Request: id, Document: d} }, func(a Answer) {
+		if a.Err == nil {
+			w.orders.highest = max(w.orders.highest, version)
+		}
+	})
+}
+
+// readDocument makes sure that what is read is no older than what was acknowledged when
+// the question was put, and is what was sent under its version.
+func (w *world) readDocument(r *replicaFake) {
+	least := w.orders.highest
+	w.order(r, func(id RequestID) Event { return ReadRequested{Request: id} }, func(a Answer) {
+		if a.Err != nil {
+			return
+		}
+		if a.Document == nil {
+			if least > 0 {
+				w.t.Fatalf("%s read nothing, document %d was acknowledged", r.id, least)
+			}
+			return
+		}
+		if a.Document.Version < least {
+			w.t.Fatalf("%s read document %d, document %d was acknowledged before", r.id, a.Document.Version, least)
+		}
+		w.checkDocument(r, a.Document)
+	})
+}
+
+func (w *world) checkDocument(r *replicaFake, d *table.Document) {
+	if sent := w.orders.sent[d.Version]; string(d.Source) != sent {
+		w.t.Fatalf("%s holds %q under version %d; first sent was %q", r.id, d.Source, d.Version, sent)
+	}
+}
+
+func (w *world) report(r *replicaFake, id units.TargetID, state table.RowState, sequence uint64) {
+	t := &table.Registration{
+		Target: id, Service: "s", Address: "127.0.0.1:" + string(id[1:]), State: state, Sequence: sequence, Slots: 3,
+	}
+	w.order(r, func(q RequestID) Event { return TargetReported{Request: q, Registration: t} }, func(a Answer) {
+		if a.Err == nil && state == table.Leaving {
+			w.orders.leaving[id] = true
+		}
+	})
+}
+
+func (w *world) depart(r *replicaFake, id units.TargetID) {
+	w.order(r, func(q RequestID) Event { return TargetDeparted{Request: q, Target: id} }, func(a Answer) {
+		if a.Err == nil {
+			w.orders.gone[id] = true
+		}
+	})
+}
+
+// oneTarget lets a target report, drain, leave, or send an old report late.
+func (w *world) oneTarget(n int) {
+	r := w.replicas[n%len(w.replicas)]
+	id := units.TargetID(fmt.Sprintf("g%d", 1+n/7%12))
+	switch n % 4 {
+	case 0:
+		w.report(r, id, table.Active, 1)
+	case 1:
+		w.report(r, id, table.Leaving, 5)
+	case 2:
+		w.depart(r, id)
+	case 3:
+		w.report(r, id, table.Active, 3)
+	}
+}
+
+// checkOrders makes sure that every replica holds what was acknowledged.
+func (w *world) checkOrders() {
+	for _, r := range w.replicas {
+		if d := r.core.state.Document(); d != nil {
+			w.checkDocument(r, d)
+		}
+		if have := r.core.Table().Document; have < w.orders.highest {
+			w.t.Fatalf("%s holds document %d, %d was acknowledged", r.id, have, w.orders.highest)
+		}
+		for _, e := range r.core.Table().Services {
+			for _, row := range e.Rows {
+				if w.orders.gone[row.Target] {
+					w.t.Fatalf("%s has target %s again, whose leaving was acknowledged", r.id, row.Target)
+				}
+				if w.orders.leaving[row.Target] && row.State != table.Leaving {
+					w.t.Fatalf("%s gives work to target %s, whose draining was acknowledged", r.id, row.Target)
+				}
+			}
+		}
+	}
+}
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -41,6 +41,11 @@
 	requests RequestID
 	asked    map[RequestID]units.EditID
 	formErr  error
+
+	// growth is set for a cluster that forms from seeds and grows by itself.
+	growth *replication.Growth
+	seeds  int
+	orders orderBook
 }
 
 type fataler interface {
@@ -94,6 +99,19 @@
 )
 
 func newWorld(t fataler, seed uint64, replicas, boxes int) *world {
+	w := emptyWorld(t, seed, replicas, boxes)
+	for _, r := range w.replicas {
+		w.startReplica(r)
+	}
+	w.form()
+	for _, b := range w.boxes {
+		w.startBox(b)
+	}
+	return w
+}
+
+// emptyWorld returns a world whose processes haven't started yet.
+func emptyWorld(t fataler, seed uint64, replicas, boxes int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: units.Instant(time.Second),
 		events:   container.NewHeap(func(a, b event) bool { return a.at < b.at || a.at == b.at && a.sequence < b.sequence }),
@@ -104,7 +122,7 @@
 		asked:    map[RequestID]units.EditID{},
 		settings: Settings{
 			Lease: testLease, LeaseMargin: 100 * time.Millisecond, EditTimeout: time.Second,
-			SnapshotEvery: 20, KeepEntries: 5,
+			SnapshotEvery: 20, KeepEntries: 5, ReadTimeout: 300 * time.Millisecond, SilentAfter: time.Second,
 		},
 	}
 	for i := range replicas {
@@ -113,13 +131,7 @@
 	for i := range boxes {
 		w.boxes = append(w.boxes, &boxFake{id: units.BoxID(fmt.Sprintf("b%d", i))})
 	}
-	for _, r := range w.replicas {
-		w.startReplica(r)
-	}
-	w.form()
-	for _, b := range w.boxes {
-		w.startBox(b)
-	}
+	w.orders = newOrderBook()
 	return w
 }
 
@@ -166,11 +178,12 @@
 		ID: r.id, Incarnation: units.Incarnation(fmt.Sprintf("%s.%d", r.id, r.incarnation)), Boot: r.boot,
 		ElectionTimeout: testElection, Heartbeat: testElection / 5, Seed: w.random.Uint64(),
 	}
-	for _, o := range w.replicas {
-		if o != r {
+	for i, o := range w.replicas {
+		if o != r && (w.growth == nil || i < w.seeds) {
 			s.Replication.Peers = append(s.Replication.Peers, o.id)
 		}
 	}
+	w.setGrowth(r, &s.Replication)
 	core, err := NewReplica(s, copyDurable(&r.disk), w.now)
 	if err != nil {
 		w.t.Fatalf("%s can't start: %v", r.id, err)
@@ -229,6 +242,9 @@
 	for _, a := range e.FormAnswers {
 		w.formErr = a.Err
 	}
+	for _, a := range e.Answers {
+		w.takeOrderAnswer(a)
+	}
 	if e.TableChanged {
 		w.checkContent(r)
 	}
@@ -364,8 +380,10 @@
 	b.life++
 	b.up = true
 	var ids []units.ReplicaID
-	for _, r := range w.replicas {
-		ids = append(ids, r.id)
+	for i, r := range w.replicas {
+		if w.growth == nil || i < w.seeds {
+			ids = append(ids, r.id)
+		}
 	}
 	b.core = subscription.NewSubscription(subscription.Settings{
 		Box: table.Box{ID: b.id, Address: "127.0.0.1:1"}, Replicas: ids, RenewEvery: 50 * time.Millisecond,
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -69,5 +69,8 @@
 	if !found {
 		return rows
 	}
+	if len(rows) == 1 {
+		return nil
+	}
 	return slices.Delete(rows, i, i+1)
 }
