Tests of the platform's translations; tell unknown values without end

Found by the tests: the word for a value that no word stands for was asked for again and again until the process died (fmt calls String of the value). Such a value can come from another process's message.

--- a/pkg/core/table/names.go
+++ b/pkg/core/table/names.go
@@ -7,7 +7,7 @@
 )
 
 // name pairs a value with the word that people write for it.
-type name[T comparable] struct {
+type name[T ~int32] struct {
 	value T
 	word  string
 }
@@ -36,16 +36,17 @@
 	{DeleteRow, "delete-row"},
 }
 
-func wordOf[T comparable](names []name[T], v T) string {
+func wordOf[T ~int32](names []name[T], v T) string {
 	for _, n := range names {
 		if n.value == v {
 			return n.word
 		}
 	}
-	return fmt.Sprintf("unknown(%v)", v)
+	// The plain number: the value's own String would come back here.
+	return fmt.Sprintf("unknown(%d)", int32(v))
 }
 
-func valueOf[T comparable](names []name[T], what string, word []byte) (T, error) {
+func valueOf[T ~int32](names []name[T], what string, word []byte) (T, error) {
 	var words []string
 	for _, n := range names {
 		if n.word == string(word) {
