--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -163,7 +163,7 @@
 	}
 	incarnation := units.Incarnation(m.Incarnation)
 	if p.incarnation == incarnation && m.Boot < p.boot {
-		n.refuse(p.id, m.Boot, "its disk holds an older copy: a later start of it has been seen", e)
+		n.refuse(p.id, m, "its disk holds an older copy: a later start of it has been seen", e)
 		return false
 	}
 	if p.incarnation != incarnation {
@@ -174,7 +174,7 @@
 	}
 	p.boot = m.Boot
 	if n.wentBack(p, m) {
-		n.refuse(p.id, m.Boot, "its disk holds an older copy: it acknowledged more than it holds now", e)
+		n.refuse(p.id, m, "its disk holds an older copy: it acknowledged more than it holds now", e)
 		return false
 	}
 	p.heard = now
@@ -200,13 +200,15 @@
 // worked may refuse; of two that formed at once, the one without a quorum goes.
 func (n *Node) refuseForeigner(to units.ReplicaID, m *wire.Envelope, e *Effects) {
 	if n.log.commit > firstIndex {
-		n.refuse(to, m.Boot, "they belong to cluster "+n.membership.current.Cluster+", this one to "+m.Cluster, e)
+		n.refuse(to, m, "they belong to cluster "+n.membership.current.Cluster+", this one to "+m.Cluster, e)
 	}
 }
 
-func (n *Node) refuse(to units.ReplicaID, boot uint64, reason string, e *Effects) {
+// refuse tells the sender of a message why it isn't listened to. The answer may find a
+// later start of it, or one with another disk, which it doesn't concern.
+func (n *Node) refuse(to units.ReplicaID, refused *wire.Envelope, reason string, e *Effects) {
 	m := n.envelope(to)
-	m.Body = &wire.Envelope_Refusal{Refusal: &wire.Refusal{Reason: reason, Boot: boot}}
+	m.Body = &wire.Envelope_Refusal{Refusal: &wire.Refusal{Reason: reason, Boot: refused.Boot, Incarnation: refused.Incarnation}}
 	e.Sends = append(e.Sends, m)
 }
 
@@ -234,7 +236,7 @@
 }
 
 func (n *Node) receiveRefusal(r *wire.Refusal, e *Effects) {
-	if r.Boot != n.settings.Boot {
+	if r.Boot != n.settings.Boot || r.Incarnation != string(n.settings.Incarnation) {
 		return
 	}
 	e.Halt = fault.New(fault.ForeignData,
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -88,6 +88,9 @@
 			next = slices.Insert(next, i, b)
 		}
 	}
+	if len(next) == 0 {
+		return nil
+	}
 	return next
 }
 
