A fault soak with real processes; documents and registered targets in the API and madderctl

The administration API takes whole documents (PUT and GET /v1/document) and targets' reports (/v1/targets), madderctl shows them. test/soak_test.go runs five replicas that form from three seeds, three boxes and four targets; kills, freezes, planned stops, SIGHUP, silent, slow and reset connections and two lost disks come in an order given by a seed, while operators, readers, targets and callers go on. Checked: reads against acknowledgements, calls against the targets' journals, a leaving acknowledged by a replica that is then killed.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -95,7 +95,8 @@
 // Stop ends the server.
 func (s *Server) Stop(ctx context.Context) { s.server.ShutdownWithContext(ctx) }
 
-// route is one address of the API.
+// route is one address of the API. A path that ends with a slash stands for all that
+// have one more part.
 type route struct {
 	method string
 	path   string
@@ -115,15 +116,28 @@
 	{"GET", "/v1/watch", false, (*Server).watch},
 	{"GET", "/v1/status", false, (*Server).getStatus},
 	{"POST", "/v1/cluster/form", false, (*Server).form},
+	{"GET", "/v1/document", false, (*Server).getDocument},
+	{"PUT", "/v1/document", false, (*Server).putDocument},
+	{"GET", "/v1/targets", false, (*Server).getTargets},
+	{"PUT", "/v1/targets/", false, (*Server).putTarget},
+	{"DELETE", "/v1/targets/", false, (*Server).deleteTarget},
 	{"GET", "/v1/dump", false, (*Server).dump},
 	{"GET", "/debug/vars", false, (*Server).vars},
 }
 
+func (r *route) matches(path string) bool {
+	rest, begins := strings.CutPrefix(path, r.path)
+	if !strings.HasSuffix(r.path, "/") {
+		return path == r.path
+	}
+	return begins && rest != "" && !strings.Contains(rest, "/")
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	known := false
 	for _, r := range routes {
-		if r.path != path {
+		if !r.matches(path) {
 			continue
 		}
 		known = true
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -147,6 +147,37 @@
 	return all
 }
 
+// Document returns the newest document as it was put.
+func (c *Client) Document() (json.RawMessage, error) {
+	var raw json.RawMessage
+	return raw, c.askAny("GET", "/v1/document", nil, &raw)
+}
+
+// PutDocument puts a document in force; it may be sent again without harm. Without an
+// error its version or a higher one holds.
+func (c *Client) PutDocument(document json.RawMessage) error {
+	var answer json.RawMessage
+	return c.askAny("PUT", "/v1/document", document, &answer)
+}
+
+// Targets returns the targets that registered by themselves.
+func (c *Client) Targets() ([]replica.TargetReport, error) {
+	var targets []replica.TargetReport
+	return targets, c.askAny("GET", "/v1/targets", nil, &targets)
+}
+
+// Report registers a target, or tells of its state.
+func (c *Client) Report(r *table.Registration) error {
+	var answer json.RawMessage
+	return c.askAny("PUT", "/v1/targets/"+string(r.Target), r, &answer)
+}
+
+// Depart takes a registered target out for good.
+func (c *Client) Depart(id units.TargetID) error {
+	var answer json.RawMessage
+	return c.askAny("DELETE", "/v1/targets/"+string(id), nil, &answer)
+}
+
 // Dump returns a server's whole state as JSON.
 func (c *Client) Dump() (json.RawMessage, error) {
 	var raw json.RawMessage
--- a/pkg/core/control/silence.go
+++ b/pkg/core/control/silence.go
@@ -105,6 +105,18 @@
 	h.proposing = r.proposeCommand(&wire.Command{At: int64(r.wall), Kind: &wire.Command_Silence{Silence: m}}, log)
 }
 
+// EachTarget calls f with every registered target and how long ago this leader last
+// heard of it, which is negative where it hasn't.
+func (r *Replica) EachTarget(now units.Instant, f func(t *table.Registration, heard time.Duration)) {
+	r.state.EachRegistration(func(t *table.Registration) {
+		heard := time.Duration(-1)
+		if last := r.hearing.last[t.Target]; last != 0 && r.node.IsLeader() {
+			heard = now.Sub(last)
+		}
+		f(t, heard)
+	})
+}
+
 func targetIDs(ids []string) []units.TargetID {
 	out := make([]units.TargetID, 0, len(ids))
 	for _, id := range ids {
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -81,6 +81,11 @@
 		{"weight", "set a row's weight", "madderctl weight SERVICE TARGET WEIGHT", &setWeight{tool: t}, nil},
 		{"limit", "set a row's limits", "madderctl limit SERVICE TARGET --in-flight N --connections N --rate N", &setLimit{tool: t}, nil},
 		{"leave", "mark a row as leaving, or as active again with --undo", "madderctl leave SERVICE TARGET", &setLeaving{tool: t}, nil},
+		{name: "document", short: "read and put whole tables under a version", data: &struct{}{}, subcommands: []command{
+			{"get", "print the document in force", "Prints the newest document as it was put, or fails when no replica can be sure of it.", &documentGet{tool: t}, nil},
+			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
+		}},
+		{"targets", "list the targets that registered by themselves", "Shows state, sequence, and how long ago the leader heard of each; ask the leader for the latter.", &listTargets{tool: t}, nil},
 		{"services", "list the services", "", &listServices{tool: t}, nil},
 		{"status", "show who leads, who is in force at which revision and who is silent", "", &showStatus{tool: t}, nil},
 		{"dump", "print a process's whole state as JSON", "Names the process with --server; entry boxes answer as well.", &showDump{tool: t}, nil},
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -30,6 +30,9 @@
 	Boxes    int
 	// Proxied puts a fault proxy before each replica's peer port.
 	Proxied bool
+	// Seeds is how many replicas all processes know; the cluster then forms and grows
+	// by itself. Zero has them all in the settings, and forms the cluster by hand.
+	Seeds int
 	// Adjust may change a process's settings before it starts.
 	Adjust func(*config.Settings)
 }
@@ -75,8 +78,10 @@
 		}
 		c.Replicas = append(c.Replicas, n)
 	}
-	if err := c.form(); err != nil {
-		return err
+	if c.settings.Seeds == 0 {
+		if err := c.form(); err != nil {
+			return err
+		}
 	}
 	for i := range c.settings.Boxes {
 		n, err := c.startNode(fmt.Sprintf("box-%d", i+1), config.RoleEntry, "127.0.0.1:0")
@@ -127,6 +132,9 @@
 	s.Roles = []config.Role{role}
 	s.Peer.Listen = peer
 	s.Replicas = c.replicas
+	if c.settings.Seeds > 0 {
+		c.giveSeeds(s)
+	}
 	s.Control.DataFolder = filepath.Join(c.settings.Folder, name)
 	s.Stop.Leave = config.Duration(300 * time.Millisecond)
 	s.Entry.ProbePath = "/healthz"
@@ -137,6 +145,22 @@
 	return n, c.StartAgain(n)
 }
 
+// giveSeeds lets a process know some replicas only, and a replica the address by which
+// the others reach it.
+func (c *Cluster) giveSeeds(s *config.Settings) {
+	s.Replicas = []config.Replica{}
+	s.Control.Growth.Bootstrap = true
+	s.Seeds = []string{}
+	for i, r := range c.replicas {
+		if i < c.settings.Seeds {
+			s.Seeds = append(s.Seeds, r.Address)
+		}
+		if r.Box == s.Box {
+			s.Peer.Advertise = r.Address
+		}
+	}
+}
+
 // StartAgain starts a node's process, for the first time or anew.
 func (c *Cluster) StartAgain(n *Node) error {
 	data, err := json.MarshalIndent(n.Settings, "", "  ")
--- a/pkg/lab/process.go
+++ b/pkg/lab/process.go
@@ -112,6 +112,9 @@
 // Terminate asks the process for a planned stop.
 func (p *Process) Terminate() { p.command.Process.Signal(syscall.SIGTERM) }
 
+// HangUp tells the process that its settings may have changed.
+func (p *Process) HangUp() { p.command.Process.Signal(syscall.SIGHUP) }
+
 // AwaitEnd waits for the process's end and returns its exit code.
 func (p *Process) AwaitEnd(limit time.Duration) (int, error) {
 	select {
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +44,27 @@
 	}).Err
 }
 
+// TargetReport is what a replica knows of a registered target.
+type TargetReport struct {
+	table.Registration
+	// HeardBefore is how long ago the leader last heard of the target, in nanoseconds;
+	// negative on other replicas and for one that it hasn't heard yet.
+	HeardBefore time.Duration `json:"heardBefore"`
+}
+
+// Targets returns the registered targets, sorted by id.
+func (r *Replica) Targets() []TargetReport {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	var all []TargetReport
+	now := r.Clock.Now()
+	r.core.EachTarget(now, func(t *table.Registration, heard time.Duration) {
+		all = append(all, TargetReport{Registration: *t, HeardBefore: heard})
+	})
+	slices.SortFunc(all, func(a, b TargetReport) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	return all
+}
+
 // ask gives the core a request and waits for its answer.
 func (r *Replica) ask(event func(control.RequestID) control.Event) control.Answer {
 	reply := make(chan control.Answer, 1)
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,466 @@
+package test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/client"
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// The soak runs the real programs, injects faults from outside of them in an order that
+// a seed gives, and checks the promises from what callers, targets and operators see:
+//
+//	go test ./test -run Soak -soak-seeds 50 -soak-first 1000 -soak-time 10s
+var (
+	soakSeeds = flag.Int("soak-seeds", 1, "how many fresh seeds the soak plays")
+	soakFirst = flag.Uint64("soak-first", 1, "the first of them")
+	soakTime  = flag.Duration("soak-time", 5*time.Second, "how long the faults of a seed go on")
+)
+
+// soakRegressions are the seeds that failed once, each with its cause; they are always
+// played.
+var soakRegressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+const (
+	soakReplicas = 5
+	soakBoxes    = 3
+	soakTargets  = 4
+	soakCallers  = 6
+	// soakCallPause lies between two calls of a caller.
+	soakCallPause = 10 * time.Millisecond
+	// soakLeaveBound is how long a box may send work to a target after its leaving was
+	// acknowledged: a lease, an election, and a call's time.
+	soakLeaveBound = 4 * time.Second
+)
+
+func TestSoak(t *testing.T) {
+	for _, r := range soakRegressions {
+		t.Run(fmt.Sprintf("regression seed %d", r.seed), func(t *testing.T) {
+			t.Parallel()
+			playSoak(t, r.seed)
+		})
+	}
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			playSoak(t, seed)
+		})
+	}
+}
+
+// soak is one seed's world.
+type soak struct {
+	*story
+	random *rand.Rand
+	done   chan struct{}
+	work   sync.WaitGroup
+
+	lock sync.Mutex
+	// version is the highest document sent, acknowledged the highest that was told to be
+	// in force.
+	version      units.DocumentVersion
+	acknowledged units.DocumentVersion
+	sequence     uint64
+	// restarted is when each node last started, diskLost when a disk was last lost.
+	diskLost time.Time
+	faults   []string
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	x := &soak{story: &story{T: t, folder: t.TempDir()}, random: rand.New(rand.NewPCG(seed, 3)), done: make(chan struct{})}
+	t.Cleanup(x.end)
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d, faults: %s", seed, strings.Join(x.faults, "; "))
+			x.keepLogs(seed)
+		}
+	}()
+	x.begin()
+	x.spawn(x.putDocuments)
+	x.spawn(x.readDocuments)
+	x.spawn(x.report)
+	for range soakCallers {
+		x.spawn(x.call)
+	}
+	end := time.Now().Add(*soakTime)
+	for time.Now().Before(end) {
+		x.oneFault()
+		x.pause(50, 500)
+	}
+	close(x.done)
+	x.work.Wait()
+	x.heal()
+	x.checkDocument()
+	x.checkLeaving()
+	x.checkCalls()
+}
+
+func (x *soak) begin() {
+	for i := range soakTargets {
+		target, err := lab.StartTargetProcess(programs.lab, fmt.Sprintf("target-%d", i+1), x.folder)
+		x.must(err)
+		x.targets = append(x.targets, target)
+	}
+	var err error
+	x.cluster, err = lab.StartCluster(lab.ClusterSettings{
+		Folder: x.folder, Program: programs.daemon, Replicas: soakReplicas, Boxes: soakBoxes, Proxied: true, Seeds: 3,
+		Adjust: func(s *config.Settings) {
+			s.Control.MinCopies = 3
+			s.Control.Growth.Voters = soakReplicas
+			s.Control.ReadTimeout = config.Duration(time.Second)
+			s.Control.EditTimeout = config.Duration(2 * time.Second)
+		},
+	})
+	x.must(err)
+	x.must(lab.Eventually(patience, func() error {
+		x.reportAll(x.cluster.Replicas[0])
+		return x.putOnce(x.cluster.Replicas[0])
+	}))
+	var entries []string
+	for _, b := range x.cluster.Boxes {
+		x.must(x.cluster.AwaitServing(b, patience))
+		entries = append(entries, b.Entry)
+	}
+	x.caller = lab.NewCaller(entries...)
+}
+
+func (x *soak) spawn(f func()) {
+	x.work.Add(1)
+	go func() {
+		defer x.work.Done()
+		for {
+			select {
+			case <-x.done:
+				return
+			default:
+				f()
+			}
+		}
+	}()
+}
+
+// pause waits for a random time; it is how the schedule's steps are spread.
+func (x *soak) pause(least, most int) {
+	x.lock.Lock()
+	d := time.Duration(least+x.random.IntN(most-least)) * time.Millisecond
+	x.lock.Unlock()
+	time.Sleep(d)
+}
+
+func (x *soak) draw(n int) int {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	return x.random.IntN(n)
+}
+
+// oneReplica returns a client of one replica only, so that a fault of it shows.
+func (x *soak) oneReplica(n *lab.Node) *client.Client {
+	c, err := client.NewClient([]string{n.Admin}, "", time.Second)
+	x.must(err)
+	return c
+}
+
+func (x *soak) anyReplica() *lab.Node { return x.cluster.Replicas[x.draw(soakReplicas)] }
+
+// documentOf is the document of a version; its source says the version.
+func documentOf(version units.DocumentVersion) json.RawMessage {
+	d := table.Document{Version: version}
+	for name, work := range map[units.ServiceName]table.Work{"shop": table.Repeatable, "pay": table.Once} {
+		d.Services = append(d.Services, table.Service{
+			Name: name, Work: work, Deadline: 5 * time.Second, HoldLimit: 2 * time.Second, HoldCount: 100,
+			RetryBudget: 10, HedgeBudget: 5, AskTargets: 2, MeasureBudget: 5, ProbePath: "/healthz",
+		})
+		d.Routes = append(d.Routes, &table.Route{
+			Name: string(name), Host: string(name) + ".test", PathPrefix: "/", Work: work, Deadline: 5 * time.Second,
+			Aim: time.Second, Parts: []table.Part{{Service: name, Weight: int(version%5) + 1}},
+		})
+	}
+	data, _ := json.Marshal(&d)
+	return data
+}
+
+// putOnce puts a new version at one replica.
+func (x *soak) putOnce(n *lab.Node) error {
+	x.lock.Lock()
+	x.version++
+	version := x.version
+	x.lock.Unlock()
+	err := x.oneReplica(n).PutDocument(documentOf(version))
+	if err == nil {
+		x.lock.Lock()
+		x.acknowledged = max(x.acknowledged, version)
+		x.lock.Unlock()
+	}
+	return err
+}
+
+func (x *soak) putDocuments() {
+	x.putOnce(x.anyReplica())
+	x.pause(20, 200)
+}
+
+// readDocuments makes sure that no read is older than what was acknowledged before it.
+func (x *soak) readDocuments() {
+	x.lock.Lock()
+	least := x.acknowledged
+	x.lock.Unlock()
+	n := x.anyReplica()
+	raw, err := x.oneReplica(n).Document()
+	if err == nil {
+		x.checkVersion(n.Settings.Box, raw, least)
+	}
+	x.pause(5, 50)
+}
+
+func (x *soak) checkVersion(who string, raw json.RawMessage, least units.DocumentVersion) {
+	d := &table.Document{}
+	if err := json.Unmarshal(raw, d); err != nil {
+		x.Errorf("%s gave a document that can't be read: %v", who, err)
+		return
+	}
+	if d.Version < least {
+		x.Errorf("%s gave document %d, %d was acknowledged before", who, d.Version, least)
+	}
+}
+
+// targetID is a target's id in one of the services.
+func targetID(service string, t *lab.TargetProcess) units.TargetID {
+	return units.TargetID(service + "-" + t.Name)
+}
+
+func (x *soak) registration(service string, t *lab.TargetProcess, state table.RowState) *table.Registration {
+	x.lock.Lock()
+	x.sequence++
+	sequence := x.sequence
+	x.lock.Unlock()
+	return &table.Registration{
+		Target: targetID(service, t), Service: units.ServiceName(service), Address: t.Address, Slots: 3, State: state, Sequence: sequence,
+	}
+}
+
+// reportAll lets every target report: each serves one of the services, since an address
+// belongs to one target.
+func (x *soak) reportAll(n *lab.Node) {
+	for i, t := range x.targets {
+		x.oneReplica(n).Report(x.registration(soakServices[i%len(soakServices)], t, table.Active))
+	}
+}
+
+var soakServices = []string{"shop", "pay"}
+
+func (x *soak) report() {
+	x.reportAll(x.anyReplica())
+	x.pause(200, 400)
+}
+
+func (x *soak) call() {
+	service := soakServices[x.draw(len(soakServices))]
+	x.caller.Do(lab.Plan{Host: service + ".test", Once: service == "pay", Work: time.Duration(x.draw(20)) * time.Millisecond})
+	time.Sleep(soakCallPause)
+}
+
+// soakFaults are all that can happen.
+var soakFaults = []struct {
+	name string
+	do   func(x *soak)
+}{
+	{"kill a replica", func(x *soak) { x.restart(x.anyReplica()) }},
+	{"kill the leader", func(x *soak) { x.restart(x.leaderNode()) }},
+	{"kill all replicas", func(x *soak) { x.killAll() }},
+	{"freeze a replica", func(x *soak) { x.freeze(x.anyReplica()) }},
+	{"kill a box", func(x *soak) { x.restart(x.cluster.Boxes[x.draw(soakBoxes)]) }},
+	{"stop a box", func(x *soak) { x.stopBox(x.cluster.Boxes[x.draw(soakBoxes)]) }},
+	{"freeze a box", func(x *soak) { x.freeze(x.cluster.Boxes[x.draw(soakBoxes)]) }},
+	{"silence a replica", func(x *soak) { p := x.anyProxy(); p.Silence(true); x.pause(200, 1500); p.Silence(false) }},
+	{"delay a replica", func(x *soak) { p := x.anyProxy(); p.Delay(30 * time.Millisecond); x.pause(200, 1000); p.Delay(0) }},
+	{"reset a replica", func(x *soak) { x.anyProxy().Reset() }},
+	{"lose two disks", func(x *soak) { x.loseDisks() }},
+	{"hang up", func(x *soak) { x.hangUp(x.cluster.Boxes[x.draw(soakBoxes)]) }},
+	{"freeze a target", func(x *soak) {
+		t := x.targets[x.draw(soakTargets)]
+		t.Process.Freeze()
+		x.pause(100, 800)
+		t.Process.Thaw()
+	}},
+}
+
+func (x *soak) oneFault() {
+	f := soakFaults[x.draw(len(soakFaults))]
+	x.faults = append(x.faults, f.name)
+	f.do(x)
+}
+
+func (x *soak) anyProxy() *lab.FaultProxy { return x.cluster.Proxies[x.draw(len(x.cluster.Proxies))] }
+
+func (x *soak) leaderNode() *lab.Node {
+	for _, n := range x.cluster.Replicas {
+		if d, err := n.Dump(); err == nil && d.Control.Log.Role == "leader" {
+			return n
+		}
+	}
+	return x.anyReplica()
+}
+
+func (x *soak) restart(n *lab.Node) {
+	n.Process.Kill()
+	x.pause(1, 300)
+	x.must(x.cluster.StartAgain(n))
+}
+
+func (x *soak) killAll() {
+	for _, n := range x.cluster.Replicas {
+		n.Process.Kill()
+	}
+	for _, n := range x.cluster.Replicas {
+		x.must(x.cluster.StartAgain(n))
+	}
+}
+
+func (x *soak) freeze(n *lab.Node) {
+	n.Process.Freeze()
+	x.pause(100, 1500)
+	n.Process.Thaw()
+}
+
+// stopBox is a planned stop, during which no call may be cut.
+func (x *soak) stopBox(n *lab.Node) {
+	n.Process.Terminate()
+	if _, err := n.Process.AwaitEnd(patience); err != nil {
+		x.Errorf("a planned stop didn't end: %v", err)
+	}
+	x.must(x.cluster.StartAgain(n))
+}
+
+func (x *soak) hangUp(n *lab.Node) { n.Process.HangUp() }
+
+// loseDisks takes two disks at once, if all replicas vote and the last ones that were
+// lost have had the time to come back.
+func (x *soak) loseDisks() {
+	if time.Since(x.diskLost) < 3*time.Second || x.votersNow() < soakReplicas {
+		x.faults[len(x.faults)-1] += " (not now)"
+		return
+	}
+	first := x.draw(soakReplicas)
+	lost := []*lab.Node{x.cluster.Replicas[first], x.cluster.Replicas[(first+1+x.draw(soakReplicas-1))%soakReplicas]}
+	for _, n := range lost {
+		n.Process.Kill()
+	}
+	for _, n := range lost {
+		x.must(x.cluster.LoseDisk(n))
+		n.Settings.Control.Growth.Bootstrap = false
+		x.must(x.cluster.StartAgain(n))
+	}
+	x.diskLost = time.Now()
+}
+
+// votersNow counts the replicas that the leader has as voters and hears of.
+func (x *soak) votersNow() int {
+	d, err := x.leaderNode().Dump()
+	if err != nil || d.Control.Log.Role != "leader" {
+		return 0
+	}
+	n := 1
+	for _, p := range d.Control.Log.Peers {
+		if p.Voter && p.Heard && p.Silence < time.Second && p.Match >= d.Control.Log.Commit {
+			n++
+		}
+	}
+	return n
+}
+
+func (x *soak) heal() {
+	for _, p := range x.cluster.Proxies {
+		p.Silence(false)
+		p.Delay(0)
+	}
+	for _, n := range append(x.cluster.Replicas, x.cluster.Boxes...) {
+		if n.Process.Ended() {
+			x.Errorf("%s has ended by itself:\n%s", n.Settings.Box, n.Process.Log())
+			x.must(x.cluster.StartAgain(n))
+		}
+	}
+	for _, b := range x.cluster.Boxes {
+		x.must(x.cluster.AwaitServing(b, patience))
+	}
+}
+
+// checkDocument reads what is in force after all faults have ended.
+func (x *soak) checkDocument() {
+	x.must(lab.Eventually(patience, func() error { return x.putOnce(x.cluster.Replicas[0]) }))
+	for _, n := range x.cluster.Replicas {
+		var raw json.RawMessage
+		x.must(lab.Eventually(patience, func() (err error) {
+			raw, err = x.oneReplica(n).Document()
+			return err
+		}))
+		x.checkVersion(n.Settings.Box, raw, x.acknowledged)
+	}
+}
+
+// checkLeaving lets a target leave by way of one replica, which then is killed: no box
+// may send it work some seconds later.
+func (x *soak) checkLeaving() {
+	target := x.targets[0]
+	x.reportAll(x.cluster.Replicas[1])
+	n := x.cluster.Replicas[x.draw(soakReplicas)]
+	x.must(lab.Eventually(patience, func() error {
+		return x.oneReplica(n).Report(x.registration(soakServices[0], target, table.Leaving))
+	}))
+	n.Process.Kill()
+	time.Sleep(soakLeaveBound)
+	before := x.statsOf(target)
+	for range 100 {
+		x.caller.Do(lab.Plan{Host: "shop.test"})
+	}
+	after := x.statsOf(target)
+	if after.Runs != before.Runs {
+		x.Errorf("%d calls went to a target whose leaving was acknowledged %s before", after.Runs-before.Runs, soakLeaveBound)
+	}
+	x.must(x.cluster.StartAgain(n))
+}
+
+func (x *soak) checkCalls() {
+	var journals []string
+	for _, t := range x.targets {
+		journals = append(journals, t.Journal)
+	}
+	runs, err := lab.ReadJournals(journals...)
+	x.must(err)
+	summary := lab.Summarize(x.caller.Calls(), runs)
+	x.Log(summary.String())
+	if !summary.Clean() {
+		x.Errorf("calls were lost, doubled or wrong: %s", summary)
+	}
+	if summary.Whole*2 < summary.Sent {
+		x.Errorf("fewer than half of the calls were answered: %s", summary)
+	}
+}
+
+// keepLogs keeps what the processes of a failed seed wrote.
+func (x *soak) keepLogs(seed uint64) {
+	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil || x.cluster == nil {
+		return
+	}
+	for _, n := range append(x.cluster.Replicas, x.cluster.Boxes...) {
+		if n.Process != nil {
+			os.WriteFile(fmt.Sprintf("%s/%s.log", folder, n.Settings.Box), []byte(n.Process.Log()), 0o600)
+		}
+	}
+	x.Logf("the logs are kept in %s", folder)
+}
