--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -19,15 +19,18 @@
 	// freshReading is the age up to which a reading is as good as a new one.
 	freshReading = 30 * time.Millisecond
 	// maxAskers is how many of a service's calls that found no target ask at a time.
-	maxAskers = 2
+	maxAskers = 8
 	// busyMemory is how long a service counts as busy after a call found no target.
 	busyMemory = 500 * time.Millisecond
 	// busyFrom is the part of calls without a target from which on a service counts
 	// as busy; busyGain is the weight of the newest call.
 	busyFrom = 0.5
 	busyGain = 0.2
-	// askBurst is for how many calls a box may save up its part of the budget.
-	askBurst = 8
+	// askBurst is for how long a box may save up its part of the budget: questions are
+	// worth most in the seconds in which many calls come. leastBurst is what it may save
+	// up however small the part is.
+	askBurst   = 4 * time.Second
+	leastBurst = 8
 )
 
 // goodPace is the expected pace up to which a target is as good as any.
@@ -128,7 +131,9 @@
 // no budget for it.
 func (r *Router) ask(id CallID, c *call, e *Effects) bool {
 	asked := r.bestTargets(c, min(c.service.row.AskTargets, maxAsked))
-	if len(asked) < 1 || !c.service.asks.takeMany(r.now, float64(len(asked)), r.askRate(c.service), askBurst*maxAsked) {
+	rate := r.askRate(c.service)
+	burst := max(leastBurst, rate*askBurst.Seconds())
+	if len(asked) < 1 || !c.service.asks.takeMany(r.now, float64(len(asked)), rate, burst) {
 		return false
 	}
 	c.inquiry.open = true
@@ -137,6 +142,7 @@
 	c.inquiry.rounds++
 	for _, t := range asked {
 		t.probesSent++
+		t.askedAt = r.now
 		e.add(Effect{
 			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.inquiry.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
@@ -155,13 +161,14 @@
 	return rate
 }
 
-// bestTargets returns up to n available targets of the least cost. The slice is used
-// again by the next call.
+// bestTargets returns up to n available targets of the least cost that are worth a
+// question: the answer of one that was asked a moment ago serves all calls. The slice is
+// used again by the next call.
 func (r *Router) bestTargets(c *call, n int) []*target {
 	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: c.tries > 0}
 	r.best = r.best[:0]
 	for i, t := range c.service.targets {
-		if !set.Available(i) {
+		if !set.Available(i) || t.isFresh(r.now) || t.askedAt != 0 && r.now.Sub(t.askedAt) < askLimit {
 			continue
 		}
 		t.askCost = t.cost(r.now)
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -20,6 +20,8 @@
 	drag    float64
 	dragAt  units.Instant
 	askCost float64
+	// askedAt is when a call last asked for the target's load; zero for never.
+	askedAt units.Instant
 	// gone is set when the table no longer has the row.
 	gone     bool
 	inFlight int
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -135,6 +135,8 @@
 	for _, b := range x.cluster.Boxes {
 		x.must(x.cluster.AwaitServing(b, patience))
 		entries = append(entries, b.Entry)
+		// Callers find a box that is started again where it was.
+		b.Settings.Entry.Listen = b.Entry
 	}
 	x.caller = lab.NewCaller(entries...)
 }
