Send boxes the rows that changed, not their service

Change: deltas carry patches of rows; a message to a box carries nothing that the box knows (sender, cluster, incarnation, list of replicas); incarnations are shorter.

--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -48,7 +48,7 @@
 		Start:    request.Start,
 		Revision: uint64(r.state.Table().Revision),
 		Duration: int64(r.settings.Lease),
-		Replicas: r.liveReplicas(),
+		Replicas: r.replicasUnknownTo(request),
 	}}
 	send(m)
 }
@@ -66,6 +66,15 @@
 	return names
 }
 
+// replicasUnknownTo names the replicas at work, unless the box knows just these.
+func (r *Replica) replicasUnknownTo(request *wire.RenewRequest) []string {
+	names := r.liveReplicas()
+	if wire.ChecksumNames(names) == request.Replicas {
+		return nil
+	}
+	return names
+}
+
 // leaseEnds returns when a box's lease has run out for sure.
 func (r *Replica) leaseEnds(id units.BoxID) units.Instant {
 	renewed := r.ledSince
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -180,6 +180,7 @@
 		return
 	}
 	var delta *table.Delta
+	before := r.state.Table()
 	switch k := c.Kind.(type) {
 	case *wire.Command_Edit:
 		delta = r.applyEdit(k.Edit, units.WallTime(c.At), e)
@@ -193,7 +194,7 @@
 	if delta == nil {
 		return
 	}
-	r.deltas.Push(delta)
+	r.deltas.Push(delta.Shrink(before))
 	e.TableChanged = true
 	r.pushAll(e)
 }
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -23,7 +23,9 @@
 	s := r.attach(v.Connection, request)
 	r.push(s, e)
 	if r.node.IsLeader() {
-		r.grant(request, e, func(answer *wire.Envelope) {
+		r.grant(request, e, func(granted *wire.Envelope) {
+			answer := r.boxEnvelope()
+			answer.Body = granted.Body
 			e.BoxSends = append(e.BoxSends, BoxSend{Connection: v.Connection, Envelope: answer})
 		})
 		return
@@ -58,7 +60,9 @@
 func (r *Replica) passGrant(m *wire.Envelope, e *Effects) {
 	for _, c := range r.order {
 		if string(r.sessions[c].box) == m.GetRenewResponse().Box {
-			e.BoxSends = append(e.BoxSends, BoxSend{Connection: c, Envelope: m})
+			answer := r.boxEnvelope()
+			answer.Body = m.Body
+			e.BoxSends = append(e.BoxSends, BoxSend{Connection: c, Envelope: answer})
 		}
 	}
 }
@@ -79,18 +83,22 @@
 	}
 	deltas := r.deltasSince(s.sent)
 	if deltas == nil {
-		m := r.envelope()
+		m := r.boxEnvelope()
 		m.Body = &wire.Envelope_Table{Table: wire.FromTable(present)}
 		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: m})
 	}
 	for _, d := range deltas {
-		m := r.envelope()
+		m := r.boxEnvelope()
 		m.Body = &wire.Envelope_Delta{Delta: wire.FromDelta(d)}
 		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: m})
 	}
 	s.sent = present.Revision
 }
 
+// boxEnvelope is a message to a box, which knows whom it is attached to: every byte of
+// it goes to every box.
+func (r *Replica) boxEnvelope() *wire.Envelope { return &wire.Envelope{} }
+
 // deltasSince returns the changes that follow a revision, or nil when they
 // aren't all kept or the box has no table to change.
 func (r *Replica) deltasSince(from units.Revision) []*table.Delta {
--- a/pkg/core/subscription/replicas.go
+++ b/pkg/core/subscription/replicas.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
 )
 
 // failedFor is how long a replica that had to be left comes after all others.
@@ -18,10 +19,12 @@
 	// known are all replicas: those of the settings first, then those learned.
 	known []units.ReplicaID
 	// named are those that the leader named last.
-	named   []units.ReplicaID
-	leftAt  map[units.ReplicaID]units.Instant
-	current units.ReplicaID
-	turn    int
+	named []units.ReplicaID
+	// checksum sums up those, as they came.
+	checksum uint64
+	leftAt   map[units.ReplicaID]units.Instant
+	current  units.ReplicaID
+	turn     int
 }
 
 func newReplicaList(settings []units.ReplicaID, random *rand.Rand) replicaList {
@@ -36,6 +39,7 @@
 	if len(names) == 0 {
 		return
 	}
+	l.checksum = wire.ChecksumNames(names)
 	l.named = l.named[:0]
 	for _, n := range names {
 		id := units.ReplicaID(n)
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -179,6 +179,7 @@
 		Revision: uint64(s.table.Revision),
 		Nonce:    s.nonce,
 		Start:    s.settings.Start,
+		Replicas: s.replicas.checksum,
 	}}}
 	e.Sends = append(e.Sends, m)
 }
--- /dev/null
+++ b/pkg/core/table/patch.go
@@ -0,0 +1,60 @@
+package table
+
+import (
+	"slices"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// EntryPatch changes some rows of a service and nothing else of it. A service with
+// hundreds of targets changes a row at a time, and every box hears of each change.
+type EntryPatch struct {
+	Service units.ServiceName `json:"service"`
+	Version units.Version     `json:"version"`
+	Put     []Row             `json:"put,omitempty"`
+	Removed []units.TargetID  `json:"removed,omitempty"`
+}
+
+// apply returns the entry after the patch.
+func (p *EntryPatch) apply(old *Entry) *Entry {
+	next := &Entry{Service: old.Service, Version: p.Version, Rows: slices.Clone(old.Rows)}
+	for _, id := range p.Removed {
+		next.Rows = next.withoutRow(id)
+	}
+	for _, r := range p.Put {
+		next.Rows = next.withRow(r)
+	}
+	return next
+}
+
+// Shrink returns the delta with a patch in place of each service of which some rows have
+// changed only, given the table that the delta starts from. It leads to the same table.
+func (d *Delta) Shrink(from *Table) *Delta {
+	small := *d
+	small.Changed = nil
+	for _, e := range d.Changed {
+		old := from.Services[e.Service.Name]
+		if old == nil || !old.Service.equal(&e.Service) {
+			small.Changed = append(small.Changed, e)
+			continue
+		}
+		small.Patched = append(small.Patched, patchOf(old, e))
+	}
+	return &small
+}
+
+// patchOf compares two sorted lists of rows.
+func patchOf(old, next *Entry) *EntryPatch {
+	p := &EntryPatch{Service: next.Service.Name, Version: next.Version}
+	for i := range next.Rows {
+		if before := old.Row(next.Rows[i].Target); before == nil || *before != next.Rows[i] {
+			p.Put = append(p.Put, next.Rows[i])
+		}
+	}
+	for i := range old.Rows {
+		if next.Row(old.Rows[i].Target) == nil {
+			p.Removed = append(p.Removed, old.Rows[i].Target)
+		}
+	}
+	return p
+}
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -27,6 +27,7 @@
 	From     units.Revision      `json:"from"`
 	Revision units.Revision      `json:"revision"`
 	Changed  []*Entry            `json:"changed,omitempty"`
+	Patched  []*EntryPatch       `json:"patched,omitempty"`
 	Removed  []units.ServiceName `json:"removed,omitempty"`
 	// Boxes is what changes in the list of boxes.
 	Boxes BoxChange `json:"boxes"`
@@ -109,13 +110,20 @@
 		Revision: d.Revision, Services: t.Services, Boxes: patchBoxes(t.Boxes, d.Boxes),
 		Document: max(t.Document, d.Document), Routes: patchRoutes(t.Routes, d.Routes),
 	}
-	if len(d.Changed)+len(d.Removed) == 0 {
+	if len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 {
 		return next, true
 	}
 	next.Services = maps.Clone(t.Services)
 	for _, e := range d.Changed {
 		next.Services[e.Service.Name] = e
 	}
+	for _, p := range d.Patched {
+		old := t.Services[p.Service]
+		if old == nil {
+			return t, false
+		}
+		next.Services[p.Service] = p.apply(old)
+	}
 	for _, n := range d.Removed {
 		delete(next.Services, n)
 	}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -150,7 +150,7 @@
 	}{
 		{formatKey, binary.BigEndian.AppendUint64(nil, formatNumber)},
 		{replicaKey, []byte(replica)},
-		{incarnationKey, []byte(uuid.NewString())},
+		{incarnationKey, []byte(newIncarnation())},
 		{bootKey, binary.BigEndian.AppendUint64(nil, 0)},
 	}
 	for _, v := range values {
@@ -161,6 +161,12 @@
 	return nil
 }
 
+// incarnationLength is how much of a random name tells the disks of one cluster apart; it
+// stands in every message between replicas.
+const incarnationLength = 13
+
+func newIncarnation() string { return uuid.NewString()[:incarnationLength] }
+
 func (s *Store) loadIdentity(meta *bbolt.Bucket, replica units.ReplicaID, wall units.WallTime) error {
 	owner, err := get(meta, replicaKey)
 	if err != nil {
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -233,7 +233,7 @@
 		Removed: mapSlice(d.Removed, func(n units.ServiceName) string { return string(n) }),
 
 		DocumentVersion: uint64(d.Document), Routes: mapSlice(d.Routes.Put, FromRoute),
-		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey),
+		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey), Patched: mapSlice(d.Patched, fromPatch),
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -249,6 +249,7 @@
 		Removed: mapSlice(d.Removed, func(n string) units.ServiceName { return units.ServiceName(n) }),
 
 		Document: units.DocumentVersion(d.DocumentVersion),
+		Patched:  mapSlice(d.Patched, toPatch),
 		Routes:   table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
 	}
 	if d.Boxes != nil {
--- a/pkg/wire/convert_document.go
+++ b/pkg/wire/convert_document.go
@@ -97,3 +97,30 @@
 		Sequence: r.Sequence, Cold: time.Duration(r.Cold), Silent: r.Silent,
 	}
 }
+
+// fromPatch converts a patch; its rows go without their service, which is the patch's.
+func fromPatch(p *table.EntryPatch) *EntryPatch {
+	out := &EntryPatch{
+		Service: string(p.Service), Version: uint64(p.Version),
+		Removed: mapSlice(p.Removed, func(id units.TargetID) string { return string(id) }),
+	}
+	for i := range p.Put {
+		row := FromRow(&p.Put[i])
+		row.Service = ""
+		out.Put = append(out.Put, row)
+	}
+	return out
+}
+
+func toPatch(p *EntryPatch) *table.EntryPatch {
+	out := &table.EntryPatch{
+		Service: units.ServiceName(p.Service), Version: units.Version(p.Version),
+		Removed: mapSlice(p.Removed, func(id string) units.TargetID { return units.TargetID(id) }),
+	}
+	for _, r := range p.Put {
+		row := *ToRow(r)
+		row.Service = out.Service
+		out.Put = append(out.Put, row)
+	}
+	return out
+}
