Learn targets' drag with care, ask equals in a random order, tell what targets said

Causes, from the stories of a grown site (92 targets, three calls a second and box): (1) a route's typical time started with its first answer and moved by 5% a time, so that most targets seemed to drag and calls with two idle targets waited until they were refused; (2) targets of the same cost were asked in the order of their names by all boxes.

Change: the typical time moves far with the first answers, is a measure after eight, and outlasts changes of the table; one slow answer doesn't make a target heavy. The log tells what each asked target said.

--- a/pkg/core/routing/asking.go
+++ b/pkg/core/routing/asking.go
@@ -167,7 +167,13 @@
 func (r *Router) bestTargets(c *call, n int) []*target {
 	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: c.tries > 0}
 	r.best = r.best[:0]
-	for i, t := range c.service.targets {
+	// Targets of the same cost come up in a random order, so that the boxes don't all ask
+	// the same ones.
+	targets := c.service.targets
+	start := r.random.IntN(max(1, len(targets)))
+	for k := range targets {
+		i := (start + k) % len(targets)
+		t := targets[i]
 		if !set.Available(i) || t.isFresh(r.now) || t.askedAt != 0 && r.now.Sub(t.askedAt) < askLimit {
 			continue
 		}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -16,7 +16,7 @@
 	c.past[c.tries%maxAttempts] = t
 	c.tries++
 	*a = attempt{
-		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.typical,
+		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.sureTime(),
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
 	}
 	if !t.ownRoom() {
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -44,14 +44,20 @@
 }
 
 const (
-	// dragGain is the weight of the newest answer in a target's drag.
-	dragGain = 0.5
+	// dragGain is the weight of the newest answer in a target's drag: one slow answer in
+	// five may be the neighbours' doing, two in a row are the target's.
+	dragGain = 0.3
 	// dragMemory is the age at which a target's drag counts for a half.
 	dragMemory = 3 * time.Second
 	// heavyDrag is the drag from which on a target is avoided.
-	heavyDrag = 2
-	// typicalStep is how far a route's typical time moves with each answer.
-	typicalStep = 0.05
+	heavyDrag = 2.5
+	// typicalStep is how far a route's typical time moves with each answer in the long
+	// run; it moves further with the first ones. Before sureAnswers of them it is no
+	// measure for a target.
+	typicalStep  = 0.05
+	firstStep    = 0.5
+	sureAnswers  = 8
+	steepestDrag = 10
 )
 
 // noteTime takes how long an answer took at a target whose pace was known to be usual
@@ -61,14 +67,26 @@
 	if x.typical == 0 {
 		x.typical = float64(took)
 	}
-	ratio := float64(took) / x.typical
-	t.drag = t.currentDrag(now) + dragGain*(ratio-t.currentDrag(now))
-	t.dragAt = now
+	ratio := min(float64(took)/x.typical, steepestDrag)
+	x.answers++
+	if x.answers >= sureAnswers {
+		t.drag = t.currentDrag(now) + dragGain*(ratio-t.currentDrag(now))
+		t.dragAt = now
+	}
+	step := max(typicalStep, firstStep/float64(x.answers))
 	if ratio > 1 {
-		x.typical *= 1 + typicalStep
+		x.typical *= 1 + step
 	} else {
-		x.typical *= 1 - typicalStep
+		x.typical *= 1 - step
+	}
+}
+
+// sureTime is the route's typical time once it is a measure, else zero.
+func (x *route) sureTime() float64 {
+	if x.answers < sureAnswers {
+		return 0
 	}
+	return x.typical
 }
 
 // currentDrag is how much longer than elsewhere calls take at the target; it fades, so
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -10,6 +10,8 @@
 // routeIndex finds the route of a host name and a path.
 type routeIndex struct {
 	byHost map[string][]*route
+	// byKey holds the table's routes, for what was learnt of them to outlast a change.
+	byKey map[table.RouteKey]*route
 }
 
 // route is what a box knows of a route: one of the table's, or the one that a
@@ -27,6 +29,8 @@
 	// typical is the median time of the route's calls at a target's usual pace, in
 	// nanoseconds; zero before the first.
 	typical float64
+	// answers counts the answers that the typical time was learnt from.
+	answers int
 	parts   []routePart
 }
 
@@ -64,12 +68,22 @@
 	return x
 }
 
+// learnFrom takes over what was learnt of the route before a change, if there was one.
+func (x *route) learnFrom(old *route) {
+	if old != nil {
+		x.typical, x.answers = old.typical, old.answers
+	}
+}
+
 // indexRoutes makes the index anew. The table's routes come before the services' own
 // ones of the same host and prefix.
 func (r *Router) indexRoutes() {
-	x := routeIndex{byHost: map[string][]*route{}}
-	for _, row := range r.table.Routes {
-		x.byHost[row.Host] = append(x.byHost[row.Host], r.newRoute(row))
+	x := routeIndex{byHost: map[string][]*route{}, byKey: map[table.RouteKey]*route{}}
+	for key, row := range r.table.Routes {
+		added := r.newRoute(row)
+		added.learnFrom(r.routes.byKey[key])
+		x.byKey[key] = added
+		x.byHost[row.Host] = append(x.byHost[row.Host], added)
 	}
 	for _, s := range r.order {
 		for _, h := range ownHosts(&s.row) {
--- a/pkg/entry/story.go
+++ b/pkg/entry/story.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxSteps bounds the decisions kept of one call.
-	maxSteps = 16
+	maxSteps = 32
 	// sampleEvery is one in how many ordinary calls is written.
 	sampleEvery = 64
 )
@@ -30,12 +30,14 @@
 	evidence routing.Evidence
 	result   routing.AttemptResult
 	refusal  routing.Refusal
+	told     routing.ProbeEnded
 }
 
 // The words for the steps of a call.
 const (
 	stepArrived   = "call-arrived"
 	stepAsked     = "call-asked"
+	stepTold      = "call-told"
 	stepSent      = "call-sent"
 	stepEnded     = "attempt-ended"
 	stepCanceled  = "attempt-canceled"
@@ -73,6 +75,19 @@
 	c.note(s)
 }
 
+// noteTold keeps what a target said when a call asked for its load.
+func (e *Entry) noteTold(x *routing.Effect, ended *routing.ProbeEnded) {
+	c, ok := x.Owner.(*call)
+	if !ok {
+		return
+	}
+	s := step{what: stepTold, endpoint: x.Endpoint, attempt: x.Attempt, told: *ended}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	s.at = e.Clock.Now()
+	c.note(s)
+}
+
 // logTable tells that another table is in force here.
 func (e *Entry) logTable() {
 	t := e.core.Subscription().Table()
@@ -126,6 +141,9 @@
 		f["purpose"] = s.purpose.String()
 		f["load"], f["pace"], f["drag"] = round(s.evidence.Load), round(s.evidence.Pace), round(s.evidence.Drag)
 		f["readingAgeMs"], f["revision"] = millis(s.evidence.ReadingAge), s.evidence.Revision
+	case stepTold:
+		f["known"], f["healthy"], f["unreachable"] = s.told.Reading.Known, s.told.Healthy, s.told.Unreachable
+		f["misdirected"], f["load"], f["pace"] = s.told.Misdirected, s.told.Reading.InFlight, round(s.told.Reading.Pace)
 	case stepEnded:
 		f["result"] = s.result.String()
 	case stepRefused:
