--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -81,10 +81,10 @@
 	// The set is kept in the router, since a policy's argument would be garbage.
 	set := &r.candidates
 	*set = candidates{service: s, now: r.now, call: c, anyHealth: s.mostlyEjected, fresh: c.tries > 0}
-	i := r.policy.Choose(set, r.random)
+	i := r.chooseIndex(set)
 	if i < 0 && set.fresh {
 		set.fresh = false
-		i = r.policy.Choose(set, r.random)
+		i = r.chooseIndex(set)
 	}
 	if i < 0 {
 		return nil
@@ -92,6 +92,15 @@
 	return s.targets[i]
 }
 
+// chooseIndex leaves the choice to the policy, but where targets are asked: what they
+// said counts only if the best of all of them is taken, not of a few drawn by lot.
+func (r *Router) chooseIndex(set *candidates) int {
+	if set.service.row.AskTargets > 0 {
+		return leastOf[*target](set, r.random, set.Cost)
+	}
+	return r.policy.Choose(set, r.random)
+}
+
 // holdOrRefuse holds a call that can't be sent now, unless it would wait in
 // vain; then it is refused at once, so that its caller can turn elsewhere.
 func (r *Router) holdOrRefuse(id CallID, c *call, e *Effects) {
