--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -142,19 +142,37 @@
 }
 
 func (s *Subscription) tick(now units.Instant, e *Effects) {
-	if s.attached && now.Sub(max(s.attachedAt, s.grantedAt)) >= s.settings.Silence {
+	if s.attached && now.Sub(max(s.attachedAt, s.grantedAt)) >= s.patience() {
 		s.attached = false
 	}
 	if now < s.renewAt {
 		return
 	}
-	s.renewAt = now.Add(s.settings.RenewEvery)
+	s.renewAt = now.Add(s.renewPeriod())
 	if !s.attached {
 		s.attachNext(now, e)
 	}
 	s.sendRenewal(now, e)
 }
 
+// hurry is by how much a box without any grant yet is less patient: it serves nobody, and
+// the replicas may be starting as well.
+const hurry = 4
+
+func (s *Subscription) patience() time.Duration {
+	if s.grantedAt == 0 {
+		return s.settings.Silence / hurry
+	}
+	return s.settings.Silence
+}
+
+func (s *Subscription) renewPeriod() time.Duration {
+	if s.grantedAt == 0 {
+		return s.settings.RenewEvery / hurry
+	}
+	return s.settings.RenewEvery
+}
+
 func (s *Subscription) attachNext(now units.Instant, e *Effects) {
 	next := s.replicas.next(now)
 	if next == "" {
--- a/pkg/core/subscription/subscription_test.go
+++ b/pkg/core/subscription/subscription_test.go
@@ -136,3 +136,20 @@
 		t.Fatal("the box didn't attach anew for the whole table")
 	}
 }
+
+// A box that has just started may have chosen a replica that starts as well; it serves
+// nobody until it has found another.
+func TestABoxWithoutAnyGrantMovesOnSooner(t *testing.T) {
+	b := newBox()
+	first := b.attachment
+	b.pass(80 * time.Millisecond)
+	if b.attachment == first {
+		t.Fatal("it still waits for a replica that is silent from the start")
+	}
+	b.receive(grantOf(b.nonce(), 0, start))
+	second := b.attachment
+	b.pass(200 * time.Millisecond)
+	if b.attachment != second {
+		t.Fatal("it has left a replica that granted a lease a moment ago")
+	}
+}
