--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 
 lint: $(TOOLS)/staticcheck
-	test -z "$$(gofmt -l cmd pkg test)"
+	test -z "$$(gofmt -l cmd pkg platform test)"
 	$(GO) vet ./...
 	$(TOOLS)/staticcheck ./...
 
