--- /dev/null
+++ b/pkg/target/attempt_test.go
@@ -0,0 +1,141 @@
+package target
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/madderpond/madderpond/pkg/clock"
+	"github.com/madderpond/madderpond/pkg/core/routing"
+)
+
+// answers is a stand-in target that gives each request on a connection the next of the
+// answers it was told, as raw bytes; "RESET" and "CLOSE" on a line of their own end the
+// connection, and a line "LATER" keeps what follows for the next request.
+type answers struct {
+	listener net.Listener
+	script   string
+}
+
+func startAnswers(t *testing.T, script string) *answers {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &answers{listener: listener, script: script}
+	t.Cleanup(func() { listener.Close() })
+	go a.serve()
+	return a
+}
+
+func (a *answers) serve() {
+	for {
+		conn, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		go a.answer(conn)
+	}
+}
+
+func (a *answers) answer(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, part := range strings.Split(a.script, "LATER\n") {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		for _, line := range strings.SplitAfter(part, "\n") {
+			switch strings.TrimSpace(line) {
+			case "RESET":
+				conn.(*net.TCPConn).SetLinger(0)
+				return
+			case "CLOSE":
+				return
+			}
+			io.WriteString(conn, strings.ReplaceAll(strings.ReplaceAll(line, "\n", ""), `\n`, "\r\n"))
+		}
+	}
+	// What follows isn't answered, but the connection stays open.
+	io.Copy(io.Discard, reader)
+}
+
+func newTestPools() *Pools {
+	return NewPools(Settings{
+		ConnectTimeout: time.Second, IdleLimit: time.Minute, BufferBody: 1 << 10, ShedHeader: "X-Shed",
+		LoadHeader: "X-Load", DeadlineHeader: "X-Deadline-Ms", CallIDHeader: "X-Call", IdentityHeader: "X-Expected-Target",
+		TargetHeader: "X-Target", PromiseStatus: true, Unframed: true, ProbePath: "/healthz",
+	}, clock.NewClock())
+}
+
+// TestAnswers sends calls to a stand-in that answers as the files in testdata say, and
+// prints what each came to and whether its connection may be used again.
+func TestAnswers(t *testing.T) {
+	datadriven.Walk(t, "testdata/answers", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			count := 1
+			d.MaybeScanArgs(t, "calls", &count)
+			target := startAnswers(t, d.Input+"\n")
+			pools := newTestPools()
+			var lines []string
+			for i := range count {
+				lines = append(lines, callOnce(pools, target.listener.Addr().String(), fmt.Sprintf("call-%d", i+1)))
+			}
+			return strings.Join(lines, "\n") + "\n"
+		})
+	})
+}
+
+func callOnce(pools *Pools, address, id string) string {
+	a := pools.NewAttempt(&routing.Effect{
+		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true},
+		Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
+	})
+	a.Request.SetRequestURI("/")
+	a.Request.Header.SetHost("s")
+	a.Request.Header.Set("X-Call", id)
+	result, streaming := a.Run()
+	if streaming {
+		return streamOnce(pools, a)
+	}
+	text := fmt.Sprintf("%s %q, connections kept: %d", result, a.Body(), pools.kept())
+	a.Release()
+	return text
+}
+
+func streamOnce(pools *Pools, a *Attempt) string {
+	ended := routing.AttemptResult(0)
+	stream := a.Stream(func(r routing.AttemptResult) { ended = r })
+	body, err := io.ReadAll(stream)
+	stream.Close()
+	return fmt.Sprintf("streamed %d bytes, cut short: %t, %s, connections kept: %d", len(body), err != nil, ended, pools.kept())
+}
+
+// kept counts the idle connections.
+func (p *Pools) kept() int {
+	n := 0
+	for _, s := range p.Status() {
+		n += s.Idle
+	}
+	return n
+}
+
+func TestReadings(t *testing.T) {
+	datadriven.RunTest(t, "testdata/readings", func(t *testing.T, d *datadriven.TestData) string {
+		var b strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			r := parseReading(line)
+			fmt.Fprintf(&b, "known=%t in-flight=%g slots=%g pace=%g\n", r.Known, r.InFlight, r.Slots, r.Pace)
+		}
+		return b.String()
+	})
+}
