--- a/pkg/core/control/orders_test.go
+++ b/pkg/core/control/orders_test.go
@@ -20,7 +20,6 @@
 	// leaving and gone are the targets whose word to that effect was acknowledged.
 	leaving map[units.TargetID]bool
 	gone    map[units.TargetID]bool
-	next    int
 }
 
 func newOrderBook() orderBook {
