--- /dev/null
+++ b/pkg/core/routing/tables.go
@@ -0,0 +1,161 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+)
+
+// changeTable puts a table in force. What it doesn't change costs nothing, so
+// that an edit of one service is cheap however many there are.
+func (r *Router) changeTable(t *table.Table, e *Effects) {
+	tableRoutesChanged := t.Document != r.table.Document
+	r.table = t
+	boxesChanged := r.changeBoxes(t.Boxes)
+	routesChanged := r.dropMissing(t, e)
+	for _, n := range t.ServiceNames() {
+		entry := t.Services[n]
+		s := r.services[n]
+		if s != nil && s.entry == entry && !boxesChanged {
+			continue
+		}
+		if s == nil || !sameRoutes(&s.row, &entry.Service) {
+			routesChanged = true
+		}
+		r.putService(entry, e)
+	}
+	if routesChanged || tableRoutesChanged {
+		slices.SortFunc(r.order, compareServices)
+		r.indexRoutes()
+	}
+}
+
+// changeBoxes notes a new list of boxes, and tells whether it differs.
+func (r *Router) changeBoxes(boxes []table.Box) bool {
+	if slices.Equal(r.rank.boxes, boxes) {
+		r.boxesLost = false
+		r.moves = boxMoves{}
+		return false
+	}
+	rank := rankOf(r.settings.Box, boxes)
+	r.moves = r.rank.movesTo(rank)
+	r.boxesLost = r.moves.onlyLost(r.rank, rank)
+	if !r.rank.listed && rank.listed {
+		r.servesFrom = r.now.Add(r.settings.ShareDelay)
+	}
+	r.rank = rank
+	r.dropLoans(boxes)
+	return true
+}
+
+// dropMissing drops the services that the table no longer has, and tells whether
+// there were any.
+func (r *Router) dropMissing(t *table.Table, e *Effects) bool {
+	kept := r.order[:0]
+	for _, s := range r.order {
+		if t.Services[s.row.Name] != nil {
+			kept = append(kept, s)
+			continue
+		}
+		r.dropService(s, e)
+	}
+	dropped := len(kept) < len(r.order)
+	r.order = kept
+	return dropped
+}
+
+func sameRoutes(a, b *table.Service) bool {
+	return a.PathPrefix == b.PathPrefix && slices.Equal(a.Hosts, b.Hosts)
+}
+
+func (r *Router) putService(entry *table.Entry, e *Effects) {
+	s := r.services[entry.Service.Name]
+	if s == nil {
+		s = newService(entry.Service)
+		s.domain = r.settings.Domain
+		r.services[entry.Service.Name] = s
+		r.order = append(r.order, s)
+	}
+	if s.entry != entry {
+		s.update(entry, r.now)
+	}
+	r.sweepBy(s, r.now)
+	s.burst = r.burstOf(s)
+	for _, t := range s.targets {
+		r.wantShare(t)
+	}
+	s.weigh(r.now)
+	r.serveHeld(s, e)
+}
+
+// dropService refuses what the service still holds; calls that have been sent
+// end as they would have.
+func (r *Router) dropService(s *service, e *Effects) {
+	delete(r.services, s.row.Name)
+	for _, id := range s.held.drain() {
+		if c := r.calls.Get(id); c != nil && c.held {
+			r.refuse(id, c, Refusal{Reason: NoService, Outcome: c.outcome()}, e)
+		}
+	}
+}
+
+func (r *Router) wantShare(t *target) {
+	if t.row.Registered {
+		r.shareRegistered(t)
+		return
+	}
+	r.placeTarget(t)
+	limit := r.rank.wholeShare(t.row.MaxInFlight, t.place)
+	connections := r.rank.wholeShare(t.row.MaxConnections, t.place)
+	t.connections = connections
+	r.want(&t.share, float64(min(limit, connections)))
+	r.want(&t.rateShare, r.rank.rateShare(t.row.MaxRate))
+	r.want(&t.probeShare, r.rank.rateShare(1))
+}
+
+// shareRegistered gives this box its part of a registered target's connections. It
+// holds at once: the bound is the target's own, which sheds what is too much.
+func (r *Router) shareRegistered(t *target) {
+	t.connections = 0
+	if t.row.MaxConnections > 0 {
+		t.connections = max(1, t.row.MaxConnections/max(1, r.rank.count))
+	}
+	limit := float64(unlimited)
+	if t.row.MaxInFlight > 0 {
+		limit = max(1, float64(t.row.MaxInFlight)/float64(max(1, r.rank.count)))
+	}
+	t.share = fixedValue(limit)
+	t.rateShare = fixedValue(unlimited)
+	t.probeShare = fixedValue(1 / float64(max(1, r.rank.count)))
+}
+
+// placeTarget works out how many boxes come before this one for a target, from the
+// boxes that came and went where the others have been counted already.
+func (r *Router) placeTarget(t *target) {
+	if !t.placed {
+		t.placed = true
+		t.place = r.rank.countBefore(t.row.Target, r.rank.boxes)
+		return
+	}
+	t.place += r.rank.countBefore(t.row.Target, r.moves.came) - r.rank.countBefore(t.row.Target, r.moves.went)
+}
+
+func (r *Router) want(s *settledValue, value float64) {
+	if r.boxesLost {
+		s.raise(r.now, value, r.settings.ShareDelay)
+		return
+	}
+	s.want(r.now, value, r.settings.ShareDelay)
+}
+
+// settleShare lets a target's shares rise that have waited long enough, and
+// tells whether any of them has still to wait.
+func (r *Router) settleShare(t *target) bool {
+	unsettled := false
+	for _, s := range []*settledValue{&t.share, &t.rateShare, &t.probeShare} {
+		if s.settle(r.now, r.settings.ShareDelay) != 0 {
+			unsettled = true
+		}
+	}
+	return unsettled
+}
