Call the probes before a send by their name, and give waiting calls a file

No change of behaviour: ask becomes probe, seeking becomes waiting, drag becomes slowdown, a call's story in the log is its trace; the column is probe_targets.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -45,7 +45,7 @@
 // evidenceOf is what is known of a target now.
 func (r *Router) evidenceOf(t *target) Evidence {
 	x := Evidence{
-		Load: t.load(r.now), Pace: t.expectedPace(r.now), Drag: t.currentDrag(r.now), ReadingAge: -1,
+		Load: t.load(r.now), Pace: t.expectedPace(r.now), Slowdown: t.currentSlowdown(r.now), ReadingAge: -1,
 		Revision: r.table.Revision,
 	}
 	if t.reading.Known {
@@ -74,7 +74,7 @@
 // allows it and another target has room.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
 	s := c.service
-	if c.held || c.streaming || c.inquiry.open || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
+	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
 		return
 	}
 	t := r.choose(s, c)
--- a/pkg/core/routing/borrowing.go
+++ b/pkg/core/routing/borrowing.go
@@ -21,7 +21,7 @@
 
 // wantState is what a service's own requests and those of others come to.
 type wantState struct {
-	askedAt    units.Instant
+	probedAt   units.Instant
 	recalledAt units.Instant
 	waiting    []waitingWant
 	// peers is what the other boxes last said that they have to spare.
@@ -41,10 +41,10 @@
 		return
 	}
 	r.recallIfNeeded(s, e)
-	if s.wants.askedAt != 0 && r.now.Sub(s.wants.askedAt) < askAgain {
+	if s.wants.probedAt != 0 && r.now.Sub(s.wants.probedAt) < askAgain {
 		return
 	}
-	s.wants.askedAt = r.now
+	s.wants.probedAt = r.now
 	nonce := r.loans.remember(r.loans.asked, r.now)
 	r.loans.askedTotal++
 	for range min(askedBoxes, others) {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -48,7 +48,7 @@
 	// that it shed the call.
 	mayHaveRun bool
 	held       bool
-	inquiry    inquiry
+	probeRound probeRound
 	// streaming is set once the head of an answer has been passed on.
 	streaming bool
 }
@@ -104,7 +104,7 @@
 }
 
 // stillTrying tells whether another send of the call is under way or about to be.
-func (c *call) stillTrying() bool { return c.underWay() > 0 || c.inquiry.open }
+func (c *call) stillTrying() bool { return c.underWay() > 0 || c.probeRound.open }
 
 // spentAttempts tells whether the call may be sent to no further target.
 func (c *call) spentAttempts() bool {
@@ -130,8 +130,8 @@
 	hedgeTimer
 	// coolTimer frees a slot whose call was canceled.
 	coolTimer
-	// askTimer ends the wait for targets' answers.
-	askTimer
+	// probeTimer ends the wait for targets' answers.
+	probeTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -141,8 +141,8 @@
 	kind timerKind
 	// target is set for a coolTimer only.
 	target *target
-	// inquiry is set for an askTimer only.
-	inquiry AttemptNumber
+	// probeRound is set for an probeTimer only.
+	probeRound AttemptNumber
 }
 
 func timerBefore(a, b timer) bool { return a.at < b.at }
@@ -175,9 +175,9 @@
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
-	case askTimer:
-		if c.inquiry.open && c.inquiry.number == t.inquiry {
-			r.askTimePassed(t.call, c, e)
+	case probeTimer:
+		if c.probeRound.open && c.probeRound.number == t.probeRound {
+			r.probeTimePassed(t.call, c, e)
 		}
 	}
 }
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -155,8 +155,8 @@
 // Evidence is what a choice of a target rested on.
 type Evidence struct {
 	// Load is how many calls the target seemed to have, Pace how long work seemed to
-	// take there over the usual, Drag how much longer than elsewhere calls took.
-	Load, Pace, Drag float64
+	// take there over the usual, Slowdown how much longer than elsewhere calls took.
+	Load, Pace, Slowdown float64
 	// ReadingAge is how old the target's last word on its load was; negative for none.
 	ReadingAge time.Duration
 	Revision   units.Revision
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -30,7 +30,7 @@
 func (t *target) expectedTime(now units.Instant) float64 {
 	slots := t.slots()
 	load := t.load(now) + 1
-	time := t.expectedPace(now) * t.currentDrag(now)
+	time := t.expectedPace(now) * t.currentSlowdown(now)
 	if load >= nearlyFull*slots {
 		time *= nearlyFullPace
 	}
@@ -44,34 +44,34 @@
 }
 
 const (
-	// dragGain is the weight of the newest answer in a target's drag: one slow answer in
+	// slowdownGain is the weight of the newest answer in a target's slowdown: one slow answer in
 	// five may be the neighbours' doing, two in a row are the target's.
-	dragGain = 0.3
-	// dragMemory is the age at which a target's drag counts for a half.
-	dragMemory = 3 * time.Second
-	// heavyDrag is the drag from which on a target is avoided.
-	heavyDrag = 2.5
+	slowdownGain = 0.3
+	// slowdownMemory is the age at which a target's slowdown counts for a half.
+	slowdownMemory = 3 * time.Second
+	// heavySlowdown is the slowdown from which on a target is avoided.
+	heavySlowdown = 2.5
 	// typicalStep is how far a route's typical time moves with each answer in the long
 	// run; it moves further with the first ones. Before sureAnswers of them it is no
 	// measure for a target.
-	typicalStep  = 0.05
-	firstStep    = 0.5
-	sureAnswers  = 8
-	steepestDrag = 10
+	typicalStep      = 0.05
+	firstStep        = 0.5
+	sureAnswers      = 8
+	greatestSlowdown = 10
 )
 
 // noteTime takes how long an answer took at a target whose pace was known to be usual
 // when the call was sent: what it took beyond the route's typical time is the target's
-// own drag.
+// own slowdown.
 func (t *target) noteTime(now units.Instant, x *route, took time.Duration) {
 	if x.typical == 0 {
 		x.typical = float64(took)
 	}
-	ratio := min(float64(took)/x.typical, steepestDrag)
+	ratio := min(float64(took)/x.typical, greatestSlowdown)
 	x.answers++
 	if x.answers >= sureAnswers {
-		t.drag = t.currentDrag(now) + dragGain*(ratio-t.currentDrag(now))
-		t.dragAt = now
+		t.slowdown = t.currentSlowdown(now) + slowdownGain*(ratio-t.currentSlowdown(now))
+		t.slowdownAt = now
 	}
 	step := max(typicalStep, firstStep/float64(x.answers))
 	if ratio > 1 {
@@ -89,17 +89,17 @@
 	return x.typical
 }
 
-// currentDrag is how much longer than elsewhere calls take at the target; it fades, so
+// currentSlowdown is how much longer than elsewhere calls take at the target; it fades, so
 // that a target which was slow is tried again. A call that is out for long counts too.
-func (t *target) currentDrag(now units.Instant) float64 {
-	drag := 1.0
-	if t.drag > 1 {
-		drag += (t.drag - 1) * freshness(now.Sub(t.dragAt), dragMemory)
+func (t *target) currentSlowdown(now units.Instant) float64 {
+	slowdown := 1.0
+	if t.slowdown > 1 {
+		slowdown += (t.slowdown - 1) * freshness(now.Sub(t.slowdownAt), slowdownMemory)
 	}
 	if a := t.oldest; a != nil && a.typical > 0 {
-		drag = max(drag, float64(now.Sub(a.sent))/a.typical/oldestPatience)
+		slowdown = max(slowdown, float64(now.Sub(a.sent))/a.typical/oldestPatience)
 	}
-	return drag
+	return slowdown
 }
 
 // oldestPatience is how many times its typical time a call may be out before that says
--- /dev/null
+++ b/pkg/core/routing/probefirst.go
@@ -0,0 +1,246 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Targets' load shifts faster than answers bring word of it. Before a call is sent, the
+// box may ask a few targets for their load and send the call to the best of them. What
+// it asks is part of the measuring budget; without budget it chooses by what it knows.
+
+const (
+	// probeLimit is how long a call waits for the answers at the most.
+	probeLimit = 12 * time.Millisecond
+	// maxProbed bounds the targets that are asked for one send.
+	maxProbed = 4
+	// freshReading is the age up to which a reading is as good as a new one.
+	freshReading = 30 * time.Millisecond
+	// saveUpTime is for how long a box may save up its part of the budget: questions are
+	// worth most in the seconds in which many calls come. leastSavedUp is what it may save
+	// up however small the part is.
+	saveUpTime   = 4 * time.Second
+	leastSavedUp = 8
+)
+
+// goodPace is the expected pace up to which a target is as good as any.
+const goodPace = 1.5
+
+// Purpose is what a send is for.
+type Purpose uint8
+
+// The purposes of a send.
+const (
+	FirstSend Purpose = iota
+	RetrySend
+	HedgeSend
+)
+
+// String returns the word that logs show.
+func (p Purpose) String() string { return [...]string{"first", "retry", "hedge"}[p] }
+
+// probeRound is a call's question to a few targets.
+type probeRound struct {
+	open    bool
+	number  AttemptNumber
+	pending int
+	purpose Purpose
+	// waiting is set once the call stands among its service's waiting ones.
+	waiting bool
+	// rounds counts the questions that were put.
+	rounds int
+}
+
+// place sends a call to the target that seems best, or asks a few first.
+func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
+	if c.service.row.ProbeTargets < 1 || best.isFresh(r.now) && r.isSuitable(c, best) {
+		r.send(id, c, best, why, e)
+		return
+	}
+	c.probeRound.purpose = why
+	r.dropServed(c.service)
+	if len(c.service.waiting) >= maxProbing || !r.sendProbes(id, c, e) {
+		if !c.service.isBusy(r.now) {
+			r.send(id, c, best, why, e)
+			return
+		}
+		c.probeRound.open = true
+		r.waitForTarget(id, c)
+	}
+	if why == FirstSend {
+		e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
+	}
+}
+
+// sendProbes asks the best targets for their load; false means that there is nothing to ask or
+// no budget for it.
+func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
+	asked := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
+	rate := r.probeAllowance(c.service)
+	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
+	if len(asked) < 1 || !c.service.probeBudget.takeMany(r.now, float64(len(asked)), rate, burst) {
+		return false
+	}
+	c.probeRound.open = true
+	c.probeRound.number++
+	c.probeRound.pending = len(asked)
+	c.probeRound.rounds++
+	for _, t := range asked {
+		t.probesSent++
+		t.probedAt = r.now
+		e.add(Effect{
+			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
+			Connections: t.connections, ProbePath: c.service.row.ProbePath,
+		})
+	}
+	r.timers.Push(timer{at: r.now.Add(probeLimit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+	return true
+}
+
+// probeAllowance is how many questions a second this box may put to a service's targets.
+func (r *Router) probeAllowance(s *service) float64 {
+	rate := 0.0
+	for _, t := range s.targets {
+		rate += r.probeRate(s, t)
+	}
+	return rate
+}
+
+// bestTargets returns up to n available targets of the least cost that are worth a
+// question: the answer of one that was asked a moment ago serves all calls. The slice is
+// used again by the next call.
+func (r *Router) bestTargets(c *call, n int) []*target {
+	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: c.tries > 0}
+	r.best = r.best[:0]
+	// Targets of the same cost come up in a random order, so that the boxes don't all ask
+	// the same ones.
+	targets := c.service.targets
+	start := r.random.IntN(max(1, len(targets)))
+	for k := range targets {
+		i := (start + k) % len(targets)
+		t := targets[i]
+		if !set.Available(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
+			continue
+		}
+		t.probeOrder = t.cost(r.now)
+		r.best = insertByCost(r.best, t, n)
+	}
+	return r.best
+}
+
+// insertByCost keeps the n targets of the least cost, in order.
+func insertByCost(best []*target, t *target, n int) []*target {
+	i := len(best)
+	for i > 0 && t.probeOrder < best[i-1].probeOrder {
+		i--
+	}
+	if i >= n {
+		return best
+	}
+	if len(best) < n {
+		best = append(best, nil)
+	}
+	copy(best[i+1:], best[i:])
+	best[i] = t
+	return best
+}
+
+// probeAnswered takes an answer to a call's question. A target that suits ends the wait;
+// the rest of the answers only add to what is known.
+func (r *Router) probeAnswered(v *ProbeEnded, t *target, e *Effects) {
+	c := r.calls.Get(v.Call)
+	if c == nil || !c.probeRound.open || c.probeRound.number != v.Attempt {
+		return
+	}
+	c.probeRound.pending--
+	if c.probeRound.pending == 0 || t != nil && t.isFresh(r.now) && r.isSuitable(c, t) {
+		r.concludeProbing(v.Call, c, e)
+	}
+}
+
+// concludeProbing sends the call to what is now the best target, if that suits; else it
+// asks others a moment later, as long as the call can wait.
+func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
+	t := r.choose(c.service, c)
+	late := c.spentPart(r.now) >= lastPart
+	if t != nil && (r.isSuitable(c, t) || late && r.acceptsAnyway(c, t)) {
+		c.probeRound.open = false
+		if !c.probeRound.waiting {
+			c.service.noteFound(r.now, true)
+		}
+		r.send(id, c, t, c.probeRound.purpose, e)
+		return
+	}
+	if !late {
+		r.waitForTarget(id, c)
+		return
+	}
+	c.probeRound.open = false
+	if c.underWay() > 0 {
+		return
+	}
+	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: busyRetry}, e)
+}
+
+// probeTimePassed goes on without the answers that haven't come, or asks again.
+func (r *Router) probeTimePassed(id CallID, c *call, e *Effects) {
+	r.dropServed(c.service)
+	if c.probeRound.pending > 0 || !c.service.mayProbe(id) || !r.sendProbes(id, c, e) {
+		r.concludeProbing(id, c, e)
+	}
+}
+
+const (
+	// probePause is the time between two questions of a call that found no target.
+	probePause = 15 * time.Millisecond
+	// choosyPart and lastPart are parts of a call's aim. Up to the first it waits for a
+	// target that isn't nearly full; at the second it is sent or refused, while its
+	// caller can still be served in time elsewhere.
+	choosyPart = 0.1
+	lastPart   = 0.22
+	// aimOfDeadline stands in for the aim of a route that has none.
+	aimOfDeadline = 0.25
+	// busyRetry is when the caller of a call that found all targets busy may come back.
+	busyRetry = 60 * time.Millisecond
+)
+
+// spentPart is how much of its aim the call has spent so far.
+func (c *call) spentPart(now units.Instant) float64 {
+	aim := float64(c.route.aim)
+	if aim == 0 {
+		aim = aimOfDeadline * float64(c.deadline.Sub(c.arrived))
+	}
+	return float64(now.Sub(c.arrived)) / aim
+}
+
+// isSuitable tells whether a target would serve the call about as well as any could: work
+// goes at its usual pace there, and a slot is free.
+func (r *Router) isSuitable(c *call, t *target) bool {
+	if t.expectedPace(r.now) >= goodPace || t.currentSlowdown(r.now) >= heavySlowdown {
+		return false
+	}
+	load := t.load(r.now) + 1
+	if c.spentPart(r.now) < choosyPart {
+		return load < nearlyFull*t.slots()
+	}
+	return load <= t.slots()
+}
+
+// acceptsAnyway tells whether a call that can't wait any longer may go to a target that
+// doesn't suit: one that nothing recent is known of, or any when the call may have run
+// already and so can't be refused for good.
+func (r *Router) acceptsAnyway(c *call, t *target) bool {
+	if c.probeRound.purpose == HedgeSend {
+		return false
+	}
+	if c.mayHaveRun || !t.reading.Known {
+		return true
+	}
+	return c.probeRound.rounds == 0 && !c.service.isBusy(r.now)
+}
+
+// isFresh tells whether the target's last word on its load is as good as a new one.
+func (t *target) isFresh(now units.Instant) bool {
+	return t.reading.Known && now.Sub(t.reading.at) <= freshReading
+}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -40,8 +40,8 @@
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
 	t := r.findTarget(v.Target)
 	if v.Call != 0 {
-		r.learnAsked(t, v, e)
-		r.askAnswered(v, t, e)
+		r.learnFromProbe(t, v, e)
+		r.probeAnswered(v, t, e)
 		return
 	}
 	if t == nil {
@@ -60,9 +60,9 @@
 	}
 }
 
-// learnAsked takes what a question for a target's load has shown. What a target says of
+// learnFromProbe takes what a question for a target's load has shown. What a target says of
 // its health isn't taken for more than a reading: calls are the better witness.
-func (r *Router) learnAsked(t *target, v *ProbeEnded, e *Effects) {
+func (r *Router) learnFromProbe(t *target, v *ProbeEnded, e *Effects) {
 	if t == nil {
 		return
 	}
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -133,8 +133,8 @@
 	for len(r.freed) > 0 {
 		s := r.freed[len(r.freed)-1]
 		r.freed = r.freed[:len(r.freed)-1]
-		if len(s.seeking) > 0 {
-			r.serveSeeking(s, e)
+		if len(s.waiting) > 0 {
+			r.serveWaiting(s, e)
 		}
 		if s.held.length > 0 {
 			r.serveHeld(s, e)
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -34,10 +34,10 @@
 	latency latencyEstimate
 	wants   wantState
 	// asks is what is left of the budget for asking targets for their load.
-	asks rateLimit
-	// seeking are the calls that wait for a target that suits, oldest first; those
+	probeBudget rateLimit
+	// waiting are the calls that wait for a target that suits, oldest first; those
 	// that have found one stay until they are passed over.
-	seeking []CallID
+	waiting []CallID
 	// busyPart is the part of the last calls that found no target that suits at once;
 	// busyAt is when that was last noted.
 	busyPart float64
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -16,12 +16,12 @@
 	remote bool
 	// sentSince counts the sends since the target last said what it has.
 	sentSince int
-	// drag is how much longer than elsewhere calls take here, as last learnt at dragAt.
-	drag    float64
-	dragAt  units.Instant
-	askCost float64
-	// askedAt is when a call last asked for the target's load; zero for never.
-	askedAt units.Instant
+	// slowdown is how much longer than elsewhere calls take here, as last learnt at slowdownAt.
+	slowdown   float64
+	slowdownAt units.Instant
+	probeOrder float64
+	// probedAt is when a call last asked for the target's load; zero for never.
+	probedAt units.Instant
 	// gone is set when the table no longer has the row.
 	gone     bool
 	inFlight int
--- /dev/null
+++ b/pkg/core/routing/waiting.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Calls that found no suitable target wait for one: they ask again after a pause, the
+// oldest first, and take the place that an answer shows free.
+
+const (
+	// maxProbing is how many of a service's waiting calls ask at a time.
+	maxProbing = 8
+	// busyMemory is how long a service counts as busy after a call found no target.
+	busyMemory = 500 * time.Millisecond
+	// busyFrom is the part of calls without a target from which on a service counts as
+	// busy; busyGain is the weight of the newest call.
+	busyFrom = 0.5
+	busyGain = 0.2
+)
+
+// isBusy tells whether calls have lately found no target that suits. Then one that
+// nothing recent is known of is likely to be full as well.
+func (s *service) isBusy(now units.Instant) bool {
+	return s.busyPart > busyFrom && now.Sub(s.busyAt) < busyMemory
+}
+
+// noteFound keeps account of how many of the calls that ask find no target at once.
+func (s *service) noteFound(now units.Instant, found bool) {
+	miss := 1.0
+	if found {
+		miss = 0
+	}
+	s.busyPart += busyGain * (miss - s.busyPart)
+	s.busyAt = now
+}
+
+// waitForTarget has a call ask, or ask again, a moment later; a target that comes free
+// before goes to the oldest of those that wait.
+func (r *Router) waitForTarget(id CallID, c *call) {
+	c.probeRound.pending = 0
+	c.probeRound.number++
+	if !c.probeRound.waiting {
+		c.service.noteFound(r.now, false)
+		c.probeRound.waiting = true
+		c.service.waiting = append(c.service.waiting, id)
+	}
+	r.timers.Push(timer{at: r.now.Add(probePause), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+}
+
+// dropServed drops the calls at the front of the waiting ones that wait no more.
+func (r *Router) dropServed(s *service) {
+	for len(s.waiting) > 0 {
+		if c := r.calls.Get(s.waiting[0]); c != nil && c.probeRound.open && c.service == s {
+			return
+		}
+		s.waiting = s.waiting[1:]
+	}
+}
+
+// mayProbe tells whether it is a waiting call's turn to ask: the answers serve all, so
+// only the oldest do.
+func (s *service) mayProbe(id CallID) bool {
+	return slices.Contains(s.waiting[:min(len(s.waiting), maxProbing)], id)
+}
+
+// serveWaiting sends calls that wait for a suitable target, oldest first, while there is
+// one. It is done when an answer has shown that a target has room.
+func (r *Router) serveWaiting(s *service, e *Effects) {
+	for {
+		r.dropServed(s)
+		if len(s.waiting) == 0 {
+			return
+		}
+		id := s.waiting[0]
+		c := r.calls.Get(id)
+		t := r.choose(s, c)
+		if t == nil || !t.isFresh(r.now) || !r.isSuitable(c, t) {
+			return
+		}
+		s.waiting = s.waiting[1:]
+		c.probeRound.open = false
+		r.send(id, c, t, c.probeRound.purpose, e)
+	}
+}
--- a/pkg/core/table/service.go
+++ b/pkg/core/table/service.go
@@ -59,9 +59,9 @@
 	// TargetConnections bounds the connections to each registered target, from all
 	// boxes together; zero means no bound.
 	TargetConnections int `json:"targetConnections,omitempty"`
-	// AskTargets is how many targets a box asks for their load before it sends a call,
+	// ProbeTargets is how many targets a box asks for their load before it sends a call,
 	// as far as the measuring budget goes; below 2 it asks none.
-	AskTargets int `json:"askTargets,omitempty"`
+	ProbeTargets int `json:"probeTargets,omitempty"`
 	// ProbePath is what probes ask for; empty means the box's own setting.
 	ProbePath string `json:"probePath,omitempty"`
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -154,7 +154,7 @@
 	err := e.workers.Go(func() {
 		ended := e.pools.Probe(&x)
 		e.metrics.probes.Add(1)
-		e.noteTold(&x, &ended)
+		e.noteProbe(&x, &ended)
 		e.reduce(&ended)
 	})
 	if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -47,10 +47,10 @@
 	server   *fasthttp.Server
 	listener net.Listener
 	leaving  atomic.Bool
-	// shown is the revision that was last told of in the log.
+	// shown is the revision that was last traced of in the log.
 	shown units.Revision
-	// told counts the ordinary calls, of which a sample is logged.
-	told atomic.Uint64
+	// traced counts the ordinary calls, of which a sample is logged.
+	traced atomic.Uint64
 	// listedLeaving is set while the platform's list has this box as leaving.
 	listedLeaving atomic.Bool
 	done          chan struct{}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -83,11 +83,11 @@
 	}
 	a, c := e.decide(ctx)
 	if a.attempt == nil {
-		e.tell(c, false)
+		e.logTrace(c, false)
 		e.writeRefusal(ctx, a.refusal)
 		return
 	}
-	e.tell(c, a.number == 1)
+	e.logTrace(c, a.number == 1)
 	e.writeAnswer(ctx, a)
 	e.metrics.observe(a.endpoint, time.Since(started))
 }
--- a/pkg/entry/story.go
+++ b/pkg/entry/trace.go
@@ -30,14 +30,14 @@
 	evidence routing.Evidence
 	result   routing.AttemptResult
 	refusal  routing.Refusal
-	told     routing.ProbeEnded
+	probed   routing.ProbeEnded
 }
 
 // The words for the steps of a call.
 const (
 	stepArrived   = "call-arrived"
-	stepAsked     = "call-asked"
-	stepTold      = "call-told"
+	stepProbing   = "probe-sent"
+	stepProbed    = "probe-answered"
 	stepSent      = "call-sent"
 	stepEnded     = "attempt-ended"
 	stepCanceled  = "attempt-canceled"
@@ -68,20 +68,20 @@
 	case routing.Cancel:
 		s.what = stepCanceled
 	case routing.Probe:
-		s.what = stepAsked
+		s.what = stepProbing
 	default:
 		return
 	}
 	c.note(s)
 }
 
-// noteTold keeps what a target said when a call asked for its load.
-func (e *Entry) noteTold(x *routing.Effect, ended *routing.ProbeEnded) {
+// noteProbe keeps what a target said when a call asked for its load.
+func (e *Entry) noteProbe(x *routing.Effect, ended *routing.ProbeEnded) {
 	c, ok := x.Owner.(*call)
 	if !ok {
 		return
 	}
-	s := step{what: stepTold, endpoint: x.Endpoint, attempt: x.Attempt, told: *ended}
+	s := step{what: stepProbed, endpoint: x.Endpoint, attempt: x.Attempt, probed: *ended}
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	s.at = e.Clock.Now()
@@ -112,9 +112,9 @@
 	}).Info("a target's health has turned")
 }
 
-// tell writes a call's steps to the log.
-func (e *Entry) tell(c *call, ordinary bool) {
-	if ordinary && e.told.Add(1)%sampleEvery != 0 {
+// logTrace writes a call's steps to the log.
+func (e *Entry) logTrace(c *call, ordinary bool) {
+	if ordinary && e.traced.Add(1)%sampleEvery != 0 {
 		return
 	}
 	id := string(c.request.Header.Peek(e.Settings.Entry.CallIDHeader))
@@ -139,11 +139,11 @@
 	switch s.what {
 	case stepSent:
 		f["purpose"] = s.purpose.String()
-		f["load"], f["pace"], f["drag"] = round(s.evidence.Load), round(s.evidence.Pace), round(s.evidence.Drag)
+		f["load"], f["pace"], f["slowdown"] = round(s.evidence.Load), round(s.evidence.Pace), round(s.evidence.Slowdown)
 		f["readingAgeMs"], f["revision"] = millis(s.evidence.ReadingAge), s.evidence.Revision
-	case stepTold:
-		f["known"], f["healthy"], f["unreachable"] = s.told.Reading.Known, s.told.Healthy, s.told.Unreachable
-		f["misdirected"], f["load"], f["pace"] = s.told.Misdirected, s.told.Reading.InFlight, round(s.told.Reading.Pace)
+	case stepProbed:
+		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
+		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
 	case stepEnded:
 		f["result"] = s.result.String()
 	case stepRefused:
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -52,8 +52,8 @@
 		func(s *table.Service) string { return strconv.Itoa(s.ExtraBurst) }},
 	{"target_connections", false, func(s *table.Service, c string) error { return readInt(&s.TargetConnections, c) },
 		func(s *table.Service) string { return strconv.Itoa(s.TargetConnections) }},
-	{"ask_targets", false, func(s *table.Service, c string) error { return readInt(&s.AskTargets, c) },
-		func(s *table.Service) string { return strconv.Itoa(s.AskTargets) }},
+	{"probe_targets", false, func(s *table.Service, c string) error { return readInt(&s.ProbeTargets, c) },
+		func(s *table.Service) string { return strconv.Itoa(s.ProbeTargets) }},
 	{"probe_path", false, func(s *table.Service, c string) error { s.ProbePath = c; return nil },
 		func(s *table.Service) string { return s.ProbePath }},
 }
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -33,7 +33,7 @@
 		RetryBudget: float64(s.RetryBudget), HedgeBudget: float64(s.HedgeBudget),
 		MeasureBudget: float64(s.MeasureBudget), Version: uint64(version),
 		ExtraBurst: int32(s.ExtraBurst), TargetConnections: int32(s.TargetConnections), ProbePath: s.ProbePath,
-		AskTargets: int32(s.AskTargets),
+		ProbeTargets: int32(s.ProbeTargets),
 	}
 }
 
@@ -48,7 +48,7 @@
 		RetryBudget: units.Percent(s.RetryBudget), HedgeBudget: units.Percent(s.HedgeBudget),
 		MeasureBudget: units.Percent(s.MeasureBudget),
 		ExtraBurst:    int(s.ExtraBurst), TargetConnections: int(s.TargetConnections), ProbePath: s.ProbePath,
-		AskTargets: int(s.AskTargets),
+		ProbeTargets: int(s.ProbeTargets),
 	}
 }
 
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -185,7 +185,7 @@
 	for name, work := range map[units.ServiceName]table.Work{"shop": table.Repeatable, "pay": table.Once} {
 		d.Services = append(d.Services, table.Service{
 			Name: name, Work: work, Deadline: 5 * time.Second, HoldLimit: 2 * time.Second, HoldCount: 100,
-			RetryBudget: 10, HedgeBudget: 5, AskTargets: 2, MeasureBudget: 5, ProbePath: "/healthz",
+			RetryBudget: 10, HedgeBudget: 5, ProbeTargets: 2, MeasureBudget: 5, ProbePath: "/healthz",
 		})
 		d.Routes = append(d.Routes, &table.Route{
 			Name: string(name), Host: string(name) + ".test", PathPrefix: "/", Work: work, Deadline: 5 * time.Second,
