--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
@@ -64,20 +65,30 @@
 // when the call was sent: what it took beyond the route's typical time is the target's
 // own slowdown.
 func (t *target) noteTime(now units.Instant, x *route, took time.Duration) {
-	if x.typical == 0 {
-		x.typical = float64(took)
-	}
-	ratio := min(float64(took)/x.typical, greatestSlowdown)
-	x.answers++
 	if x.answers >= sureAnswers {
+		ratio := min(float64(took)/x.typical, greatestSlowdown)
 		t.slowdown = t.currentSlowdown(now) + slowdownGain*(ratio-t.currentSlowdown(now))
 		t.slowdownAt = now
 	}
-	step := max(typicalStep, firstStep/float64(x.answers))
-	if ratio > 1 {
-		x.typical *= 1 + step
+	x.learnTime(float64(took))
+}
+
+// learnTime moves the typical time, which is the median of the first answers and follows
+// that of the later ones in small steps.
+func (x *route) learnTime(took float64) {
+	if x.answers < sureAnswers {
+		x.first[x.answers] = took
+		x.answers++
+		if x.answers == sureAnswers {
+			slices.Sort(x.first[:])
+			x.typical = x.first[sureAnswers/2]
+		}
+		return
+	}
+	if took > x.typical {
+		x.typical *= 1 + typicalStep
 	} else {
-		x.typical *= 1 - step
+		x.typical *= 1 - typicalStep
 	}
 }
 
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -31,7 +31,9 @@
 	typical float64
 	// answers counts the answers that the typical time was learnt from.
 	answers int
-	parts   []routePart
+	// first are the first answers' times, which the typical time starts from.
+	first [sureAnswers]float64
+	parts []routePart
 }
 
 // routePart is a service's part of a route's calls. Credits make each part come up
@@ -71,7 +73,7 @@
 // learnFrom takes over what was learnt of the route before a change, if there was one.
 func (x *route) learnFrom(old *route) {
 	if old != nil {
-		x.typical, x.answers = old.typical, old.answers
+		x.typical, x.answers, x.first = old.typical, old.answers, old.first
 	}
 }
 
