--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -11,13 +11,11 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
-	"github.com/google/uuid"
 
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
-	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/store"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -82,19 +80,6 @@
 	return r, nil
 }
 
-// openPatiently opens the data folder, again and again while the disk is full, so that
-// a restart then doesn't end the process over and over.
-func openPatiently(c *common.Common) (*store.Store, error) {
-	for {
-		s, err := store.Open(c.Settings.Control.DataFolder, units.ReplicaID(c.Settings.ReplicaName()), c.Clock.Wall())
-		if !store.IsFull(err) {
-			return s, err
-		}
-		c.Log.WithError(err).WithField("kind", "disk-full").Error("the disk is full; the start waits")
-		time.Sleep(fullDiskRetry)
-	}
-}
-
 func (r *Replica) coreSettings() control.Settings {
 	s := &r.Settings.Control
 	var peers []units.ReplicaID
@@ -138,23 +123,6 @@
 	go r.runWaker()
 }
 
-func (r *Replica) newLink(address string) *transport.Link {
-	return transport.NewLink(address, r.Security, func() *wire.Hello {
-		return &wire.Hello{Replica: string(r.identity.Replica)}
-	})
-}
-
-// linkTo returns the link to another replica, or nil when nothing is known of it. In
-// a cluster that grows by itself a replica's name is its address.
-func (r *Replica) linkTo(id units.ReplicaID) *transport.Link {
-	link := r.links[id]
-	if link == nil && len(r.Settings.Seeds) > 0 {
-		link = r.newLink(string(id))
-		r.links[id] = link
-	}
-	return link
-}
-
 // Halted gives the reason when the replica had to stop by itself.
 func (r *Replica) Halted() <-chan error { return r.halted }
 
@@ -242,56 +210,6 @@
 	}
 }
 
-// startWriting has the disk worker carry out all writes that wait, in one
-// transaction, unless it is at work already.
-func (r *Replica) startWriting() {
-	if r.writing || len(r.pending) == 0 {
-		return
-	}
-	batch := r.pending
-	r.pending = nil
-	r.writing = true
-	if err := r.disk.Go(func() { r.write(batch) }); err != nil {
-		r.halt(fault.Wrap(err, fault.Internal, "start the replica again", "the disk worker has stopped"))
-	}
-}
-
-// fullDiskRetry is how often a write that found the disk full is tried again.
-const fullDiskRetry = 200 * time.Millisecond
-
-// writePatiently carries out writes, again and again while the disk is full: nothing of
-// them counts until then, and the others go on without this replica's vote.
-func (r *Replica) writePatiently(batch []*replication.Write) error {
-	told := false
-	for {
-		err := r.store.Write(batch)
-		if !store.IsFull(err) || r.stopped.Load() {
-			if told && err == nil {
-				r.Log.WithField("kind", "disk-regained").Info("the disk takes writes again")
-			}
-			return err
-		}
-		if !told {
-			told = true
-			r.Log.WithError(err).WithField("kind", "disk-full").Error("the disk is full; writes wait")
-		}
-		time.Sleep(fullDiskRetry)
-	}
-}
-
-func (r *Replica) write(batch []*replication.Write) {
-	err := r.writePatiently(batch)
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.writing = false
-	if err != nil {
-		r.reduce(control.DiskFailed{Cause: err})
-		return
-	}
-	r.reduce(control.DiskSynced{Sequence: batch[len(batch)-1].Sequence})
-	r.startWriting()
-}
-
 // ServeReplica takes another replica's messages until its connection ends.
 func (r *Replica) ServeReplica(hello *wire.Hello, c *transport.Conn) {
 	for {
@@ -304,33 +222,6 @@
 	}
 }
 
-// Submit has an edit decided. The error is of kind Unknown or Unavailable.
-func (r *Replica) Submit(edit *table.Edit) (table.Result, error) {
-	if edit.ID == "" {
-		edit.ID = units.EditID(uuid.NewString())
-	}
-	answer := make(chan control.EditAnswer, 1)
-	r.lock.Lock()
-	r.requests++
-	id := r.requests
-	r.answers[id] = answer
-	r.reduce(control.EditSubmitted{Request: id, Edit: edit})
-	r.lock.Unlock()
-	defer r.forget(id)
-	select {
-	case a := <-answer:
-		return a.Result, a.Err
-	case <-time.After(r.Settings.Control.EditTimeout.Std() + time.Second):
-		return table.Result{}, errUnknownEdit(edit.ID)
-	case <-r.done:
-		return table.Result{}, errUnknownEdit(edit.ID)
-	}
-}
-
-func errUnknownEdit(id units.EditID) error {
-	return fault.New(fault.Unknown, "send it again with the same id; it takes effect once at most", "it isn't known whether edit %s was accepted", id)
-}
-
 func (r *Replica) forget(id control.RequestID) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -339,24 +230,6 @@
 	delete(r.replies, id)
 }
 
-// Form forms the cluster; see replication.Node.Form for the errors.
-func (r *Replica) Form() error {
-	answer := make(chan error, 1)
-	r.lock.Lock()
-	r.requests++
-	id := r.requests
-	r.forms[id] = answer
-	r.reduce(control.FormRequested{Request: id, Cluster: uuid.NewString()})
-	r.lock.Unlock()
-	defer r.forget(id)
-	select {
-	case err := <-answer:
-		return err
-	case <-r.done:
-		return fault.New(fault.Unavailable, "ask again once it runs", "this replica is stopping")
-	}
-}
-
 // Table returns the present table.
 func (r *Replica) Table() *table.Table {
 	r.lock.Lock()
@@ -364,13 +237,6 @@
 	return r.core.Table()
 }
 
-// History returns the last accepted edits, oldest first.
-func (r *Replica) History() []table.Result {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return r.core.History()
-}
-
 // Changed returns a channel that is closed with the next change of the table.
 func (r *Replica) Changed() <-chan struct{} {
 	r.lock.Lock()
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -1,10 +1,7 @@
 package target
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"strconv"
 	"sync"
 	"time"
@@ -190,131 +187,6 @@
 	return c.writer.Flush()
 }
 
-func (a *Attempt) read(c *conn) (routing.AttemptResult, bool) {
-	if !a.readOwn(c) {
-		return routing.Broken, false
-	}
-	r := a.Response
-	a.readLoad()
-	if r.Header.ContentLength() < -1 && !a.bodiless() {
-		// An answer without a length can't be told from one that was cut short, unless
-		// targets are known to reset what they cut.
-		if !a.pools.settings.Unframed {
-			return routing.Broken, false
-		}
-		a.surplus = true
-	}
-	if r.BodyStream() == nil {
-		a.whole = true
-		return a.classify(), false
-	}
-	return a.readBody()
-}
-
-// maxSurplus is how many answers to earlier calls may come before the call's own.
-const maxSurplus = 3
-
-// readOwn reads the head of the call's own answer, and the body if it is short.
-// Answers that name another call are passed over; the connection isn't used again
-// after one.
-func (a *Attempt) readOwn(c *conn) bool {
-	r := a.Response
-	for range maxSurplus + 1 {
-		r.StreamBody = true
-		r.SkipBody = a.Request.Header.IsHead()
-		if err := r.ReadLimitBody(c.reader, 0); err != nil {
-			return false
-		}
-		if a.isOwn() {
-			return true
-		}
-		a.surplus = true
-		if stream := r.BodyStream(); stream != nil {
-			if _, err := io.Copy(io.Discard, stream); err != nil {
-				return false
-			}
-		}
-		r.Reset()
-	}
-	return false
-}
-
-// isOwn tells whether the answer names the call that was sent.
-func (a *Attempt) isOwn() bool {
-	header := a.pools.settings.CallIDHeader
-	if header == "" {
-		return true
-	}
-	sent := a.Request.Header.Peek(header)
-	return len(sent) == 0 || bytes.Equal(sent, a.Response.Header.Peek(header))
-}
-
-// bodiless tells whether the answer has no body whatever its head says.
-func (a *Attempt) bodiless() bool {
-	code := a.Response.StatusCode()
-	return a.Response.SkipBody || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
-}
-
-// readBody reads up to as much as is buffered; a longer body is streamed.
-func (a *Attempt) readBody() (routing.AttemptResult, bool) {
-	limit := a.pools.settings.BufferBody
-	if a.Response.Header.ContentLength() > limit {
-		return a.classify(), true
-	}
-	var body bytes.Buffer
-	_, err := io.CopyN(&body, a.Response.BodyStream(), int64(limit)+1)
-	switch {
-	case errors.Is(err, io.EOF):
-		a.prefix = body.Bytes()
-		a.whole = true
-		return a.classify(), false
-	case err == nil:
-		a.prefix = body.Bytes()
-		return a.classify(), true
-	}
-	return routing.Broken, false
-}
-
-// Whole tells whether the answer has come to its end.
-func (a *Attempt) Whole() bool { return a.whole }
-
-// Body returns the whole body of an answer that isn't streamed.
-func (a *Attempt) Body() []byte { return a.prefix }
-
-func (a *Attempt) classify() routing.AttemptResult {
-	s := &a.pools.settings
-	code := a.Response.StatusCode()
-	marked := len(a.Response.Header.Peek(s.ShedHeader)) > 0
-	switch {
-	case code == fasthttp.StatusMisdirectedRequest && s.IdentityHeader != "" && a.endpoint.Registered:
-		return routing.Misdirected
-	case marked && (code == s.ShedStatus || s.ShedStatus == 0):
-		return routing.Shed
-	case s.PromiseStatus && promises[code]:
-		return routing.Broken
-	}
-	if code >= fasthttp.StatusInternalServerError {
-		return routing.Failed
-	}
-	return routing.Answered
-}
-
-// promises are the statuses by which an answer may promise that the call hasn't run.
-var promises = map[int]bool{
-	fasthttp.StatusRequestTimeout:     true,
-	fasthttp.StatusMisdirectedRequest: true,
-	fasthttp.StatusTooManyRequests:    true,
-	fasthttp.StatusServiceUnavailable: true,
-}
-
-func (a *Attempt) readLoad() {
-	h := &a.Response.Header
-	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
-	if seconds, err := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds >= 0 {
-		a.RetryAfter = time.Duration(seconds * float64(time.Second))
-	}
-}
-
 // end gives the connection back if nothing is owed on it, and closes it
 // otherwise.
 func (a *Attempt) end() {
@@ -329,54 +201,6 @@
 	a.pools.close(a.endpoint.Address, c)
 }
 
-// Stream returns the body of a streamed answer. ended is called once, when the
-// body has been read to its end or given up.
-func (a *Attempt) Stream(ended func(routing.AttemptResult)) io.ReadCloser {
-	return &stream{
-		attempt: a,
-		reader:  io.MultiReader(bytes.NewReader(a.prefix), a.Response.BodyStream()),
-		ended:   ended,
-	}
-}
-
-// stream passes a target's body on and keeps account of how it ended.
-type stream struct {
-	attempt *Attempt
-	reader  io.Reader
-	ended   func(routing.AttemptResult)
-	result  routing.AttemptResult
-	closed  bool
-}
-
-// Read passes on what has come; a body cut short gives an error, never an end.
-func (s *stream) Read(p []byte) (int, error) {
-	n, err := s.reader.Read(p)
-	switch {
-	case err == io.EOF:
-		s.result = s.attempt.classify()
-		s.attempt.whole = true
-	case err != nil:
-		s.result = routing.Broken
-	}
-	return n, err
-}
-
-// Close ends the attempt.
-func (s *stream) Close() error {
-	if s.closed {
-		return nil
-	}
-	s.closed = true
-	if s.result == 0 {
-		// The caller stopped reading.
-		s.result = routing.Canceled
-	}
-	s.attempt.end()
-	s.ended(s.result)
-	s.attempt.Release()
-	return nil
-}
-
 // Discard gives up an answer that nobody wants any more.
 func (a *Attempt) Discard() {
 	a.end()
