--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -141,7 +141,7 @@
 	kind timerKind
 	// target is set for a coolTimer only.
 	target *target
-	// probeRound is set for an probeTimer only.
+	// probeRound is set for a probeTimer only.
 	probeRound AttemptNumber
 }
 
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -45,18 +45,16 @@
 }
 
 const (
-	// slowdownGain is the weight of the newest answer in a target's slowdown: one slow answer in
-	// five may be the neighbours' doing, two in a row are the target's.
+	// slowdownGain is the weight of the newest answer in a target's slowdown: one slow
+	// answer in five may be the neighbours' doing, two in a row are the target's.
 	slowdownGain = 0.3
 	// slowdownMemory is the age at which a target's slowdown counts for a half.
 	slowdownMemory = 3 * time.Second
 	// heavySlowdown is the slowdown from which on a target is avoided.
 	heavySlowdown = 2.5
-	// typicalStep is how far a route's typical time moves with each answer in the long
-	// run; it moves further with the first ones. Before sureAnswers of them it is no
-	// measure for a target.
+	// typicalStep is how far a route's typical time moves with each answer. Before
+	// sureAnswers of them it is no measure for a target.
 	typicalStep      = 0.05
-	firstStep        = 0.5
 	sureAnswers      = 8
 	greatestSlowdown = 10
 )
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -40,7 +40,7 @@
 // String returns the word that logs show.
 func (p Purpose) String() string { return [...]string{"first", "retry", "hedge"}[p] }
 
-// probeRound is a call's question to a few targets.
+// probeRound is a call's present round of probes.
 type probeRound struct {
 	open    bool
 	number  AttemptNumber
@@ -73,8 +73,8 @@
 	}
 }
 
-// sendProbes asks the best targets for their load; false means that there is nothing to ask or
-// no budget for it.
+// sendProbes asks the best targets for their load; false means that there is nothing to
+// ask or no budget for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
 	asked := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
 	rate := r.probeAllowance(c.service)
