A cluster that lost power elects at once, and boxes get the table once

Four things added up: - every replica waits out a lease that it may have answered to before its restart, though the holder had restarted too and leases live in memory; - questions whether an election could be won came only once an election timeout or two; - two that stood at once both waited until their vote had timed out; - links to replicas that were down a moment ago slept up to 0.5 s, or hung in a first packet sent into the dark, and dropped votes meanwhile. A replica that reads its log again also pushed each step of its history to the boxes, 60 tables for one.

Ruled out: start-up of processes (35 ms), disks (0.5 ms a sync), the boxes' renewals (within 20 ms of the leader).

Change: the first entry of a term names the leader's start; a replica that hears a later start of the leader it followed drops the wait. Questions come every eighth of a timeout, an election that can't be won is given up, a link is made when its other side is heard, tables go out once an event. A first table counts as a sign of life.

Tests that failed before: TestAClusterThatLostPowerElectsAtOnce, TestAReplicaThatReadsItsLogSendsTheTableOnce, TestAWokenLinkConnectsAtOnce, TestABoxStaysWhereItGotItsFirstTable. New safety checks: no two replicas hold the lease at once, in every random schedule; nobody leads before a lost leader's lease has run out.

--- a/pkg/core/control/promises_test.go
+++ b/pkg/core/control/promises_test.go
@@ -57,6 +57,7 @@
 	for _, r := range w.replicas {
 		w.checkLeader(r)
 	}
+	w.checkLease()
 	var latest units.Revision
 	for revision, a := range w.accepted {
 		if revision > latest && w.now.Sub(a.at) > leaseBound {
@@ -95,6 +96,20 @@
 	w.leaders[term] = r.id
 }
 
+// checkLease makes sure that no two replicas may speak for the cluster at once.
+func (w *world) checkLease() {
+	var holder *replicaFake
+	for _, r := range w.replicas {
+		if !r.up || r.halted != nil || !r.core.node.HasLease(w.now) {
+			continue
+		}
+		if holder != nil {
+			w.t.Fatalf("both %s and %s hold the lease", holder.id, r.id)
+		}
+		holder = r
+	}
+}
+
 // checkEnd heals the world and makes sure that nothing accepted is missing and
 // edits go on.
 func (w *world) checkEnd() {
--- /dev/null
+++ b/pkg/core/control/recovery_test.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// powerOff ends all replicas at once; each starts again after its own delay.
+func (w *world) powerOff(delays ...time.Duration) {
+	for _, r := range w.replicas {
+		w.crash(r)
+	}
+	for i, r := range w.replicas {
+		w.after(delays[i%len(delays)], func() { w.startReplica(r) })
+	}
+}
+
+// timeToLeader is how long it takes until a replica may speak for the cluster.
+func (w *world) timeToLeader(limit time.Duration) time.Duration {
+	began := w.now
+	for w.now.Sub(began) < limit {
+		w.run(time.Millisecond)
+		if l := w.leader(); l != nil && l.core.node.HasLease(w.now) {
+			break
+		}
+	}
+	return w.now.Sub(began)
+}
+
+// A lease dies with the process that held it: once its holder has started again, and
+// the others have heard so, there is nothing to wait for.
+func TestAClusterThatLostPowerElectsAtOnce(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d replicas", size), func(t *testing.T) {
+			for seed := range uint64(20) {
+				w := newWorld(t, seed, size, 2)
+				w.submit(w.leader(), newEdit("before", "s", 0, 1))
+				w.run(200 * time.Millisecond)
+				w.powerOff(10*time.Millisecond, 25*time.Millisecond, 40*time.Millisecond)
+				// The last one starts after 40 ms; the rest is for slow syncs and for
+				// candidates that meet.
+				if took := w.timeToLeader(3 * testElection); took > 3*testElection/2 {
+					t.Errorf("seed %d: no leader for %s", seed, took)
+				}
+				w.checkEnd()
+			}
+		})
+	}
+}
+
+// While the leader that held the lease hasn't come back the wait is owed in full.
+func TestNobodyLeadsBeforeALostLeadersLeaseHasRunOut(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 5, 1)
+		old := w.leader()
+		w.run(50 * time.Millisecond)
+		old.frozen = true
+		for _, r := range w.replicas {
+			if r != old {
+				w.crash(r)
+				w.startReplica(r)
+			}
+		}
+		began := w.now
+		for w.now.Sub(began) < testElection*9/10 {
+			w.run(time.Millisecond)
+			for _, r := range w.replicas {
+				if r != old && r.core.node.IsLeader() {
+					t.Fatalf("seed %d: %s leads after %s, beside a lease", seed, r.id, w.now.Sub(began))
+				}
+			}
+		}
+	}
+}
+
+// A box is sent the table once when a replica has read its log again, not each step of
+// its history.
+func TestAReplicaThatReadsItsLogSendsTheTableOnce(t *testing.T) {
+	w := newWorld(t, 1, 3, 1)
+	for i := range 12 {
+		w.submit(w.leader(), newEdit(fmt.Sprintf("e%d", i), "s", versionAt(w.leader(), "s"), i))
+		w.run(50 * time.Millisecond)
+	}
+	newest := w.leader().core.Table().Revision
+	w.powerOff(time.Millisecond)
+	seen := map[units.Revision]bool{}
+	w.startBox(w.boxes[0])
+	for range 1000 {
+		w.run(time.Millisecond)
+		seen[w.boxes[0].core.Table().Revision] = true
+	}
+	for revision := range seen {
+		if revision != 0 && revision < newest {
+			t.Errorf("the box was at revision %d, an earlier one than %d", revision, newest)
+		}
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -140,6 +140,11 @@
 	}
 	r.absorb(&log, e)
 	r.housekeep(e)
+	if e.TableChanged {
+		// Once an event, whatever it committed: a replica that has read its log again
+		// doesn't show boxes each step of its history.
+		r.pushAll(e)
+	}
 }
 
 // absorb carries the log's effects over and applies what was committed.
@@ -167,7 +172,6 @@
 	r.deltas = container.NewRing[*table.Delta](maxDeltas)
 	e.TableChanged = true
 	r.answerKnown(e)
-	r.pushAll(e)
 }
 
 func (r *Replica) apply(entry *wire.Entry, e *Effects) {
@@ -196,7 +200,6 @@
 	}
 	r.deltas.Push(delta.Shrink(before))
 	e.TableChanged = true
-	r.pushAll(e)
 }
 
 // applyRequest applies a whole table, or what registered targets have said.
--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -1,6 +1,8 @@
 package replication
 
 import (
+	"time"
+
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
@@ -8,7 +10,7 @@
 // startPreVote asks whether an election could be won before the term is
 // raised, so that a replica which was cut off disturbs nobody on its return.
 func (n *Node) startPreVote(now units.Instant, e *Effects) {
-	n.resetElection(now)
+	n.electionAt = now.Add(n.settings.ElectionTimeout/preVoteParts + n.drawSpread())
 	n.leaderID = ""
 	if !n.isVoter(n.self()) {
 		n.report(e)
@@ -18,6 +20,33 @@
 	n.askVotes(now, true, false, e)
 }
 
+const (
+	// preVoteParts divides the election timeout into the least time between two questions
+	// whether an election could be won: they change nothing, so they may come often.
+	preVoteParts = 8
+	// spreadParts divides the election timeout into the time over which replicas spread
+	// that could all stand at once; it is several times what an election takes.
+	spreadParts = 2
+)
+
+// drawSpread is a pause that keeps two replicas from standing at the same time.
+func (n *Node) drawSpread() time.Duration {
+	return n.drawBelow(n.settings.ElectionTimeout / spreadParts)
+}
+
+// noteLessor takes note of a start of a replica. One that led loses its lease when it
+// starts again, since a lease lives in memory alone; then there is nothing left to wait
+// for before another is elected.
+func (n *Node) noteLessor(now units.Instant, id units.ReplicaID, incarnation units.Incarnation, boot uint64) {
+	l := n.lessor
+	if l == nil || l.Id != string(id) || l.Incarnation == string(incarnation) && l.Boot >= boot {
+		return
+	}
+	n.lessor = nil
+	n.leaderHeard = now.Add(-n.settings.ElectionTimeout)
+	n.electionAt = min(n.electionAt, now.Add(n.drawSpread()))
+}
+
 // report lets the others know of a replica that doesn't vote and hears no leader: it
 // may have come back under a new incarnation, or at an address that none of them
 // knows.
@@ -31,7 +60,7 @@
 }
 
 func (n *Node) startElection(now units.Instant, transfer bool, e *Effects) {
-	n.resetElection(now)
+	n.electionAt = now.Add(n.settings.ElectionTimeout/2 + n.drawBelow(n.settings.ElectionTimeout))
 	n.role = candidate
 	n.term++
 	n.vote = n.settings.ID
@@ -42,6 +71,7 @@
 
 func (n *Node) askVotes(now units.Instant, pre, transfer bool, e *Effects) {
 	n.votes = map[units.ReplicaID]bool{n.settings.ID: true}
+	n.refusals = map[units.ReplicaID]bool{}
 	r := &wire.VoteRequest{
 		Term:      uint64(n.term),
 		LastIndex: uint64(n.log.last()),
@@ -122,7 +152,9 @@
 	if !r.Granted {
 		if units.Term(r.Term) > n.term {
 			n.becomeFollower(now, units.Term(r.Term), "", e)
+			return
 		}
+		n.noteRefusal(now, p, r)
 		return
 	}
 	if !n.awaits(r) || !n.isVoter(voter{id: p.id, incarnation: p.incarnation}) {
@@ -132,7 +164,20 @@
 	n.countVotes(now, e)
 }
 
-// awaits tells whether a granted vote is one that this replica still needs.
+// noteRefusal gives up an election that can't be won any more, as when several replicas
+// stood at once; the next one needn't wait until it would have timed out.
+func (n *Node) noteRefusal(now units.Instant, p *progress, r *wire.VoteResponse) {
+	if r.Pre || !n.awaits(r) || !n.isVoter(voter{id: p.id, incarnation: p.incarnation}) {
+		return
+	}
+	n.refusals[p.id] = true
+	if len(n.refusals) > len(n.voters())-n.quorum() {
+		n.role = follower
+		n.electionAt = now.Add(n.drawSpread())
+	}
+}
+
+// awaits tells whether an answer belongs to the vote that this replica asks for now.
 func (n *Node) awaits(r *wire.VoteResponse) bool {
 	if r.Pre {
 		return n.role == preCandidate && units.Term(r.Term) == n.term+1
@@ -176,7 +221,9 @@
 	n.electionAt = now.Add(n.settings.ElectionTimeout)
 	n.heartbeatAt = now
 	// An entry of the new term commits all that came before it.
-	n.appendEntry(&wire.Entry{}, e)
+	n.appendEntry(&wire.Entry{Leader: &wire.LeaderStart{
+		Id: string(n.settings.ID), Incarnation: string(n.settings.Incarnation), Boot: n.settings.Boot,
+	}}, e)
 	n.leaderTick(now, e)
 }
 
--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -16,6 +16,9 @@
 		n.becomeFollower(now, term, p.id, e)
 	}
 	n.leaderHeard = now
+	if n.lessor == nil || n.lessor.Id != string(p.id) || n.lessor.Boot != p.boot {
+		n.lessor = &wire.LeaderStart{Id: string(p.id), Incarnation: string(p.incarnation), Boot: p.boot}
+	}
 	n.resetElection(now)
 	return true
 }
@@ -102,7 +105,10 @@
 	if !kept {
 		return
 	}
-	s := &wire.Snapshot{Index: uint64(index), Term: uint64(term), Membership: n.committedMembership(), State: state}
+	s := &wire.Snapshot{
+		Index: uint64(index), Term: uint64(term), Membership: n.committedMembership(), State: state,
+		Leader: n.log.leaderOf(term),
+	}
 	n.log.snapshot = s
 	w := n.newWrite(e)
 	w.Snapshot = s
--- a/pkg/core/replication/log.go
+++ b/pkg/core/replication/log.go
@@ -47,6 +47,20 @@
 	return term
 }
 
+// leaderOf returns the start of the replica that led a term, as the term's first entry
+// names it; nil when that isn't kept.
+func (l *entryLog) leaderOf(term units.Term) *wire.LeaderStart {
+	for _, e := range l.entries {
+		if units.Term(e.Term) == term && e.Leader != nil {
+			return e.Leader
+		}
+	}
+	if l.snapshot != nil && units.Term(l.snapshot.Term) == term {
+		return l.snapshot.Leader
+	}
+	return nil
+}
+
 // term returns the term of an entry; ok is false when the entry isn't kept.
 func (l *entryLog) term(i units.Index) (term units.Term, ok bool) {
 	if i == l.base {
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -47,7 +47,9 @@
 	peers    map[units.ReplicaID]*progress
 	// order holds the peers' ids, in the order in which they became known.
 	order []units.ReplicaID
-	votes map[units.ReplicaID]bool
+	// votes and refusals are the answers to the vote that is under way.
+	votes    map[units.ReplicaID]bool
+	refusals map[units.ReplicaID]bool
 	// ledSince is when this node last became the leader.
 	ledSince units.Instant
 	// termStart is the index of the leader's first entry in its term.
@@ -58,6 +60,9 @@
 	// leaderHeard is when a leader was last heard; for a while after it no vote
 	// is given, which is what makes a leader's lease hold.
 	leaderHeard units.Instant
+	// lessor is the start of the leader whose lease this replica may last have answered
+	// to; nil when that isn't known.
+	lessor *wire.LeaderStart
 
 	written  WriteSequence
 	syncedTo WriteSequence
@@ -90,7 +95,13 @@
 	}
 	n.recomputeMembership()
 	n.addMembers()
-	n.resetElection(now)
+	if n.log.lastTerm() == n.term {
+		// Whoever answers a leader of a later term has written that term down.
+		n.lessor = n.log.leaderOf(n.term)
+	}
+	n.noteLessor(now, s.ID, s.Incarnation, s.Boot)
+	// The others hear at once of this start: it may have ended a lease.
+	n.electionAt = now.Add(n.drawBelow(s.ElectionTimeout / preVoteParts))
 	return n
 }
 
@@ -173,6 +184,7 @@
 		p.unproven = true
 	}
 	p.boot = m.Boot
+	n.noteLessor(now, p.id, p.incarnation, p.boot)
 	if n.wentBack(p, m) {
 		n.refuse(p.id, m, "its disk holds an older copy: it acknowledged more than it holds now", e)
 		return false
@@ -290,8 +302,11 @@
 }
 
 func (n *Node) resetElection(now units.Instant) {
-	spread := time.Duration(n.random.Int64N(int64(n.settings.ElectionTimeout)))
-	n.electionAt = now.Add(n.settings.ElectionTimeout + spread)
+	n.electionAt = now.Add(n.settings.ElectionTimeout + n.drawBelow(n.settings.ElectionTimeout))
+}
+
+func (n *Node) drawBelow(limit time.Duration) time.Duration {
+	return time.Duration(n.random.Int64N(int64(limit)))
 }
 
 // IsLeader tells whether this node leads, as far as it knows.
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -205,7 +205,7 @@
 func (s *Subscription) receive(now units.Instant, m *wire.Envelope, e *Effects) {
 	switch b := m.Body.(type) {
 	case *wire.Envelope_Table:
-		s.replaceTable(wire.ToTable(b.Table), e)
+		s.replaceTable(now, wire.ToTable(b.Table), e)
 	case *wire.Envelope_Delta:
 		s.patchTable(wire.ToDelta(b.Delta), e)
 	case *wire.Envelope_RenewResponse:
@@ -214,11 +214,13 @@
 	s.useGrants(e)
 }
 
-// replaceTable never goes back to an earlier revision than one in force.
-func (s *Subscription) replaceTable(t *table.Table, e *Effects) {
+// replaceTable never goes back to an earlier revision than one in force. A newer table
+// shows that the replica is at work, so its leader's grant has time anew.
+func (s *Subscription) replaceTable(now units.Instant, t *table.Table, e *Effects) {
 	if t.Revision <= s.table.Revision {
 		return
 	}
+	s.attachedAt = now
 	s.table = t
 	e.Table = t
 }
--- a/pkg/core/subscription/subscription_test.go
+++ b/pkg/core/subscription/subscription_test.go
@@ -153,3 +153,19 @@
 		t.Fatal("it has left a replica that granted a lease a moment ago")
 	}
 }
+
+// A replica that has just sent the whole table is at work; its leader's grant follows.
+func TestABoxStaysWhereItGotItsFirstTable(t *testing.T) {
+	b := newBox()
+	first := b.attachment
+	b.pass(50 * time.Millisecond)
+	b.receive(tableAt(3))
+	b.pass(40 * time.Millisecond)
+	if b.attachment != first {
+		t.Fatal("it has left a replica that sent the table a moment ago")
+	}
+	b.pass(80 * time.Millisecond)
+	if b.attachment == first {
+		t.Fatal("it still waits for a grant")
+	}
+}
--- a/pkg/replica/links.go
+++ b/pkg/replica/links.go
@@ -12,6 +12,15 @@
 	})
 }
 
+// wakeLink has the link to a replica that has just connected made at once.
+func (r *Replica) wakeLink(id units.ReplicaID) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if link := r.links[id]; link != nil {
+		link.Wake()
+	}
+}
+
 // linkTo returns the link to another replica, or nil when nothing is known of it. In
 // a cluster that grows by itself a replica's name is its address.
 func (r *Replica) linkTo(id units.ReplicaID) *transport.Link {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -212,6 +212,7 @@
 
 // ServeReplica takes another replica's messages until its connection ends.
 func (r *Replica) ServeReplica(hello *wire.Hello, c *transport.Conn) {
+	r.wakeLink(units.ReplicaID(hello.Replica))
 	for {
 		m, err := c.Receive()
 		// A replica speaks for itself only.
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -65,7 +66,13 @@
 // Dial connects to another process and says who is calling. Errors are of kind
 // Unavailable.
 func Dial(address string, security *Security, hello *wire.Hello) (*Conn, error) {
-	raw, err := net.DialTimeout("tcp", address, silenceLimit)
+	return DialContext(context.Background(), address, security, hello)
+}
+
+// DialContext is Dial for as long as the context lasts.
+func DialContext(ctx context.Context, address string, security *Security, hello *wire.Hello) (*Conn, error) {
+	dialer := net.Dialer{Timeout: silenceLimit}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, unreachable(err, address)
 	}
@@ -158,5 +165,8 @@
 	return m, nil
 }
 
+// closed tells whether the connection has ended, as far as that is known.
+func (c *Conn) closed() bool { return c.session.IsClosed() }
+
 // Close ends the connection.
 func (c *Conn) Close() error { return c.session.Close() }
--- a/pkg/transport/link.go
+++ b/pkg/transport/link.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -26,20 +27,40 @@
 	queue    chan *wire.Envelope
 	done     chan struct{}
 	once     sync.Once
+	// woken brings the news that the other side is there.
+	woken chan struct{}
+	// firstRedial is the wait after the first failure.
+	firstRedial time.Duration
 }
 
 // NewLink returns a link that starts to connect with its first message.
 func NewLink(address string, security *Security, hello func() *wire.Hello) *Link {
+	return newLink(address, security, hello, firstRedial)
+}
+
+func newLink(address string, security *Security, hello func() *wire.Hello, redial time.Duration) *Link {
 	l := &Link{
 		address: address, security: security,
 		hello: hello,
 		queue: make(chan *wire.Envelope, linkQueue),
 		done:  make(chan struct{}),
+		woken: make(chan struct{}, 1),
+
+		firstRedial: redial,
 	}
 	go l.run()
 	return l
 }
 
+// Wake says that the other side has just been heard: what is left of the wait after a
+// failure, or of an attempt to connect that began before it was there, is in vain.
+func (l *Link) Wake() {
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
 // Send queues a message; it never blocks, and tells whether there was room.
 func (l *Link) Send(m *wire.Envelope) bool {
 	select {
@@ -55,7 +76,7 @@
 
 func (l *Link) run() {
 	var conn *Conn
-	redial := firstRedial
+	redial := l.firstRedial
 	defer func() {
 		if conn != nil {
 			conn.Close()
@@ -66,6 +87,9 @@
 		case <-l.done:
 			return
 		case m := <-l.queue:
+			if conn != nil && conn.closed() {
+				conn = nil
+			}
 			if conn == nil {
 				conn = l.connect(&redial)
 			}
@@ -82,21 +106,46 @@
 
 // connect dials once; after a failure it waits a little longer each time.
 func (l *Link) connect(redial *time.Duration) *Conn {
-	conn, err := Dial(l.address, l.security, l.hello())
+	conn, err := l.dial()
 	if err == nil {
-		*redial = firstRedial
+		*redial = l.firstRedial
 		go l.watch(conn)
 		return conn
 	}
 	select {
 	case <-l.done:
+	case <-l.woken:
+		*redial = l.firstRedial
 	case <-time.After(*redial):
+		*redial = min(2**redial, maxRedial)
 	}
-	*redial = min(2**redial, maxRedial)
 	l.drain()
 	return nil
 }
 
+// dial connects, and begins anew once when the other side is heard meanwhile: packets
+// that it lost before it was there are sent again only after a second.
+func (l *Link) dial() (*Conn, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-l.woken:
+			cancel()
+		case <-l.done:
+			cancel()
+		case <-ended:
+		}
+	}()
+	conn, err := DialContext(ctx, l.address, l.security, l.hello())
+	if err == nil || ctx.Err() == nil {
+		return conn, err
+	}
+	return Dial(l.address, l.security, l.hello())
+}
+
 // drain drops what has become old while there was no connection.
 func (l *Link) drain() {
 	for {
--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -70,6 +71,45 @@
 	}
 }
 
+// A process that was away when it was last tried is connected to as soon as it is heard,
+// however long the wait for the next try would be.
+func TestAWokenLinkConnectsAtOnce(t *testing.T) {
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := reserved.Addr().String()
+	reserved.Close()
+	link := newLink(address, nil, func() *wire.Hello { return &wire.Hello{Box: "b"} }, time.Hour)
+	defer link.Close()
+	link.Send(&wire.Envelope{Boot: 1})
+	for len(link.queue) > 0 {
+		runtime.Gosched()
+	}
+
+	got := make(chan uint64, 10)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, err := Listen(address, nil, logrus.NewEntry(log), func(_ *wire.Hello, c *Conn) {
+		if m, err := c.Receive(); err == nil {
+			got <- m.Boot
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for i := uint64(2); ; i++ {
+		link.Wake()
+		link.Send(&wire.Envelope{Boot: i})
+		select {
+		case <-got:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
 func TestJunkOnThePortHarmsNobody(t *testing.T) {
 	served := make(chan string, 10)
 	l := listen(t, func(h *wire.Hello, c *Conn) {
