Send large tables in compressed fragments, each a sign of life

The table has 1,500 routes by then; a box's link of 2 Mbit/s needs over half a second for it. A box without a lease moved on after 0.21 s, in the middle, and the next replica began again: 0.58 GB between zones and no table anywhere.

Ruled out: the election (0.1 s), the replicas' processors (0.12 cores at most).

Change: messages to boxes from 2 KB on are compressed once for all boxes and sent in fragments of 8 KB; each fragment tells the box that its replica is at work. Deltas are encoded once, not once a box.

Test that failed before: TestALargeTableComesThroughASlowLink. The test world keeps the order of a connection now, as it always said, and can slow a link.

--- a/pkg/core/control/recovery_test.go
+++ b/pkg/core/control/recovery_test.go
@@ -5,7 +5,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
 )
 
 // powerOff ends all replicas at once; each starts again after its own delay.
@@ -98,3 +102,34 @@
 		}
 	}
 }
+
+// A table that takes a box's link longer to carry than a box without a lease is patient
+// comes through all the same, and the box doesn't have it sent again and again.
+func TestALargeTableComesThroughASlowLink(t *testing.T) {
+	w := newGrowingWorld(t, 1, 3, 3, 1)
+	w.run(2 * time.Second)
+	large := &table.Document{Version: 1, Source: []byte("large"), Services: []table.Service{
+		{Name: "s", Work: table.Once, Deadline: time.Second},
+	}}
+	for i := range 1500 {
+		// Names that no compression makes small.
+		name := fmt.Sprintf("%016x%016x", w.random.Uint64(), w.random.Uint64())
+		large.Routes = append(large.Routes, &table.Route{
+			Name: fmt.Sprintf("r%d", i), Host: name, PathPrefix: "/" + name + "/", Work: table.Once,
+			Deadline: time.Second, Parts: []table.Part{{Service: "s", Weight: 1}},
+		})
+	}
+	w.order(w.leader(), func(id RequestID) Event { return DocumentSubmitted{Request: id, Document: large} }, func(a Answer) {
+		if a.Err != nil {
+			t.Fatal(a.Err)
+		}
+	})
+	w.run(time.Second)
+	// Half a second for the whole table, where patience is a tenth of that.
+	w.boxRate = float64(proto.Size(wire.FromTable(w.leader().core.Table()))) * 2
+	w.startBox(w.boxes[0])
+	w.run(time.Second)
+	if got := w.boxes[0].core.Table().Document; got != 1 {
+		t.Errorf("after a second the box has version %d: %+v", got, w.boxes[0].core.Status(w.now))
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -63,7 +63,9 @@
 	// order holds the sessions' connections in the order of their coming, so
 	// that the same events always give the same effects.
 	order  []ConnectionID
-	deltas *container.Ring[*table.Delta]
+	deltas *container.Ring[*boxChange]
+	// whole is the present table as it is sent to boxes.
+	whole  wholeTable
 	leases leaseBook
 	// requests are those for whole tables, registered targets and reads.
 	requests requestBook
@@ -87,7 +89,7 @@
 		node:     replication.NewNode(s.Replication, d, now),
 		edits:    newEditQueue(),
 		sessions: map[ConnectionID]*session{},
-		deltas:   container.NewRing[*table.Delta](maxDeltas),
+		deltas:   container.NewRing[*boxChange](maxDeltas),
 		leases:   newLeaseBook(),
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
@@ -169,7 +171,7 @@
 		return
 	}
 	r.state = state
-	r.deltas = container.NewRing[*table.Delta](maxDeltas)
+	r.deltas = container.NewRing[*boxChange](maxDeltas)
 	e.TableChanged = true
 	r.answerKnown(e)
 }
@@ -198,7 +200,7 @@
 	if delta == nil {
 		return
 	}
-	r.deltas.Push(delta.Shrink(before))
+	r.deltas.Push(&boxChange{delta: delta.Shrink(before)})
 	e.TableChanged = true
 }
 
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -81,15 +81,7 @@
 	if s.sent >= present.Revision || !r.node.Formed() {
 		return
 	}
-	deltas := r.deltasSince(s.sent)
-	if deltas == nil {
-		m := r.boxEnvelope()
-		m.Body = &wire.Envelope_Table{Table: wire.FromTable(present)}
-		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: m})
-	}
-	for _, d := range deltas {
-		m := r.boxEnvelope()
-		m.Body = &wire.Envelope_Delta{Delta: wire.FromDelta(d)}
+	for _, m := range r.messagesSince(s.sent, e) {
 		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: m})
 	}
 	s.sent = present.Revision
@@ -99,19 +91,55 @@
 // it goes to every box.
 func (r *Replica) boxEnvelope() *wire.Envelope { return &wire.Envelope{} }
 
-// deltasSince returns the changes that follow a revision, or nil when they
-// aren't all kept or the box has no table to change.
-func (r *Replica) deltasSince(from units.Revision) []*table.Delta {
-	if from == 0 {
-		return nil
-	}
+// boxChange is a change of the table and, once a box needed it, the messages that
+// bring it. Messages are made once for all boxes.
+type boxChange struct {
+	delta    *table.Delta
+	messages []*wire.Envelope
+}
+
+// wholeTable is the table of a revision as messages.
+type wholeTable struct {
+	revision units.Revision
+	messages []*wire.Envelope
+}
+
+// messagesSince returns what brings a box from a revision to the present one: the
+// changes that follow it, or the whole table when they aren't all kept or the box has no
+// table to change.
+func (r *Replica) messagesSince(from units.Revision, e *Effects) []*wire.Envelope {
 	missing := int(r.state.Table().Revision - from)
-	if missing > r.deltas.Len() {
-		return nil
+	if from == 0 || missing > r.deltas.Len() {
+		return r.wholeTable(e)
 	}
-	deltas := make([]*table.Delta, 0, missing)
+	var messages []*wire.Envelope
 	for i := r.deltas.Len() - missing; i < r.deltas.Len(); i++ {
-		deltas = append(deltas, r.deltas.At(i))
+		c := r.deltas.At(i)
+		if c.messages == nil {
+			m := r.boxEnvelope()
+			m.Body = &wire.Envelope_Delta{Delta: wire.FromDelta(c.delta)}
+			c.messages = fragments(m, e)
+		}
+		messages = append(messages, c.messages...)
+	}
+	return messages
+}
+
+func (r *Replica) wholeTable(e *Effects) []*wire.Envelope {
+	present := r.state.Table()
+	if r.whole.messages == nil || r.whole.revision != present.Revision {
+		m := r.boxEnvelope()
+		m.Body = &wire.Envelope_Table{Table: wire.FromTable(present)}
+		r.whole = wholeTable{revision: present.Revision, messages: fragments(m, e)}
+	}
+	return r.whole.messages
+}
+
+// fragments divides a message; one that can't be encoded stops the replica.
+func fragments(m *wire.Envelope, e *Effects) []*wire.Envelope {
+	list, err := wire.Fragments(m)
+	if err != nil {
+		e.Halt = err
 	}
-	return deltas
+	return list
 }
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -28,6 +28,8 @@
 	sequence int
 	replicas []*replicaFake
 	boxes    []*boxFake
+	// boxRate is how many bytes a second a box's link takes; zero for any number.
+	boxRate  float64
 	loss     float64
 	twice    float64
 	settings Settings
@@ -89,6 +91,8 @@
 	side       int
 	attachment subscription.Attachment
 	replica    units.ReplicaID
+	// linkFree is when the last message on its connection has come through.
+	linkFree units.Instant
 	// shown is the last revision that the box had in force, in any of its lives.
 	shown units.Revision
 }
@@ -367,7 +371,11 @@
 	life := int(s.Connection>>32) & 0xffff
 	attachment := subscription.Attachment(uint32(s.Connection))
 	c := w.copyMessage(s.Envelope)
-	w.after(w.latency(), func() {
+	b.linkFree = max(b.linkFree, w.now.Add(w.latency()))
+	if w.boxRate > 0 {
+		b.linkFree = b.linkFree.Add(time.Duration(float64(proto.Size(c)) / w.boxRate * float64(time.Second)))
+	}
+	w.after(b.linkFree.Sub(w.now), func() {
 		// A connection keeps its order and loses nothing, but it may be cut.
 		if r.side != b.side || b.life != life {
 			return
@@ -379,6 +387,7 @@
 func (w *world) startBox(b *boxFake) {
 	b.life++
 	b.up = true
+	b.linkFree = 0
 	var ids []units.ReplicaID
 	for i, r := range w.replicas {
 		if w.growth == nil || i < w.seeds {
@@ -407,6 +416,7 @@
 	var effects subscription.Effects
 	b.core.Reduce(w.now, e, &effects)
 	if effects.Attach {
+		b.linkFree = 0
 		b.attachment, b.replica = effects.Attachment, effects.Replica
 	}
 	for _, m := range effects.Sends {
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -93,6 +93,8 @@
 	table      *table.Table
 	attachment Attachment
 	replicas   replicaList
+	// assembly holds the fragments of a message that is coming in.
+	assembly   wire.Assembly
 	attached   bool
 	attachedAt units.Instant
 	grantedAt  units.Instant
@@ -179,6 +181,7 @@
 		return
 	}
 	s.attachment++
+	s.assembly = wire.Assembly{}
 	s.attached = true
 	s.attachedAt = now
 	e.Attach = true
@@ -210,10 +213,27 @@
 		s.patchTable(wire.ToDelta(b.Delta), e)
 	case *wire.Envelope_RenewResponse:
 		s.takeGrant(now, b.RenewResponse)
+	case *wire.Envelope_Fragment:
+		s.takeFragment(now, b.Fragment, e)
 	}
 	s.useGrants(e)
 }
 
+// takeFragment takes a part of a large message. Each one shows that the replica is at
+// work, however long the link takes for all of them.
+func (s *Subscription) takeFragment(now units.Instant, f *wire.Fragment, e *Effects) {
+	s.attachedAt = now
+	whole, err := s.assembly.Add(f)
+	if err != nil {
+		// Attaching anew brings the whole table.
+		s.attached = false
+		return
+	}
+	if whole != nil && whole.GetFragment() == nil {
+		s.receive(now, whole, e)
+	}
+}
+
 // replaceTable never goes back to an earlier revision than one in force. A newer table
 // shows that the replica is at work, so its leader's grant has time anew.
 func (s *Subscription) replaceTable(now units.Instant, t *table.Table, e *Effects) {
--- /dev/null
+++ b/pkg/wire/fragment_test.go
@@ -0,0 +1,88 @@
+package wire
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/madderpond/madderpond/pkg/fault"
+)
+
+func messageOf(bytes int) *Envelope {
+	random := rand.New(rand.NewPCG(1, 2))
+	data := make([]byte, bytes)
+	for i := range data {
+		data[i] = byte(random.Uint32())
+	}
+	return &Envelope{From: "a", Body: &Envelope_SnapshotRequest{SnapshotRequest: &SnapshotRequest{
+		Term: 3, Snapshot: &Snapshot{Index: 9, State: data},
+	}}}
+}
+
+func TestFragmentsMakeTheMessageAgain(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		bytes     int
+		fragments int
+	}{
+		{"a small message goes as it is", 100, 1},
+		{"one fragment", fragmentFrom, 1},
+		{"several fragments", 3 * fragmentBytes, 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			m := messageOf(s.bytes)
+			fragments, err := Fragments(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(fragments) != s.fragments {
+				t.Errorf("%d fragments in place of %d", len(fragments), s.fragments)
+			}
+			if fragments[0] == m {
+				return
+			}
+			var a Assembly
+			var whole *Envelope
+			for i, f := range fragments {
+				if whole != nil {
+					t.Fatalf("the message came with fragment %d", i-1)
+				}
+				if whole, err = a.Add(f.GetFragment()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if d := cmp.Diff(m, whole, protocmp.Transform()); d != "" {
+				t.Errorf("another message came out:\n%s", d)
+			}
+		})
+	}
+}
+
+func TestSpoiledFragmentsAreRefused(t *testing.T) {
+	var a Assembly
+	m, err := a.Add(&Fragment{Data: bytes.Repeat([]byte{0xff}, 100), Last: true})
+	if m != nil || fault.KindOf(err) != fault.Protocol {
+		t.Fatalf("message %v, error %v", m, err)
+	}
+	fragments, err := Fragments(messageOf(2 * fragmentBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The first fragment is missing; the next whole message isn't harmed by that.
+	if _, err := a.Add(fragments[len(fragments)-1].GetFragment()); fault.KindOf(err) != fault.Protocol {
+		t.Fatalf("half a message was taken: %v", err)
+	}
+	var whole *Envelope
+	for _, f := range fragments {
+		if whole, err = a.Add(f.GetFragment()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if whole == nil {
+		t.Fatal("the whole message didn't come")
+	}
+}
