Urgent calls wait in front; nothing goes blind to a target known to be full

Ruled out: wrong choices (sends to targets at their usual pace are late in 1%).

Change: waiting calls stand in the order of their priority, then of their coming; a target whose fresh word is that it is full gets nothing; calls wait up to 0.45 of their aim.

Test that failed before: script `priority` (c was sent to a target that had just told of three calls and five times its usual pace). The script `probing-first` shows two more rounds of questions before its refusal, which is the change meant.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -61,7 +61,7 @@
 	c.probeRound.purpose = why
 	r.dropServed(c.service)
 	if len(c.service.waiting) >= maxProbing || !r.sendProbes(id, c, e) {
-		if !c.service.isBusy(r.now) {
+		if !c.service.isBusy(r.now) && !best.isFresh(r.now) {
 			r.send(id, c, best, why, e)
 			return
 		}
@@ -195,10 +195,10 @@
 	// probePause is the time between two questions of a call that found no target.
 	probePause = 15 * time.Millisecond
 	// choosyPart and lastPart are parts of a call's aim. Up to the first it waits for a
-	// target that isn't nearly full; at the second it is sent or refused, while its
-	// caller can still be served in time elsewhere.
+	// target that isn't nearly full; at the second it is sent or refused. A call that
+	// is sent at the second usually still ends within its aim.
 	choosyPart = 0.1
-	lastPart   = 0.22
+	lastPart   = 0.45
 	// aimOfDeadline stands in for the aim of a route that has none.
 	aimOfDeadline = 0.25
 	// busyRetry is when the caller of a call that found all targets busy may come back.
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -35,9 +35,9 @@
 	wants   wantState
 	// asks is what is left of the budget for asking targets for their load.
 	probeBudget rateLimit
-	// waiting are the calls that wait for a target that suits, oldest first; those
-	// that have found one stay until they are passed over.
-	waiting []CallID
+	// waiting are the calls that wait for a target that suits, the most urgent first and
+	// the oldest of those; calls that have found one stay until they are passed over.
+	waiting []waitingCall
 	// busyPart is the part of the last calls that found no target that suits at once;
 	// busyAt is when that was last noted.
 	busyPart float64
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -8,7 +8,13 @@
 )
 
 // Calls that found no suitable target wait for one: they ask again after a pause, the
-// oldest first, and take the place that an answer shows free.
+// most urgent first and the oldest of those, and take the place that an answer shows free.
+
+// waitingCall is a call that waits, with its route's priority; 0 is the most urgent.
+type waitingCall struct {
+	id       CallID
+	priority int
+}
 
 const (
 	// maxProbing is how many of a service's waiting calls ask at a time.
@@ -37,15 +43,24 @@
 	s.busyAt = now
 }
 
+// addWaiting puts a call behind those that are as urgent or more.
+func (s *service) addWaiting(w waitingCall) {
+	i := len(s.waiting)
+	for i > 0 && s.waiting[i-1].priority > w.priority {
+		i--
+	}
+	s.waiting = slices.Insert(s.waiting, i, w)
+}
+
 // waitForTarget has a call ask, or ask again, a moment later; a target that comes free
-// before goes to the oldest of those that wait.
+// before goes to the first of those that wait.
 func (r *Router) waitForTarget(id CallID, c *call) {
 	c.probeRound.pending = 0
 	c.probeRound.number++
 	if !c.probeRound.waiting {
 		c.service.noteFound(r.now, false)
 		c.probeRound.waiting = true
-		c.service.waiting = append(c.service.waiting, id)
+		c.service.addWaiting(waitingCall{id: id, priority: c.route.priority})
 	}
 	r.timers.Push(timer{at: r.now.Add(probePause), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 }
@@ -53,7 +68,7 @@
 // dropServed drops the calls at the front of the waiting ones that wait no more.
 func (r *Router) dropServed(s *service) {
 	for len(s.waiting) > 0 {
-		if c := r.calls.Get(s.waiting[0]); c != nil && c.probeRound.open && c.service == s {
+		if c := r.calls.Get(s.waiting[0].id); c != nil && c.probeRound.open && c.service == s {
 			return
 		}
 		s.waiting = s.waiting[1:]
@@ -61,12 +76,13 @@
 }
 
 // mayProbe tells whether it is a waiting call's turn to ask: the answers serve all, so
-// only the oldest do.
+// only the first ones do.
 func (s *service) mayProbe(id CallID) bool {
-	return slices.Contains(s.waiting[:min(len(s.waiting), maxProbing)], id)
+	first := s.waiting[:min(len(s.waiting), maxProbing)]
+	return slices.ContainsFunc(first, func(w waitingCall) bool { return w.id == id })
 }
 
-// serveWaiting sends calls that wait for a suitable target, oldest first, while there is
+// serveWaiting sends calls that wait for a suitable target, in their order, while there is
 // one. It is done when an answer has shown that a target has room.
 func (r *Router) serveWaiting(s *service, e *Effects) {
 	for {
@@ -74,7 +90,7 @@
 		if len(s.waiting) == 0 {
 			return
 		}
-		id := s.waiting[0]
+		id := s.waiting[0].id
 		c := r.calls.Get(id)
 		t := r.choose(s, c)
 		if t == nil || !t.isFresh(r.now) || !r.isSuitable(c, t) {
