--- a/pkg/core/control/edits.go
+++ b/pkg/core/control/edits.go
@@ -1,10 +1,9 @@
 package control
 
 import (
-	"slices"
-
 	"google.golang.org/protobuf/proto"
 
+	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -23,44 +22,37 @@
 // editQueue holds the edits that wait at this replica, and those that it has
 // proposed as a leader.
 type editQueue struct {
-	waiting map[units.EditID]*waitingEdit
-	order   []units.EditID
+	waiting *container.Ordered[units.EditID, *waitingEdit]
 	// proposed keeps a leader from adding a resent edit to the log twice.
 	proposed map[units.EditID]bool
 }
 
 func newEditQueue() editQueue {
-	return editQueue{waiting: map[units.EditID]*waitingEdit{}, proposed: map[units.EditID]bool{}}
+	return editQueue{waiting: container.NewOrdered[units.EditID, *waitingEdit](), proposed: map[units.EditID]bool{}}
 }
 
 func (q *editQueue) forgetProposals() {
 	q.proposed = map[units.EditID]bool{}
 }
 
-func (q *editQueue) remove(id units.EditID) {
-	delete(q.waiting, id)
-	q.order = slices.DeleteFunc(q.order, func(o units.EditID) bool { return o == id })
-}
-
 // submit takes an operator's edit. A result that this replica has applied is
 // committed, so a resent edit is answered from it.
 func (r *Replica) submit(v EditSubmitted, log *replication.Effects, e *Effects) {
 	if known := r.state.Lookup(v.Edit.ID); known != nil {
-		e.EditAnswers = append(e.EditAnswers, EditAnswer{Request: v.Request, Result: *known})
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Result: known})
 		return
 	}
 	if !r.node.Formed() {
-		e.EditAnswers = append(e.EditAnswers, EditAnswer{Request: v.Request, Err: errNotFormed()})
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: errNotFormed()})
 		return
 	}
-	w := r.edits.waiting[v.Edit.ID]
+	w := r.edits.waiting.Get(v.Edit.ID)
 	if w != nil {
 		w.requests = append(w.requests, v.Request)
 		return
 	}
 	w = &waitingEdit{edit: v.Edit, requests: []RequestID{v.Request}, deadline: r.now.Add(r.settings.EditTimeout)}
-	r.edits.waiting[v.Edit.ID] = w
-	r.edits.order = append(r.edits.order, v.Edit.ID)
+	r.edits.waiting.Put(v.Edit.ID, w)
 	r.pass(w, log)
 }
 
@@ -75,14 +67,7 @@
 		r.propose(w.edit, log)
 		return
 	}
-	to := r.node.Leader()
-	if to == "" {
-		return
-	}
-	m := r.envelope()
-	m.To = string(to)
-	m.Body = &wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Edit: wire.FromEdit(w.edit)}}
-	log.Sends = append(log.Sends, m)
+	r.sendLeader(&wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Edit: wire.FromEdit(w.edit)}}, log)
 }
 
 func (r *Replica) propose(edit *table.Edit, log *replication.Effects) {
@@ -107,26 +92,26 @@
 	edit := wire.ToEdit(w)
 	result, delta := r.state.ApplyEdit(edit, at)
 	delete(r.edits.proposed, edit.ID)
-	r.answer(edit.ID, result, e)
+	r.answer(edit.ID, &result, e)
 	return delta
 }
 
-func (r *Replica) answer(id units.EditID, result table.Result, e *Effects) {
-	w := r.edits.waiting[id]
+func (r *Replica) answer(id units.EditID, result *table.Result, e *Effects) {
+	w := r.edits.waiting.Get(id)
 	if w == nil {
 		return
 	}
 	for _, q := range w.requests {
-		e.EditAnswers = append(e.EditAnswers, EditAnswer{Request: q, Result: result})
+		e.Answers = append(e.Answers, Answer{Request: q, Result: result})
 	}
-	r.edits.remove(id)
+	r.edits.waiting.Delete(id)
 }
 
 // answerKnown answers the waiting edits that a snapshot has decided.
 func (r *Replica) answerKnown(e *Effects) {
-	for _, id := range slices.Clone(r.edits.order) {
+	for _, id := range r.edits.waiting.Keys() {
 		if known := r.state.Lookup(id); known != nil {
-			r.answer(id, *known, e)
+			r.answer(id, known, e)
 		}
 	}
 }
@@ -134,8 +119,8 @@
 // retryEdits passes waiting edits on again, and gives up on those whose time
 // has run out.
 func (r *Replica) retryEdits(log *replication.Effects, e *Effects) {
-	for _, id := range slices.Clone(r.edits.order) {
-		w := r.edits.waiting[id]
+	for _, id := range r.edits.waiting.Keys() {
+		w := r.edits.waiting.Get(id)
 		if r.now >= w.deadline {
 			r.giveUp(id, w, e)
 			continue
@@ -150,9 +135,9 @@
 	err := fault.New(fault.Unknown, "send it again with the same id; it takes effect once at most",
 		"no quorum of control replicas answered in time, so it isn't known whether edit %s was accepted", id)
 	for _, q := range w.requests {
-		e.EditAnswers = append(e.EditAnswers, EditAnswer{Request: q, Err: err})
+		e.Answers = append(e.Answers, Answer{Request: q, Err: err})
 	}
-	r.edits.remove(id)
+	r.edits.waiting.Delete(id)
 }
 
 func (r *Replica) envelope() *wire.Envelope {
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -92,26 +92,14 @@
 func (BoxDetached) controlEvent()       {}
 func (StopRequested) controlEvent()     {}
 
-// EditAnswer is the answer to an EditSubmitted: a result, or an error of kind
-// Unknown when the edit's fate couldn't be learned in time.
-type EditAnswer struct {
-	Request RequestID
-	Result  table.Result
-	Err     error
-}
-
-// FormAnswer is the answer to a FormRequested.
-type FormAnswer struct {
-	Request RequestID
-	Err     error
-}
-
-// Answer is the answer to a DocumentSubmitted, TargetReported, TargetDeparted or
-// ReadRequested. Without an error, what was asked for is on enough disks, or held
-// already; an error is of kind Invalid, Unavailable or Unknown.
+// Answer is the answer to a request of this process's shell. Without an error, what was
+// asked for is on enough disks, or held already; an error is of kind Invalid, Unavailable
+// or, where it couldn't be learned in time, Unknown.
 type Answer struct {
 	Request RequestID
 	Err     error
+	// Result is what became of an edit.
+	Result *table.Result
 	// Document is the document in force, for a ReadRequested.
 	Document *table.Document
 }
@@ -125,12 +113,10 @@
 // Effects are what the shell is to do, in this order: writes, then sends and
 // answers. Halt is set when the replica must stop.
 type Effects struct {
-	Writes      []*replication.Write
-	PeerSends   []*wire.Envelope
-	BoxSends    []BoxSend
-	EditAnswers []EditAnswer
-	FormAnswers []FormAnswer
-	Answers     []Answer
+	Writes    []*replication.Write
+	PeerSends []*wire.Envelope
+	BoxSends  []BoxSend
+	Answers   []Answer
 	// TableChanged is set when Table returns a new table.
 	TableChanged bool
 	Halt         error
@@ -162,6 +148,7 @@
 	// Sequence is the target's own count of its reports.
 	Sequence uint64
 	Leader   units.ReplicaID
+	Voters   []units.ReplicaID
 	Term     units.Term
 }
 
--- a/pkg/core/control/promises_test.go
+++ b/pkg/core/control/promises_test.go
@@ -10,18 +10,17 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-func (w *world) takeAnswer(a EditAnswer) {
-	id := w.asked[a.Request]
+func (w *world) takeAnswer(id units.EditID, a Answer) {
 	if a.Err != nil {
 		return
 	}
 	if known, ok := w.answers[id]; ok {
-		if d := cmp.Diff(known, a.Result); d != "" {
+		if d := cmp.Diff(known, *a.Result); d != "" {
 			w.t.Fatalf("edit %s got two different answers:\n%s", id, d)
 		}
 		return
 	}
-	w.answers[id] = a.Result
+	w.answers[id] = *a.Result
 	if a.Result.Outcome != table.Accepted {
 		return
 	}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -59,19 +58,17 @@
 	node     *replication.Node
 	state    *table.State
 	edits    editQueue
-	sessions map[ConnectionID]*session
-	// order holds the sessions' connections in the order of their coming, so
-	// that the same events always give the same effects.
-	order  []ConnectionID
-	deltas *container.Ring[*boxChange]
+	sessions *container.Ordered[ConnectionID, *session]
+	deltas   *container.Ring[*boxChange]
 	// whole is the present table as it is sent to boxes.
 	whole  wholeTable
 	leases leaseBook
 	// requests are those for whole tables, registered targets and reads.
 	requests requestBook
 	hearing  hearingBook
-	// knownLeader is the leader that was last told of in the log.
-	knownLeader units.ReplicaID
+	// knownLeader and knownMembership are what was last told of in the log.
+	knownLeader     units.ReplicaID
+	knownMembership units.Index
 	// leading is set while this replica leads; ledSince is when that began.
 	leading  bool
 	ledSince units.Instant
@@ -88,7 +85,7 @@
 		state:    table.NewState(),
 		node:     replication.NewNode(s.Replication, d, now),
 		edits:    newEditQueue(),
-		sessions: map[ConnectionID]*session{},
+		sessions: container.NewOrdered[ConnectionID, *session](),
 		deltas:   container.NewRing[*boxChange](maxDeltas),
 		leases:   newLeaseBook(),
 		requests: newRequestBook(),
@@ -136,7 +133,7 @@
 	case BoxMessage:
 		r.receiveBox(v, &log, e)
 	case BoxDetached:
-		r.detach(v.Connection)
+		r.sessions.Delete(v.Connection)
 	case StopRequested:
 		r.node.HandOver(r.now, &log)
 	}
@@ -284,6 +281,10 @@
 		r.knownLeader = leader
 		e.Changes = append(e.Changes, Change{Kind: LeaderChanged, Leader: leader, Term: r.node.Term(), Revision: r.state.Table().Revision})
 	}
+	if index := r.node.MembershipIndex(); index != r.knownMembership {
+		r.knownMembership = index
+		e.Changes = append(e.Changes, Change{Kind: VotersChanged, Voters: r.node.Voters(), Term: r.node.Term(), Revision: r.state.Table().Revision})
+	}
 	leads := r.node.IsLeader()
 	if leads == r.leading {
 		return
@@ -312,7 +313,7 @@
 	if err == nil {
 		err = r.node.Form(r.now, v.Cluster, empty, log)
 	}
-	e.FormAnswers = append(e.FormAnswers, FormAnswer{Request: v.Request, Err: err})
+	e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
 }
 
 func (r *Replica) receivePeer(m *wire.Envelope, log *replication.Effects, e *Effects) {
@@ -376,16 +377,8 @@
 		Revision:     r.state.Table().Revision,
 		HasLease:     r.node.HasLease(now),
 		Boxes:        r.boxStatuses(now),
-		Attached:     len(r.sessions),
-		WaitingEdits: len(r.edits.waiting),
+		Attached:     r.sessions.Len(),
+		WaitingEdits: r.edits.waiting.Len(),
 		KnownResults: r.state.ResultCount(),
 	}
 }
-
-func (r *Replica) detach(c ConnectionID) {
-	if r.sessions[c] == nil {
-		return
-	}
-	delete(r.sessions, c)
-	r.order = slices.DeleteFunc(r.order, func(o ConnectionID) bool { return o == c })
-}
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -38,14 +38,15 @@
 // requestBook holds the requests that wait at this replica.
 type requestBook struct {
 	number   commandNumber
-	commands map[commandNumber]*waitingCommand
-	order    []commandNumber
-	reads    map[commandNumber]*waitingRead
-	readings []commandNumber
+	commands *container.Ordered[commandNumber, *waitingCommand]
+	reads    *container.Ordered[commandNumber, *waitingRead]
 }
 
 func newRequestBook() requestBook {
-	return requestBook{commands: map[commandNumber]*waitingCommand{}, reads: map[commandNumber]*waitingRead{}}
+	return requestBook{
+		commands: container.NewOrdered[commandNumber, *waitingCommand](),
+		reads:    container.NewOrdered[commandNumber, *waitingRead](),
+	}
 }
 
 // submitDocument takes a whole table. An invalid one is refused whatever its
@@ -105,8 +106,7 @@
 		return
 	}
 	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout)}
-	r.requests.commands[r.requests.number] = w
-	r.requests.order = append(r.requests.order, r.requests.number)
+	r.requests.commands.Put(r.requests.number, w)
 	r.passCommand(w, log)
 }
 
@@ -123,7 +123,7 @@
 		r.node.Propose(r.now, [][]byte{w.encoded}, log)
 		return
 	}
-	r.sendLeader(&wire.Envelope{Body: &wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded}}}, log)
+	r.sendLeader(&wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded}}, log)
 }
 
 // receiveProposal takes what another replica passes on to its leader.
@@ -135,61 +135,51 @@
 	r.propose(wire.ToEdit(p.Edit), log)
 }
 
-// sendLeader sends a message to the leader, if one is known.
-func (r *Replica) sendLeader(m *wire.Envelope, log *replication.Effects) {
+// sendLeader sends a message to the leader, if another replica is known to lead.
+func (r *Replica) sendLeader(body wire.Body, log *replication.Effects) {
 	to := r.node.Leader()
 	if to == "" || to == r.settings.Replication.ID {
 		return
 	}
-	named := r.envelope()
-	named.To = string(to)
-	named.Body = m.Body
-	log.Sends = append(log.Sends, named)
+	m := r.envelope()
+	m.To = string(to)
+	m.Body = body
+	log.Sends = append(log.Sends, m)
 }
 
 // answerCommand answers the request that an applied command came from, if it came
 // to this replica in this life.
 func (r *Replica) answerCommand(c *wire.Command, e *Effects) {
 	n := commandNumber(c.Number)
-	w := r.requests.commands[n]
+	w := r.requests.commands.Get(n)
 	if w == nil || c.Origin != r.origin() {
 		return
 	}
 	e.Answers = append(e.Answers, Answer{Request: w.request})
-	r.requests.forgetCommand(n)
-}
-
-func (b *requestBook) forgetCommand(n commandNumber) {
-	delete(b.commands, n)
-	b.order = slices.DeleteFunc(b.order, func(o commandNumber) bool { return o == n })
-}
-
-func (b *requestBook) forgetRead(n commandNumber) {
-	delete(b.reads, n)
-	b.readings = slices.DeleteFunc(b.readings, func(o commandNumber) bool { return o == n })
+	r.requests.commands.Delete(n)
 }
 
 // retryRequests passes waiting commands and reads on again, and gives up on those
 // whose time has run out.
 func (r *Replica) retryRequests(log *replication.Effects, e *Effects) {
-	for _, n := range slices.Clone(r.requests.order) {
-		w := r.requests.commands[n]
+	for _, n := range r.requests.commands.Keys() {
+		w := r.requests.commands.Get(n)
 		if r.now >= w.deadline {
 			err := fault.New(fault.Unknown, "send it again; it takes effect once at most", "no quorum of control replicas answered in time, so it isn't known whether the %s was taken", w.what)
 			e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
-			r.requests.forgetCommand(n)
+			r.requests.commands.Delete(n)
 			continue
 		}
 		if r.now >= w.retryAt {
 			r.passCommand(w, log)
 		}
 	}
-	for _, n := range slices.Clone(r.requests.readings) {
-		w := r.requests.reads[n]
+	for _, n := range r.requests.reads.Keys() {
+		w := r.requests.reads.Get(n)
 		if r.now >= w.deadline {
 			err := fault.New(fault.Unavailable, "ask again, or ask another replica", "this replica can't be sure of the newest table")
 			e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
-			r.requests.forgetRead(n)
+			r.requests.reads.Delete(n)
 			continue
 		}
 		if w.index == 0 && r.now >= w.retryAt {
@@ -208,8 +198,7 @@
 	r.requests.number++
 	n := r.requests.number
 	w := &waitingRead{request: v.Request, deadline: r.now.Add(r.settings.ReadTimeout)}
-	r.requests.reads[n] = w
-	r.requests.readings = append(r.requests.readings, n)
+	r.requests.reads.Put(n, w)
 	r.askIndex(n, w, log)
 }
 
@@ -219,7 +208,7 @@
 		w.index = r.node.Commit()
 		return
 	}
-	r.sendLeader(&wire.Envelope{Body: &wire.Envelope_ReadRequest{ReadRequest: &wire.ReadRequest{Nonce: uint64(n)}}}, log)
+	r.sendLeader(&wire.Envelope_ReadRequest{ReadRequest: &wire.ReadRequest{Nonce: uint64(n)}}, log)
 }
 
 // nameIndex answers another replica's question for the newest index.
@@ -236,22 +225,22 @@
 }
 
 func (r *Replica) takeIndex(m *wire.ReadResponse) {
-	if w := r.requests.reads[commandNumber(m.Nonce)]; w != nil && w.index == 0 {
+	if w := r.requests.reads.Get(commandNumber(m.Nonce)); w != nil && w.index == 0 {
 		w.index = units.Index(m.Index)
 	}
 }
 
 // answerReads answers the reads whose index has been applied.
 func (r *Replica) answerReads(e *Effects) {
-	if len(r.requests.readings) == 0 {
+	if r.requests.reads.Len() == 0 {
 		return
 	}
-	for _, n := range slices.Clone(r.requests.readings) {
-		w := r.requests.reads[n]
+	for _, n := range r.requests.reads.Keys() {
+		w := r.requests.reads.Get(n)
 		if w.index == 0 || r.node.Commit() < w.index {
 			continue
 		}
 		e.Answers = append(e.Answers, Answer{Request: w.request, Document: r.state.Document()})
-		r.requests.forgetRead(n)
+		r.requests.reads.Delete(n)
 	}
 }
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -34,32 +34,24 @@
 }
 
 func (r *Replica) attach(c ConnectionID, request *wire.RenewRequest) *session {
-	s := r.sessions[c]
+	s := r.sessions.Get(c)
 	if s == nil {
 		s = &session{connection: c, sent: units.Revision(request.Revision)}
-		r.sessions[c] = s
-		r.order = append(r.order, c)
+		r.sessions.Put(c, s)
 	}
 	s.box = units.BoxID(request.Box.Id)
 	return s
 }
 
 func (r *Replica) passRenewal(request *wire.RenewRequest, log *replication.Effects) {
-	to := r.node.Leader()
-	if to == "" {
-		return
-	}
 	request.Replica = string(r.settings.Replication.ID)
-	m := r.envelope()
-	m.To = string(to)
-	m.Body = &wire.Envelope_RenewRequest{RenewRequest: request}
-	log.Sends = append(log.Sends, m)
+	r.sendLeader(&wire.Envelope_RenewRequest{RenewRequest: request}, log)
 }
 
 // passGrant hands a leader's grant to the box it is for, if it is still here.
 func (r *Replica) passGrant(m *wire.Envelope, e *Effects) {
-	for _, c := range r.order {
-		if string(r.sessions[c].box) == m.GetRenewResponse().Box {
+	for _, c := range r.sessions.Keys() {
+		if string(r.sessions.Get(c).box) == m.GetRenewResponse().Box {
 			answer := r.boxEnvelope()
 			answer.Body = m.Body
 			e.BoxSends = append(e.BoxSends, BoxSend{Connection: c, Envelope: answer})
@@ -68,8 +60,8 @@
 }
 
 func (r *Replica) pushAll(e *Effects) {
-	for _, c := range r.order {
-		r.push(r.sessions[c], e)
+	for _, c := range r.sessions.Keys() {
+		r.push(r.sessions.Get(c), e)
 	}
 }
 
--- a/pkg/core/control/silence.go
+++ b/pkg/core/control/silence.go
@@ -66,7 +66,7 @@
 		m.Targets = append(m.Targets, string(id))
 	}
 	clear(r.hearing.heard)
-	r.sendLeader(&wire.Envelope{Body: &wire.Envelope_HeardRequest{HeardRequest: m}}, log)
+	r.sendLeader(&wire.Envelope_HeardRequest{HeardRequest: m}, log)
 }
 
 func (r *Replica) takeHeard(m *wire.HeardRequest) {
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -41,8 +41,6 @@
 	contents map[units.Revision]*table.Table
 	leaders  map[units.Term]units.ReplicaID
 	requests RequestID
-	asked    map[RequestID]units.EditID
-	formErr  error
 
 	// growth is set for a cluster that forms from seeds and grows by itself.
 	growth *replication.Growth
@@ -123,7 +121,6 @@
 		accepted: map[units.Revision]acceptedEdit{},
 		contents: map[units.Revision]*table.Table{},
 		leaders:  map[units.Term]units.ReplicaID{},
-		asked:    map[RequestID]units.EditID{},
 		settings: Settings{
 			Lease: testLease, LeaseMargin: 100 * time.Millisecond, EditTimeout: time.Second,
 			SnapshotEvery: 20, KeepEntries: 5, ReadTimeout: 300 * time.Millisecond, SilentAfter: time.Second,
@@ -144,11 +141,11 @@
 // form forms the cluster with all replicas present.
 func (w *world) form() {
 	w.run(500 * time.Millisecond)
-	w.requests++
-	w.give(w.replicas[0], FormRequested{Request: w.requests, Cluster: "test"})
-	if w.formErr != nil {
-		w.t.Fatalf("the cluster didn't form: %v", w.formErr)
-	}
+	w.order(w.replicas[0], func(id RequestID) Event { return FormRequested{Request: id, Cluster: "test"} }, func(a Answer) {
+		if a.Err != nil {
+			w.t.Fatalf("the cluster didn't form: %v", a.Err)
+		}
+	})
 	w.run(time.Second)
 }
 
@@ -240,12 +237,6 @@
 	for _, s := range e.BoxSends {
 		w.sendBox(r, s)
 	}
-	for _, a := range e.EditAnswers {
-		w.takeAnswer(a)
-	}
-	for _, a := range e.FormAnswers {
-		w.formErr = a.Err
-	}
 	for _, a := range e.Answers {
 		w.takeOrderAnswer(a)
 	}
@@ -448,10 +439,7 @@
 
 // submit sends an edit to a replica; resending the same edit is a second submit.
 func (w *world) submit(r *replicaFake, e *table.Edit) {
-	w.requests++
-	id := w.requests
-	w.asked[id] = e.ID
-	w.give(r, EditSubmitted{Request: id, Edit: e})
+	w.order(r, func(id RequestID) Event { return EditSubmitted{Request: id, Edit: e} }, func(a Answer) { w.takeAnswer(e.ID, a) })
 }
 
 // crash ends a replica; what wasn't synced is gone.
--- a/pkg/core/replication/peers.go
+++ b/pkg/core/replication/peers.go
@@ -42,13 +42,23 @@
 	return n.addPeer(id)
 }
 
+// Voters returns the replicas that vote, as far as this one knows.
+func (n *Node) Voters() []units.ReplicaID {
+	var voters []units.ReplicaID
+	for _, m := range n.voters() {
+		voters = append(voters, units.ReplicaID(m.Id))
+	}
+	return voters
+}
+
+// MembershipIndex returns where in the log the present membership stands; zero before
+// there is one.
+func (n *Node) MembershipIndex() units.Index { return n.membership.index }
+
 // Members returns the replicas that are known here, this one among them: the
 // voters first, then those that follow.
 func (n *Node) Members() []units.ReplicaID {
-	var members []units.ReplicaID
-	for _, m := range n.voters() {
-		members = append(members, units.ReplicaID(m.Id))
-	}
+	members := n.Voters()
 	for _, id := range append([]units.ReplicaID{n.settings.ID}, n.order...) {
 		if !slices.Contains(members, id) {
 			members = append(members, id)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -31,9 +31,7 @@
 	effects  control.Effects
 	changed  chan struct{}
 	requests control.RequestID
-	answers  map[control.RequestID]chan control.EditAnswer
-	forms    map[control.RequestID]chan error
-	replies  map[control.RequestID]chan control.Answer
+	answers  map[control.RequestID]chan control.Answer
 	boxes    map[control.ConnectionID]*boxConn
 	nextConn control.ConnectionID
 
@@ -60,9 +58,7 @@
 	r := &Replica{
 		Common:   c,
 		changed:  make(chan struct{}),
-		answers:  map[control.RequestID]chan control.EditAnswer{},
-		forms:    map[control.RequestID]chan error{},
-		replies:  map[control.RequestID]chan control.Answer{},
+		answers:  map[control.RequestID]chan control.Answer{},
 		boxes:    map[control.ConnectionID]*boxConn{},
 		store:    s,
 		disk:     pond.NewPool(1),
@@ -174,24 +170,14 @@
 			b.send(s.Envelope)
 		}
 	}
-	for _, a := range e.EditAnswers {
-		if waiting := r.answers[a.Request]; waiting != nil {
-			waiting <- a
-		}
-	}
 	for _, a := range e.Answers {
-		if waiting := r.replies[a.Request]; waiting != nil {
+		if waiting := r.answers[a.Request]; waiting != nil {
 			waiting <- a
 		}
 	}
 	for _, c := range e.Changes {
 		r.logChange(c)
 	}
-	for _, a := range e.FormAnswers {
-		if waiting := r.forms[a.Request]; waiting != nil {
-			waiting <- a.Err
-		}
-	}
 	if e.TableChanged {
 		close(r.changed)
 		r.changed = make(chan struct{})
@@ -227,8 +213,6 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	delete(r.answers, id)
-	delete(r.forms, id)
-	delete(r.replies, id)
 }
 
 // Table returns the present table.
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -67,18 +67,18 @@
 
 // ask gives the core a request and waits for its answer.
 func (r *Replica) ask(event func(control.RequestID) control.Event) control.Answer {
-	reply := make(chan control.Answer, 1)
+	answer := make(chan control.Answer, 1)
 	r.lock.Lock()
 	r.requests++
 	id := r.requests
-	r.replies[id] = reply
+	r.answers[id] = answer
 	r.reduce(event(id))
 	r.lock.Unlock()
 	defer r.forget(id)
 	timer := time.NewTimer(r.Settings.Control.EditTimeout.Std() + time.Second)
 	defer timer.Stop()
 	select {
-	case a := <-reply:
+	case a := <-answer:
 		return a
 	case <-timer.C:
 	case <-r.done:
@@ -94,6 +94,8 @@
 		fields["document"] = c.Document
 	case control.LeaderChanged:
 		fields["leader"], fields["term"] = c.Leader, c.Term
+	case control.VotersChanged:
+		fields["voters"], fields["term"] = c.Voters, c.Term
 	default:
 		fields["target"], fields["sequence"] = c.Target, c.Sequence
 	}
