Changes in a row reach the boxes together

Change: boxes are brought up to date at once after a quiet time and at most every 40 ms otherwise, by one message with all changes; from 1 KB on it is compressed, once for all boxes. Compressors are used again.

--- a/pkg/core/control/recovery_test.go
+++ b/pkg/core/control/recovery_test.go
@@ -133,3 +133,27 @@
 		t.Errorf("after a second the box has version %d: %+v", got, w.boxes[0].core.Status(w.now))
 	}
 }
+
+// Many changes in a row reach the boxes together: each costs every box a message and the
+// work of putting a table in force.
+func TestChangesInARowReachTheBoxesTogether(t *testing.T) {
+	const targets = 60
+	w := newGrowingWorld(t, 1, 3, 3, 2)
+	w.run(2 * time.Second)
+	w.putDocument(w.leader(), false)
+	w.run(time.Second)
+	before := w.updates
+	for i := range targets {
+		w.report(w.leader(), units.TargetID(fmt.Sprintf("t%d", 1000+i)), table.Active, 1)
+		w.run(time.Millisecond)
+	}
+	w.run(500 * time.Millisecond)
+	if n := w.updates - before; n == 0 || n > targets {
+		t.Errorf("%d messages to 2 boxes for %d changes", n, targets)
+	}
+	for _, b := range w.boxes {
+		if got, want := b.core.Table().Revision, w.leader().core.Table().Revision; got != want {
+			t.Errorf("box %s is at revision %d, not %d", b.id, got, want)
+		}
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -48,6 +48,10 @@
 	readRetryPeriod = 100 * time.Millisecond
 	// tickPeriod bounds how late timeouts are noticed.
 	tickPeriod = 50 * time.Millisecond
+	// pushPeriod is the least time between two updates of all boxes. A change after a quiet
+	// time goes out at once; many in a row go together, which is far less to send, and
+	// for each box to put in force.
+	pushPeriod = 40 * time.Millisecond
 	// maxDeltas is how many changes are kept for boxes that fell behind.
 	maxDeltas = 256
 )
@@ -59,10 +63,13 @@
 	state    *table.State
 	edits    editQueue
 	sessions *container.Ordered[ConnectionID, *session]
-	deltas   *container.Ring[*boxChange]
-	// whole is the present table as it is sent to boxes.
-	whole  wholeTable
-	leases leaseBook
+	deltas   *container.Ring[*table.Delta]
+	// lastUpdate is what boxes were sent last.
+	lastUpdate boxUpdate
+	// pushPending is set while boxes lack changes that wait for pushAt.
+	pushPending bool
+	pushAt      units.Instant
+	leases      leaseBook
 	// requests are those for whole tables, registered targets and reads.
 	requests requestBook
 	hearing  hearingBook
@@ -86,7 +93,7 @@
 		node:     replication.NewNode(s.Replication, d, now),
 		edits:    newEditQueue(),
 		sessions: container.NewOrdered[ConnectionID, *session](),
-		deltas:   container.NewRing[*boxChange](maxDeltas),
+		deltas:   container.NewRing[*table.Delta](maxDeltas),
 		leases:   newLeaseBook(),
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
@@ -139,11 +146,7 @@
 	}
 	r.absorb(&log, e)
 	r.housekeep(e)
-	if e.TableChanged {
-		// Once an event, whatever it committed: a replica that has read its log again
-		// doesn't show boxes each step of its history.
-		r.pushAll(e)
-	}
+	r.pushDue(e)
 }
 
 // absorb carries the log's effects over and applies what was committed.
@@ -168,7 +171,7 @@
 		return
 	}
 	r.state = state
-	r.deltas = container.NewRing[*boxChange](maxDeltas)
+	r.deltas = container.NewRing[*table.Delta](maxDeltas)
 	e.TableChanged = true
 	r.answerKnown(e)
 }
@@ -197,7 +200,7 @@
 	if delta == nil {
 		return
 	}
-	r.deltas.Push(&boxChange{delta: delta.Shrink(before)})
+	r.deltas.Push(delta.Shrink(before))
 	e.TableChanged = true
 }
 
@@ -340,7 +343,11 @@
 
 // NextWake returns when the next Tick is due at the latest.
 func (r *Replica) NextWake() units.Instant {
-	return min(r.node.NextWake(), r.tickAt)
+	next := min(r.node.NextWake(), r.tickAt)
+	if r.pushPending {
+		next = min(next, r.pushAt)
+	}
+	return next
 }
 
 // Table returns the present table, which is never changed in place.
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/madderpond/madderpond/pkg/core/replication"
-	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
@@ -59,7 +58,16 @@
 	}
 }
 
-func (r *Replica) pushAll(e *Effects) {
+// pushDue brings all boxes up to date, unless that was done a moment ago. It is done once
+// an event, whatever that committed: a replica that has read its log again doesn't show
+// boxes each step of its history.
+func (r *Replica) pushDue(e *Effects) {
+	r.pushPending = r.pushPending || e.TableChanged
+	if !r.pushPending || r.now < r.pushAt {
+		return
+	}
+	r.pushPending = false
+	r.pushAt = r.now.Add(pushPeriod)
 	for _, c := range r.sessions.Keys() {
 		r.push(r.sessions.Get(c), e)
 	}
@@ -83,48 +91,38 @@
 // it goes to every box.
 func (r *Replica) boxEnvelope() *wire.Envelope { return &wire.Envelope{} }
 
-// boxChange is a change of the table and, once a box needed it, the messages that
-// bring it. Messages are made once for all boxes.
-type boxChange struct {
-	delta    *table.Delta
-	messages []*wire.Envelope
-}
-
-// wholeTable is the table of a revision as messages.
-type wholeTable struct {
-	revision units.Revision
+// boxUpdate is the messages that bring a box from one revision to another. They are made
+// once for all boxes.
+type boxUpdate struct {
+	from, to units.Revision
 	messages []*wire.Envelope
 }
 
-// messagesSince returns what brings a box from a revision to the present one: the
-// changes that follow it, or the whole table when they aren't all kept or the box has no
-// table to change.
+// messagesSince returns what brings a box from a revision to the present one.
 func (r *Replica) messagesSince(from units.Revision, e *Effects) []*wire.Envelope {
-	missing := int(r.state.Table().Revision - from)
-	if from == 0 || missing > r.deltas.Len() {
-		return r.wholeTable(e)
+	to := r.state.Table().Revision
+	if u := &r.lastUpdate; u.messages != nil && u.from == from && u.to == to {
+		return u.messages
 	}
-	var messages []*wire.Envelope
-	for i := r.deltas.Len() - missing; i < r.deltas.Len(); i++ {
-		c := r.deltas.At(i)
-		if c.messages == nil {
-			m := r.boxEnvelope()
-			m.Body = &wire.Envelope_Delta{Delta: wire.FromDelta(c.delta)}
-			c.messages = fragments(m, e)
-		}
-		messages = append(messages, c.messages...)
-	}
-	return messages
+	m := r.boxEnvelope()
+	m.Body = r.bodySince(from)
+	r.lastUpdate = boxUpdate{from: from, to: to, messages: fragments(m, e)}
+	return r.lastUpdate.messages
 }
 
-func (r *Replica) wholeTable(e *Effects) []*wire.Envelope {
+// bodySince is the changes that follow a revision, or the whole table when they aren't
+// all kept or the box has no table to change.
+func (r *Replica) bodySince(from units.Revision) wire.Body {
 	present := r.state.Table()
-	if r.whole.messages == nil || r.whole.revision != present.Revision {
-		m := r.boxEnvelope()
-		m.Body = &wire.Envelope_Table{Table: wire.FromTable(present)}
-		r.whole = wholeTable{revision: present.Revision, messages: fragments(m, e)}
+	missing := int(present.Revision - from)
+	if from == 0 || missing > r.deltas.Len() {
+		return &wire.Envelope_Table{Table: wire.FromTable(present)}
+	}
+	batch := &wire.DeltaBatch{}
+	for i := r.deltas.Len() - missing; i < r.deltas.Len(); i++ {
+		batch.Deltas = append(batch.Deltas, wire.FromDelta(r.deltas.At(i)))
 	}
-	return r.whole.messages
+	return &wire.Envelope_DeltaBatch{DeltaBatch: batch}
 }
 
 // fragments divides a message; one that can't be encoded stops the replica.
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -29,7 +29,9 @@
 	replicas []*replicaFake
 	boxes    []*boxFake
 	// boxRate is how many bytes a second a box's link takes; zero for any number.
-	boxRate  float64
+	boxRate float64
+	// updates counts the messages to boxes that change their table.
+	updates  int
 	loss     float64
 	twice    float64
 	settings Settings
@@ -362,6 +364,9 @@
 	life := int(s.Connection>>32) & 0xffff
 	attachment := subscription.Attachment(uint32(s.Connection))
 	c := w.copyMessage(s.Envelope)
+	if c.GetRenewResponse() == nil {
+		w.updates++
+	}
 	b.linkFree = max(b.linkFree, w.now.Add(w.latency()))
 	if w.boxRate > 0 {
 		b.linkFree = b.linkFree.Add(time.Duration(float64(proto.Size(c)) / w.boxRate * float64(time.Second)))
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -209,8 +209,10 @@
 	switch b := m.Body.(type) {
 	case *wire.Envelope_Table:
 		s.replaceTable(now, wire.ToTable(b.Table), e)
-	case *wire.Envelope_Delta:
-		s.patchTable(wire.ToDelta(b.Delta), e)
+	case *wire.Envelope_DeltaBatch:
+		for _, d := range b.DeltaBatch.Deltas {
+			s.patchTable(wire.ToDelta(d), e)
+		}
 	case *wire.Envelope_RenewResponse:
 		s.takeGrant(now, b.RenewResponse)
 	case *wire.Envelope_Fragment:
--- a/pkg/core/subscription/subscription_test.go
+++ b/pkg/core/subscription/subscription_test.go
@@ -126,7 +126,7 @@
 func TestAMissedChangeIsNoticed(t *testing.T) {
 	b := newBox()
 	b.receive(tableAt(3))
-	b.receive(&wire.Envelope{Body: &wire.Envelope_Delta{Delta: &wire.Delta{From: 4, Revision: 5}}})
+	b.receive(&wire.Envelope{Body: &wire.Envelope_DeltaBatch{DeltaBatch: &wire.DeltaBatch{Deltas: []*wire.Delta{{From: 4, Revision: 5}}}}})
 	if b.Table().Revision != 3 {
 		t.Fatal("a change that doesn't follow was taken")
 	}
--- a/pkg/wire/fragment.go
+++ b/pkg/wire/fragment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 
 	"github.com/klauspost/compress/flate"
 	"google.golang.org/protobuf/proto"
@@ -12,7 +13,7 @@
 
 const (
 	// fragmentFrom is the encoded size from which a message is compressed and divided.
-	fragmentFrom = 2 << 10
+	fragmentFrom = 1 << 10
 	// fragmentBytes is the size of a fragment: a link of 1 Mbit/s takes 64 ms for it.
 	fragmentBytes = 8 << 10
 	// assembledBytes bounds what fragments may add up to once they are decompressed.
@@ -39,16 +40,22 @@
 	return fragments, nil
 }
 
+// compressors are used again, since each holds several hundred KB.
+var compressors = sync.Pool{New: func() any {
+	// The level is one that the library knows, so there is no error.
+	w, _ := flate.NewWriter(nil, flate.DefaultCompression)
+	return w
+}}
+
 func compress(m *Envelope) ([]byte, error) {
 	encoded, err := proto.Marshal(m)
 	if err != nil {
 		return nil, err
 	}
 	var compressed bytes.Buffer
-	w, err := flate.NewWriter(&compressed, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&compressed)
 	if _, err := w.Write(encoded); err != nil {
 		return nil, err
 	}
