Work that must not run twice uses no connection that has rested

Cause: a target that has forgotten an idle connection resets what is sent on it, and a redemption is lost: nobody knows whether it ran.

A call's own question usually was the last on its connection, so few new connections are needed.

Test that failed before: TestOnceWorkUsesNoConnectionThatHasRested (the case of repeatable work shows the old behaviour).

--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -42,6 +42,7 @@
 			IdleTimeout:    Duration(60 * time.Second),
 			WriteTimeout:   Duration(2 * time.Minute),
 			ConnectTimeout: Duration(time.Second),
+			OnceIdle:       Duration(time.Second),
 			IdleTarget:     Duration(30 * time.Second),
 			MaxDeadline:    Duration(routing.DefaultMaxDeadline),
 			ProbePath:      "/healthz",
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -34,7 +34,7 @@
 	}
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
-		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections,
+		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence,
 	})
 	if !hedge && c.route.work == table.Repeatable && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -200,6 +200,8 @@
 	// Connections is how many connections this box may have to the endpoint; zero
 	// means no limit.
 	Connections int
+	// Once is set for a Send of work that must not run twice.
+	Once bool
 	// ProbePath is what a probe asks for; empty means the box's own setting.
 	ProbePath string
 	// Ejected is set for a TargetTurned that takes the target out; Failures is how many
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -296,7 +296,7 @@
 
 func targetSettings(s *entrySettings) target.Settings {
 	return target.Settings{
-		ConnectTimeout: s.ConnectTimeout.Std(), IdleLimit: s.IdleTarget.Std(), BufferBody: s.BufferBody,
+		ConnectTimeout: s.ConnectTimeout.Std(), IdleLimit: s.IdleTarget.Std(), OnceIdle: s.OnceIdle.Std(), BufferBody: s.BufferBody,
 		ShedStatus: s.ShedStatus, ShedHeader: s.ShedHeader, LoadHeader: s.LoadHeader,
 		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath, CallIDHeader: s.CallIDHeader,
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, PromiseStatus: s.PromiseStatus, Unframed: s.Unframed,
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -20,6 +20,8 @@
 	deadline units.Instant
 	notAfter units.Instant
 	limit    int
+	// idleLimit is how long the connection may have rested.
+	idleLimit time.Duration
 	// Request is the attempt's own copy.
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
@@ -44,8 +46,12 @@
 
 // NewAttempt returns an attempt that hasn't begun.
 func (p *Pools) NewAttempt(x *routing.Effect) *Attempt {
+	idleLimit := p.settings.IdleLimit
+	if x.Once {
+		idleLimit = p.settings.OnceIdle
+	}
 	return &Attempt{
-		pools: p, endpoint: x.Endpoint, deadline: x.Deadline, notAfter: x.NotAfter, limit: x.Connections,
+		pools: p, idleLimit: idleLimit, endpoint: x.Endpoint, deadline: x.Deadline, notAfter: x.NotAfter, limit: x.Connections,
 		Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(),
 	}
 }
@@ -123,7 +129,7 @@
 // connect returns an idle connection or opens a new one; nil when there is none
 // to be had, or the attempt was canceled meanwhile.
 func (a *Attempt) connect(left time.Duration) *conn {
-	if c := a.pools.take(a.endpoint.Address); c != nil {
+	if c := a.pools.take(a.endpoint.Address, a.idleLimit); c != nil {
 		return c
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(left, a.pools.settings.ConnectTimeout))
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 // answers is a stand-in target that gives each request on a connection the next of the
@@ -112,6 +113,35 @@
 	return text
 }
 
+// A connection that has rested may have been forgotten by its target. Work that may be
+// sent again uses it all the same; work that must not run twice gets another.
+func TestOnceWorkUsesNoConnectionThatHasRested(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		target := startAnswers(t, `HTTP/1.1 200 OK\nX-Call: call-1\nContent-Length: 0\n\n`+"\nLATER\nRESET\n")
+		pools := newTestPools()
+		pools.settings.OnceIdle = time.Hour
+		address := target.listener.Addr().String()
+		first := callOnce(pools, address, "call-1")
+		for _, x := range pools.pools {
+			for _, c := range x.idle {
+				c.idleSince -= units.Instant(2 * time.Hour)
+			}
+		}
+		pools.settings.IdleLimit = 3 * time.Hour
+		a := pools.NewAttempt(&routing.Effect{
+			Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true}, Once: once,
+			Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
+		})
+		a.Request.SetRequestURI("/")
+		a.Request.Header.SetHost("s")
+		result, _ := a.Run()
+		a.Release()
+		if want := map[bool]routing.AttemptResult{false: routing.Broken, true: routing.Answered}[once]; result != want {
+			t.Errorf("once %t: the second call is %s, not %s (the first: %s)", once, result, want, first)
+		}
+	}
+}
+
 func streamOnce(pools *Pools, a *Attempt) string {
 	ended := routing.AttemptResult(0)
 	stream := a.Stream(func(r routing.AttemptResult) { ended = r })
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -13,6 +13,9 @@
 type Settings struct {
 	ConnectTimeout time.Duration
 	IdleLimit      time.Duration
+	// OnceIdle is how long a connection may have rested to carry work that must not run
+	// twice.
+	OnceIdle       time.Duration
 	BufferBody     int
 	ShedStatus     int
 	ShedHeader     string
@@ -49,11 +52,11 @@
 	return &Pools{settings: s, clock: c, pools: map[string]*pool{}}
 }
 
-// take returns an idle connection that is still alive, or nil. Dead ones that it
-// meets are closed.
-func (p *Pools) take(address string) *conn {
+// take returns an idle connection that is still alive and has rested for no longer than a
+// limit, or nil. Dead ones that it meets are closed.
+func (p *Pools) take(address string, limit time.Duration) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, limit)
 		if c == nil || c.isAlive() {
 			return c
 		}
@@ -61,14 +64,18 @@
 	}
 }
 
-func (p *Pools) pop(address string) *conn {
+func (p *Pools) pop(address string, limit time.Duration) *conn {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	x := p.pools[address]
 	if x == nil || len(x.idle) == 0 {
 		return nil
 	}
+	// The last one has rested for the least time.
 	c := x.idle[len(x.idle)-1]
+	if p.clock.Now().Sub(c.idleSince) > limit {
+		return nil
+	}
 	x.idle = x.idle[:len(x.idle)-1]
 	return c
 }
