--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 
@@ -67,6 +68,9 @@
 		return exitCode(err)
 	}
 	defer a.Close()
+	if s.MemoryLimitMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryLimitMB) << 20)
+	}
 	a.formAlone = form && len(s.Replicas) == 1
 	if err := a.Run(); err != nil {
 		a.Log.WithError(err).WithField("kind", fault.KindOf(err)).Error("madderpond has failed")
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -7,19 +7,21 @@
 // Settings are a process's settings. The doc tag is what docs/SETTINGS.md says
 // of a field, the validate tag what it must keep to.
 type Settings struct {
-	Box      string     `json:"box" validate:"required,name" doc:"This box's name; no other box of the deployment has it. A control replica goes by it as well."`
-	Domain   string     `json:"domain" validate:"omitempty,name" doc:"The failure domain that this box stands in."`
-	Roles    []Role     `json:"roles" validate:"required,min=1,unique,dive,oneof=entry control" doc:"What this process does: entry, control, or both."`
-	LogLevel string     `json:"logLevel" validate:"oneof=error warn info debug" doc:"The least level that is logged: error, warn, info or debug."`
-	Peer     Peer       `json:"peer" doc:"The port for madderpond's own processes."`
-	Replicas []Replica  `json:"replicas" validate:"max=7,unique=Box,unique=Address,dive" doc:"All control replicas, the same list on every box. Either this or seeds is given."`
-	Seeds    []string   `json:"seeds" validate:"max=7,unique,dive,ipport" doc:"Peer addresses of some control replicas, for a cluster that forms and grows by itself. A replica then goes by its own peer address, and the others are learned."`
-	Control  Control    `json:"control" doc:"The control replica; used only with the role control."`
-	Entry    Entry      `json:"entry" doc:"The entry for callers; used only with the role entry."`
-	Admin    Admin      `json:"admin" doc:"The port for operators and for the platform's health checks."`
-	Metrics  Metrics    `json:"metrics" doc:"The port for metrics alone."`
-	Platform Platform   `json:"platform" doc:"The platform's list of live and leaving boxes."`
-	Stop     StopTiming `json:"stop" doc:"The planned stop."`
+	Box      string `json:"box" validate:"required,name" doc:"This box's name; no other box of the deployment has it. A control replica goes by it as well."`
+	Domain   string `json:"domain" validate:"omitempty,name" doc:"The failure domain that this box stands in."`
+	Roles    []Role `json:"roles" validate:"required,min=1,unique,dive,oneof=entry control" doc:"What this process does: entry, control, or both."`
+	LogLevel string `json:"logLevel" validate:"oneof=error warn info debug" doc:"The least level that is logged: error, warn, info or debug."`
+	// MemoryLimitMB is a soft limit.
+	MemoryLimitMB int        `json:"memoryLimitMB" validate:"min=0,max=1048576" doc:"The memory, in MB, that the process tries to stay below: near it the garbage collector works harder. Set it well below what the box allows; 0 is no limit."`
+	Peer          Peer       `json:"peer" doc:"The port for madderpond's own processes."`
+	Replicas      []Replica  `json:"replicas" validate:"max=7,unique=Box,unique=Address,dive" doc:"All control replicas, the same list on every box. Either this or seeds is given."`
+	Seeds         []string   `json:"seeds" validate:"max=7,unique,dive,ipport" doc:"Peer addresses of some control replicas, for a cluster that forms and grows by itself. A replica then goes by its own peer address, and the others are learned."`
+	Control       Control    `json:"control" doc:"The control replica; used only with the role control."`
+	Entry         Entry      `json:"entry" doc:"The entry for callers; used only with the role entry."`
+	Admin         Admin      `json:"admin" doc:"The port for operators and for the platform's health checks."`
+	Metrics       Metrics    `json:"metrics" doc:"The port for metrics alone."`
+	Platform      Platform   `json:"platform" doc:"The platform's list of live and leaving boxes."`
+	Stop          StopTiming `json:"stop" doc:"The planned stop."`
 }
 
 // Role is something that a process does.
