Targets that don't tell their load aren't asked for it

Change: after eight answers in a row without a word on load a service's targets are asked no more; calls go by what answers have shown (calls under way, latency). The first word on load brings questions back.

Test: script `untold` (failed before: every call was held).

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -95,7 +95,7 @@
 // chooseIndex leaves the choice to the policy, but where targets are asked: what they
 // said counts only if the best of all of them is taken, not of a few drawn by lot.
 func (r *Router) chooseIndex(set *candidates) int {
-	if set.service.row.ProbeTargets > 0 {
+	if set.service.asksTargets() {
 		return leastOf[*target](set, r.random, set.Cost)
 	}
 	return r.policy.Choose(set, r.random)
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -186,6 +186,7 @@
 	switch v.Result {
 	case Answered:
 		t.answers++
+		t.service.noteTold(v.Reading)
 		t.latency.add(took)
 		t.service.latency.add(took)
 		t.grow()
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -54,7 +54,7 @@
 
 // place sends a call to the target that seems best, or asks a few first.
 func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
-	if c.service.row.ProbeTargets < 1 || best.isFresh(r.now) && r.isSuitable(c, best) {
+	if !c.service.asksTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
 		r.send(id, c, best, why, e)
 		return
 	}
@@ -73,6 +73,25 @@
 	}
 }
 
+// untoldLimit is after how many answers without a word on load a service's targets are
+// taken not to tell it.
+const untoldLimit = 8
+
+// noteTold takes note of whether an answer told its target's load.
+func (s *service) noteTold(x Reading) {
+	if x.Known {
+		s.untold = 0
+		return
+	}
+	s.untold++
+}
+
+// asksTargets tells whether targets are asked before a call is sent. Those that don't tell
+// their load aren't; what their answers show decides then, until one tells it.
+func (s *service) asksTargets() bool {
+	return s.row.ProbeTargets > 0 && s.untold < untoldLimit
+}
+
 // sendProbes asks the best targets for their load; false means that there is nothing to
 // ask or no budget for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
@@ -217,6 +236,9 @@
 // isSuitable tells whether a target would serve the call about as well as any could: work
 // goes at its usual pace there, and a slot is free.
 func (r *Router) isSuitable(c *call, t *target) bool {
+	if !c.service.asksTargets() {
+		return true
+	}
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
 		return false
 	}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -67,6 +67,9 @@
 		return
 	}
 	t.takeReading(r.now, v.Reading)
+	if v.Healthy {
+		t.service.noteTold(v.Reading)
+	}
 	if v.Unreachable && t.health.unreachable(r.now) {
 		r.healthTurned(t, e)
 	}
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -255,10 +255,10 @@
 	s.answer(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x}})
 }
 
-// untold CALL TARGET how=unreachable|misdirected
+// untold CALL TARGET how=unreachable|misdirected|healthy
 func (s *script) untold(d *datadriven.TestData) {
 	how := s.word(d, "how")
-	s.answer(d, ProbeEnded{Unreachable: how == "unreachable", Misdirected: how == "misdirected"})
+	s.answer(d, ProbeEnded{Healthy: how == "healthy", Unreachable: how == "unreachable", Misdirected: how == "misdirected"})
 }
 
 func (s *script) answer(d *datadriven.TestData, v ProbeEnded) {
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -42,6 +42,8 @@
 	// busyAt is when that was last noted.
 	busyPart float64
 	busyAt   units.Instant
+	// untold counts the answers in a row that told nothing of their target's load.
+	untold int
 	// sweepAt is when time alone may next bring something about.
 	sweepAt units.Instant
 	calls   uint64
