--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -200,6 +201,7 @@
 	untouched := c.raw.written == a.before
 	reusable := a.whole && !a.surplus && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
 	a.Response.CloseBodyStream()
+	c.keepAlive = keepAliveOf(&a.Response.Header)
 	if a.unclaim() && (reusable || untouched) {
 		a.pools.put(a.endpoint, c, a.limit)
 		return
@@ -207,6 +209,23 @@
 	a.pools.close(a.endpoint.Address, c)
 }
 
+// keepAliveOf is how long a target says that it keeps the connection: "timeout=5, max=100"
+// means five seconds.
+func keepAliveOf(h *fasthttp.ResponseHeader) time.Duration {
+	for _, parameter := range strings.Split(string(h.Peek(keepAliveHeader)), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s > 0 {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
+
+const keepAliveHeader = "Keep-Alive"
+
 // Discard gives up an answer that nobody wants any more.
 func (a *Attempt) Discard() {
 	a.end()
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -142,6 +142,36 @@
 	}
 }
 
+func TestATargetsKeepAliveIsHeeded(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		header   string
+		rested   time.Duration
+		again    bool
+	}{
+		{"not told", "X: y", time.Hour, true},
+		{"within the time", "Keep-Alive: timeout=5", 3 * time.Second, true},
+		{"in the last second", "Keep-Alive: max=10, timeout=5", 4500 * time.Millisecond, false},
+		{"no number", "Keep-Alive: timeout=soon", time.Hour, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			target := startAnswers(t, `HTTP/1.1 200 OK\nX-Call: call-1\n`+s.header+`\nContent-Length: 0\n\n`+"\n")
+			pools := newTestPools()
+			address := target.listener.Addr().String()
+			callOnce(pools, address, "call-1")
+			for _, x := range pools.pools {
+				for _, c := range x.idle {
+					c.idleSince -= units.Instant(s.rested)
+				}
+			}
+			if c := pools.take(address, 2*time.Hour); (c != nil) != s.again {
+				t.Errorf("used again: %t, want %t", c != nil, s.again)
+			}
+		})
+	}
+}
+
 func streamOnce(pools *Pools, a *Attempt) string {
 	ended := routing.AttemptResult(0)
 	stream := a.Stream(func(r routing.AttemptResult) { ended = r })
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -32,6 +33,9 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince units.Instant
+	// keepAlive is how long the target said that it keeps the connection; zero when it
+	// didn't say.
+	keepAlive time.Duration
 }
 
 const bufferSize = 4 << 10
@@ -54,6 +58,16 @@
 	return isOpen(c.raw.Conn) && !hasInput(c.raw.Conn)
 }
 
+// outlived tells whether the target may be about to close a connection that rests since
+// it was last used.
+func (c *conn) outlived(now units.Instant) bool {
+	return c.keepAlive > 0 && now.Sub(c.idleSince) > c.keepAlive-keepAliveMargin
+}
+
+// keepAliveMargin is left of the time that a target keeps a connection: what is sent in
+// the last moment meets its close.
+const keepAliveMargin = time.Second
+
 // IsOpen tells whether the other side of a connection hasn't hung up.
 func IsOpen(c net.Conn) bool { return isOpen(c) }
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -53,11 +53,12 @@
 }
 
 // take returns an idle connection that is still alive and has rested for no longer than a
-// limit, or nil. Dead ones that it meets are closed.
+// limit, or nil. Dead ones that it meets are closed, and those that their targets may
+// close any moment.
 func (p *Pools) take(address string, limit time.Duration) *conn {
 	for {
 		c := p.pop(address, limit)
-		if c == nil || c.isAlive() {
+		if c == nil || c.isAlive() && !c.outlived(p.clock.Now()) {
 			return c
 		}
 		p.close(address, c)
