Large commands are compressed in the log

A whole table of 100 KB and more went uncompressed to the leader, to four followers and to every disk.

Change: commands from 1 KB on are compressed once, by whoever takes them, and stay so on the wire, on disk and in memory until they are applied.

--- a/pkg/core/control/edits.go
+++ b/pkg/core/control/edits.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -81,7 +79,7 @@
 }
 
 func (r *Replica) proposeCommand(c *wire.Command, log *replication.Effects) bool {
-	data, err := proto.Marshal(c)
+	data, err := wire.EncodeCommand(c)
 	if err != nil {
 		return false
 	}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -180,9 +178,9 @@
 	if len(entry.Command) == 0 {
 		return
 	}
-	c := &wire.Command{}
-	if err := proto.Unmarshal(entry.Command, c); err != nil {
-		e.Halt = fault.Wrap(err, fault.Damaged, "start this replica with an empty data folder", "log entry %d can't be decoded", entry.Index)
+	c, err := wire.DecodeCommand(entry.Command)
+	if err != nil {
+		e.Halt = fault.Wrap(err, fault.Damaged, "start this replica with an empty data folder", "log entry %d can't be applied", entry.Index)
 		return
 	}
 	var delta *table.Delta
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -100,9 +98,9 @@
 	c.Number = uint64(r.requests.number)
 	c.Origin = r.origin()
 	c.At = int64(r.wall)
-	encoded, err := proto.Marshal(c)
+	encoded, err := wire.EncodeCommand(c)
 	if err != nil {
-		e.Answers = append(e.Answers, Answer{Request: id, Err: fault.Wrap(err, fault.Internal, "report this as a fault of madderpond", "a command can't be encoded")})
+		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
 		return
 	}
 	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout)}
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -19,7 +19,7 @@
 const (
 	// protocolVersion is raised when messages change so that old processes can't
 	// read them.
-	protocolVersion = 3
+	protocolVersion = 4
 	// maxMessageBytes bounds one message; a snapshot is the largest.
 	maxMessageBytes = 64 << 20
 	// silenceLimit is how long a connection may be dead before it is given up;
--- a/pkg/wire/fragment_test.go
+++ b/pkg/wire/fragment_test.go
@@ -29,7 +29,7 @@
 		fragments int
 	}{
 		{"a small message goes as it is", 100, 1},
-		{"one fragment", fragmentFrom, 1},
+		{"one fragment", compressFrom, 1},
 		{"several fragments", 3 * fragmentBytes, 4},
 	}
 	for _, s := range scenarios {
