A late message of an earlier disk ends no lease

Cause, found while reading the change: a follower takes a leader's lease for gone when it hears the leader under another disk. A message of the disk before, held up by a cut and delivered late, would have counted as that, and the follower could have voted while the lease held.

Test that failed before: TestALateMessageOfAnEarlierDiskEndsNoLease.

--- /dev/null
+++ b/pkg/core/control/apply.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// absorb carries the log's effects over and applies what was committed.
+func (r *Replica) absorb(log *replication.Effects, e *Effects) {
+	if log.Restored != nil {
+		r.restore(log.Restored, e)
+	}
+	for _, entry := range log.Committed {
+		r.apply(entry, e)
+	}
+	e.Writes = append(e.Writes, log.Writes...)
+	e.PeerSends = append(e.PeerSends, log.Sends...)
+	if log.Halt != nil {
+		e.Halt = log.Halt
+	}
+}
+
+func (r *Replica) restore(s *wire.Snapshot, e *Effects) {
+	state, err := wire.DecodeState(s.State)
+	if err != nil {
+		e.Halt = err
+		return
+	}
+	r.state = state
+	r.deltas = container.NewRing[*table.Delta](maxDeltas)
+	e.TableChanged = true
+	r.answerKnown(e)
+}
+
+func (r *Replica) apply(entry *wire.Entry, e *Effects) {
+	if len(entry.Command) == 0 {
+		return
+	}
+	c, err := wire.DecodeCommand(entry.Command)
+	if err != nil {
+		e.Halt = fault.Wrap(err, fault.Damaged, "start this replica with an empty data folder", "log entry %d can't be applied", entry.Index)
+		return
+	}
+	var delta *table.Delta
+	before := r.state.Table()
+	switch k := c.Kind.(type) {
+	case *wire.Command_Edit:
+		delta = r.applyEdit(k.Edit, units.WallTime(c.At), e)
+	case *wire.Command_Boxes:
+		delta = r.state.ApplyBoxes(wire.ToBoxChange(k.Boxes))
+		r.leases.proposing = false
+	default:
+		delta = r.applyRequest(c, e)
+	}
+	r.answerCommand(c, e)
+	if delta == nil {
+		return
+	}
+	r.deltas.Push(delta.Shrink(before))
+	e.TableChanged = true
+}
+
+// applyRequest applies a whole table, or what registered targets have said.
+func (r *Replica) applyRequest(c *wire.Command, e *Effects) *table.Delta {
+	var delta *table.Delta
+	change := Change{}
+	switch k := c.Kind.(type) {
+	case *wire.Command_Document:
+		delta = r.state.ApplyDocument(wire.ToDocument(k.Document))
+		change = Change{Kind: DocumentInForce, Document: units.DocumentVersion(k.Document.Version)}
+	case *wire.Command_Registration:
+		registration := wire.ToRegistration(k.Registration)
+		delta = r.state.ApplyRegistration(registration)
+		change = Change{Kind: TargetActive, Target: registration.Target, Sequence: registration.Sequence}
+		if registration.State == table.Leaving {
+			change.Kind = TargetLeaving
+		}
+	case *wire.Command_Departure:
+		id := units.TargetID(k.Departure.Target)
+		delta = r.state.ApplyDeparture(id)
+		delete(r.hearing.last, id)
+		change = Change{Kind: TargetGone, Target: id}
+	case *wire.Command_Silence:
+		r.hearing.proposing = false
+		delta = r.state.ApplySilence(targetIDs(k.Silence.Silent), targetIDs(k.Silence.Heard))
+		r.noteSilenceChanges(k.Silence, e)
+		return delta
+	}
+	if delta != nil {
+		change.Revision = delta.Revision
+		e.Changes = append(e.Changes, change)
+	}
+	return delta
+}
+
+func (r *Replica) noteSilenceChanges(s *wire.Silence, e *Effects) {
+	revision := r.state.Table().Revision
+	for _, id := range s.Silent {
+		e.Changes = append(e.Changes, Change{Kind: TargetSilent, Target: units.TargetID(id), Revision: revision})
+	}
+	for _, id := range s.Heard {
+		e.Changes = append(e.Changes, Change{Kind: TargetHeard, Target: units.TargetID(id), Revision: revision})
+	}
+}
--- a/pkg/core/control/recovery_test.go
+++ b/pkg/core/control/recovery_test.go
@@ -157,3 +157,24 @@
 		}
 	}
 }
+
+// A message of a leader's earlier disk that comes late ends no lease of the later one.
+func TestALateMessageOfAnEarlierDiskEndsNoLease(t *testing.T) {
+	w := newWorld(t, 1, 3, 1)
+	late := &wire.Envelope{
+		From: "r0", To: "r1", Incarnation: "r0.0", Boot: 1,
+		Body: &wire.Envelope_Presence{Presence: &wire.Presence{Formed: true}},
+	}
+	w.loseDisk(w.replicas[0])
+	w.startReplica(w.replicas[0])
+	w.run(2 * time.Second)
+	for w.leader() != w.replicas[0] {
+		w.give(w.leader(), StopRequested{})
+		w.run(500 * time.Millisecond)
+	}
+	follower, candidate := w.replicas[1], w.replicas[2]
+	w.give(follower, PeerMessage{Envelope: w.copyMessage(late)})
+	if !follower.core.node.LeaderIsFresh(w.now) {
+		t.Fatalf("%s would vote for %s while %s holds the lease", follower.id, candidate.id, w.replicas[0].id)
+	}
+}
--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -99,7 +99,7 @@
 		return
 	}
 	term := units.Term(r.Term)
-	if !r.Transfer && n.leaderIsFresh(now) {
+	if !r.Transfer && n.LeaderIsFresh(now) {
 		// Answering with the present term lets a candidate that is behind see it.
 		n.answerVote(p.id, r, false, e)
 		return
@@ -116,9 +116,9 @@
 	n.answerVote(p.id, r, granted, e)
 }
 
-// leaderIsFresh tells whether a leader was heard within the time in which its
+// LeaderIsFresh tells whether a leader was heard within the time in which its
 // lease may still hold.
-func (n *Node) leaderIsFresh(now units.Instant) bool {
+func (n *Node) LeaderIsFresh(now units.Instant) bool {
 	if n.role == leader {
 		return n.quorumContact(now).Add(n.settings.ElectionTimeout) > now
 	}
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -177,14 +177,17 @@
 		n.refuse(p.id, m, "its disk holds an older copy: a later start of it has been seen", e)
 		return false
 	}
+	isNew := true
 	if p.incarnation != incarnation {
 		p.restart(n.log.last() + 1)
-		p.incarnation = incarnation
+		isNew = p.replaceIncarnation(incarnation)
 	} else if m.Boot > p.boot {
 		p.unproven = true
 	}
 	p.boot = m.Boot
-	n.noteLessor(now, p.id, p.incarnation, p.boot)
+	if isNew {
+		n.noteLessor(now, p.id, p.incarnation, p.boot)
+	}
 	if n.wentBack(p, m) {
 		n.refuse(p.id, m, "its disk holds an older copy: it acknowledged more than it holds now", e)
 		return false
--- a/pkg/core/replication/progress.go
+++ b/pkg/core/replication/progress.go
@@ -10,7 +10,10 @@
 	id units.ReplicaID
 	// incarnation is empty until the other replica has been heard.
 	incarnation units.Incarnation
-	boot        uint64
+	// earlier are the incarnations that were heard before it. A message of one of them
+	// that comes late says nothing about a later one.
+	earlier map[units.Incarnation]bool
+	boot    uint64
 	// unproven is set after a start of the other replica until it has shown that it
 	// still holds what it acknowledged.
 	unproven bool
@@ -29,6 +32,17 @@
 	asked     units.Instant
 }
 
+// replaceIncarnation takes note of another disk of the replica; it returns false for one
+// that was replaced before.
+func (p *progress) replaceIncarnation(next units.Incarnation) bool {
+	if p.earlier == nil {
+		p.earlier = map[units.Incarnation]bool{}
+	}
+	p.earlier[p.incarnation] = true
+	p.incarnation = next
+	return !p.earlier[next]
+}
+
 // restart forgets the log position, as after a change of leader or disk.
 func (p *progress) restart(next units.Index) {
 	p.next = next
