Histograms of bounded size, disk sync times, the log's cost

How long disks take to sync was in no metric, and the log's cost in no measurement.

Change: package latency keeps fine histograms of up to 32 services and coarse ones (2 KB) of the 256 targets used last. madderpond.control.syncs tells of the disk. A call's decisions get their room at once.

Tests: TestABookForgetsWhatWasUsedLeastRecently, TestSummariesTellQuantiles.

--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -2,20 +2,18 @@
 
 import (
 	"expvar"
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/latency"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// Bounds of the latency histograms, in microseconds.
 const (
-	shortestMicros = 1
-	longestMicros  = int64(10 * time.Minute / time.Microsecond)
-	digits         = 2
+	// maxServiceLatencies and maxTargetLatencies bound how many services and targets a box
+	// keeps histograms of: about 1 MB together.
+	maxServiceLatencies = 32
+	maxTargetLatencies  = 256
 )
 
 // metrics counts what an entry does; they are published by expvar.
@@ -25,9 +23,8 @@
 	unknown     expvar.Int
 	badRequests expvar.Int
 	refusals    expvar.Map
-
-	lock    sync.Mutex
-	latency map[latencyKey]*hdrhistogram.Histogram
+	services    *latency.Book[units.ServiceName]
+	targets     *latency.Book[latencyKey]
 }
 
 type latencyKey struct {
@@ -36,46 +33,35 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{latency: map[latencyKey]*hdrhistogram.Histogram{}}
+	m := &metrics{
+		services: latency.NewBook[units.ServiceName](latency.Fine, maxServiceLatencies),
+		targets:  latency.NewBook[latencyKey](latency.Coarse, maxTargetLatencies),
+	}
 	m.refusals.Init()
 	return m
 }
 
 // observe notes how long a call took from its arrival to its answer.
 func (m *metrics) observe(e *routing.Endpoint, took time.Duration) {
-	key := latencyKey{service: e.Service, target: e.Target}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	h := m.latency[key]
-	if h == nil {
-		h = hdrhistogram.New(shortestMicros, longestMicros, digits)
-		m.latency[key] = h
-	}
-	// A value beyond the bounds is counted as the longest.
-	h.RecordValue(min(took.Microseconds(), longestMicros))
+	m.services.Observe(e.Service, took)
+	m.targets.Observe(latencyKey{service: e.Service, target: e.Target}, took)
 }
 
-// Latency sums up one histogram, in microseconds.
+// Latency is how long the calls of a service took, or of a target where one is named.
 type Latency struct {
 	Service units.ServiceName `json:"service"`
-	Target  units.TargetID    `json:"target"`
-	Count   int64             `json:"count"`
-	P50     int64             `json:"p50"`
-	P99     int64             `json:"p99"`
-	P999    int64             `json:"p999"`
-	Max     int64             `json:"max"`
+	Target  units.TargetID    `json:"target,omitempty"`
+	latency.Summary
 }
 
 func (m *metrics) latencies() []Latency {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	all := make([]Latency, 0, len(m.latency))
-	for k, h := range m.latency {
-		all = append(all, Latency{
-			Service: k.service, Target: k.target, Count: h.TotalCount(),
-			P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9), Max: h.Max(),
-		})
-	}
+	var all []Latency
+	m.services.Each(func(s units.ServiceName, x latency.Summary) {
+		all = append(all, Latency{Service: s, Summary: x})
+	})
+	m.targets.Each(func(k latencyKey, x latency.Summary) {
+		all = append(all, Latency{Service: k.service, Target: k.target, Summary: x})
+	})
 	return all
 }
 
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -16,6 +16,8 @@
 const (
 	// maxSteps bounds the decisions kept of one call.
 	maxSteps = 32
+	// usualSteps is how many an ordinary call has: two questions, a send, its end.
+	usualSteps = 7
 	// sampleEvery is one in how many ordinary calls is written.
 	sampleEvery = 64
 )
@@ -46,6 +48,9 @@
 )
 
 func (c *call) note(s step) {
+	if c.steps == nil {
+		c.steps = make([]step, 0, usualSteps)
+	}
 	if len(c.steps) < maxSteps {
 		c.steps = append(c.steps, s)
 	}
--- /dev/null
+++ b/pkg/latency/latency_test.go
@@ -0,0 +1,34 @@
+package latency
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSummariesTellQuantiles(t *testing.T) {
+	h := NewHistogram(Fine)
+	for i := range 1000 {
+		h.Observe(time.Duration(i+1) * time.Millisecond)
+	}
+	h.Observe(time.Hour)
+	s := h.Summary()
+	if s.Count != 1001 || s.P50 < 490_000 || s.P50 > 510_000 || s.P99 < 980_000 || s.P99 > 1_000_000 {
+		t.Errorf("the summary is %+v", s)
+	}
+	if s.Max < longestMicros*99/100 {
+		t.Errorf("the longest is %d", s.Max)
+	}
+}
+
+// However many targets come and go, a box keeps account of a bounded number.
+func TestABookForgetsWhatWasUsedLeastRecently(t *testing.T) {
+	b := NewBook[int](Coarse, 3)
+	for _, key := range []int{1, 2, 3, 1, 4} {
+		b.Observe(key, time.Millisecond)
+	}
+	seen := map[int]int64{}
+	b.Each(func(key int, s Summary) { seen[key] = s.Count })
+	if len(seen) != 3 || seen[1] != 2 || seen[3] != 1 || seen[4] != 1 {
+		t.Errorf("the book has %v", seen)
+	}
+}
--- a/pkg/replica/disk.go
+++ b/pkg/replica/disk.go
@@ -62,7 +62,9 @@
 }
 
 func (r *Replica) write(batch []*replication.Write) {
+	began := time.Now()
 	err := r.writePatiently(batch)
+	r.syncs.Observe(time.Since(began))
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.writing = false
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -16,6 +16,7 @@
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/latency"
 	"github.com/madderpond/madderpond/pkg/store"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -42,10 +43,12 @@
 	links    map[units.ReplicaID]*transport.Link
 	identity store.Identity
 	halted   chan error
-	stopped  atomic.Bool
-	wake     chan struct{}
-	done     chan struct{}
-	waker    sync.WaitGroup
+	// syncs is how long writes take until they are on the disk.
+	syncs   *latency.Histogram
+	stopped atomic.Bool
+	wake    chan struct{}
+	done    chan struct{}
+	waker   sync.WaitGroup
 }
 
 // NewReplica opens the data folder and returns a replica that goes on from it.
@@ -65,6 +68,7 @@
 		links:    map[units.ReplicaID]*transport.Link{},
 		identity: s.Identity(),
 		halted:   make(chan error, 1),
+		syncs:    latency.NewHistogram(latency.Fine),
 		wake:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
 	}
@@ -241,13 +245,15 @@
 	control.Status
 	StoreBytes int64 `json:"storeBytes"`
 	BoxConns   int   `json:"boxConnections"`
+	// Syncs is how long writes took until they were on the disk.
+	Syncs latency.Summary `json:"syncs"`
 }
 
 // Status returns the replica's state.
 func (r *Replica) Status() Status {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return Status{Status: r.core.Status(r.Clock.Now()), StoreBytes: r.store.Size(), BoxConns: len(r.boxes)}
+	return Status{Status: r.core.Status(r.Clock.Now()), StoreBytes: r.store.Size(), BoxConns: len(r.boxes), Syncs: r.syncs.Summary()}
 }
 
 // handOverLimit is how long a stopping leader waits for its successor.
