Fewer wakes: the box's waker is set where calls are decided, calm replicas tick less

Each call set off its question's and its deadline's timer long after it had ended, and setting the waker woke a goroutine that only set a timer; a replica ticked twenty times a second whether anything waited or not.

Change: the waker is a timer's function, set by whoever holds the lock; timers of calls that have ended are dropped, not fired; a replica ticks five times a second while no request waits. A box that comes is listed at once.

--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -40,6 +40,10 @@
 		return
 	}
 	box := wire.ToBox(request.Box)
+	if r.leases.leases[box.ID] == nil {
+		// A box that has come is listed at once.
+		r.tickAt = r.now
+	}
 	r.leases.leases[box.ID] = &lease{box: box, renewed: r.now, revision: units.Revision(request.Revision)}
 	m := r.envelope()
 	m.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -44,8 +44,10 @@
 	retryPeriod = 300 * time.Millisecond
 	// readRetryPeriod is how often the leader is asked again for a read.
 	readRetryPeriod = 100 * time.Millisecond
-	// tickPeriod bounds how late timeouts are noticed.
-	tickPeriod = 50 * time.Millisecond
+	// tickPeriod bounds how late timeouts are noticed; calmTickPeriod does so while no
+	// request waits.
+	tickPeriod     = 50 * time.Millisecond
+	calmTickPeriod = 200 * time.Millisecond
 	// pushPeriod is the least time between two updates of all boxes. A change after a quiet
 	// time goes out at once; many in a row go together, which is far less to send, and
 	// for each box to put in force.
@@ -155,17 +157,25 @@
 	r.formAlone(&log)
 	r.answerReads(e)
 	if r.now >= r.tickAt {
-		r.tickAt = r.now.Add(tickPeriod)
+		r.tickAt = r.now.Add(calmTickPeriod)
 		r.retryEdits(&log, e)
 		r.retryRequests(&log, e)
 		r.tellHeard(&log)
 		r.noteSilence(&log)
 		r.updateBoxes(&log)
 	}
+	if r.hasWaiting() {
+		r.tickAt = min(r.tickAt, r.now.Add(tickPeriod))
+	}
 	r.compact(&log, e)
 	r.absorb(&log, e)
 }
 
+// hasWaiting tells whether anything that came to this replica is still unanswered.
+func (r *Replica) hasWaiting() bool {
+	return r.edits.waiting.Len()+r.requests.commands.Len()+r.requests.reads.Len() > 0
+}
+
 // formAlone forms the cluster by itself where that is this replica's part.
 func (r *Replica) formAlone(log *replication.Effects) {
 	if !r.node.MayForm(r.now) {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -192,10 +192,17 @@
 
 // NextWake returns when the next Tick is due at the latest.
 func (r *Router) NextWake() units.Instant {
-	if t, ok := r.timers.Peek(); ok {
-		return min(t.at, r.sweepAt)
+	for {
+		t, ok := r.timers.Peek()
+		if !ok {
+			return r.sweepAt
+		}
+		if t.call == 0 || r.calls.Get(t.call) != nil {
+			return min(t.at, r.sweepAt)
+		}
+		// Most calls end long before their timers; those are worth no wake.
+		r.timers.Pop()
 	}
-	return r.sweepAt
 }
 
 // leased tells whether the table may be trusted now.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -31,9 +32,9 @@
 	lock    sync.Mutex
 	core    *box.Box
 	effects box.Effects
-	// wakeAt is when the waker will tick the core by itself.
+	// waker ticks the core by itself at wakeAt; nil before the start.
+	waker  *time.Timer
 	wakeAt units.Instant
-	wake   chan struct{}
 	// waiting holds the calls whose callers wait for an answer.
 	waiting map[*call]bool
 	// running counts the sends under way.
@@ -71,7 +72,7 @@
 	e := &Entry{
 		Common:  c,
 		core:    core,
-		wake:    make(chan struct{}, 1),
+		wakeAt:  notSet,
 		waiting: map[*call]bool{},
 		pools:   target.NewPools(targetSettings(s), c.Clock),
 		workers: pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queuePart)), pond.WithNonBlocking(true)),
@@ -118,9 +119,11 @@
 		return fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen for callers on %s", e.Settings.Entry.Listen)
 	}
 	e.listener = listener
-	e.stopped.Add(2)
-	go e.runWaker()
+	e.stopped.Add(1)
 	go e.runJanitor()
+	e.lock.Lock()
+	e.waker = time.AfterFunc(0, e.tick)
+	e.lock.Unlock()
 	go func() {
 		if err := e.server.Serve(listener); err != nil {
 			e.Log.WithError(err).Error("the entry for callers has stopped")
@@ -145,13 +148,31 @@
 	e.core.Reduce(e.Clock.Now(), event, &e.effects)
 	e.carryOut()
 	e.logTable()
-	if next := e.core.NextWake(); next < e.wakeAt {
-		e.wakeAt = next
-		select {
-		case e.wake <- struct{}{}:
-		default:
-		}
+	e.armWaker()
+}
+
+// armWaker sets the waker to when the core next has something to do. One that comes a
+// little early is left as it is.
+func (e *Entry) armWaker() {
+	next := e.core.NextWake()
+	if e.waker == nil || next >= e.wakeAt && next.Sub(e.wakeAt) < earlyWake {
+		return
 	}
+	e.wakeAt = next
+	e.waker.Reset(max(e.Clock.Until(next), minWait))
+}
+
+// tick lets the core see that time has passed.
+func (e *Entry) tick() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	select {
+	case <-e.done:
+		return
+	default:
+	}
+	e.wakeAt = notSet
+	e.reduceLocked(box.Tick{})
 }
 
 // carryOut does what the effects say. Doing so may add more of them.
@@ -193,31 +214,16 @@
 	}
 }
 
-// runWaker ticks the core whenever it asks for it.
-func (e *Entry) runWaker() {
-	defer e.stopped.Done()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-e.done:
-			return
-		case <-e.wake:
-		case <-timer.C:
-		}
-		e.lock.Lock()
-		e.core.Reduce(e.Clock.Now(), box.Tick{}, &e.effects)
-		e.carryOut()
-		e.wakeAt = e.core.NextWake()
-		wait := e.Clock.Until(e.wakeAt)
-		e.lock.Unlock()
-		timer.Reset(max(wait, minWait))
-	}
-}
-
 // minWait keeps the waker from spinning.
 const minWait = 100 * time.Microsecond
 
+// notSet is the time of a waker that has just gone off.
+const notSet = units.Instant(math.MaxInt64)
+
+// earlyWake is how much too early the waker may come: setting it anew with every call
+// costs more.
+const earlyWake = 5 * time.Millisecond
+
 // runJanitor does what must be done now and then.
 func (e *Entry) runJanitor() {
 	defer e.stopped.Done()
@@ -256,6 +262,7 @@
 	err := e.server.ShutdownWithContext(ctx)
 	close(e.done)
 	e.stopped.Wait()
+	e.waker.Stop()
 	e.control.close()
 	e.peers.close()
 	e.workers.Stop()
