A free slot is a free slot: don't wait for a target that isn't nearly full

Cause: up to a tenth of its aim a call waited for a target with two free slots, since some targets slow down when nearly full. The wait costs more, and slots stay empty while calls wait.

Change: any free slot suits; the choice among them still prefers targets that aren't nearly full.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -213,11 +213,9 @@
 const (
 	// probePause is the time between two questions of a call that found no target.
 	probePause = 15 * time.Millisecond
-	// choosyPart and lastPart are parts of a call's aim. Up to the first it waits for a
-	// target that isn't nearly full; at the second it is sent or refused. A call that
-	// is sent at the second usually still ends within its aim.
-	choosyPart = 0.1
-	lastPart   = 0.45
+	// lastPart is the part of its aim at which a call that waits is sent or refused. One
+	// that is sent then usually still ends within its aim.
+	lastPart = 0.45
 	// aimOfDeadline stands in for the aim of a route that has none.
 	aimOfDeadline = 0.25
 	// busyRetry is when the caller of a call that found all targets busy may come back.
@@ -242,11 +240,7 @@
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
 		return false
 	}
-	load := t.load(r.now) + 1
-	if c.spentPart(r.now) < choosyPart {
-		return load < nearlyFull*t.slots()
-	}
-	return load <= t.slots()
+	return t.load(r.now)+1 <= t.slots()
 }
 
 // isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
