--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -34,15 +34,15 @@
 	return n.drawBelow(n.settings.ElectionTimeout / spreadParts)
 }
 
-// noteLessor takes note of a start of a replica. One that led loses its lease when it
+// noteStart takes note of a start of a replica. One that led loses its lease when it
 // starts again, since a lease lives in memory alone; then there is nothing left to wait
 // for before another is elected.
-func (n *Node) noteLessor(now units.Instant, id units.ReplicaID, incarnation units.Incarnation, boot uint64) {
-	l := n.lessor
+func (n *Node) noteStart(now units.Instant, id units.ReplicaID, incarnation units.Incarnation, boot uint64) {
+	l := n.leaseHolder
 	if l == nil || l.Id != string(id) || l.Incarnation == string(incarnation) && l.Boot >= boot {
 		return
 	}
-	n.lessor = nil
+	n.leaseHolder = nil
 	n.leaderHeard = now.Add(-n.settings.ElectionTimeout)
 	n.electionAt = min(n.electionAt, now.Add(n.drawSpread()))
 }
--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -16,8 +16,8 @@
 		n.becomeFollower(now, term, p.id, e)
 	}
 	n.leaderHeard = now
-	if n.lessor == nil || n.lessor.Id != string(p.id) || n.lessor.Boot != p.boot {
-		n.lessor = &wire.LeaderStart{Id: string(p.id), Incarnation: string(p.incarnation), Boot: p.boot}
+	if n.leaseHolder == nil || n.leaseHolder.Id != string(p.id) || n.leaseHolder.Boot != p.boot {
+		n.leaseHolder = &wire.LeaderStart{Id: string(p.id), Incarnation: string(p.incarnation), Boot: p.boot}
 	}
 	n.resetElection(now)
 	return true
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -60,9 +60,9 @@
 	// leaderHeard is when a leader was last heard; for a while after it no vote
 	// is given, which is what makes a leader's lease hold.
 	leaderHeard units.Instant
-	// lessor is the start of the leader whose lease this replica may last have answered
+	// leaseHolder is the start of the leader whose lease this replica may last have answered
 	// to; nil when that isn't known.
-	lessor *wire.LeaderStart
+	leaseHolder *wire.LeaderStart
 
 	written  WriteSequence
 	syncedTo WriteSequence
@@ -97,9 +97,9 @@
 	n.addMembers()
 	if n.log.lastTerm() == n.term {
 		// Whoever answers a leader of a later term has written that term down.
-		n.lessor = n.log.leaderOf(n.term)
+		n.leaseHolder = n.log.leaderOf(n.term)
 	}
-	n.noteLessor(now, s.ID, s.Incarnation, s.Boot)
+	n.noteStart(now, s.ID, s.Incarnation, s.Boot)
 	// The others hear at once of this start: it may have ended a lease.
 	n.electionAt = now.Add(n.drawBelow(s.ElectionTimeout / preVoteParts))
 	return n
@@ -186,7 +186,7 @@
 	}
 	p.boot = m.Boot
 	if isNew {
-		n.noteLessor(now, p.id, p.incarnation, p.boot)
+		n.noteStart(now, p.id, p.incarnation, p.boot)
 	}
 	if n.wentBack(p, m) {
 		n.refuse(p.id, m, "its disk holds an older copy: it acknowledged more than it holds now", e)
