--- a/test/control_test.go
+++ b/test/control_test.go
@@ -395,6 +395,11 @@
 	x.must(os.WriteFile(x.storeOf(a), older, 0o600))
 	x.cluster.StartAgain(a)
 	code, err := a.Process.AwaitEnd(patience)
+	if err != nil {
+		for _, n := range x.cluster.Replicas {
+			t.Logf("%s:\n%s", n.Settings.Box, n.Process.Log())
+		}
+	}
 	x.must(err)
 	if code != 3 || !containsAll(a.Process.Log(), "foreign-data", "older copy") {
 		t.Fatalf("the older copy was taken; exit code %d, log:\n%s", code, a.Process.Log())
