--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -587,26 +587,71 @@
 func TestAnOlderCopyIsRefusedWhateverComesFirst(t *testing.T) {
 	w := newWorld(t, 3, 3, 1)
 	old := w.leader()
-	var r *replicaFake
-	for _, o := range w.replicas {
-		if o != old {
-			r = o
+	r := w.followers()[0]
+	w.startFromOlderCopy(r, func() {})
+	w.give(old, PeerMessage{Envelope: &wire.Envelope{
+		From: string(r.id), To: string(old.id), Incarnation: fmt.Sprintf("%s.%d", r.id, r.incarnation), Boot: r.boot,
+		Body: &wire.Envelope_Presence{Presence: &wire.Presence{Formed: true}},
+	}})
+	w.run(2 * time.Second)
+	if r.halted == nil {
+		t.Fatalf("%s goes on with an older copy: %+v", r.id, r.core.Status(w.now).Log)
+	}
+}
+
+// An older copy must be noticed by a leader that never had an answer of its replica
+// before: the one that knew what had been acknowledged is frozen when it starts.
+func TestAnOlderCopyIsRefusedAfterAChangeOfLeader(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3, 1)
+		old := w.leader()
+		r := w.followers()[0]
+		w.startFromOlderCopy(r, func() { old.frozen = true })
+		w.run(time.Second)
+		w.thaw(old)
+		w.run(2 * time.Second)
+		if r.halted == nil {
+			t.Fatalf("seed %d: %s goes on with an older copy: %+v", seed, r.id, r.core.Status(w.now).Log)
 		}
 	}
+}
+
+// A leader that comes back with an older copy of its own disk is noticed as well.
+func TestAnOlderCopyOfTheLeaderIsRefused(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3, 1)
+		old := w.leader()
+		w.startFromOlderCopy(old, func() { w.run(time.Second) })
+		w.run(2 * time.Second)
+		if old.halted == nil {
+			t.Fatalf("seed %d: %s goes on with an older copy: %+v", seed, old.id, old.core.Status(w.now).Log)
+		}
+	}
+}
+
+// followers returns the replicas that don't lead.
+func (w *world) followers() []*replicaFake {
+	var list []*replicaFake
+	leader := w.leader()
+	for _, r := range w.replicas {
+		if r != leader {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// startFromOlderCopy has ten edits accepted, then puts a copy of a replica's disk from
+// before them in its place. The replica is down while meanwhile runs.
+func (w *world) startFromOlderCopy(r *replicaFake, meanwhile func()) {
+	leader := w.leader()
 	older := copyDurable(&r.disk)
 	for i := range 10 {
-		w.submit(old, newEdit(fmt.Sprintf("e%d", i), "s", versionAt(old, "s"), i))
+		w.submit(leader, newEdit(fmt.Sprintf("e%d", i), "s", versionAt(leader, "s"), i))
 		w.run(50 * time.Millisecond)
 	}
 	w.crash(r)
+	meanwhile()
 	r.disk = *copyDurable(older)
 	w.startReplica(r)
-	w.give(old, PeerMessage{Envelope: &wire.Envelope{
-		From: string(r.id), To: string(old.id), Incarnation: fmt.Sprintf("%s.%d", r.id, r.incarnation), Boot: r.boot,
-		Body: &wire.Envelope_Presence{Presence: &wire.Presence{Formed: true}},
-	}})
-	w.run(2 * time.Second)
-	if r.halted == nil {
-		t.Fatalf("%s goes on with an older copy: %+v", r.id, r.core.Status(w.now).Log)
-	}
 }
--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -34,6 +34,7 @@
 	if !n.follow(now, p, units.Term(r.Term), e) {
 		return
 	}
+	n.takeAcknowledged(r.Acknowledged)
 	previous := units.Index(r.PrevIndex)
 	if !n.formed() {
 		// Without a snapshot there is nothing to append to.
--- a/pkg/core/replication/leadership.go
+++ b/pkg/core/replication/leadership.go
@@ -64,13 +64,21 @@
 	return now.Sub(n.quorumContact(now)) < sure
 }
 
-// broadcast sends every other replica an append request, empty or not.
+// broadcast sends every other replica an append request, empty or not. It brings them up
+// to date on acknowledgements, so that whoever learns of a commit knows on whose word it
+// rests.
 func (n *Node) broadcast(now units.Instant, e *Effects) {
+	first := len(e.Sends)
 	for _, id := range n.order {
 		if p := n.peers[id]; n.wantsAppends(now, p) {
 			n.sendAppend(now, p, e)
 		}
 	}
+	for _, m := range e.Sends[first:] {
+		if r := m.GetAppendRequest(); r != nil {
+			r.Acknowledged = n.acknowledgedFor(n.peers[units.ReplicaID(m.To)], units.Instant(r.Round))
+		}
+	}
 }
 
 // wantsAppends tells whether a replica is worth sending to: every one that the
@@ -156,6 +164,7 @@
 		return
 	}
 	p.contact = max(p.contact, units.Instant(r.Round))
+	p.noteTold(units.Instant(r.Round))
 	match := units.Index(r.Match)
 	if r.Rejected {
 		p.next = max(p.match+1, min(match+1, n.log.last()+1))
@@ -168,6 +177,7 @@
 		n.advanceCommit(now, e)
 		n.changeMembership(now, e)
 	}
+	n.noteAcknowledged(p)
 	n.sendPending(now, e)
 }
 
@@ -194,6 +204,9 @@
 		return
 	}
 	n.commitTo(index, e)
+	for _, p := range n.peers {
+		n.noteAcknowledged(p)
+	}
 	// Followers learn of the commit at once, not with the next heartbeat.
 	n.broadcast(now, e)
 	n.changeMembership(now, e)
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -60,6 +60,8 @@
 	// leaderHeard is when a leader was last heard; for a while after it no vote
 	// is given, which is what makes a leader's lease hold.
 	leaderHeard units.Instant
+	// acknowledgedVersion counts the changes of what voters are known to have acknowledged.
+	acknowledgedVersion uint64
 	// leaseHolder is the start of the leader whose lease this replica may last have answered
 	// to; nil when that isn't known.
 	leaseHolder *wire.LeaderStart
@@ -181,8 +183,6 @@
 	if p.incarnation != incarnation {
 		p.restart(n.log.last() + 1)
 		isNew = p.replaceIncarnation(incarnation)
-	} else if m.Boot > p.boot {
-		p.unproven = true
 	}
 	p.boot = m.Boot
 	if isNew {
@@ -196,21 +196,6 @@
 	return true
 }
 
-// wentBack tells whether a restarted replica lacks entries that it acknowledged to
-// this leader before. It is in question until the first append that the replica
-// takes; whatever else it may say before that proves nothing.
-func (n *Node) wentBack(p *progress, m *wire.Envelope) bool {
-	r := m.GetAppendResponse()
-	if n.role != leader || r == nil || !p.unproven || units.Term(r.Term) != n.term {
-		return false
-	}
-	if !r.Rejected {
-		p.unproven = false
-		return false
-	}
-	return units.Index(r.Match) < p.match
-}
-
 // refuseForeigner answers a member of another cluster. Only a cluster that has
 // worked may refuse; of two that formed at once, the one without a quorum goes.
 func (n *Node) refuseForeigner(to units.ReplicaID, m *wire.Envelope, e *Effects) {
@@ -350,6 +335,9 @@
 	Incarnation units.Incarnation `json:"incarnation,omitempty"`
 	Voter       bool              `json:"voter"`
 	Match       units.Index       `json:"match"`
+	// Acknowledged is up to where it is known to have acknowledged the committed log, to
+	// this leader or an earlier one.
+	Acknowledged units.Index `json:"acknowledged"`
 	// Silence is how long nothing has come from it.
 	Silence time.Duration `json:"silence"`
 	Heard   bool          `json:"heard"`
@@ -372,7 +360,7 @@
 	for _, id := range n.order {
 		p := n.peers[id]
 		s.Peers = append(s.Peers, PeerStatus{
-			ID: id, Incarnation: p.incarnation, Match: p.match,
+			ID: id, Incarnation: p.incarnation, Match: p.match, Acknowledged: p.acknowledged.index,
 			Voter:   n.isVoter(voter{id: id, incarnation: p.incarnation}),
 			Silence: now.Sub(p.heard), Heard: p.incarnation != "",
 		})
--- a/pkg/core/replication/progress.go
+++ b/pkg/core/replication/progress.go
@@ -14,11 +14,18 @@
 	// that comes late says nothing about a later one.
 	earlier map[units.Incarnation]bool
 	boot    uint64
-	// unproven is set after a start of the other replica until it has shown that it
-	// still holds what it acknowledged.
-	unproven bool
-	next     units.Index
-	match    units.Index
+	// acknowledged is what the replica is known to have acknowledged, to this leader or
+	// to an earlier one.
+	acknowledged acknowledgement
+	// told is which version of all acknowledgements the replica is known to have, and
+	// telling the one that was last sent to it, in which round.
+	told    uint64
+	telling struct {
+		version uint64
+		round   units.Instant
+	}
+	next  units.Index
+	match units.Index
 	// contact is when the newest answered heartbeat was sent, on the leader's
 	// clock; it bounds how long no other leader can have been elected.
 	contact units.Instant
@@ -49,4 +56,6 @@
 	p.match = 0
 	p.contact = 0
 	p.snapshotAt = 0
+	p.told = 0
+	p.telling.version = 0
 }
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -377,6 +377,20 @@
 }
 
 func TestAnOlderCopyOfTheFolderIsRefused(t *testing.T) {
+	startWithAnOlderCopy(t, func(*lab.Node) {})
+}
+
+// The new leader has to know what the replica acknowledged to the frozen one.
+func TestAnOlderCopyOfTheFolderIsRefusedByANewLeader(t *testing.T) {
+	startWithAnOlderCopy(t, func(leader *lab.Node) {
+		leader.Process.Freeze()
+		time.AfterFunc(1500*time.Millisecond, leader.Process.Thaw)
+	})
+}
+
+// startWithAnOlderCopy starts a follower with an older copy of its data folder, after
+// something has been done to the leader, and expects it to be refused.
+func startWithAnOlderCopy(t *testing.T, disturb func(leader *lab.Node)) {
 	x := begin(t, setting{replicas: 3, boxes: 1})
 	x.accept("alpha", 1)
 	leader := x.leader()
@@ -391,8 +405,10 @@
 		x.accept("alpha", i)
 	}
 	x.awaitVoter(a)
+	x.awaitAcknowledged(a)
 	a.Process.Kill()
 	x.must(os.WriteFile(x.storeOf(a), older, 0o600))
+	disturb(x.leader())
 	x.cluster.StartAgain(a)
 	code, err := a.Process.AwaitEnd(patience)
 	if err != nil {
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -237,6 +237,28 @@
 	}))
 }
 
+// awaitAcknowledged waits until all other replicas know that one has acknowledged what is
+// committed now.
+func (x *story) awaitAcknowledged(n *lab.Node) {
+	x.Helper()
+	leader, err := x.leader().Dump()
+	x.must(err)
+	for _, o := range x.others(n) {
+		x.must(lab.Eventually(patience, func() error {
+			d, err := o.Dump()
+			if err != nil {
+				return err
+			}
+			for _, p := range d.Control.Log.Peers {
+				if string(p.ID) == n.Settings.Box && p.Acknowledged >= leader.Control.Log.Commit {
+					return nil
+				}
+			}
+			return fmt.Errorf("%s doesn't know what %s acknowledged: %+v", o.Settings.Box, n.Settings.Box, d.Control.Log.Peers)
+		}))
+	}
+}
+
 // journals are the targets' own records.
 func (x *story) runs() lab.Executions {
 	x.Helper()
