--- a/pkg/core/replication/formation.go
+++ b/pkg/core/replication/formation.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// presencePeriod is how often an empty replica asks the others.
+	// presencePeriod is how often an empty replica asks the others. It begins with
+	// firstPresence and doubles: after a loss of power the others wait for the lease of
+	// whoever led before, until they hear that it has started again without its disk.
 	presencePeriod = 200 * time.Millisecond
+	firstPresence  = 10 * time.Millisecond
 	// presenceAge is how old an answer may be to count when a cluster forms.
 	presenceAge = 2 * time.Second
 	// firstIndex is where a new cluster's log begins.
@@ -25,7 +28,8 @@
 	if now < n.heartbeatAt {
 		return
 	}
-	n.heartbeatAt = now.Add(presencePeriod)
+	n.presenceWait = min(presencePeriod, max(firstPresence, 2*n.presenceWait))
+	n.heartbeatAt = now.Add(n.presenceWait)
 	for _, id := range n.order {
 		n.sendPresence(id, true, e)
 	}
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -57,6 +57,8 @@
 
 	electionAt  units.Instant
 	heartbeatAt units.Instant
+	// presenceWait is the pause before an empty replica asks the others again.
+	presenceWait time.Duration
 	// leaderHeard is when a leader was last heard; for a while after it no vote
 	// is given, which is what makes a leader's lease hold.
 	leaderHeard units.Instant
