--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -32,6 +32,7 @@
 			Listen:         "127.0.0.1:0",
 			Policy:         string(routing.PolicyCost),
 			Loans:          true,
+			Disable:        []routing.Mechanism{},
 			ShareDelay:     Duration(routing.DefaultShareDelay),
 			MaxCalls:       4096,
 			MaxConnections: 20_000,
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -14,10 +14,18 @@
 	c.reset()
 	c.owner = v.Owner
 	c.arrived = r.now
+	if r.tableIsEmpty() && r.holdEarly(id, c, v, e) {
+		return
+	}
 	if !r.leased() {
 		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetry}, e)
 		return
 	}
+	r.admit(id, c, v, e)
+}
+
+// admit decides what becomes of a call at a box that has a table.
+func (r *Router) admit(id CallID, c *call, v *CallArrived, e *Effects) {
 	c.route = r.routes.find(v.Host, v.Path)
 	if c.route == nil {
 		r.refuse(id, c, r.noRoute(), e)
@@ -36,7 +44,7 @@
 	s.calls++
 	s.retries.earn(s.row.RetryBudget, s.burst)
 	s.hedges.earn(s.row.HedgeBudget, s.burst)
-	c.deadline = r.now.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
+	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
 			r.place(id, c, t, FirstSend, e)
@@ -67,7 +75,7 @@
 // is still empty can't know that there is none.
 func (r *Router) noRoute() Refusal {
 	if r.tableIsEmpty() {
-		return Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noLeaseRetry}
+		return Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noTableRetry}
 	}
 	return Refusal{Reason: NoService, Outcome: NotRun}
 }
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -18,6 +18,7 @@
 	*a = attempt{
 		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.sureTime(),
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
+		full:   t.load(r.now)+1 >= nearlyFull*t.slots(),
 	}
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
@@ -37,7 +38,7 @@
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence,
 	})
-	if !hedge && c.route.work == table.Repeatable && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
+	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
 }
@@ -153,7 +154,7 @@
 	took := r.now.Sub(a.sent)
 	t := a.target
 	if a.atPace && v.Result == Answered {
-		t.noteTime(r.now, c.route, took)
+		t.noteTime(r.now, c.route, took, a.full)
 	}
 	r.learn(t, v, took, e)
 	r.release(c, a, e)
@@ -186,6 +187,7 @@
 	switch v.Result {
 	case Answered:
 		t.answers++
+		t.noteFailure(r.now, 0)
 		t.service.noteTold(v.Reading)
 		t.latency.add(took)
 		t.service.latency.add(took)
@@ -193,6 +195,7 @@
 		turned = t.health.succeeded(r.now)
 	case Failed, Broken:
 		t.failures++
+		t.noteFailure(r.now, 1)
 		turned = t.health.failed(r.now)
 	case NotSent:
 		t.failures++
@@ -202,6 +205,11 @@
 		turned = t.health.misdirected(r.now)
 	case Shed:
 		t.sheds++
+		if t.row.Registered && r.on(FailingTargets) && t.knownRoom(r.now) {
+			// It isn't full, so that leaving it alone for a while would help nobody.
+			t.noteFailure(r.now, 1)
+			break
+		}
 		t.reading.contradicted()
 		t.shrink()
 		t.notBefore = r.now.Add(max(v.RetryAfter, t.latency.mean()/2))
@@ -254,7 +262,7 @@
 // retry sends a call again to another target, if the budget allows it. A retry is free
 // when nothing of the call can have arrived anywhere.
 func (r *Router) retry(id CallID, c *call, free bool, e *Effects) bool {
-	if c.spentAttempts() || !r.leased() || c.service.held.length > 0 {
+	if !r.on(Retrying) || c.spentAttempts() || !r.leased() || c.service.held.length > 0 {
 		return false
 	}
 	t := r.choose(c.service, c)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -21,8 +21,10 @@
 	next     *attempt
 	hedge    bool
 	loan     *loan
-	// atPace is set when the target was known to go at its usual pace at the sending.
+	// atPace is set when the target was known to go at its usual pace at the sending, full
+	// when it was nearly full then.
 	atPace bool
+	full   bool
 	// typical is the route's typical time then.
 	typical float64
 }
@@ -48,6 +50,8 @@
 	// that it shed the call.
 	mayHaveRun bool
 	held       bool
+	// early is set while the call is held for the box's first table.
+	early      bool
 	probeRound probeRound
 	// streaming is set once the head of an answer has been passed on.
 	streaming bool
@@ -132,6 +136,8 @@
 	coolTimer
 	// probeTimer ends the wait for targets' answers.
 	probeTimer
+	// earlyTimer ends the wait for the box's first table.
+	earlyTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -175,6 +181,8 @@
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
+	case earlyTimer:
+		r.refuseEarly(t.call, c, e)
 	case probeTimer:
 		if c.probeRound.open && c.probeRound.number == t.probeRound {
 			r.probeTimePassed(t.call, c, e)
--- /dev/null
+++ b/pkg/core/routing/early.go
@@ -0,0 +1,66 @@
+package routing
+
+import "time"
+
+// A box that has just started gets its table a moment later. Calls that come before are
+// held for it: a caller that is refused comes back later than the table does, and all of
+// them at the same time.
+
+const (
+	// earlyHold is for how long after its start a box holds calls for its first table. After
+	// a loss of power of all boxes, tables were in force 110 to 290 ms after the start.
+	earlyHold = 500 * time.Millisecond
+	// maxEarly bounds the calls that are held so.
+	maxEarly = 512
+	// noTableRetry is when the caller of a box without a table may come back.
+	noTableRetry = 250 * time.Millisecond
+)
+
+// earlyCall is a call that came before the first table.
+type earlyCall struct {
+	id       CallID
+	host     string
+	path     string
+	deadline time.Duration
+}
+
+// holdEarly holds a call for the first table, and tells whether it does.
+func (r *Router) holdEarly(id CallID, c *call, v *CallArrived, e *Effects) bool {
+	until := r.startedAt.Add(earlyHold)
+	if !r.on(EarlyCalls) || r.now >= until || len(r.early) >= maxEarly {
+		return false
+	}
+	if v.Deadline > 0 {
+		until = min(until, r.now.Add(v.Deadline))
+	}
+	c.early = true
+	r.early = append(r.early, earlyCall{id: id, host: string(v.Host), path: string(v.Path), deadline: v.Deadline})
+	r.timers.Push(timer{at: until, call: id, kind: earlyTimer})
+	e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: until})
+	return true
+}
+
+// admitEarly decides about the calls that were held for the first table, once that is in
+// force.
+func (r *Router) admitEarly(e *Effects) {
+	if len(r.early) == 0 || r.tableIsEmpty() || !r.leased() {
+		return
+	}
+	list := r.early
+	r.early = nil
+	for _, x := range list {
+		c := r.calls.Get(x.id)
+		if c == nil || !c.early {
+			continue
+		}
+		c.early = false
+		r.admit(x.id, c, &CallArrived{Host: []byte(x.host), Path: []byte(x.path), Deadline: x.deadline}, e)
+	}
+}
+
+// refuseEarly refuses a call whose table hasn't come in time.
+func (r *Router) refuseEarly(id CallID, c *call, e *Effects) {
+	if c.early {
+		r.refuse(id, c, Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noTableRetry}, e)
+	}
+}
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -35,12 +36,18 @@
 	if load >= nearlyFull*slots {
 		time *= nearlyFullPace
 	}
+	if !t.service.off[FailingTargets] {
+		time *= 1 + failureCost*t.failingPart(now)
+	}
 	if load > slots {
 		time += (load - slots) / slots * usualPace * nearlyFullPace
 	}
 	if t.remote {
 		time += remoteCost
 	}
+	if !t.near {
+		time += outsideCost
+	}
 	return time
 }
 
@@ -62,10 +69,48 @@
 	greatestSlowdown = 10
 )
 
+// bestConcurrency is how many calls at a time the target does most with: all of its
+// slots, or those below which work isn't slowed, where the last ones cost more than they
+// bring.
+func (t *target) bestConcurrency() float64 {
+	slots := t.slots()
+	below := math.Ceil(nearlyFull*slots) - 1
+	if below >= 1 && t.service.fullPace()*below > slots {
+		return below
+	}
+	return slots
+}
+
+// fullPace is how much longer calls take at the service's targets when those are nearly
+// full; 1 until enough calls have shown it.
+func (s *service) fullPace() float64 {
+	if s.fullAnswers < sureAnswers {
+		return 1
+	}
+	return s.fullSlowdown
+}
+
+// fullGain is the least weight of the newest answer in a service's slowdown when full: a
+// mean of about 30 calls, since one in four meets a slow moment.
+const fullGain = 0.03
+
+// learnFull takes how long a call took that was sent to a nearly full target, over what
+// it takes elsewhere.
+func (s *service) learnFull(ratio float64) {
+	s.fullAnswers++
+	s.fullSlowdown += max(fullGain, 1/float64(s.fullAnswers)) * (min(greatestSlowdown, ratio) - s.fullSlowdown)
+}
+
 // noteTime takes how long an answer took at a target whose pace was known to be usual
 // when the call was sent: what it took beyond the route's typical time is the target's
 // own slowdown.
-func (t *target) noteTime(now units.Instant, x *route, took time.Duration) {
+func (t *target) noteTime(now units.Instant, x *route, took time.Duration, full bool) {
+	if full {
+		if x.answers >= sureAnswers {
+			t.service.learnFull(float64(took) / x.typical)
+		}
+		return
+	}
 	if x.answers >= sureAnswers {
 		ratio := min(float64(took)/x.typical, greatestSlowdown)
 		t.slowdown = t.currentSlowdown(now) + slowdownGain*(ratio-t.currentSlowdown(now))
--- a/pkg/core/routing/health.go
+++ b/pkg/core/routing/health.go
@@ -33,6 +33,33 @@
 	rampFloor = 0.1
 )
 
+const (
+	// failureGain is the weight of the newest call in a target's part of failures: two
+	// failures in a row weigh as much as a usual slow moment.
+	failureGain = 0.15
+	// failureMemory is the age at which that part counts for a half.
+	failureMemory = 2 * time.Second
+	// failureCost is what a call that fails costs, in calls: it is sent again where that
+	// is allowed, and lost where it isn't.
+	failureCost = 3
+)
+
+// noteFailure takes how a call ended: 1 for a failure, 0 for an answer.
+func (t *target) noteFailure(now units.Instant, x float64) {
+	t.failing += failureGain * (x - t.failing)
+	t.failingAt = now
+}
+
+// failingPart is the part of calls that are expected to fail at the target.
+func (t *target) failingPart(now units.Instant) float64 {
+	return t.failing * freshness(now.Sub(t.failingAt), failureMemory)
+}
+
+// knownRoom tells whether the target is known to have had a slot free a moment ago.
+func (t *target) knownRoom(now units.Instant) bool {
+	return t.reading.Known && now.Sub(t.reading.at) < loadMemory && t.load(now) < t.slots()
+}
+
 // failed notes a failed call; it returns true when the target was ejected by it.
 func (h *health) failed(now units.Instant) bool {
 	h.failures++
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -54,7 +54,7 @@
 
 // place sends a call to the target that seems best, or asks a few first.
 func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
-	if !c.service.asksTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
+	if !r.on(Probing) || !c.service.asksTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
 		r.send(id, c, best, why, e)
 		return
 	}
@@ -182,7 +182,7 @@
 // asks others a moment later, as long as the call can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
 	t := r.choose(c.service, c)
-	late := c.spentPart(r.now) >= lastPart
+	late := c.spentPart(r.now) >= lastPart || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsAnyway(c, t)) {
 		c.probeRound.open = false
 		if !c.probeRound.waiting {
@@ -240,14 +240,17 @@
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
 		return false
 	}
-	return t.load(r.now)+1 <= t.slots()
+	if !r.on(Concurrency) {
+		return t.load(r.now)+1 <= t.slots()
+	}
+	return t.load(r.now)+1 <= t.bestConcurrency()
 }
 
 // isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
 // at all targets of the service, none is too slow: refusing calls would help nobody.
 func (r *Router) isTooSlow(t *target) bool {
 	slowdown := t.currentSlowdown(r.now)
-	if slowdown < heavySlowdown {
+	if !r.on(SlowTargets) || slowdown < heavySlowdown {
 		return false
 	}
 	least := slowdown
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -26,6 +26,8 @@
 	Loans bool
 	// MaxDeadline bounds what a caller may ask for.
 	MaxDeadline time.Duration
+	// Disable are the mechanisms that aren't used.
+	Disable []Mechanism
 }
 
 // Defaults of the settings.
@@ -63,9 +65,14 @@
 	calls       *container.Slab[call]
 	timers      *container.Heap[timer]
 	loans       loanBook
-	now         units.Instant
-	sweepAt     units.Instant
-	refusals    [reasonCount]uint64
+	// startedAt is when the router began; early are the calls that came before its first
+	// table.
+	startedAt units.Instant
+	early     []earlyCall
+	off       mechanismSet
+	now       units.Instant
+	sweepAt   units.Instant
+	refusals  [reasonCount]uint64
 	// freed are the services at which room has come up during this event.
 	freed []*service
 }
@@ -83,17 +90,23 @@
 	if err != nil {
 		return nil, err
 	}
+	off, err := newMechanismSet(s.Disable)
+	if err != nil {
+		return nil, err
+	}
 	return &Router{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Seed, 1)),
-		policy:   policy,
-		table:    table.NewTable(),
-		services: map[units.ServiceName]*service{},
-		calls:    container.NewSlab[call](),
-		timers:   container.NewHeap(timerBefore),
-		loans:    newLoanBook(),
-		now:      now,
-		sweepAt:  now,
+		settings:  s,
+		random:    rand.New(rand.NewPCG(s.Seed, 1)),
+		policy:    policy,
+		table:     table.NewTable(),
+		services:  map[units.ServiceName]*service{},
+		calls:     container.NewSlab[call](),
+		timers:    container.NewHeap(timerBefore),
+		loans:     newLoanBook(),
+		now:       now,
+		startedAt: now,
+		off:       off,
+		sweepAt:   now,
 	}, nil
 }
 
@@ -125,6 +138,7 @@
 	case *PeerMessage:
 		r.receiveLoan(v.From, v.Message, e)
 	}
+	r.admitEarly(e)
 	r.useFreed(e)
 }
 
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -15,6 +15,12 @@
 	entry   *table.Entry
 	row     table.Service
 	targets []*target
+	// fullSlowdown is how much longer calls took at nearly full targets, in fullAnswers
+	// answers.
+	fullSlowdown float64
+	fullAnswers  int
+	// off are the mechanisms that aren't used.
+	off mechanismSet
 	// domain is the box's own failure domain.
 	domain units.Domain
 	// sums are running sums of the weights that count now.
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -73,6 +73,7 @@
 	if s == nil {
 		s = newService(entry.Service)
 		s.domain = r.settings.Domain
+		s.off = r.off
 		r.services[entry.Service.Name] = s
 		r.order = append(r.order, s)
 	}
@@ -81,6 +82,7 @@
 	}
 	r.sweepBy(s, r.now)
 	s.burst = r.burstOf(s)
+	r.chooseSubset(s)
 	for _, t := range s.targets {
 		r.wantShare(t)
 	}
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -19,6 +19,11 @@
 	// slowdown is how much longer than elsewhere calls take here, as last learnt at slowdownAt.
 	slowdown   float64
 	slowdownAt units.Instant
+	// failing is the part of the last calls that failed here, as of failingAt.
+	failing   float64
+	failingAt units.Instant
+	// near is set where the target belongs to the box's subset of the service's targets.
+	near       bool
 	probeOrder float64
 	// probedAt is when a call last asked for the target's load; zero for never.
 	probedAt units.Instant
@@ -71,6 +76,7 @@
 func newTarget(s *service, row table.Row) *target {
 	return &target{
 		service: s,
+		near:    true,
 		window:  maxWindow,
 		endpoint: &Endpoint{
 			Service: row.Service, Target: row.Target, Address: row.Address, Domain: row.Domain,
@@ -85,7 +91,7 @@
 		t.health.retryAt = 0
 	}
 	t.row = row
-	t.remote = row.Domain != "" && t.service.domain != "" && row.Domain != t.service.domain
+	t.remote = !t.service.off[OwnDomain] && row.Domain != "" && t.service.domain != "" && row.Domain != t.service.domain
 	t.gone = false
 }
 
@@ -94,6 +100,9 @@
 	if t.row.State != table.Active {
 		return 0
 	}
+	if t.service.off[Ramping] {
+		return float64(t.row.Weight)
+	}
 	return float64(t.row.Weight) * t.health.ramp(now)
 }
 
@@ -146,7 +155,7 @@
 	if t.gone || t.row.State != table.Active || t.row.Weight == 0 || now < t.notBefore {
 		return false
 	}
-	if !anyHealth && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
+	if !anyHealth && !t.service.off[Ejection] && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
 		return false
 	}
 	if !t.hasRoom(now) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -109,6 +109,7 @@
 		ProbeCost:   s.Entry.ProbeCost.Std(),
 		Loans:       s.Entry.Loans,
 		MaxDeadline: s.Entry.MaxDeadline.Std(),
+		Disable:     s.Entry.Disable,
 	}, c.Clock.Now())
 }
 
