--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/fault"
 )
 
@@ -116,3 +117,19 @@
 		}
 	})
 }
+
+// The words that the settings take are those of the routing.
+func TestEveryMechanismCanBeSwitchedOff(t *testing.T) {
+	s, err := Parse([]byte(wellFormed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Entry.Disable = routing.Mechanisms
+	if problems := Check(s); len(problems) > 0 {
+		t.Errorf("%v", problems)
+	}
+	s.Entry.Disable = []routing.Mechanism{"hedgin"}
+	if problems := Check(s); len(problems) != 1 {
+		t.Errorf("an unknown mechanism gives %v", problems)
+	}
+}
--- /dev/null
+++ b/test/pipeline_test.go
@@ -0,0 +1,163 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/lab"
+)
+
+// pipeline is a caller's connection on which several requests are sent before the first
+// answer.
+type pipeline struct {
+	*story
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// pipelined is one of its requests.
+type pipelined struct {
+	id     string
+	work   time.Duration
+	closes bool
+}
+
+func (x *story) newPipeline() *pipeline {
+	x.Helper()
+	c, err := net.Dial("tcp", x.cluster.Boxes[0].Entry)
+	x.must(err)
+	x.Cleanup(func() { c.Close() })
+	x.must(c.SetDeadline(time.Now().Add(patience)))
+	return &pipeline{story: x, conn: c, reader: bufio.NewReader(c)}
+}
+
+// send writes all requests in one go.
+func (p *pipeline) send(requests ...pipelined) {
+	p.Helper()
+	text := strings.Builder{}
+	for _, r := range requests {
+		fmt.Fprintf(&text, "GET / HTTP/1.1\r\nHost: repeatable.test\r\nX-Request-Id: %s\r\nX-Answer-Bytes: 5000\r\nX-Work-Us: %d\r\n", r.id, r.work.Microseconds())
+		if r.closes {
+			text.WriteString("Connection: close\r\n")
+		}
+		text.WriteString("\r\n")
+	}
+	_, err := p.conn.Write([]byte(text.String()))
+	p.must(err)
+}
+
+// mustAnswer reads the next answer, which must be the whole one of a request. It returns
+// whether the connection goes on.
+func (p *pipeline) mustAnswer(id string) bool {
+	p.Helper()
+	r := &fasthttp.Response{}
+	p.must(r.Read(p.reader))
+	if got := string(r.Header.Peek(lab.RequestHeader)); r.StatusCode() != fasthttp.StatusOK || got != id {
+		p.Fatalf("the answer for %s has status %d and the id %q", id, r.StatusCode(), got)
+	}
+	if want := lab.AnswerBody(id, 5000); string(r.Body()) != string(want) {
+		p.Fatalf("the answer for %s has %d bytes of %d", id, len(r.Body()), len(want))
+	}
+	return !r.ConnectionClose()
+}
+
+// mustEnd expects that nothing more comes.
+func (p *pipeline) mustEnd() {
+	p.Helper()
+	if b, err := p.reader.ReadByte(); err == nil {
+		p.Fatalf("the connection goes on with %q", b)
+	}
+}
+
+func requestsOf(prefix string, n int, work time.Duration) []pipelined {
+	list := make([]pipelined, n)
+	for i := range list {
+		list[i] = pipelined{id: fmt.Sprintf("%s-%d", prefix, i), work: work}
+	}
+	return list
+}
+
+func TestPipelinedRequestsAreAnsweredInTheirOrder(t *testing.T) {
+	x := begin(t, setting{replicas: 1, boxes: 1, targets: 3})
+	x.fillTable(nil)
+	p := x.newPipeline()
+	list := requestsOf("ordered", 8, time.Millisecond)
+	list[0].work = 300 * time.Millisecond
+	p.send(list...)
+	for _, r := range list {
+		p.mustAnswer(r.id)
+	}
+}
+
+func TestNothingBehindARequestThatClosesIsRun(t *testing.T) {
+	x := begin(t, setting{replicas: 1, boxes: 1, targets: 3})
+	x.fillTable(nil)
+	p := x.newPipeline()
+	list := requestsOf("closing", 6, time.Millisecond)
+	list[2].closes = true
+	p.send(list...)
+	for _, r := range list[:3] {
+		p.mustAnswer(r.id)
+	}
+	p.mustEnd()
+	x.mustHaveRun(list[:3], list[3:])
+}
+
+// mustHaveRun checks which requests the targets have run.
+func (x *story) mustHaveRun(some, others []pipelined) {
+	x.Helper()
+	runs := x.runs()
+	for _, r := range some {
+		if runs[r.id] == 0 {
+			x.Errorf("%s was answered and not run", r.id)
+		}
+	}
+	for _, r := range others {
+		if runs[r.id] != 0 {
+			x.Errorf("%s was run though its connection had ended", r.id)
+		}
+	}
+}
+
+func TestACallerThatLeavesItsPipelineFreesItsSlot(t *testing.T) {
+	x := begin(t, setting{replicas: 1, boxes: 1, targets: 1})
+	x.fillTable(nil)
+	p := x.newPipeline()
+	list := requestsOf("leaving", 4, 0)
+	list[1].work = 8 * time.Second
+	p.send(list...)
+	p.mustAnswer(list[0].id)
+	p.conn.Close()
+	x.must(lab.Eventually(patience, func() error {
+		d, err := x.cluster.Boxes[0].Dump()
+		if err == nil && d.Entry.Routing.Calls != 0 {
+			err = fmt.Errorf("%d calls are under way", d.Entry.Routing.Calls)
+		}
+		return err
+	}))
+	next := x.newPipeline()
+	next.send(pipelined{id: "after", work: time.Millisecond})
+	next.mustAnswer("after")
+}
+
+func TestAPlannedStopEndsPipelinesBetweenRequests(t *testing.T) {
+	x := begin(t, setting{replicas: 1, boxes: 2, targets: 3})
+	x.fillTable(nil)
+	p := x.newPipeline()
+	list := requestsOf("stopping", 8, 200*time.Millisecond)
+	p.send(list...)
+	p.mustAnswer(list[0].id)
+	x.cluster.Boxes[0].Process.Terminate()
+	answered := 1
+	for goesOn := true; goesOn && answered < len(list); answered++ {
+		goesOn = p.mustAnswer(list[answered].id)
+	}
+	p.mustEnd()
+	x.mustHaveRun(list[:answered], list[answered:])
+}
