--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -117,28 +115,6 @@
 	return direct, nil
 }
 
-// Ports are drawn from below those that the system gives to outgoing connections; one of
-// these could take a port between its choice and its use.
-const (
-	firstPort  = 15000
-	portRange  = 15000
-	portsTried = 200
-)
-
-// FreeAddress returns a loopback address whose port was free a moment ago.
-func FreeAddress() (string, error) {
-	var err error
-	for range portsTried {
-		var l net.Listener
-		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portRange)))
-		if err == nil {
-			l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", err
-}
-
 func (c *Cluster) startNode(name string, role config.Role, peer string) (*Node, error) {
 	s := config.Defaults()
 	s.Box = name
--- /dev/null
+++ b/pkg/lab/ports_test.go
@@ -0,0 +1,18 @@
+package lab
+
+import "testing"
+
+func TestNoAddressIsGivenOutTwice(t *testing.T) {
+	const addresses = 2000
+	seen := map[string]bool{}
+	for range addresses {
+		a, err := FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[a] {
+			t.Fatalf("%s was given out twice within %d", a, len(seen))
+		}
+		seen[a] = true
+	}
+}
