--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -154,6 +154,10 @@
 	return writeJSON(ctx, s.replica.Status())
 }
 
+func (s *Server) getSettings(ctx *fasthttp.RequestCtx) error {
+	return writeJSON(ctx, s.reloader.Status())
+}
+
 // Dump is the whole state of a process.
 type Dump struct {
 	Box      string           `json:"box"`
@@ -178,7 +182,7 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	d := Dump{
-		Box: s.Settings.Box, At: time.Now().UTC(), Settings: s.Settings,
+		Box: s.Settings.Box, At: time.Now().UTC(), Settings: s.reloader.Status().InForce,
 		Runtime: Runtime{
 			Goroutines: runtime.NumGoroutine(), HeapBytes: m.HeapAlloc, SysBytes: m.Sys, Version: runtime.Version(),
 		},
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -20,6 +20,7 @@
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/replica"
 )
 
@@ -29,15 +30,24 @@
 	entry    *entry.Entry
 	replica  *replica.Replica
 	boxList  *boxlist.Watcher
+	reloader *reload.Reloader
 	token    []byte
 	server   *fasthttp.Server
 	listener net.Listener
 }
 
+// Parts are the parts of the process that the API shows; what it lacks is nil.
+type Parts struct {
+	Entry    *entry.Entry
+	Replica  *replica.Replica
+	BoxList  *boxlist.Watcher
+	Reloader *reload.Reloader
+}
+
 // NewServer returns a server that doesn't listen yet. The error is a Settings
 // fault when the token can't be read.
-func NewServer(c *common.Common, e *entry.Entry, r *replica.Replica, p *boxlist.Watcher) (*Server, error) {
-	s := &Server{Common: c, entry: e, replica: r, boxList: p}
+func NewServer(c *common.Common, p Parts) (*Server, error) {
+	s := &Server{Common: c, entry: p.Entry, replica: p.Replica, boxList: p.BoxList, reloader: p.Reloader}
 	if path := c.Settings.Admin.TokenFile; path != "" {
 		data, err := os.ReadFile(path)
 		if err != nil {
@@ -122,6 +132,7 @@
 	{"PUT", "/v1/targets/", false, (*Server).putTarget},
 	{"DELETE", "/v1/targets/", false, (*Server).deleteTarget},
 	{"GET", "/v1/dump", false, (*Server).dump},
+	{"GET", "/v1/settings", false, (*Server).getSettings},
 	{"GET", "/debug/vars", false, (*Server).vars},
 }
 
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -21,6 +21,7 @@
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/logging"
+	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/replica"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -36,6 +37,7 @@
 	metrics  *admin.MetricsServer
 	logger   *logging.Logger
 	boxList  *boxlist.Watcher
+	reloader *reload.Reloader
 	// extensions are parts that a program adds to the daemon's own.
 	extensions []Extension
 	// formAlone has a cluster of one formed at the start.
@@ -61,10 +63,11 @@
 // Extend makes an extension for a process.
 type Extend func(Parts) Extension
 
-// NewApp returns a process that serves nobody yet.
-func NewApp(s *config.Settings, extend ...Extend) (*App, error) {
+// NewApp returns a process that serves nobody yet. source is where its settings were read.
+func NewApp(s *config.Settings, source reload.Source, extend ...Extend) (*App, error) {
 	logger := logging.NewLogger(s.LogLevel)
 	a := &App{logger: logger, Common: &common.Common{Log: logger.WithField("box", s.Box), Settings: s, Clock: clock.NewClock()}}
+	a.reloader = reload.NewReloader(a.Log, s, source, a.takeSettings)
 	a.metrics = admin.NewMetricsServer(a.Common)
 	if err := a.build(); err != nil {
 		a.Log.WithError(err).WithField("kind", fault.KindOf(err)).Error("madderpond can't start")
@@ -89,7 +92,7 @@
 			return err
 		}
 	}
-	if a.listener, err = transport.Listen(a.peerAddress(), a.Security, a.Log, a.servePeer); err != nil {
+	if a.listener, err = transport.Listen(a.peerAddress(), a.Security, a.Log, a.gate(), a.servePeer); err != nil {
 		return err
 	}
 	if a.Settings.Has(config.RoleEntry) {
@@ -102,7 +105,7 @@
 		}
 	}
 	a.boxList = boxlist.NewWatcher(a.Common)
-	a.admin, err = admin.NewServer(a.Common, a.entry, a.replica, a.boxList)
+	a.admin, err = admin.NewServer(a.Common, admin.Parts{Entry: a.entry, Replica: a.replica, BoxList: a.boxList, Reloader: a.reloader})
 	return err
 }
 
@@ -133,6 +136,14 @@
 	return a.Settings.Peer.Listen
 }
 
+// gate is the replica's, where this process is one.
+func (a *App) gate() transport.Gate {
+	if a.replica == nil {
+		return nil
+	}
+	return a.replica
+}
+
 // servePeer hands a connection to the role that it is meant for.
 func (a *App) servePeer(hello *wire.Hello, c *transport.Conn) {
 	if hello.Replica != "" {
@@ -192,7 +203,9 @@
 func (a *App) Run() error {
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	go a.noteReloads(reloads)
+	done := make(chan struct{})
+	defer close(done)
+	go a.reloader.Run(reloads, done)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := a.Start(); err != nil {
@@ -214,11 +227,15 @@
 	return a.Stop(ctx)
 }
 
-// noteReloads says that a changed settings file counts from the next start on: every
-// setting either ties the process to its ports or is part of what it promised others.
-func (a *App) noteReloads(signals <-chan os.Signal) {
-	for range signals {
-		a.Log.WithField("kind", "reload").Info("the settings are read at the next start; calls go on")
+// takeSettings takes what a running process can take of changed settings.
+func (a *App) takeSettings(s *config.Settings) {
+	a.logger.ChangeLevel(s.LogLevel)
+	setMemoryLimit(s)
+	if a.entry != nil {
+		a.entry.SetReplicas(s)
+	}
+	if a.replica != nil {
+		a.replica.SetSeeds(s)
 	}
 }
 
--- a/pkg/app/main.go
+++ b/pkg/app/main.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"runtime/debug"
 
@@ -10,6 +11,7 @@
 
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/reload"
 )
 
 // Exit codes of the daemon.
@@ -57,20 +59,18 @@
 		fmt.Println("the settings have no faults")
 		return exitDone
 	}
-	return Serve(s, o.Form)
+	return Serve(s, reload.Source{Path: o.Settings, Load: config.Load}, o.Form)
 }
 
-// Serve runs a process with the given settings until it is asked to stop, and returns
-// its exit code. form has a cluster of one formed.
-func Serve(s *config.Settings, form bool, extend ...Extend) int {
-	a, err := NewApp(s, extend...)
+// Serve runs a process with settings that were read from source until it is asked to
+// stop, and returns its exit code. form has a cluster of one formed.
+func Serve(s *config.Settings, source reload.Source, form bool, extend ...Extend) int {
+	a, err := NewApp(s, source, extend...)
 	if err != nil {
 		return exitCode(err)
 	}
 	defer a.Close()
-	if s.MemoryLimitMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryLimitMB) << 20)
-	}
+	setMemoryLimit(s)
 	a.formAlone = form && len(s.Replicas) == 1
 	if err := a.Run(); err != nil {
 		a.Log.WithError(err).WithField("kind", fault.KindOf(err)).Error("madderpond has failed")
@@ -79,6 +79,15 @@
 	return exitDone
 }
 
+// setMemoryLimit sets the soft limit of the heap.
+func setMemoryLimit(s *config.Settings) {
+	limit := int64(math.MaxInt64)
+	if s.MemoryLimitMB > 0 {
+		limit = int64(s.MemoryLimitMB) << 20
+	}
+	debug.SetMemoryLimit(limit)
+}
+
 func exitCode(err error) int {
 	switch fault.KindOf(err) {
 	case fault.Settings:
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/madderpond/madderpond/pkg/admin"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/replica"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -184,6 +185,12 @@
 	return raw, c.askAny("GET", "/v1/dump", nil, &raw)
 }
 
+// Settings returns what became of a server's settings file.
+func (c *Client) Settings() (*reload.Status, error) {
+	status := &reload.Status{}
+	return status, c.askAny("GET", "/v1/settings", nil, status)
+}
+
 // Apply has an edit decided. While its outcome isn't known it is sent again
 // with the same id, to one server after another, which is safe: it takes effect
 // once at most.
--- a/pkg/config/page.go
+++ b/pkg/config/page.go
@@ -15,6 +15,9 @@
 	b.WriteString("The daemon reads one file in JSON with comments: `madderpond --settings FILE`.\n")
 	b.WriteString("`madderpond --settings FILE --check` lists all faults at once and exits with 2 if there are any.\n")
 	b.WriteString("An unknown field is a fault. This page is made from the code by `make docs`.\n\n")
+	b.WriteString("The file is read again on SIGHUP and when it has changed. A running process takes changes of `" +
+		strings.Join(takenRunning, "`, `") + "` (`replicas` on boxes without the role control only);\n")
+	b.WriteString("all others take a restart. `madderctl settings --server BOX` shows what waits, and why a file is refused.\n\n")
 	b.WriteString("| field | default | what it is |\n|---|---|---|\n")
 	writeFields(&b, "", reflect.ValueOf(Defaults()).Elem())
 	return b.String()
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 // Settings are a process's settings. The doc tag is what docs/SETTINGS.md says
@@ -78,6 +79,16 @@
 	return names
 }
 
+// ReplicaIDs returns the ids of the replicas that the settings know.
+func (s *Settings) ReplicaIDs() []units.ReplicaID {
+	names := s.ReplicaNames()
+	ids := make([]units.ReplicaID, 0, len(names))
+	for _, n := range names {
+		ids = append(ids, units.ReplicaID(n))
+	}
+	return ids
+}
+
 // Peer is the port for madderpond's own processes.
 type Peer struct {
 	Listen    string `json:"listen" validate:"ipport" doc:"IP number and port to listen on; port 0 takes a free one."`
--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -15,7 +15,7 @@
 		r.restore(log.Restored, e)
 	}
 	for _, entry := range log.Committed {
-		r.apply(entry, e)
+		r.applyCommitted(entry, e)
 	}
 	e.Writes = append(e.Writes, log.Writes...)
 	e.PeerSends = append(e.PeerSends, log.Sends...)
@@ -36,6 +36,26 @@
 	r.answerKnown(e)
 }
 
+// applyCommitted applies an entry. What a replica reads again after its start has been
+// logged in an earlier life; hundreds of lines at once would hold up its boxes.
+func (r *Replica) applyCommitted(entry *wire.Entry, e *Effects) {
+	changes := len(e.Changes)
+	r.apply(entry, e)
+	if r.replaying {
+		r.replayed++
+		e.Changes = e.Changes[:changes]
+	}
+}
+
+// noteReplayed ends the time in which the log is read again.
+func (r *Replica) noteReplayed(e *Effects) {
+	if !r.replaying {
+		return
+	}
+	r.replaying = false
+	e.Changes = append(e.Changes, Change{Kind: LogReplayed, Entries: r.replayed, Term: r.node.Term(), Revision: r.state.Table().Revision})
+}
+
 func (r *Replica) apply(entry *wire.Entry, e *Effects) {
 	if len(entry.Command) == 0 {
 		return
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -75,6 +75,9 @@
 // BoxDetached says that a box's connection has ended.
 type BoxDetached struct{ Connection ConnectionID }
 
+// SeedsChanged says that the settings name other replicas to report to.
+type SeedsChanged struct{ Seeds []units.ReplicaID }
+
 // StopRequested says that this replica is about to stop as planned.
 type StopRequested struct{}
 
@@ -90,6 +93,7 @@
 func (ReadRequested) controlEvent()     {}
 func (BoxMessage) controlEvent()        {}
 func (BoxDetached) controlEvent()       {}
+func (SeedsChanged) controlEvent()      {}
 func (StopRequested) controlEvent()     {}
 
 // Answer is the answer to a request of this process's shell. Without an error, what was
@@ -137,6 +141,7 @@
 	TargetHeard     ChangeKind = "target-heard"
 	LeaderChanged   ChangeKind = "leader"
 	VotersChanged   ChangeKind = "voters"
+	LogReplayed     ChangeKind = "log-replayed"
 )
 
 // Change is something that a replica has come to believe.
@@ -150,6 +155,8 @@
 	Leader   units.ReplicaID
 	Voters   []units.ReplicaID
 	Term     units.Term
+	// Entries is how many entries of the log were read again since the start.
+	Entries int
 }
 
 // BoxStatus is what the control state knows of a box.
--- a/pkg/core/control/recovery_test.go
+++ b/pkg/core/control/recovery_test.go
@@ -178,3 +178,79 @@
 		t.Fatalf("%s would vote for %s while %s holds the lease", follower.id, candidate.id, w.replicas[0].id)
 	}
 }
+
+// revisionsSeen runs the world and returns the revisions that a box showed meanwhile.
+func (w *world) revisionsSeen(b *boxFake, d time.Duration) map[units.Revision]bool {
+	seen := map[units.Revision]bool{}
+	for end := w.now.Add(d); w.now < end; {
+		w.run(time.Millisecond)
+		seen[b.core.Table().Revision] = true
+	}
+	return seen
+}
+
+// acceptEdits has a number of edits accepted and returns the newest revision.
+func (w *world) acceptEdits(n int) units.Revision {
+	for i := range n {
+		w.submit(w.leader(), newEdit(fmt.Sprintf("e%d", i), "s", versionAt(w.leader(), "s"), i))
+		w.run(50 * time.Millisecond)
+	}
+	return w.leader().core.Table().Revision
+}
+
+// After a loss of power the snapshots on the disks are older than what was accepted. A box
+// that gets them first spends its link and its processor on them, and sends calls to
+// targets that have gone.
+func TestABoxGetsTheNewestTableFirst(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 5, 1)
+		newest := w.acceptEdits(30)
+		w.powerOff(time.Millisecond, 20*time.Millisecond, 60*time.Millisecond)
+		w.startBox(w.boxes[0])
+		for revision := range w.revisionsSeen(w.boxes[0], time.Second) {
+			if revision != 0 && revision < newest {
+				t.Errorf("seed %d: the box was at revision %d, an earlier one than %d", seed, revision, newest)
+			}
+		}
+		if got := w.boxes[0].core.Table().Revision; got < newest {
+			t.Errorf("seed %d: the box is at revision %d, not %d", seed, got, newest)
+		}
+	}
+}
+
+// The box needn't ask again once there is a leader.
+func TestABoxGetsTableAndLeaseAsSoonAsALeaderStands(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 3, 1)
+		newest := w.acceptEdits(10)
+		w.powerOff(30 * time.Millisecond)
+		b := w.boxes[0]
+		w.renewEvery, w.silence = 4*time.Second, 4*time.Second
+		w.startBox(b)
+		w.timeToLeader(3 * testElection)
+		stood := w.now
+		for b.core.Table().Revision < newest || b.core.LeaseUntil() == 0 {
+			w.run(time.Millisecond)
+			if w.now.Sub(stood) > 4*slowestMessage {
+				t.Errorf("seed %d: %s after the leader stood the box is at revision %d, its lease ends at %d",
+					seed, w.now.Sub(stood), b.core.Table().Revision, b.core.LeaseUntil())
+				break
+			}
+		}
+	}
+}
+
+// Without a quorum nobody knows the newest table; then an older one is better than none.
+func TestABoxGetsAnOlderTableWhereNoLeaderStands(t *testing.T) {
+	w := newWorld(t, 1, 3, 1)
+	w.acceptEdits(30)
+	for _, r := range w.replicas {
+		w.crash(r)
+	}
+	w.startReplica(w.replicas[0])
+	w.startBox(w.boxes[0])
+	w.run(3 * time.Second)
+	if w.boxes[0].core.Table().Revision == 0 {
+		t.Errorf("the box has no table: %+v", w.boxes[0].core.Status(w.now))
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -76,6 +76,14 @@
 	// knownLeader and knownMembership are what was last told of in the log.
 	knownLeader     units.ReplicaID
 	knownMembership units.Index
+	// caughtUp is set while this replica knows all that was committed before the present
+	// leader stood.
+	caughtUp  bool
+	startedAt units.Instant
+	// replaying is set from the start until the replica has first caught up; replayed
+	// counts the log's entries that it has read again meanwhile.
+	replaying bool
+	replayed  int
 	// leading is set while this replica leads; ledSince is when that began.
 	leading  bool
 	ledSince units.Instant
@@ -98,6 +106,9 @@
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
 		now:      now,
+
+		startedAt: now,
+		replaying: d.Snapshot != nil,
 	}
 	if d.Snapshot == nil {
 		return r, nil
@@ -141,6 +152,8 @@
 		r.receiveBox(v, &log, e)
 	case BoxDetached:
 		r.sessions.Delete(v.Connection)
+	case SeedsChanged:
+		r.node.AddPeers(v.Seeds)
 	case StopRequested:
 		r.node.HandOver(r.now, &log)
 	}
@@ -155,6 +168,7 @@
 	var log replication.Effects
 	r.noticeLeadership(e)
 	r.formAlone(&log)
+	r.noticeCatchingUp(&log, e)
 	r.answerReads(e)
 	if r.now >= r.tickAt {
 		r.tickAt = r.now.Add(calmTickPeriod)
@@ -266,6 +280,13 @@
 // History returns the last accepted edits, oldest first.
 func (r *Replica) History() []table.Result { return r.state.History() }
 
+// CaughtUp tells whether this replica knows all that was committed before the present
+// leader stood.
+func (r *Replica) CaughtUp() bool { return r.caughtUp }
+
+// Peers are the other replicas that this one knows of.
+func (r *Replica) Peers() []units.ReplicaID { return r.node.Peers() }
+
 // Formed tells whether this replica belongs to a cluster.
 func (r *Replica) Formed() bool { return r.node.Formed() }
 
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -12,6 +14,8 @@
 	box        units.BoxID
 	// sent is the revision up to which the box was sent the table.
 	sent units.Revision
+	// waiting is the box's last request for a lease while it waits for a leader.
+	waiting *wire.RenewRequest
 }
 
 func (r *Replica) receiveBox(v BoxMessage, log *replication.Effects, e *Effects) {
@@ -21,15 +25,56 @@
 	}
 	s := r.attach(v.Connection, request)
 	r.push(s, e)
-	if r.node.IsLeader() {
-		r.grant(request, e, func(granted *wire.Envelope) {
-			answer := r.boxEnvelope()
-			answer.Body = granted.Body
-			e.BoxSends = append(e.BoxSends, BoxSend{Connection: v.Connection, Envelope: answer})
-		})
+	if !r.caughtUp {
+		r.keepWaiting(s, request, e)
+		return
+	}
+	r.renew(s, request, log, e)
+}
+
+// keepWaiting keeps a request until a leader can answer it, and lets the box know, so that
+// it neither asks again soon nor looks for another replica: 473 boxes that did so took
+// 90 ms of the replicas' time in the moment in which they elect a leader.
+func (r *Replica) keepWaiting(s *session, request *wire.RenewRequest, e *Effects) {
+	s.waiting = request
+	answer := r.boxEnvelope()
+	answer.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{Box: request.Box.Id, Nonce: request.Nonce, Start: request.Start}}
+	e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: answer})
+}
+
+// renew has the leader answer a request for a lease.
+func (r *Replica) renew(s *session, request *wire.RenewRequest, log *replication.Effects, e *Effects) {
+	s.waiting = nil
+	if !r.node.IsLeader() {
+		r.passRenewal(request, log)
+		return
+	}
+	r.grant(request, e, func(granted *wire.Envelope) {
+		answer := r.boxEnvelope()
+		answer.Body = granted.Body
+		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: answer})
+	})
+}
+
+// noticeCatchingUp serves the boxes that have waited for a leader: it knows the newest
+// table, and so does this replica now.
+func (r *Replica) noticeCatchingUp(log *replication.Effects, e *Effects) {
+	caughtUp := r.node.CaughtUp() && (!r.node.IsLeader() || r.node.HasLease(r.now))
+	if caughtUp == r.caughtUp {
 		return
 	}
-	r.passRenewal(request, log)
+	r.caughtUp = caughtUp
+	if !caughtUp {
+		return
+	}
+	r.noteReplayed(e)
+	r.pushPending = true
+	r.pushAt = r.now
+	for _, c := range r.sessions.Keys() {
+		if s := r.sessions.Get(c); s.waiting != nil {
+			r.renew(s, s.waiting, log, e)
+		}
+	}
 }
 
 func (r *Replica) attach(c ConnectionID, request *wire.RenewRequest) *session {
@@ -78,7 +123,7 @@
 // than this replica is left alone until the replica has caught up.
 func (r *Replica) push(s *session, e *Effects) {
 	present := r.state.Table()
-	if s.sent >= present.Revision || !r.node.Formed() {
+	if s.sent >= present.Revision || !r.node.Formed() || r.holdsTable(s) {
 		return
 	}
 	for _, m := range r.messagesSince(s.sent, e) {
@@ -87,6 +132,24 @@
 	s.sent = present.Revision
 }
 
+// tableHold is for how long after its start a replica sends no whole table that may be an
+// old one. Leaders stood 43 to 350 ms after the start of replicas that had lost power; a
+// box without a table holds its calls for a little longer.
+const tableHold = 400 * time.Millisecond
+
+// holdsTable tells whether a box had better wait for the newest table: the one on this
+// replica's disk is as old as its last snapshot, and a whole table takes a box's link and
+// processor as long as the newest one does.
+func (r *Replica) holdsTable(s *session) bool {
+	return !r.caughtUp && r.now < r.startedAt.Add(tableHold) && r.needsWholeTable(s.sent)
+}
+
+// needsWholeTable tells whether changes don't lead from a revision to the present one:
+// they aren't all kept, or there is no table to change.
+func (r *Replica) needsWholeTable(from units.Revision) bool {
+	return from == 0 || int(r.state.Table().Revision-from) > r.deltas.Len()
+}
+
 // boxEnvelope is a message to a box, which knows whom it is attached to: every byte of
 // it goes to every box.
 func (r *Replica) boxEnvelope() *wire.Envelope { return &wire.Envelope{} }
@@ -110,14 +173,13 @@
 	return r.lastUpdate.messages
 }
 
-// bodySince is the changes that follow a revision, or the whole table when they aren't
-// all kept or the box has no table to change.
+// bodySince is the changes that follow a revision, or the whole table.
 func (r *Replica) bodySince(from units.Revision) wire.Body {
 	present := r.state.Table()
-	missing := int(present.Revision - from)
-	if from == 0 || missing > r.deltas.Len() {
+	if r.needsWholeTable(from) {
 		return &wire.Envelope_Table{Table: wire.FromTable(present)}
 	}
+	missing := int(present.Revision - from)
 	batch := &wire.DeltaBatch{}
 	for i := r.deltas.Len() - missing; i < r.deltas.Len(); i++ {
 		batch.Deltas = append(batch.Deltas, wire.FromDelta(r.deltas.At(i)))
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -35,6 +35,8 @@
 	loss     float64
 	twice    float64
 	settings Settings
+	// renewEvery and silence are the boxes' timings.
+	renewEvery, silence time.Duration
 
 	answers  map[units.EditID]table.Result
 	accepted map[units.Revision]acceptedEdit
@@ -118,11 +120,12 @@
 func emptyWorld(t fataler, seed uint64, replicas, boxes int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: units.Instant(time.Second),
-		events:   container.NewHeap(func(a, b event) bool { return a.at < b.at || a.at == b.at && a.sequence < b.sequence }),
-		answers:  map[units.EditID]table.Result{},
-		accepted: map[units.Revision]acceptedEdit{},
-		contents: map[units.Revision]*table.Table{},
-		leaders:  map[units.Term]units.ReplicaID{},
+		events:     container.NewHeap(func(a, b event) bool { return a.at < b.at || a.at == b.at && a.sequence < b.sequence }),
+		answers:    map[units.EditID]table.Result{},
+		accepted:   map[units.Revision]acceptedEdit{},
+		contents:   map[units.Revision]*table.Table{},
+		leaders:    map[units.Term]units.ReplicaID{},
+		renewEvery: 50 * time.Millisecond, silence: 150 * time.Millisecond,
 		settings: Settings{
 			Lease: testLease, LeaseMargin: 100 * time.Millisecond, EditTimeout: time.Second,
 			SnapshotEvery: 20, KeepEntries: 5, ReadTimeout: 300 * time.Millisecond, SilentAfter: time.Second,
@@ -312,6 +315,9 @@
 	return c
 }
 
+// slowestMessage is the longest that a message takes.
+const slowestMessage = 42 * time.Millisecond
+
 func (w *world) latency() time.Duration {
 	d := time.Duration(200+w.random.IntN(1500)) * time.Microsecond
 	if w.random.Float64() < 0.02 {
@@ -391,8 +397,8 @@
 		}
 	}
 	b.core = subscription.NewSubscription(subscription.Settings{
-		Box: table.Box{ID: b.id, Address: "127.0.0.1:1"}, Replicas: ids, RenewEvery: 50 * time.Millisecond,
-		Silence: 150 * time.Millisecond, Start: uint64(b.life), Seed: w.random.Uint64(),
+		Box: table.Box{ID: b.id, Address: "127.0.0.1:1"}, Replicas: ids, RenewEvery: w.renewEvery,
+		Silence: w.silence, Start: uint64(b.life), Seed: w.random.Uint64(),
 	}, w.now)
 	w.tickBox(b, b.life)
 }
@@ -413,7 +419,8 @@
 	b.core.Reduce(w.now, e, &effects)
 	if effects.Attach {
 		b.linkFree = 0
-		b.attachment, b.replica = effects.Attachment, effects.Replica
+		b.attachment = effects.Attachment
+		w.connectBox(b, b.life, &effects)
 	}
 	for _, m := range effects.Sends {
 		w.sendFromBox(b, w.copyMessage(m))
@@ -423,6 +430,24 @@
 	}
 }
 
+// connectBox connects a box to the first of the replicas it dials that is up and on its
+// side of the network.
+func (w *world) connectBox(b *boxFake, life int, e *subscription.Effects) {
+	n, dialled := e.Attachment, e.Replicas
+	w.after(w.latency()+w.latency(), func() {
+		if b.life != life || b.attachment != n {
+			return
+		}
+		for _, id := range dialled {
+			if r := w.replica(id); r.up && r.side == b.side {
+				b.replica = id
+				w.giveBox(b, subscription.Attached{Attachment: n, Replica: id})
+				return
+			}
+		}
+	})
+}
+
 func (w *world) sendFromBox(b *boxFake, m *wire.Envelope) {
 	r := w.replica(b.replica)
 	c := connectionOf(w.boxIndex(b), b.life, b.attachment)
--- a/pkg/core/replication/leadership.go
+++ b/pkg/core/replication/leadership.go
@@ -64,6 +64,13 @@
 	return now.Sub(n.quorumContact(now)) < sure
 }
 
+// CaughtUp tells whether this node has committed an entry of the present leader's term,
+// and so all that was committed before it.
+func (n *Node) CaughtUp() bool {
+	term, kept := n.log.term(n.log.commit)
+	return n.leaderID != "" && kept && term == n.term
+}
+
 // broadcast sends every other replica an append request, empty or not. It brings them up
 // to date on acknowledgements, so that whoever learns of a commit knows on whose word it
 // rests.
--- a/pkg/core/replication/peers.go
+++ b/pkg/core/replication/peers.go
@@ -22,6 +22,16 @@
 	return p
 }
 
+// Peers are the other replicas that this node keeps account of.
+func (n *Node) Peers() []units.ReplicaID { return slices.Clone(n.order) }
+
+// AddPeers begins to keep account of replicas that the settings name now.
+func (n *Node) AddPeers(list []units.ReplicaID) {
+	for _, id := range list {
+		n.addPeer(id)
+	}
+}
+
 // addMembers makes sure that all voters are kept account of.
 func (n *Node) addMembers() {
 	if n.settings.Growth == nil {
--- a/pkg/core/subscription/replicas.go
+++ b/pkg/core/subscription/replicas.go
@@ -12,7 +12,7 @@
 // failedFor is how long a replica that had to be left comes after all others.
 const failedFor = 3 * time.Second
 
-// replicaList is the choice of the replica to attach to. The settings name some
+// replicaList is the choice of the replicas to attach to. The settings name some
 // replicas, the leader names those that it knows to be at work.
 type replicaList struct {
 	random *rand.Rand
@@ -23,14 +23,28 @@
 	// checksum sums up those, as they came.
 	checksum uint64
 	leftAt   map[units.ReplicaID]units.Instant
-	current  units.ReplicaID
-	turn     int
+	// current is the replica that the box is attached to, or was last.
+	current units.ReplicaID
 }
 
 func newReplicaList(settings []units.ReplicaID, random *rand.Rand) replicaList {
 	return replicaList{
 		random: random, known: slices.Clone(settings), leftAt: map[units.ReplicaID]units.Instant{},
-		turn: random.IntN(max(1, len(settings))),
+	}
+}
+
+// configure takes the replicas that the settings name now. Those that the leader named
+// last stay known as well.
+func (l *replicaList) configure(settings []units.ReplicaID) {
+	l.known = slices.Clone(settings)
+	l.addKnown(l.named)
+}
+
+func (l *replicaList) addKnown(list []units.ReplicaID) {
+	for _, id := range list {
+		if !slices.Contains(l.known, id) {
+			l.known = append(l.known, id)
+		}
 	}
 }
 
@@ -42,38 +56,46 @@
 	l.checksum = wire.ChecksumNames(names)
 	l.named = l.named[:0]
 	for _, n := range names {
-		id := units.ReplicaID(n)
-		l.named = append(l.named, id)
-		if !slices.Contains(l.known, id) {
-			l.known = append(l.known, id)
-		}
+		l.named = append(l.named, units.ReplicaID(n))
 	}
+	l.addKnown(l.named)
 }
 
-// next leaves the present replica and returns the one to attach to: one that the
-// leader named if there is any that wasn't left lately, else any in turn. It returns
-// an empty id when no replica is known.
-func (l *replicaList) next(now units.Instant) units.ReplicaID {
-	if len(l.known) == 0 {
-		return ""
-	}
+// leave says that the present replica had to be left.
+func (l *replicaList) leave(now units.Instant) {
 	if l.current != "" {
 		l.leftAt[l.current] = now
+		l.current = ""
 	}
-	l.current = l.pick(now)
-	return l.current
 }
 
-func (l *replicaList) pick(now units.Instant) units.ReplicaID {
-	var good []units.ReplicaID
-	for _, id := range l.named {
-		if left := l.leftAt[id]; left == 0 || now.Sub(left) > failedFor {
-			good = append(good, id)
-		}
+// candidates returns up to n replicas to attach to, the best first and equals in a random
+// order: those that the leader named, then the other known ones. Those that were left
+// lately come last, and only when desperate is set or no other is known: a process that
+// stands still is connected to as fast as one that works.
+func (l *replicaList) candidates(now units.Instant, n int, desperate bool) []units.ReplicaID {
+	list := slices.Clone(l.known)
+	l.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b units.ReplicaID) int { return l.rank(a, now) - l.rank(b, now) })
+	if i := slices.IndexFunc(list, func(id units.ReplicaID) bool { return l.rank(id, now) == rankLeft }); i > 0 && !desperate {
+		list = list[:i]
+	}
+	return list[:min(n, len(list))]
+}
+
+// The ranks of a replica as a candidate.
+const (
+	rankNamed = iota
+	rankKnown
+	rankLeft
+)
+
+func (l *replicaList) rank(id units.ReplicaID, now units.Instant) int {
+	if left := l.leftAt[id]; left != 0 && now.Sub(left) <= failedFor {
+		return rankLeft
 	}
-	if len(good) > 0 {
-		return good[l.random.IntN(len(good))]
+	if slices.Contains(l.named, id) {
+		return rankNamed
 	}
-	l.turn = (l.turn + 1) % len(l.known)
-	return l.known[l.turn]
+	return rankKnown
 }
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -1,6 +1,6 @@
-// Package subscription is a box's side of the control state: it attaches to one
-// control replica at a time, keeps the table up to date, renews the lease on it
-// and moves on from a replica that has gone silent. It is pure.
+// Package subscription is a box's side of the control state: it attaches to the
+// control replica that is reached first, keeps the table up to date, renews the
+// lease on it and moves on from a replica that has gone silent. It is pure.
 package subscription
 
 import (
@@ -32,7 +32,7 @@
 	// Start names this run of the box, so that grants for an earlier one don't
 	// count.
 	Start uint64
-	// Seed feeds the choice of the first replica.
+	// Seed feeds the order of the replicas and the jitter of pauses.
 	Seed uint64
 }
 
@@ -48,28 +48,41 @@
 	Envelope   *wire.Envelope
 }
 
-// Detached says that the connection to the replica has ended or couldn't be
-// made.
+// Attached says that the connection to a replica has been made.
+type Attached struct {
+	Attachment Attachment
+	Replica    units.ReplicaID
+}
+
+// Detached says that the connection to the replica has ended, or that none of the
+// replicas could be reached.
 type Detached struct{ Attachment Attachment }
 
+// ReplicasChanged says that the settings name other replicas.
+type ReplicasChanged struct{ Replicas []units.ReplicaID }
+
 // Leaving says whether the box is about to go.
 type Leaving struct{ On bool }
 
-func (Tick) subscriptionEvent()     {}
-func (Received) subscriptionEvent() {}
-func (Detached) subscriptionEvent() {}
-func (Leaving) subscriptionEvent()  {}
+func (Tick) subscriptionEvent()            {}
+func (Received) subscriptionEvent()        {}
+func (Attached) subscriptionEvent()        {}
+func (Detached) subscriptionEvent()        {}
+func (ReplicasChanged) subscriptionEvent() {}
+func (Leaving) subscriptionEvent()         {}
 
 // Attachment numbers the attempts to attach, so that news of an earlier one
 // can't be taken for the present one's.
 type Attachment uint64
 
 // Effects are what the shell is to do. Attach means: end the connection there
-// is, and connect to Replica.
+// is, connect to the Replicas at the same time and keep the connection that is
+// made first, within DialLimit.
 type Effects struct {
 	Attach     bool
-	Replica    units.ReplicaID
+	Replicas   []units.ReplicaID
 	Attachment Attachment
+	DialLimit  time.Duration
 	Sends      []*wire.Envelope
 	// Table is set when a new table is in force.
 	Table *table.Table
@@ -94,12 +107,11 @@
 	attachment Attachment
 	replicas   replicaList
 	// assembly holds the fragments of a message that is coming in.
-	assembly   wire.Assembly
-	attached   bool
-	attachedAt units.Instant
-	grantedAt  units.Instant
-	renewAt    units.Instant
-	nonce      uint64
+	assembly  wire.Assembly
+	link      link
+	grantedAt units.Instant
+	renewAt   units.Instant
+	nonce     uint64
 	// sentAt remembers when the requests that are under way were sent.
 	sentAt     map[uint64]units.Instant
 	grants     []grant
@@ -117,6 +129,7 @@
 		random:   random,
 		table:    table.NewTable(),
 		replicas: newReplicaList(s.Replicas, random),
+		link:     link{nextAt: now},
 		sentAt:   map[uint64]units.Instant{},
 		renewAt:  now,
 	}
@@ -132,10 +145,16 @@
 		if v.Attachment == s.attachment {
 			s.receive(now, v.Envelope, e)
 		}
+	case Attached:
+		if v.Attachment == s.attachment {
+			s.connected(now, v.Replica, e)
+		}
 	case Detached:
 		if v.Attachment == s.attachment {
-			s.attached = false
+			s.disconnected(now)
 		}
+	case ReplicasChanged:
+		s.replicas.configure(v.Replicas)
 	case Leaving:
 		s.leaving = v.On
 		s.renewAt = now
@@ -144,49 +163,20 @@
 }
 
 func (s *Subscription) tick(now units.Instant, e *Effects) {
-	if s.attached && now.Sub(max(s.attachedAt, s.grantedAt)) >= s.patience() {
-		s.attached = false
+	if s.link.state == linkUp && now.Sub(max(s.link.since, s.grantedAt)) >= s.patience() {
+		s.disconnected(now)
 	}
-	if now < s.renewAt {
-		return
+	if s.link.state != linkUp && now >= s.link.nextAt {
+		s.attach(now, e)
 	}
-	s.renewAt = now.Add(s.renewPeriod())
-	if !s.attached {
-		s.attachNext(now, e)
+	if s.link.state == linkUp && now >= s.renewAt {
+		s.renew(now, e)
 	}
-	s.sendRenewal(now, e)
 }
 
-// hurry is by how much a box without any grant yet is less patient: it serves nobody, and
-// the replicas may be starting as well.
-const hurry = 4
-
-func (s *Subscription) patience() time.Duration {
-	if s.grantedAt == 0 {
-		return s.settings.Silence / hurry
-	}
-	return s.settings.Silence
-}
-
-func (s *Subscription) renewPeriod() time.Duration {
-	if s.grantedAt == 0 {
-		return s.settings.RenewEvery / hurry
-	}
-	return s.settings.RenewEvery
-}
-
-func (s *Subscription) attachNext(now units.Instant, e *Effects) {
-	next := s.replicas.next(now)
-	if next == "" {
-		return
-	}
-	s.attachment++
-	s.assembly = wire.Assembly{}
-	s.attached = true
-	s.attachedAt = now
-	e.Attach = true
-	e.Replica = next
-	e.Attachment = s.attachment
+func (s *Subscription) renew(now units.Instant, e *Effects) {
+	s.renewAt = now.Add(s.renewPeriod())
+	s.sendRenewal(now, e)
 }
 
 func (s *Subscription) sendRenewal(now units.Instant, e *Effects) {
@@ -211,7 +201,7 @@
 		s.replaceTable(now, wire.ToTable(b.Table), e)
 	case *wire.Envelope_DeltaBatch:
 		for _, d := range b.DeltaBatch.Deltas {
-			s.patchTable(wire.ToDelta(d), e)
+			s.patchTable(now, wire.ToDelta(d), e)
 		}
 	case *wire.Envelope_RenewResponse:
 		s.takeGrant(now, b.RenewResponse)
@@ -224,11 +214,11 @@
 // takeFragment takes a part of a large message. Each one shows that the replica is at
 // work, however long the link takes for all of them.
 func (s *Subscription) takeFragment(now units.Instant, f *wire.Fragment, e *Effects) {
-	s.attachedAt = now
+	s.noteNews(now)
 	whole, err := s.assembly.Add(f)
 	if err != nil {
 		// Attaching anew brings the whole table.
-		s.attached = false
+		s.disconnected(now)
 		return
 	}
 	if whole != nil && whole.GetFragment() == nil {
@@ -242,17 +232,19 @@
 	if t.Revision <= s.table.Revision {
 		return
 	}
-	s.attachedAt = now
+	s.noteNews(now)
 	s.table = t
 	e.Table = t
 }
 
-func (s *Subscription) patchTable(d *table.Delta, e *Effects) {
+func (s *Subscription) patchTable(now units.Instant, d *table.Delta, e *Effects) {
 	next, ok := s.table.Patch(d)
 	if !ok {
 		// A change that doesn't follow is either old, which is harmless, or shows
 		// that one was missed; attaching anew brings the whole table.
-		s.attached = s.attached && d.Revision <= s.table.Revision
+		if d.Revision > s.table.Revision {
+			s.disconnected(now)
+		}
 		return
 	}
 	s.table = next
@@ -264,8 +256,13 @@
 	if !known || r.Start != s.settings.Start {
 		return
 	}
+	if r.Duration == 0 {
+		s.link.waits = true
+		return
+	}
 	delete(s.sentAt, r.Nonce)
 	s.replicas.learn(r.Replicas)
+	s.noteNews(now)
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
 	s.grants = append(s.grants, grant{
@@ -292,7 +289,12 @@
 }
 
 // NextWake returns when the next Tick is due at the latest.
-func (s *Subscription) NextWake() units.Instant { return s.renewAt }
+func (s *Subscription) NextWake() units.Instant {
+	if s.link.state == linkUp {
+		return s.renewAt
+	}
+	return s.link.nextAt
+}
 
 // LeaseUntil returns when the lease on the table runs out; from then on the box
 // can't know whether the table is still in force.
@@ -324,7 +326,7 @@
 // Status returns the subscription's state at a time.
 func (s *Subscription) Status(now units.Instant) Status {
 	status := Status{
-		Box: s.settings.Box.ID, Attached: s.attached, Revision: s.table.Revision,
+		Box: s.settings.Box.ID, Attached: s.link.state == linkUp, Revision: s.table.Revision,
 		LeaseLeft: s.leaseUntil.Sub(now), GrantAge: now.Sub(s.grantedAt), Leaving: s.leaving,
 	}
 	status.Replica = s.replicas.current
--- a/pkg/core/subscription/subscription_test.go
+++ b/pkg/core/subscription/subscription_test.go
@@ -1,9 +1,12 @@
 package subscription
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -19,6 +22,10 @@
 	*Subscription
 	now     units.Instant
 	effects Effects
+	// dark is set while no replica can be reached.
+	dark bool
+	// attaches counts how often replicas were dialled.
+	attaches int
 }
 
 func newBox() *box {
@@ -34,6 +41,13 @@
 func (b *box) give(e Event) {
 	b.effects = Effects{}
 	b.Reduce(b.now, e, &b.effects)
+	if !b.effects.Attach {
+		return
+	}
+	b.attaches++
+	if !b.dark {
+		b.Reduce(b.now, Attached{Attachment: b.effects.Attachment, Replica: b.effects.Replicas[0]}, &b.effects)
+	}
 }
 
 func (b *box) pass(d time.Duration) {
@@ -169,3 +183,97 @@
 		t.Fatal("it still waits for a grant")
 	}
 }
+
+func TestReplicasAreDialledTogether(t *testing.T) {
+	b := newBox()
+	if d := cmp.Diff([]units.ReplicaID{"r1", "r2", "r3"}, slices.Sorted(slices.Values(b.effects.Replicas))); d != "" {
+		t.Fatalf("other replicas are dialled:\n%s", d)
+	}
+	if len(b.effects.Sends) != 1 {
+		t.Fatalf("%d renewals are sent on the new connection", len(b.effects.Sends))
+	}
+}
+
+// A process that stands still takes connections as fast as one that works.
+func TestAReplicaThatWasLeftIsNotDialledAtOnce(t *testing.T) {
+	b := newBox()
+	left := b.replicas.current
+	b.pass(100 * time.Millisecond)
+	if slices.Contains(b.effects.Replicas, left) {
+		t.Fatalf("%s was silent and is dialled again beside %v", left, b.effects.Replicas)
+	}
+	b.dark = true
+	b.give(Detached{Attachment: b.attachment})
+	for range 100 {
+		b.pass(10 * time.Millisecond)
+		if slices.Contains(b.effects.Replicas, left) {
+			return
+		}
+	}
+	t.Fatalf("%s is never dialled again though no other is in reach", left)
+}
+
+// Hundreds of boxes that dial without pause keep busy the replicas that are left.
+func TestPausesGrowWhileNoReplicaIsInReach(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// from and to bound the seconds without a replica that are looked at.
+		from, to int
+		most     int
+	}{
+		{"the first second", 0, 1, 18},
+		{"later", 6, 12, 6},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBox()
+			b.receive(grantOf(b.nonce(), 0, start))
+			b.dark = true
+			b.give(Detached{Attachment: b.attachment})
+			for i := range s.to * 100 {
+				if i == s.from*100 {
+					b.attaches = 0
+				}
+				b.pass(10 * time.Millisecond)
+				if b.effects.Attach {
+					b.give(Detached{Attachment: b.attachment})
+				}
+			}
+			if b.attaches > s.most {
+				t.Errorf("replicas were dialled %d times", b.attaches)
+			}
+			b.dark = false
+			b.pass(maxDialLimit * 2)
+			if b.link.state != linkUp {
+				t.Error("the box isn't attached though replicas are back")
+			}
+		})
+	}
+}
+
+// Boxes that lose a replica at the same moment don't dial the next at the same moments.
+func TestBoxesDialAtDifferentTimes(t *testing.T) {
+	limits := map[time.Duration]bool{}
+	for seed := range uint64(20) {
+		s := NewSubscription(Settings{Replicas: []units.ReplicaID{"r1"}, Seed: seed}, 1)
+		limits[s.nextDialLimit()] = true
+	}
+	if len(limits) < 15 {
+		t.Errorf("20 boxes have %d different limits", len(limits))
+	}
+}
+
+func TestALostConnectionIsMadeAnewWithoutDelay(t *testing.T) {
+	b := newBox()
+	b.receive(grantOf(b.nonce(), 0, start))
+	b.pass(90 * time.Millisecond)
+	before := b.attachment
+	b.give(Detached{Attachment: before})
+	if wake := b.NextWake(); wake > b.now {
+		t.Fatalf("the box waits %v before it attaches anew", wake.Sub(b.now))
+	}
+	b.pass(0)
+	if b.attachment == before {
+		t.Fatal("the box isn't attached anew")
+	}
+}
--- /dev/null
+++ b/pkg/core/table/bench_test.go
@@ -0,0 +1,64 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// fleetState is a state of 719 targets in three services, as many as registered by
+// themselves.
+func fleetState() (*State, []*Registration) {
+	s := NewState()
+	d := &Document{Version: 1, Source: []byte("fleet")}
+	var all []*Registration
+	for i, targets := range []int{197, 107, 415} {
+		name := units.ServiceName(fmt.Sprintf("service-%d", i))
+		d.Services = append(d.Services, Service{Name: name, Work: Repeatable})
+		for k := range targets {
+			all = append(all, &Registration{
+				Target: units.TargetID(fmt.Sprintf("i-%08x", (k*2654435761)%(1<<31))), Service: name, Slots: 3,
+				Address: fmt.Sprintf("10.%d.%d.%d:8080", k%6, i, k/6), State: Active, Sequence: 1,
+			})
+		}
+	}
+	s.ApplyDocument(d)
+	for _, r := range all {
+		s.ApplyRegistration(r)
+	}
+	return s, all
+}
+
+// BenchmarkRegistration is what a control replica does for a target that says that it
+// leaves, with 719 targets registered: it applies the report and makes the change small for
+// boxes: 35 us; 137 us while addresses had no index and rows were compared by searching.
+func BenchmarkRegistration(b *testing.B) {
+	s, all := fleetState()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r := *all[i%len(all)]
+		r.Sequence = uint64(i + 2)
+		r.State = []RowState{Active, Leaving}[(i/len(all)+1)%2]
+		before := s.Table()
+		if d := s.ApplyRegistration(&r); d != nil {
+			d.Shrink(before)
+		}
+	}
+}
+
+// BenchmarkPatch is what a box does for one changed row of a service of 415 targets: 10 us; 39 us
+// while each row was put into a copy of its own.
+func BenchmarkPatch(b *testing.B) {
+	s, all := fleetState()
+	before := s.Table()
+	r := *all[len(all)-1]
+	r.Sequence, r.State = 2, Leaving
+	d := s.ApplyRegistration(&r).Shrink(before)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		before.Patch(d)
+	}
+}
--- a/pkg/core/table/patch.go
+++ b/pkg/core/table/patch.go
@@ -19,10 +19,10 @@
 func (p *EntryPatch) apply(old *Entry) *Entry {
 	next := &Entry{Service: old.Service, Version: p.Version, Rows: slices.Clone(old.Rows)}
 	for _, id := range p.Removed {
-		next.Rows = next.withoutRow(id)
+		next.removeRow(id)
 	}
 	for _, r := range p.Put {
-		next.Rows = next.withRow(r)
+		next.setRow(r)
 	}
 	return next
 }
@@ -43,17 +43,23 @@
 	return &small
 }
 
-// patchOf compares two sorted lists of rows.
+// patchOf compares two lists of rows, sorted by target, in one pass.
 func patchOf(old, next *Entry) *EntryPatch {
 	p := &EntryPatch{Service: next.Service.Name, Version: next.Version}
-	for i := range next.Rows {
-		if before := old.Row(next.Rows[i].Target); before == nil || *before != next.Rows[i] {
-			p.Put = append(p.Put, next.Rows[i])
-		}
-	}
-	for i := range old.Rows {
-		if next.Row(old.Rows[i].Target) == nil {
-			p.Removed = append(p.Removed, old.Rows[i].Target)
+	before, after := old.Rows, next.Rows
+	for len(before) > 0 || len(after) > 0 {
+		switch {
+		case len(after) == 0 || len(before) > 0 && before[0].Target < after[0].Target:
+			p.Removed = append(p.Removed, before[0].Target)
+			before = before[1:]
+		case len(before) == 0 || after[0].Target < before[0].Target:
+			p.Put = append(p.Put, after[0])
+			after = after[1:]
+		default:
+			if before[0] != after[0] {
+				p.Put = append(p.Put, after[0])
+			}
+			before, after = before[1:], after[1:]
 		}
 	}
 	return p
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -105,18 +105,33 @@
 			s.dropRow(held, delta)
 		}
 	}
-	for id, o := range s.targets {
-		if id != r.Target && o.Address == r.Address {
-			s.dropRow(o, delta)
-			delete(s.targets, id)
-			s.rememberDeparted(id)
-		}
+	if o := s.targets[s.byAddress[r.Address]]; o != nil && o.Target != r.Target {
+		s.dropRow(o, delta)
+		s.release(o)
+		s.rememberDeparted(o.Target)
 	}
-	s.targets[r.Target] = r
+	s.hold(r)
 	s.putRow(r, delta)
 	return s.commitIfChanged(delta)
 }
 
+// hold keeps a registration, in place of an earlier one of the same target.
+func (s *State) hold(r *Registration) {
+	if held := s.targets[r.Target]; held != nil {
+		s.release(held)
+	}
+	s.targets[r.Target] = r
+	s.byAddress[r.Address] = r.Target
+}
+
+// release forgets a registration.
+func (s *State) release(r *Registration) {
+	delete(s.targets, r.Target)
+	if s.byAddress[r.Address] == r.Target {
+		delete(s.byAddress, r.Address)
+	}
+}
+
 // ApplyDeparture takes a target out for good.
 func (s *State) ApplyDeparture(id units.TargetID) *Delta {
 	s.rememberDeparted(id)
@@ -124,7 +139,7 @@
 	if r == nil {
 		return nil
 	}
-	delete(s.targets, id)
+	s.release(r)
 	delta := s.newDelta()
 	s.dropRow(r, delta)
 	return s.commitIfChanged(delta)
@@ -149,7 +164,7 @@
 	}
 	r := *held
 	r.Silent = silent
-	s.targets[id] = &r
+	s.hold(&r)
 	s.putRow(&r, delta)
 }
 
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -53,24 +53,37 @@
 
 // withRow returns a copy of the rows in which r stands in its place.
 func (e *Entry) withRow(r Row) []Row {
-	rows := slices.Clone(e.Rows)
+	next := Entry{Rows: slices.Clone(e.Rows)}
+	next.setRow(r)
+	return next.Rows
+}
+
+// withoutRow returns a copy of the rows in which the target's is missing.
+func (e *Entry) withoutRow(target units.TargetID) []Row {
+	next := Entry{Rows: slices.Clone(e.Rows)}
+	next.removeRow(target)
+	return next.Rows
+}
+
+// setRow puts a row in its place, in rows that nobody else holds.
+func (e *Entry) setRow(r Row) {
 	i, found := e.find(r.Target)
 	if found {
-		rows[i] = r
-		return rows
+		e.Rows[i] = r
+		return
 	}
-	return slices.Insert(rows, i, r)
+	e.Rows = slices.Insert(e.Rows, i, r)
 }
 
-// withoutRow returns a copy of the rows in which the target's is missing.
-func (e *Entry) withoutRow(target units.TargetID) []Row {
-	rows := slices.Clone(e.Rows)
+// removeRow removes the target's row, of rows that nobody else holds.
+func (e *Entry) removeRow(target units.TargetID) {
 	i, found := e.find(target)
 	if !found {
-		return rows
+		return
 	}
-	if len(rows) == 1 {
-		return nil
+	if len(e.Rows) == 1 {
+		e.Rows = nil
+		return
 	}
-	return slices.Delete(rows, i, i+1)
+	e.Rows = slices.Delete(e.Rows, i, i+1)
 }
--- a/pkg/core/table/state.go
+++ b/pkg/core/table/state.go
@@ -34,6 +34,8 @@
 	document *Document
 	// targets are those that registered by themselves.
 	targets map[units.TargetID]*Registration
+	// byAddress are the targets of those by their addresses, of which each has one.
+	byAddress map[string]units.TargetID
 	// departed are targets that left for good, oldest first in departedOrder.
 	departed      map[units.TargetID]bool
 	departedOrder []units.TargetID
@@ -46,8 +48,9 @@
 		results: map[units.EditID]*Result{},
 		history: container.NewRing[Result](MaxHistory),
 
-		targets:  map[units.TargetID]*Registration{},
-		departed: map[units.TargetID]bool{},
+		targets:   map[units.TargetID]*Registration{},
+		byAddress: map[string]units.TargetID{},
+		departed:  map[units.TargetID]bool{},
 	}
 }
 
@@ -56,7 +59,7 @@
 func (s *State) RestoreDocument(d *Document, targets []*Registration, departed []units.TargetID) {
 	s.document = d
 	for _, r := range targets {
-		s.targets[r.Target] = r
+		s.hold(r)
 	}
 	for _, id := range departed {
 		s.rememberDeparted(id)
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -89,6 +89,7 @@
 		{"services", "list the services", "", &listServices{tool: t}, nil},
 		{"status", "show who leads, who is in force at which revision and who is silent", "", &showStatus{tool: t}, nil},
 		{"dump", "print a process's whole state as JSON", "Names the process with --server; entry boxes answer as well.", &showDump{tool: t}, nil},
+		{"settings", "show which settings of a process are in force and what waits for a restart", "Names the process with --server; entry boxes answer as well. Exits with 2 when the file as it stands is refused.", &showSettings{tool: t}, nil},
 		{"explain", "tell the story of one call out of log files", "madderctl explain ID FILE..., or with the logs on standard input. Needs no server.", &explainCall{tool: t}, nil},
 		{"watch", "print each new revision as it comes", "", &watchTable{tool: t}, nil},
 		{"form", "form the cluster, once", "Needs all control replicas running with empty data folders.", &formCluster{tool: t}, nil},
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -8,6 +8,8 @@
 	"github.com/madderpond/madderpond/pkg/client"
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/sheet"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -107,6 +109,40 @@
 	return c.tool.printJSON(raw)
 }
 
+type showSettings struct{ tool *Tool }
+
+// Execute shows what became of a process's settings file. A file that is refused as it
+// stands gives an Invalid fault.
+func (c *showSettings) Execute([]string) error {
+	api, err := c.tool.connect()
+	if err != nil {
+		return err
+	}
+	status, err := api.Settings()
+	if err != nil {
+		return err
+	}
+	if c.tool.options.JSON {
+		err = c.tool.printJSON(status)
+	} else {
+		c.tool.printSettings(status)
+	}
+	if err == nil && status.Refused != "" {
+		err = fault.New(fault.Invalid, "mend the file; the settings in force stay meanwhile", "%s is refused: %s", status.File, status.Refused)
+	}
+	return err
+}
+
+func (t *Tool) printSettings(s *reload.Status) {
+	t.print("%s, read at %s\n", s.File, s.ReadAt.Format(time.RFC3339))
+	for _, place := range s.Waiting {
+		t.print("%s has changed in the file and takes a restart\n", place)
+	}
+	if len(s.Waiting) == 0 && s.Refused == "" {
+		t.print("all of the file is in force\n")
+	}
+}
+
 type watchTable struct {
 	Count int `long:"count" value-name:"N" description:"stop after N revisions; 0 goes on"`
 	tool  *Tool
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"context"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/subscription"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -28,19 +32,30 @@
 const attachmentQueue = 16
 
 func newControlClient(e *Entry) *controlClient {
-	c := &controlClient{entry: e, addresses: map[units.ReplicaID]string{}}
-	for _, r := range e.Settings.Replicas {
+	c := &controlClient{entry: e}
+	c.configure(e.Settings.Replicas)
+	return c
+}
+
+// configure takes the addresses that the settings name.
+func (c *controlClient) configure(replicas []config.Replica) {
+	c.addresses = make(map[units.ReplicaID]string, len(replicas))
+	for _, r := range replicas {
 		c.addresses[units.ReplicaID(r.Box)] = r.Address
 	}
-	return c
 }
 
-func (c *controlClient) attach(to units.ReplicaID, n subscription.Attachment) {
+// attach dials all of the replicas at the same time and keeps the connection that is made
+// first: a replica that is down, or on its way up, costs no time where another works.
+func (c *controlClient) attach(to []units.ReplicaID, n subscription.Attachment, limit time.Duration) {
 	c.close()
 	a := &attachment{number: n, queue: make(chan *wire.Envelope, attachmentQueue), done: make(chan struct{})}
 	c.current = a
-	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": to}).Info("attaching to a control replica")
-	go c.run(a, c.addressOf(to))
+	addresses := make([]string, 0, len(to))
+	for _, id := range to {
+		addresses = append(addresses, c.addressOf(id))
+	}
+	go c.run(a, to, addresses, limit)
 }
 
 // addressOf returns where a replica is reached. In a cluster that grows by itself a
@@ -69,13 +84,24 @@
 	}
 }
 
-func (c *controlClient) run(a *attachment, address string) {
-	conn, err := transport.Dial(address, c.entry.Security, &wire.Hello{Box: c.entry.Settings.Box})
+func (c *controlClient) run(a *attachment, replicas []units.ReplicaID, addresses []string, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	go func() {
+		select {
+		case <-a.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	conn, i, err := transport.DialFirst(ctx, addresses, c.entry.Security, &wire.Hello{Box: c.entry.Settings.Box})
+	cancel()
 	if err != nil {
 		c.lost(a, err)
 		return
 	}
 	defer conn.Close()
+	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": replicas[i], "dialled": len(addresses)}).Info("attached to a control replica")
+	c.entry.reduce(subscription.Attached{Attachment: a.number, Replica: replicas[i]})
 	go c.receive(a, conn)
 	for {
 		select {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/common"
+	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/box"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/subscription"
@@ -88,13 +89,9 @@
 func newCore(c *common.Common, peerAddress string) (*box.Box, error) {
 	s := c.Settings
 	id := units.BoxID(s.Box)
-	var replicas []units.ReplicaID
-	for _, name := range s.ReplicaNames() {
-		replicas = append(replicas, units.ReplicaID(name))
-	}
 	return box.NewBox(subscription.Settings{
 		Box:        table.Box{ID: id, Domain: units.Domain(s.Domain), Address: peerAddress},
-		Replicas:   replicas,
+		Replicas:   s.ReplicaIDs(),
 		RenewEvery: subscription.DefaultRenewEvery,
 		Silence:    subscription.DefaultSilence,
 		Start:      rand.Uint64(),
@@ -184,7 +181,7 @@
 	}
 	s := &e.effects.Subscription
 	if s.Attach {
-		e.control.attach(s.Replica, s.Attachment)
+		e.control.attach(s.Replicas, s.Attachment, s.DialLimit)
 	}
 	for _, m := range s.Sends {
 		e.control.send(m)
@@ -204,6 +201,8 @@
 		x.Owner.(*call).refuse(x)
 	case routing.Deliver:
 		x.Owner.(*call).deliver(x)
+	case routing.Keep:
+		x.Owner.(*call).keep(x)
 	case routing.Cancel:
 		x.Owner.(*call).cancel(x.Attempt)
 	case routing.Probe:
@@ -251,6 +250,14 @@
 	e.reduce(&routing.StopPlanned{Until: e.Clock.Now().Add(stop)})
 }
 
+// SetReplicas takes the control replicas that changed settings name.
+func (e *Entry) SetReplicas(s *config.Settings) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.control.configure(s.Replicas)
+	e.reduceLocked(subscription.ReplicasChanged{Replicas: s.ReplicaIDs()})
+}
+
 // SetListedLeaving says whether the platform's list has this box as leaving. Such
 // a box isn't ready, but it doesn't turn its callers away: the list may be wrong.
 func (e *Entry) SetListedLeaving(on bool) {
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -151,12 +151,8 @@
 }
 
 // StartAgain starts a node's process, for the first time or anew.
-func (c *Cluster) StartAgain(n *Node) error {
-	data, err := json.MarshalIndent(n.Settings, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(n.file, data, 0o600); err != nil {
+func (c *Cluster) StartAgain(n *Node) (err error) {
+	if err := n.WriteSettings(); err != nil {
 		return err
 	}
 	if n.Process, err = StartProcess(n.Settings.Box, c.settings.Program, "--settings", n.file); err != nil {
@@ -170,6 +166,20 @@
 	return err
 }
 
+// WriteSettings writes a node's settings file, whether or not its process runs. Another
+// file takes its place at once, so that no process reads half of it.
+func (n *Node) WriteSettings() error {
+	data, err := json.MarshalIndent(n.Settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	next := n.file + ".next"
+	if err := os.WriteFile(next, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, n.file)
+}
+
 // LoseDisk removes a stopped replica's data folder.
 func (c *Cluster) LoseDisk(n *Node) error { return os.RemoveAll(n.Settings.Control.DataFolder) }
 
--- a/pkg/lab/subscriber.go
+++ b/pkg/lab/subscriber.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 	var e subscription.Effects
 	s.core.Reduce(s.clock.Now(), event, &e)
 	if e.Attach {
-		s.attach(e.Replica, e.Attachment)
+		s.attach(&e)
 	}
 	for _, m := range e.Sends {
 		if s.conn != nil {
@@ -91,17 +92,37 @@
 	}
 }
 
-func (s *Subscriber) attach(to units.ReplicaID, n subscription.Attachment) {
+func (s *Subscriber) attach(e *subscription.Effects) {
 	if s.conn != nil {
 		s.conn.Close()
 		s.conn = nil
 	}
-	conn, err := transport.Dial(s.addresses[to], nil, &wire.Hello{Box: "lab"})
+	s.number = e.Attachment
+	go s.dial(e.Replicas, e.Attachment, e.DialLimit)
+}
+
+func (s *Subscriber) dial(replicas []units.ReplicaID, n subscription.Attachment, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	addresses := make([]string, 0, len(replicas))
+	for _, id := range replicas {
+		addresses = append(addresses, s.addresses[id])
+	}
+	conn, i, err := transport.DialFirst(ctx, addresses, nil, &wire.Hello{Box: "lab"})
 	if err != nil {
+		s.reduce(subscription.Detached{Attachment: n})
+		return
+	}
+	s.lock.Lock()
+	if s.number != n {
+		s.lock.Unlock()
+		conn.Close()
 		return
 	}
-	s.conn, s.number = conn, n
+	s.conn = conn
+	s.lock.Unlock()
 	go s.receive(conn, n)
+	s.reduce(subscription.Attached{Attachment: n, Replica: replicas[i]})
 }
 
 func (s *Subscriber) receive(conn *transport.Conn, n subscription.Attachment) {
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -41,10 +41,15 @@
 	l.SetFormatter(&limitedFormatter{
 		inner: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, now: now, kinds: map[string]*kindCount{},
 	})
+	l.ChangeLevel(level)
+	return l
+}
+
+// ChangeLevel sets the least level that is logged; an unknown one changes nothing.
+func (l *Logger) ChangeLevel(level string) {
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		l.SetLevel(parsed)
 	}
-	return l
 }
 
 // Dropped returns how many lines found no room.
--- /dev/null
+++ b/pkg/replica/gate_test.go
@@ -0,0 +1,69 @@
+package replica
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/common"
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/control"
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// newGatedReplica returns what a gate needs of a replica that knows two others from its
+// settings, one by its address, as in a cluster that grows, and one by name. It hasn't sent
+// them anything yet.
+func newGatedReplica(t *testing.T) *Replica {
+	t.Helper()
+	s := config.Defaults()
+	s.Replicas = []config.Replica{{Box: "control-2", Address: "10.0.0.2:7000"}}
+	core, err := control.NewReplica(control.Settings{
+		Replication: replication.Settings{ID: "control-1", ElectionTimeout: time.Second, Peers: []units.ReplicaID{"control-2", "10.0.0.3:7000"}},
+	}, &replication.Durable{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Replica{Common: &common.Common{Settings: s}, core: core, gate: newStartGate(), done: make(chan struct{})}
+	t.Cleanup(r.gate.release)
+	return r
+}
+
+// waits returns a channel that is closed once a connection may be served.
+func waits(r *Replica, from string) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		r.Wait(netip.MustParseAddr(from))
+		close(done)
+	}()
+	return done
+}
+
+func TestOtherReplicasPassTheGateAtOnce(t *testing.T) {
+	r := newGatedReplica(t)
+	r.gate.timer.Stop()
+	for _, from := range []string{"10.0.0.2", "10.0.0.3"} {
+		<-waits(r, from)
+	}
+	box := waits(r, "10.0.0.4")
+	select {
+	case <-box:
+		t.Fatal("a box passed before the replica knows the newest table")
+	case <-time.After(50 * time.Millisecond):
+	}
+	r.gate.release()
+	<-box
+	<-waits(r, "10.0.0.5")
+}
+
+// A replica that can't catch up still serves boxes, and one that stops holds nobody.
+func TestTheGateOpensByItself(t *testing.T) {
+	r := newGatedReplica(t)
+	<-waits(r, "10.0.0.4")
+	r = newGatedReplica(t)
+	r.gate.timer.Stop()
+	box := waits(r, "10.0.0.4")
+	close(r.done)
+	<-box
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -13,6 +13,7 @@
 	"github.com/alitto/pond/v2"
 
 	"github.com/madderpond/madderpond/pkg/common"
+	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -43,6 +44,7 @@
 	links    map[units.ReplicaID]*transport.Link
 	identity store.Identity
 	halted   chan error
+	gate     *startGate
 	// syncs is how long writes take until they are on the disk.
 	syncs   *latency.Histogram
 	stopped atomic.Bool
@@ -71,6 +73,7 @@
 		syncs:    latency.NewHistogram(latency.Fine),
 		wake:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
+		gate:     newStartGate(),
 	}
 	r.core, err = control.NewReplica(r.coreSettings(), s.Durable(), c.Clock.Now())
 	if err != nil {
@@ -83,8 +86,8 @@
 func (r *Replica) coreSettings() control.Settings {
 	s := &r.Settings.Control
 	var peers []units.ReplicaID
-	for _, name := range r.Settings.ReplicaNames() {
-		if id := units.ReplicaID(name); id != r.identity.Replica {
+	for _, id := range r.Settings.ReplicaIDs() {
+		if id != r.identity.Replica {
 			peers = append(peers, id)
 		}
 	}
@@ -123,6 +126,14 @@
 	go r.runWaker()
 }
 
+// SetSeeds takes the seeds that changed settings name. In a cluster whose settings name
+// all replicas, a change of these takes a restart.
+func (r *Replica) SetSeeds(s *config.Settings) {
+	if len(s.Seeds) > 0 {
+		r.handle(control.SeedsChanged{Seeds: s.ReplicaIDs()})
+	}
+}
+
 // Halted gives the reason when the replica had to stop by itself.
 func (r *Replica) Halted() <-chan error { return r.halted }
 
@@ -182,6 +193,9 @@
 	for _, c := range e.Changes {
 		r.logChange(c)
 	}
+	if r.core.CaughtUp() {
+		r.gate.release()
+	}
 	if e.TableChanged {
 		close(r.changed)
 		r.changed = make(chan struct{})
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -96,6 +96,8 @@
 		fields["leader"], fields["term"] = c.Leader, c.Term
 	case control.VotersChanged:
 		fields["voters"], fields["term"] = c.Voters, c.Term
+	case control.LogReplayed:
+		fields["entries"], fields["term"] = c.Entries, c.Term
 	default:
 		fields["target"], fields["sequence"] = c.Target, c.Sequence
 	}
--- /dev/null
+++ b/pkg/transport/dial_first.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"context"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// dialStagger is how long an address has to answer before the next one is dialled as
+// well: several times the way there and back within a region, so that as a rule only one
+// connection is made.
+const dialStagger = 10 * time.Millisecond
+
+// dialResult is how one of several attempts to connect has ended.
+type dialResult struct {
+	conn  *Conn
+	index int
+	err   error
+}
+
+// DialFirst connects to one of several processes, the first addresses preferred, and
+// returns the connection with the index of its address. An address that fails or takes
+// long doesn't hold up the next one; all attempts go on until one succeeds, and the others
+// are ended then. Errors are of kind Unavailable.
+func DialFirst(ctx context.Context, addresses []string, security *Security, hello *wire.Hello) (*Conn, int, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan dialResult, len(addresses))
+	lastError := error(fault.New(fault.Unavailable, "name replicas in the settings", "there is no address to connect to"))
+	started := 0
+	for ended := 0; ended < len(addresses); {
+		var next <-chan time.Time
+		if started < len(addresses) {
+			go dialOne(ctx, started, addresses[started], security, hello, results)
+			started++
+			next = time.After(dialStagger)
+		}
+		select {
+		case d := <-results:
+			ended++
+			if d.err == nil {
+				go closeLate(results, started-ended)
+				return d.conn, d.index, nil
+			}
+			lastError = d.err
+		case <-next:
+		}
+	}
+	return nil, 0, lastError
+}
+
+func dialOne(ctx context.Context, index int, address string, security *Security, hello *wire.Hello, results chan<- dialResult) {
+	// The message is written to while it is sent, so each attempt has its own.
+	own := &wire.Hello{Box: hello.Box, Replica: hello.Replica}
+	conn, err := DialContext(ctx, address, security, own)
+	results <- dialResult{conn: conn, index: index, err: err}
+}
+
+// closeLate ends connections that are made after another one was chosen.
+func closeLate(results <-chan dialResult, pending int) {
+	for range pending {
+		if d := <-results; d.conn != nil {
+			d.conn.Close()
+		}
+	}
+}
--- a/pkg/transport/listener.go
+++ b/pkg/transport/listener.go
@@ -1,7 +1,10 @@
 package transport
 
 import (
+	"errors"
+	"io"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -14,12 +17,19 @@
 // closed once it returns.
 type Handler func(hello *wire.Hello, c *Conn)
 
+// Gate decides when an accepted connection is served.
+type Gate interface {
+	// Wait returns once a connection from an address may be served.
+	Wait(from netip.Addr)
+}
+
 // Listener accepts connections of other processes.
 type Listener struct {
 	log      *logrus.Entry
 	security *Security
 	listener net.Listener
 	handler  Handler
+	gate     Gate
 	lock     sync.Mutex
 	conns    map[net.Conn]bool
 	closed   bool
@@ -28,13 +38,14 @@
 // maxConns bounds the connections that are open at a time.
 const maxConns = 4096
 
-// Listen opens a port for other processes. The error is an Unavailable fault.
-func Listen(address string, security *Security, log *logrus.Entry, handler Handler) (*Listener, error) {
+// Listen opens a port for other processes. The gate may be nil; then each connection is
+// served at once. The error is an Unavailable fault.
+func Listen(address string, security *Security, log *logrus.Entry, gate Gate, handler Handler) (*Listener, error) {
 	raw, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen on %s", address)
 	}
-	l := &Listener{log: log, security: security, listener: raw, handler: handler, conns: map[net.Conn]bool{}}
+	l := &Listener{log: log, security: security, listener: raw, gate: gate, handler: handler, conns: map[net.Conn]bool{}}
 	go l.run()
 	return l, nil
 }
@@ -79,15 +90,30 @@
 
 func (l *Listener) serve(raw net.Conn) {
 	defer l.forget(raw)
+	if from, ok := raw.RemoteAddr().(*net.TCPAddr); ok && l.gate != nil {
+		l.gate.Wait(from.AddrPort().Addr().Unmap())
+	}
 	c, hello, err := accept(raw, l.security)
 	if err != nil {
-		l.log.WithError(err).WithField("remote", raw.RemoteAddr().String()).Warn("connection refused")
+		l.logRefusal(raw, err)
 		return
 	}
 	defer c.Close()
 	l.handler(hello, c)
 }
 
+// logRefusal says why a connection isn't served. One that ends before its first message is
+// of a caller that dialled several addresses and was served by another; after a restart
+// there may be hundreds.
+func (l *Listener) logRefusal(raw net.Conn, err error) {
+	entry := l.log.WithError(err).WithField("remote", raw.RemoteAddr().String())
+	if errors.Is(err, io.EOF) {
+		entry.Debug("a connection ended before its first message")
+		return
+	}
+	entry.Warn("connection refused")
+}
+
 func (l *Listener) forget(raw net.Conn) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l, err := Listen("127.0.0.1:0", nil, logrus.NewEntry(log), handler)
+	l, err := Listen("127.0.0.1:0", nil, logrus.NewEntry(log), nil, handler)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 	got := make(chan uint64, 10)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l, err := Listen(address, nil, logrus.NewEntry(log), func(_ *wire.Hello, c *Conn) {
+	l, err := Listen(address, nil, logrus.NewEntry(log), nil, func(_ *wire.Hello, c *Conn) {
 		if m, err := c.Receive(); err == nil {
 			got <- m.Boot
 		}
