A replica's start gate has no timer of its own that a goroutine reads

Change: the gate is a channel that is closed once; Start sets the timer. The test of the gate starts the replica; it uses loopback addresses. The story on kept answers comes with it.

--- a/pkg/replica/gate.go
+++ b/pkg/replica/gate.go
@@ -19,24 +19,14 @@
 // the log's end; serving them first took 100 ms of that, and without a leader there is
 // nothing to tell them.
 type startGate struct {
-	open  chan struct{}
-	once  sync.Once
-	timer *time.Timer
+	open chan struct{}
+	once sync.Once
 }
 
-func newStartGate() *startGate {
-	g := &startGate{open: make(chan struct{})}
-	g.timer = time.AfterFunc(gateLimit, g.release)
-	return g
-}
+func newStartGate() *startGate { return &startGate{open: make(chan struct{})} }
 
 // release lets all connections through, now and later.
-func (g *startGate) release() {
-	g.once.Do(func() {
-		g.timer.Stop()
-		close(g.open)
-	})
-}
+func (g *startGate) release() { g.once.Do(func() { close(g.open) }) }
 
 // Wait returns once a connection from an address may be served: at once for another
 // replica, and for a box once this replica knows the newest table, or has been starting for gateLimit.
--- a/pkg/replica/gate_test.go
+++ b/pkg/replica/gate_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -18,14 +20,17 @@
 func newGatedReplica(t *testing.T) *Replica {
 	t.Helper()
 	s := config.Defaults()
-	s.Replicas = []config.Replica{{Box: "control-2", Address: "10.0.0.2:7000"}}
+	s.Replicas = []config.Replica{{Box: "control-2", Address: "127.0.0.2:7000"}}
 	core, err := control.NewReplica(control.Settings{
-		Replication: replication.Settings{ID: "control-1", ElectionTimeout: time.Second, Peers: []units.ReplicaID{"control-2", "10.0.0.3:7000"}},
+		Replication: replication.Settings{ID: "control-1", ElectionTimeout: time.Second, Peers: []units.ReplicaID{"control-2", "127.0.0.3:7000"}},
 	}, &replication.Durable{}, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &Replica{Common: &common.Common{Settings: s}, core: core, gate: newStartGate(), done: make(chan struct{})}
+	r := &Replica{
+		Common: &common.Common{Settings: s, Clock: clock.NewClock()}, core: core, gate: newStartGate(),
+		done: make(chan struct{}), wake: make(chan struct{}), links: map[units.ReplicaID]*transport.Link{},
+	}
 	t.Cleanup(r.gate.release)
 	return r
 }
@@ -42,11 +47,10 @@
 
 func TestOtherReplicasPassTheGateAtOnce(t *testing.T) {
 	r := newGatedReplica(t)
-	r.gate.timer.Stop()
-	for _, from := range []string{"10.0.0.2", "10.0.0.3"} {
+	for _, from := range []string{"127.0.0.2", "127.0.0.3"} {
 		<-waits(r, from)
 	}
-	box := waits(r, "10.0.0.4")
+	box := waits(r, "127.0.0.4")
 	select {
 	case <-box:
 		t.Fatal("a box passed before the replica knows the newest table")
@@ -54,16 +58,18 @@
 	}
 	r.gate.release()
 	<-box
-	<-waits(r, "10.0.0.5")
+	<-waits(r, "127.0.0.5")
 }
 
 // A replica that can't catch up still serves boxes, and one that stops holds nobody.
 func TestTheGateOpensByItself(t *testing.T) {
 	r := newGatedReplica(t)
-	<-waits(r, "10.0.0.4")
+	r.Start()
+	<-waits(r, "127.0.0.4")
+	close(r.done)
+	r.waker.Wait()
 	r = newGatedReplica(t)
-	r.gate.timer.Stop()
-	box := waits(r, "10.0.0.4")
+	box := waits(r, "127.0.0.4")
 	close(r.done)
 	<-box
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -122,6 +122,7 @@
 			r.links[units.ReplicaID(p.Box)] = r.newLink(p.Address)
 		}
 	}
+	time.AfterFunc(gateLimit, r.gate.release)
 	r.waker.Add(1)
 	go r.runWaker()
 }
--- /dev/null
+++ b/test/kept_answer_test.go
@@ -0,0 +1,93 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/sheet"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// failingTargets serve one address each: the first send of a call gets a whole answer that
+// reports an error, every later one is broken off, whichever target it goes to.
+type failingTargets struct {
+	sends     atomic.Int64
+	addresses []string
+}
+
+const failedBody = "the ledger is closed"
+
+func startFailingTargets(x *story, n int) *failingTargets {
+	x.Helper()
+	f := &failingTargets{}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		x.must(err)
+		server := &fasthttp.Server{Handler: f.answer, CloseOnShutdown: true}
+		go server.Serve(l)
+		x.Cleanup(func() { l.Close() })
+		f.addresses = append(f.addresses, l.Addr().String())
+	}
+	return f
+}
+
+func (f *failingTargets) answer(ctx *fasthttp.RequestCtx) {
+	if f.sends.Add(1) == 1 {
+		ctx.Error(failedBody, fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { c.Close() })
+}
+
+// sheetOf is one repeatable service on those targets.
+func (f *failingTargets) sheetOf() sheet.Sheets {
+	v := sheet.NewService()
+	v.Name, v.Work, v.Hosts = "balance", table.Repeatable, []string{"balance.test"}
+	v.Deadline = 10 * time.Second
+	s := sheet.Sheets{Services: []table.Service{v}}
+	for i, address := range f.addresses {
+		r := sheet.NewRow()
+		r.Service, r.Target, r.Address = v.Name, units.TargetID(fmt.Sprintf("t%d", i)), address
+		s.Rows = append(s.Rows, r)
+	}
+	return s
+}
+
+// An answer that is there isn't dropped for a retry that comes to nothing.
+func TestAFailedAnswerIsDeliveredWhenNothingBetterComes(t *testing.T) {
+	x := begin(t, setting{replicas: 1, boxes: 1})
+	f := startFailingTargets(x, 3)
+	box := x.cluster.Boxes[0]
+	result, err := x.cluster.Apply(f.sheetOf())
+	x.must(err)
+	x.must(x.cluster.AwaitInForce(box, result.Revision, patience))
+	x.must(x.cluster.AwaitServing(box, patience))
+	for i := range 5 {
+		f.sends.Store(0)
+		status, body := x.get(box, "balance.test")
+		if status != fasthttp.StatusInternalServerError || !bytes.Equal(body, []byte(failedBody)) {
+			t.Errorf("call %d got %d %q after %d sends", i, status, body, f.sends.Load())
+		}
+	}
+}
+
+// get makes one call and returns what came back.
+func (x *story) get(box *lab.Node, host string) (status int, body []byte) {
+	x.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + host + "/")
+	client := fasthttp.HostClient{Addr: box.Entry, MaxIdemponentCallAttempts: 1}
+	x.must(client.DoTimeout(request, response, patience))
+	return response.StatusCode(), bytes.Clone(response.Body())
+}
