The soak exchanges boxes' seeds while they run

Seeds from 9000 on draw from all faults, those below from the first 17, so that regression seeds play what they played.

--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -72,11 +72,28 @@
 	{"silence a target", func(x *soak) bool { return x.silence(x.anyPath()) }},
 	{"cut a target one way", func(x *soak) bool { return x.cutOneWay(x.anyPath()) }},
 	{"reset a target", func(x *soak) bool { x.anyPath().Reset(); return true }},
+	{"exchange a box's seeds", func(x *soak) bool { return x.exchangeSeeds(x.anyBox()) }},
+}
+
+const (
+	// firstFaults is how many of the faults the first seeds draw from, so that a seed that
+	// failed once plays the same faults again.
+	firstFaults = 17
+	// allFaultsFrom is the first seed that draws from all of them.
+	allFaultsFrom = 9000
+)
+
+// drawFault draws one of the faults that the soak's seed knows.
+func (x *soak) drawFault() int {
+	if x.seed < allFaultsFrom {
+		return x.draw(firstFaults)
+	}
+	return x.draw(len(soakFaults))
 }
 
 // oneFault brings about one fault, and pauses. Several of them may go on side by side.
 func (x *soak) oneFault() {
-	f := soakFaults[x.draw(len(soakFaults))]
+	f := soakFaults[x.drawFault()]
 	name := f.name
 	if !f.do(x) {
 		name += " (not now)"
@@ -182,6 +199,22 @@
 	}, n)
 }
 
+// exchangeSeeds names other replicas as a box's seeds, with a signal or without.
+func (x *soak) exchangeSeeds(n *lab.Node) bool {
+	first, signal := x.draw(soakReplicas), x.draw(2) == 0
+	return x.with(func() {
+		seeds := make([]string, 0, len(n.Settings.Seeds))
+		for i := range n.Settings.Seeds {
+			seeds = append(seeds, x.cluster.Replicas[(first+i)%soakReplicas].Settings.Peer.Advertise)
+		}
+		n.Settings.Seeds = seeds
+		x.must(n.WriteSettings())
+		if signal {
+			n.Process.HangUp()
+		}
+	}, n)
+}
+
 func (x *soak) hangUp(n *lab.Node) bool { return x.with(func() { n.Process.HangUp() }, n) }
 
 // loseDisks takes two disks at once, if all replicas vote and the last ones that were
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -80,6 +80,7 @@
 // soak is one seed's world.
 type soak struct {
 	*story
+	seed   uint64
 	size   soakSize
 	random *rand.Rand
 	done   chan struct{}
@@ -101,7 +102,7 @@
 
 func playSoak(t *testing.T, seed uint64) {
 	size := soakSizeOf(seed)
-	x := &soak{size: size, story: &story{T: t, folder: t.TempDir()}, random: rand.New(rand.NewPCG(seed, 3)), done: make(chan struct{})}
+	x := &soak{seed: seed, size: size, story: &story{T: t, folder: t.TempDir()}, random: rand.New(rand.NewPCG(seed, 3)), done: make(chan struct{})}
 	t.Cleanup(x.end)
 	defer func() {
 		if t.Failed() {
