--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -179,6 +180,24 @@
 	return c.askAny("DELETE", "/v1/targets/"+string(id), nil, &answer)
 }
 
+// Evacuations returns the failure domains that are or were evacuated.
+func (c *Client) Evacuations() ([]table.Evacuation, error) {
+	var list []table.Evacuation
+	return list, c.askAny("GET", "/v1/evacuations", nil, &list)
+}
+
+// OrderEvacuation evacuates a failure domain or restores it; an order may be sent again
+// without harm.
+func (c *Client) OrderEvacuation(o table.EvacuationOrder) error {
+	method := "DELETE"
+	if o.Evacuate {
+		method = "PUT"
+	}
+	var answer json.RawMessage
+	path := "/v1/evacuations/" + url.PathEscape(string(o.Domain)) + "?operator=" + url.QueryEscape(o.Operator)
+	return c.askAny(method, path, nil, &answer)
+}
+
 // Dump returns a server's whole state as JSON.
 func (c *Client) Dump() (json.RawMessage, error) {
 	var raw json.RawMessage
--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -66,6 +66,7 @@
 		return
 	}
 	var delta *table.Delta
+	var refused error
 	before := r.state.Table()
 	switch k := c.Kind.(type) {
 	case *wire.Command_Edit:
@@ -73,10 +74,12 @@
 	case *wire.Command_Boxes:
 		delta = r.state.ApplyBoxes(wire.ToBoxChange(k.Boxes))
 		r.leases.proposing = false
+	case *wire.Command_Evacuation:
+		delta, refused = r.applyEvacuation(wire.ToEvacuationOrder(k.Evacuation), units.WallTime(c.At), e)
 	default:
 		delta = r.applyRequest(c, e)
 	}
-	r.answerCommand(c, e)
+	r.answerCommand(c, refused, e)
 	if delta == nil {
 		return
 	}
@@ -117,6 +120,20 @@
 	return delta
 }
 
+// applyEvacuation carries out an order for a failure domain; the error is the answer to
+// one that changes nothing although something else holds.
+func (r *Replica) applyEvacuation(o *table.EvacuationOrder, at units.WallTime, e *Effects) (*table.Delta, error) {
+	outcome, delta := r.state.ApplyEvacuation(o, at)
+	if delta != nil {
+		change := Change{Kind: DomainRestored, Domain: o.Domain, Operator: o.Operator, Revision: delta.Revision}
+		if o.Evacuate {
+			change.Kind = DomainEvacuated
+		}
+		e.Changes = append(e.Changes, change)
+	}
+	return delta, evacuationError(o, outcome)
+}
+
 func (r *Replica) noteSilenceChanges(s *wire.Silence, e *Effects) {
 	revision := r.state.Table().Revision
 	for _, id := range s.Silent {
--- /dev/null
+++ b/pkg/core/control/evacuation_test.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// evacuator is an operator who evacuates a failure domain and restores it in turns. It
+// sends an order again, to another replica each time, until it is acknowledged.
+type evacuator struct {
+	world  *world
+	domain units.Domain
+	// wanted is what the present order asks for; acknowledged is set once it holds.
+	wanted       bool
+	acknowledged bool
+	next         int
+	number       int
+}
+
+// resendEvery is how long the operator waits for an answer; replicas wait much longer for
+// a quorum, so that orders which were given up are still under way.
+const resendEvery = 120 * time.Millisecond
+
+func newEvacuator(w *world, d units.Domain) *evacuator {
+	return &evacuator{world: w, domain: d, acknowledged: true}
+}
+
+// turn begins the opposite order, if the one before was acknowledged.
+func (o *evacuator) turn() {
+	if !o.acknowledged {
+		return
+	}
+	o.wanted, o.acknowledged = !o.wanted, false
+	o.number++
+	o.send(o.number)
+}
+
+func (o *evacuator) send(number int) {
+	if o.acknowledged || number != o.number {
+		return
+	}
+	w := o.world
+	r := w.replicas[o.next%len(w.replicas)]
+	o.next++
+	order := table.EvacuationOrder{Domain: o.domain, Evacuate: o.wanted, Operator: "test"}
+	w.order(r, func(id RequestID) Event { return EvacuationOrdered{Request: id, Order: order} }, func(a Answer) {
+		if a.Err == nil && number == o.number {
+			o.acknowledged = true
+		}
+		if k := fault.KindOf(a.Err); a.Err != nil && (k == fault.NotFound || k == fault.Invalid) {
+			w.t.Fatalf("a proper order was refused: %v", a.Err)
+		}
+	})
+	w.after(resendEvery, func() { o.send(number) })
+}
+
+// checkHeld makes sure that every replica and box shows what was acknowledged last.
+func (o *evacuator) checkHeld() {
+	for _, r := range o.world.replicas {
+		if got := r.core.Table().Evacuated(o.domain); got != o.wanted {
+			o.world.t.Fatalf("%s shows %s evacuated=%t, %t was acknowledged", r.id, o.domain, got, o.wanted)
+		}
+	}
+	for _, b := range o.world.boxes {
+		if got := b.core.Table().Evacuated(o.domain); got != o.wanted {
+			o.world.t.Fatalf("box %s shows %s evacuated=%t, %t was acknowledged", b.id, o.domain, got, o.wanted)
+		}
+	}
+}
+
+// inDomain has a target of the domain register.
+func (w *world) inDomain(d units.Domain) {
+	t := &table.Registration{Target: "g99", Service: "s", Address: "127.0.0.1:99", Domain: d, State: table.Active, Sequence: 1}
+	w.order(w.leader(), func(id RequestID) Event { return TargetReported{Request: id, Registration: t} }, func(a Answer) {
+		if a.Err != nil {
+			w.t.Fatalf("a target couldn't register: %v", a.Err)
+		}
+	})
+	w.run(time.Second)
+}
+
+// An order that waits at a replica which was cut off must not undo a later one that was
+// acknowledged elsewhere.
+func TestADelayedEvacuationUndoesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3, 1)
+		w.inDomain("d")
+		cut := w.followers()[0]
+		cut.side = 1
+		order := func(r *replicaFake, evacuate bool, answered func(Answer)) {
+			o := table.EvacuationOrder{Domain: "d", Evacuate: evacuate}
+			w.order(r, func(id RequestID) Event { return EvacuationOrdered{Request: id, Order: o} }, answered)
+		}
+		order(cut, true, func(Answer) {})
+		done := 0
+		for _, evacuate := range []bool{true, false} {
+			order(w.leader(), evacuate, func(a Answer) {
+				if a.Err == nil {
+					done++
+				}
+			})
+			w.run(200 * time.Millisecond)
+		}
+		if done != 2 {
+			t.Fatalf("seed %d: %d of 2 orders were acknowledged", seed, done)
+		}
+		cut.side = 0
+		w.run(2 * time.Second)
+		if w.leader().core.Table().Evacuated("d") {
+			t.Fatalf("seed %d: the delayed order evacuated the domain again", seed)
+		}
+	}
+}
+
+func TestAnUnknownDomainIsNotEvacuated(t *testing.T) {
+	w := newWorld(t, 1, 3, 1)
+	w.inDomain("d")
+	var got Answer
+	o := table.EvacuationOrder{Domain: "elsewhere", Evacuate: true}
+	w.order(w.followers()[0], func(id RequestID) Event { return EvacuationOrdered{Request: id, Order: o} }, func(a Answer) { got = a })
+	w.run(time.Second)
+	if fault.KindOf(got.Err) != fault.NotFound {
+		t.Fatalf("the answer is %v", got.Err)
+	}
+}
+
+// Under any faults that the cluster bears, the last acknowledged order holds everywhere in
+// the end, whatever becomes of those that were given up.
+func TestAcknowledgedEvacuationsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newGrowingWorld(t, rapid.Uint64().Draw(t, "seed"), 5, 5, 2)
+		w.inDomain("d")
+		o := newEvacuator(w, "d")
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 1, 30).Draw(t, "faults")
+		for _, s := range steps {
+			o.turn()
+			growthFaults[s%len(growthFaults)].do(w, s/len(growthFaults))
+			w.run(pause(s))
+		}
+		w.checkEnd()
+		if !o.acknowledged {
+			t.Fatalf("an order wasn't acknowledged after all faults had ended")
+		}
+		w.run(2 * time.Second)
+		o.checkHeld()
+	})
+}
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -62,6 +62,12 @@
 	Target  units.TargetID
 }
 
+// EvacuationOrdered is an operator's order to evacuate a failure domain, or to restore it.
+type EvacuationOrdered struct {
+	Request RequestID
+	Order   table.EvacuationOrder
+}
+
 // ReadRequested asks for the newest state; the answer comes once this replica is
 // sure to have it.
 type ReadRequested struct{ Request RequestID }
@@ -90,6 +96,7 @@
 func (DocumentSubmitted) controlEvent() {}
 func (TargetReported) controlEvent()    {}
 func (TargetDeparted) controlEvent()    {}
+func (EvacuationOrdered) controlEvent() {}
 func (ReadRequested) controlEvent()     {}
 func (BoxMessage) controlEvent()        {}
 func (BoxDetached) controlEvent()       {}
@@ -97,8 +104,8 @@
 func (StopRequested) controlEvent()     {}
 
 // Answer is the answer to a request of this process's shell. Without an error, what was
-// asked for is on enough disks, or held already; an error is of kind Invalid, Unavailable
-// or, where it couldn't be learned in time, Unknown.
+// asked for is on enough disks, or held already; an error is of kind Invalid, NotFound,
+// Unavailable or, where it couldn't be learned in time, Unknown.
 type Answer struct {
 	Request RequestID
 	Err     error
@@ -142,6 +149,8 @@
 	LeaderChanged   ChangeKind = "leader"
 	VotersChanged   ChangeKind = "voters"
 	LogReplayed     ChangeKind = "log-replayed"
+	DomainEvacuated ChangeKind = "domain-evacuated"
+	DomainRestored  ChangeKind = "domain-restored"
 )
 
 // Change is something that a replica has come to believe.
@@ -152,6 +161,8 @@
 	Document units.DocumentVersion
 	// Sequence is the target's own count of its reports.
 	Sequence uint64
+	Domain   units.Domain
+	Operator string
 	Leader   units.ReplicaID
 	Voters   []units.ReplicaID
 	Term     units.Term
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -146,6 +146,8 @@
 		r.reportTarget(v, &log, e)
 	case TargetDeparted:
 		r.departTarget(v, &log, e)
+	case EvacuationOrdered:
+		r.orderEvacuation(v, &log, e)
 	case ReadRequested:
 		r.read(v, &log, e)
 	case BoxMessage:
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -89,6 +89,32 @@
 	r.submitCommand(v.Request, c, fmt.Sprintf("departure of target %s", v.Target), log, e)
 }
 
+// orderEvacuation takes an order for a failure domain. The order carries what this replica
+// held when it came: one that waits here behind a cut, and is passed on after another order
+// of the same operator was acknowledged elsewhere, must not undo that one.
+func (r *Replica) orderEvacuation(v EvacuationOrdered, log *replication.Effects, e *Effects) {
+	if problems := table.CheckEvacuation(&v.Order); len(problems) > 0 {
+		err := fault.New(fault.Invalid, problems[0].Remedy, "%q is no failure domain", v.Order.Domain)
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
+		return
+	}
+	v.Order.Base = r.state.Table().Revision
+	c := &wire.Command{Kind: &wire.Command_Evacuation{Evacuation: wire.FromEvacuationOrder(&v.Order)}}
+	r.submitCommand(v.Request, c, fmt.Sprintf("order for the failure domain %s", v.Order.Domain), log, e)
+}
+
+// evacuationError is the answer to an order that wasn't carried out, or nil.
+func evacuationError(o *table.EvacuationOrder, outcome table.EvacuationOutcome) error {
+	switch outcome {
+	case table.EvacuationOvertaken:
+		return fault.New(fault.Unavailable, "look at its present state and send the order again if it is still wanted",
+			"another order changed the failure domain %s first", o.Domain)
+	case table.EvacuationUnknown:
+		return fault.New(fault.NotFound, "name a failure domain that has boxes or targets", "there is no failure domain %s", o.Domain)
+	}
+	return nil
+}
+
 func (r *Replica) submitCommand(id RequestID, c *wire.Command, what string, log *replication.Effects, e *Effects) {
 	if !r.node.Formed() {
 		e.Answers = append(e.Answers, Answer{Request: id, Err: errNotFormed()})
@@ -146,14 +172,14 @@
 }
 
 // answerCommand answers the request that an applied command came from, if it came
-// to this replica in this life.
-func (r *Replica) answerCommand(c *wire.Command, e *Effects) {
+// to this replica in this life; the error says why the command changed nothing.
+func (r *Replica) answerCommand(c *wire.Command, err error, e *Effects) {
 	n := commandNumber(c.Number)
 	w := r.requests.commands.Get(n)
 	if w == nil || c.Origin != r.origin() {
 		return
 	}
-	e.Answers = append(e.Answers, Answer{Request: w.request})
+	e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
 	r.requests.commands.Delete(n)
 }
 
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -132,7 +132,7 @@
 		return TooManyHeld
 	}
 	if !s.hasActiveTarget() && c.route.work != table.Patient {
-		return NoTarget
+		return s.noTargetReason()
 	}
 	wait := max(s.expectedWait(), r.frontAge(s))
 	room := time.Duration(holdMargin * float64(until.Sub(r.now)))
@@ -158,7 +158,7 @@
 
 func (s *service) hasActiveTarget() bool {
 	for _, t := range s.targets {
-		if t.row.State == table.Active && t.row.Weight > 0 {
+		if t.isActive() {
 			return true
 		}
 	}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -19,6 +19,7 @@
 		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.sureTime(),
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
 		full:   t.load(r.now)+1 >= nearlyFull*t.slots(),
+		cold:   t.isCold(r.now),
 	}
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
@@ -33,6 +34,7 @@
 	if t.row.MaxRate > 0 {
 		t.rate.take(r.now, t.rateShare.value, rateBurst)
 	}
+	t.noteColdSend(r.now)
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
@@ -154,7 +156,7 @@
 	took := r.now.Sub(a.sent)
 	t := a.target
 	if a.atPace && v.Result == Answered {
-		t.noteTime(r.now, c.route, took, a.full)
+		t.noteTime(r.now, c.route, took, a)
 	}
 	r.learn(t, v, took, e)
 	r.release(c, a, e)
@@ -182,6 +184,9 @@
 // learn takes what an attempt's end says about its target.
 func (r *Router) learn(t *target, v *AttemptEnded, took time.Duration, e *Effects) {
 	t.takeReading(r.now, v.Reading)
+	if v.Reading.Cold > 0 {
+		r.turnCold(t, v.Reading.Cold)
+	}
 	t.lastHeard = r.now
 	turned := false
 	switch v.Result {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -22,9 +22,10 @@
 	hedge    bool
 	loan     *loan
 	// atPace is set when the target was known to go at its usual pace at the sending, full
-	// when it was nearly full then.
+	// when it was nearly full then, cold when it was cold.
 	atPace bool
 	full   bool
+	cold   bool
 	// typical is the route's typical time then.
 	typical float64
 }
--- /dev/null
+++ b/pkg/core/routing/cold_test.go
@@ -0,0 +1,229 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// coldFleet is many boxes of four failure domains beside the targets of one service.
+type coldFleet struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     units.Instant
+	routers []*Router
+	table   *table.Table
+	// arrivals are the times of the calls that each target got.
+	arrivals map[units.TargetID][]units.Instant
+	sent     int
+}
+
+const (
+	// coldFleetRate is what a cold target takes, in calls a second; coldFleetMost is what it
+	// may get in any second before it falls over.
+	coldFleetRate = 2.5
+	coldFleetMost = 11
+)
+
+func newColdFleet(t *testing.T, boxes, targets int) *coldFleet {
+	f := &coldFleet{
+		t: t, random: rand.New(rand.NewPCG(1, 2)), now: units.Instant(time.Second),
+		arrivals: map[units.TargetID][]units.Instant{}, table: table.NewTable(),
+	}
+	f.table.Revision = 1
+	for i := range boxes {
+		box := table.Box{ID: units.BoxID(fmt.Sprintf("b%03d", i)), Domain: domainOf(i)}
+		f.table.Boxes = append(f.table.Boxes, box)
+		f.routers = append(f.routers, f.newRouter(box, uint64(i)))
+	}
+	f.putTargets(targets, func(*table.Row) {})
+	f.pass(5 * time.Second)
+	return f
+}
+
+func domainOf(i int) units.Domain { return units.Domain(fmt.Sprintf("d%d", i%4)) }
+
+func (f *coldFleet) newRouter(b table.Box, seed uint64) *Router {
+	r, err := NewRouter(Settings{
+		Box: b.ID, Domain: b.Domain, Seed: seed, ServeStale: true, ShareDelay: time.Second, ProbeCost: DefaultProbeCost, MaxDeadline: time.Minute,
+	}, f.now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r
+}
+
+// putTargets puts the service's targets in force, changed by a function.
+func (f *coldFleet) putTargets(n int, change func(*table.Row)) {
+	entry := &table.Entry{Service: table.Service{
+		Name: "s", Work: table.Repeatable, Hosts: []string{"s"}, Deadline: time.Second, HoldCount: 10, ColdRate: coldFleetRate,
+	}, Version: units.Version(f.table.Revision)}
+	for i := range n {
+		row := table.Row{
+			Service: "s", Target: units.TargetID(fmt.Sprintf("t%03d", i)), Address: "127.0.0.1:1", Domain: domainOf(i),
+			Weight: 100, State: table.Active, Registered: true, Slots: 2,
+		}
+		change(&row)
+		entry.Rows = append(entry.Rows, row)
+	}
+	next := *f.table
+	next.Revision++
+	next.Services = map[units.ServiceName]*table.Entry{"s": entry}
+	f.table = &next
+	f.tell(f.routers)
+}
+
+func (f *coldFleet) tell(routers []*Router) {
+	for _, r := range routers {
+		r.Reduce(f.now, &TableChanged{Table: f.table}, &Effects{})
+	}
+}
+
+// pass lets time pass with about 700 calls a second, each answered after 100 ms.
+func (f *coldFleet) pass(d time.Duration) {
+	const perTick = 7
+	type ending struct {
+		at     units.Instant
+		router *Router
+		event  *AttemptEnded
+	}
+	var under []ending
+	for end := f.now.Add(d); f.now < end || len(under) > 0; {
+		f.now = f.now.Add(10 * time.Millisecond)
+		for len(under) > 0 && under[0].at <= f.now {
+			under[0].router.Reduce(f.now, under[0].event, &Effects{})
+			under = under[1:]
+		}
+		if f.now >= end {
+			continue
+		}
+		for range perTick {
+			r := f.routers[f.random.IntN(len(f.routers))]
+			var e Effects
+			r.Reduce(f.now, &CallArrived{Host: []byte("s"), Path: []byte("/")}, &e)
+			for _, x := range e.List {
+				if x.Kind == Send {
+					f.sent++
+					f.arrivals[x.Endpoint.Target] = append(f.arrivals[x.Endpoint.Target], f.now)
+					under = append(under, ending{f.now.Add(100 * time.Millisecond), r, &AttemptEnded{Call: x.Call, Attempt: x.Attempt, Result: Answered}})
+				}
+			}
+		}
+		for _, r := range f.routers {
+			r.Reduce(f.now, &Tick{}, &Effects{})
+		}
+	}
+}
+
+// mostInASecond is the most calls that a target of a domain got in any second since a time.
+func (f *coldFleet) mostInASecond(d units.Domain, since units.Instant) int {
+	most := 0
+	for _, row := range f.table.Services["s"].Rows {
+		if row.Domain != d {
+			continue
+		}
+		times := f.arrivals[row.Target]
+		first := 0
+		for last, at := range times {
+			for first < last && at.Sub(times[first]) >= time.Second {
+				first++
+			}
+			if at >= since {
+				most = max(most, last-first+1)
+			}
+		}
+	}
+	return most
+}
+
+// served is how many calls the targets of a domain got since a time.
+func (f *coldFleet) served(d units.Domain, since units.Instant) int {
+	n := 0
+	for _, row := range f.table.Services["s"].Rows {
+		for _, at := range f.arrivals[row.Target] {
+			if row.Domain == d && at >= since {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// All targets of a failure domain come back cold beside a hundred boxes: none of them gets
+// more calls than it bears, and together they get their part.
+func TestADomainThatComesBackColdIsNotOverrun(t *testing.T) {
+	const targets = 60
+	f := newColdFleet(t, 100, targets)
+	since := f.now
+	f.putTargets(targets, func(r *table.Row) {
+		if r.Domain == "d1" {
+			r.Target += "-again"
+			r.Cold = 3 * time.Second
+		}
+	})
+	f.pass(2500 * time.Millisecond)
+	if most := f.mostInASecond("d1", since); most > coldFleetMost {
+		t.Errorf("a cold target got %d calls in a second, it bears %d", most, coldFleetMost)
+	}
+	// Each of the two boxes that a target has gets seven calls a second, and spreads them over
+	// all targets that it may use.
+	if n := f.served("d1", since); n < targets/8 {
+		t.Errorf("%d cold targets got %d calls in 2.5 s", targets/4, n)
+	}
+}
+
+// While some boxes know a longer list of boxes than others, cold targets get no more.
+func TestColdTargetsAreNotOverrunWhileBoxesDisagree(t *testing.T) {
+	const targets = 60
+	f := newColdFleet(t, 100, targets)
+	since := f.now
+	f.putTargets(targets, func(r *table.Row) {
+		if r.Domain == "d1" {
+			r.Target += "-again"
+			r.Cold = 3 * time.Second
+		}
+	})
+	next := *f.table
+	next.Revision++
+	next.Boxes = f.table.Boxes[:50]
+	f.table = &next
+	f.tell(f.routers[:50])
+	f.pass(2500 * time.Millisecond)
+	if most := f.mostInASecond("d1", since); most > coldFleetMost {
+		t.Errorf("a cold target got %d calls in a second, it bears %d", most, coldFleetMost)
+	}
+}
+
+// Targets of a restored domain may be cold without having said so.
+func TestARestoredDomainIsNotOverrun(t *testing.T) {
+	const targets = 60
+	f := newColdFleet(t, 100, targets)
+	f.evacuate("d1", true)
+	f.pass(time.Second)
+	evacuated := f.served("d1", f.now.Add(-time.Second))
+	since := f.now
+	f.evacuate("d1", false)
+	f.pass(coldDoubt - 100*time.Millisecond)
+	if evacuated > 0 {
+		t.Errorf("targets of an evacuated domain got %d calls", evacuated)
+	}
+	if most := f.mostInASecond("d1", since); most > coldFleetMost {
+		t.Errorf("a target of a restored domain got %d calls in a second, it bears %d when cold", most, coldFleetMost)
+	}
+	f.pass(time.Second)
+	if n := f.served("d1", f.now.Add(-time.Second)); n < targets {
+		t.Errorf("the targets of a domain got %d calls in a second although they must be warm", n)
+	}
+}
+
+func (f *coldFleet) evacuate(d units.Domain, active bool) {
+	next := *f.table
+	next.Revision++
+	next.Evacuations = []table.Evacuation{{Domain: d, Active: active, Since: next.Revision}}
+	f.table = &next
+	f.tell(f.routers)
+}
--- /dev/null
+++ b/pkg/core/routing/evacuation.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Operators evacuate a failure domain before work on it: its targets get no further calls,
+// neither first sends nor retries, hedges and probes, while calls under way there end by
+// themselves. Targets of a domain that is restored may have become cold meanwhile.
+
+// changeEvacuations notes which failure domains a new table restores, and tells whether it
+// changes anything about evacuations. The first table of a box restores all domains that
+// were ever evacuated: the box can't know how long ago that was.
+func (r *Router) changeEvacuations(before, after []table.Evacuation) bool {
+	r.restored = r.restored[:0]
+	for _, x := range after {
+		if !x.Active && !slices.Contains(before, x) {
+			r.restored = append(r.restored, x.Domain)
+		}
+	}
+	return !slices.Equal(before, after)
+}
+
+// markEvacuated applies the evacuations of the table to a service's targets.
+func (r *Router) markEvacuated(s *service) {
+	for _, t := range s.targets {
+		t.evacuated = r.table.Evacuated(t.row.Domain)
+		if r.wasRestored(t.row.Domain) {
+			r.doubtWarmth(t)
+		}
+	}
+}
+
+func (r *Router) wasRestored(d units.Domain) bool { return slices.Contains(r.restored, d) }
+
+// noTargetReason says why a service has no target that may take calls.
+func (s *service) noTargetReason() Reason {
+	if slices.ContainsFunc(s.targets, func(t *target) bool { return t.evacuated && t.inTable() }) {
+		return Evacuated
+	}
+	return NoTarget
+}
+
+// refuseUnservable refuses the calls that wait at a service without targets: none will
+// come free for them.
+func (r *Router) refuseUnservable(s *service, e *Effects) {
+	if s.hasActiveTarget() {
+		return
+	}
+	ids := s.held.drain()
+	for _, w := range s.waiting {
+		ids = append(ids, w.id)
+	}
+	s.waiting = nil
+	for _, id := range ids {
+		r.refuseWaiting(s, id, e)
+	}
+}
+
+// refuseWaiting refuses a call that still waits for a target of the service and isn't under
+// way. A patient one is held until its time is up.
+func (r *Router) refuseWaiting(s *service, id CallID, e *Effects) {
+	c := r.calls.Get(id)
+	if c == nil || c.service != s || !c.held && !c.probeRound.open || c.underWay() > 0 {
+		return
+	}
+	if c.held && c.route.work == table.Patient {
+		s.held.pushBack(id)
+		return
+	}
+	r.refuse(id, c, Refusal{Reason: s.noTargetReason(), Outcome: c.outcome(), RetryAfter: s.retryAfter()}, e)
+}
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -139,6 +139,8 @@
 	Slots float64
 	// Pace is how long work takes there now, over the usual; zero when it didn't say.
 	Pace float64
+	// Cold is for how long the target stays cold; zero when it didn't say, or is warm.
+	Cold time.Duration
 }
 
 // Endpoint is a target of a service as the shell needs to know it. It is never
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -36,6 +36,9 @@
 	if load >= nearlyFull*slots {
 		time *= nearlyFullPace
 	}
+	if t.isCold(now) {
+		time *= t.service.whenCold.value()
+	}
 	if !t.service.off[FailingTargets] {
 		time *= 1 + failureCost*t.failingPart(now)
 	}
@@ -45,7 +48,7 @@
 	if t.remote {
 		time += remoteCost
 	}
-	if !t.near {
+	if !t.near && !t.isKept(now) {
 		time += outsideCost
 	}
 	return time
@@ -75,48 +78,58 @@
 func (t *target) bestConcurrency() float64 {
 	slots := t.slots()
 	below := math.Ceil(nearlyFull*slots) - 1
-	if below >= 1 && t.service.fullPace()*below > slots {
+	if below >= 1 && t.service.whenFull.value()*below > slots {
 		return below
 	}
 	return slots
 }
 
-// fullPace is how much longer calls take at the service's targets when those are nearly
-// full; 1 until enough calls have shown it.
-func (s *service) fullPace() float64 {
-	if s.fullAnswers < sureAnswers {
+// learntSlowdown is how much longer calls take at a service's targets in some state than
+// they do elsewhere, learnt from answers.
+type learntSlowdown struct {
+	mean    float64
+	answers int
+}
+
+// value is the slowdown; 1 until enough calls have shown it.
+func (l *learntSlowdown) value() float64 {
+	if l.answers < sureAnswers {
 		return 1
 	}
-	return s.fullSlowdown
+	return l.mean
 }
 
-// fullGain is the least weight of the newest answer in a service's slowdown when full: a
-// mean of about 30 calls, since one in four meets a slow moment.
-const fullGain = 0.03
+// learntGain is the least weight of the newest answer in a learnt slowdown: a mean of about
+// 30 calls, since one in four meets a slow moment.
+const learntGain = 0.03
 
-// learnFull takes how long a call took that was sent to a nearly full target, over what
-// it takes elsewhere.
-func (s *service) learnFull(ratio float64) {
-	s.fullAnswers++
-	s.fullSlowdown += max(fullGain, 1/float64(s.fullAnswers)) * (min(greatestSlowdown, ratio) - s.fullSlowdown)
+// learn takes how long a call took at a target in that state, over what it takes elsewhere.
+func (l *learntSlowdown) learn(ratio float64) {
+	l.answers++
+	l.mean += max(learntGain, 1/float64(l.answers)) * (min(greatestSlowdown, ratio) - l.mean)
 }
 
 // noteTime takes how long an answer took at a target whose pace was known to be usual
 // when the call was sent: what it took beyond the route's typical time is the target's
 // own slowdown.
-func (t *target) noteTime(now units.Instant, x *route, took time.Duration, full bool) {
-	if full {
-		if x.answers >= sureAnswers {
-			t.service.learnFull(float64(took) / x.typical)
+func (t *target) noteTime(now units.Instant, x *route, took time.Duration, a *attempt) {
+	if x.answers < sureAnswers {
+		if !a.full && !a.cold {
+			x.learnTime(float64(took))
 		}
 		return
 	}
-	if x.answers >= sureAnswers {
-		ratio := min(float64(took)/x.typical, greatestSlowdown)
+	ratio := min(float64(took)/x.typical, greatestSlowdown)
+	switch {
+	case a.cold:
+		t.service.whenCold.learn(ratio)
+	case a.full:
+		t.service.whenFull.learn(ratio)
+	default:
 		t.slowdown = t.currentSlowdown(now) + slowdownGain*(ratio-t.currentSlowdown(now))
 		t.slowdownAt = now
+		x.learnTime(float64(took))
 	}
-	x.learnTime(float64(took))
 }
 
 // learnTime moves the typical time, which is the median of the first answers and follows
--- a/pkg/core/routing/expectation_test.go
+++ b/pkg/core/routing/expectation_test.go
@@ -18,11 +18,11 @@
 func newLearningRoute(first time.Duration) *route {
 	x := &route{}
 	other := newTarget(newService(table.Service{}), table.Row{Registered: true})
-	other.noteTime(testNow, x, first, false)
+	other.noteTime(testNow, x, first, &attempt{})
 	for i := range 40 {
 		// Half of the answers take a little longer, half a little less.
 		took := usualTime + time.Duration(i%2*40-20)*time.Millisecond
-		other.noteTime(testNow, x, took, false)
+		other.noteTime(testNow, x, took, &attempt{})
 	}
 	return x
 }
@@ -39,11 +39,11 @@
 func TestOneSlowAnswerDoesNotMakeATargetSlow(t *testing.T) {
 	x := newLearningRoute(usualTime)
 	v := newTarget(newService(table.Service{}), table.Row{Registered: true})
-	v.noteTime(testNow, x, 5*usualTime, false)
+	v.noteTime(testNow, x, 5*usualTime, &attempt{})
 	if s := v.currentSlowdown(testNow); s >= heavySlowdown {
 		t.Fatalf("one slow answer gives a slowdown of %.2f", s)
 	}
-	v.noteTime(testNow, x, 5*usualTime, false)
+	v.noteTime(testNow, x, 5*usualTime, &attempt{})
 	if s := v.currentSlowdown(testNow); s < heavySlowdown {
 		t.Fatalf("two slow answers in a row give a slowdown of %.2f only", s)
 	}
@@ -55,9 +55,9 @@
 func TestAYoungRouteIsNoMeasure(t *testing.T) {
 	x := &route{}
 	v := newTarget(newService(table.Service{}), table.Row{Registered: true})
-	v.noteTime(testNow, x, usualTime, false)
+	v.noteTime(testNow, x, usualTime, &attempt{})
 	for range 3 {
-		v.noteTime(testNow, x, 8*usualTime, false)
+		v.noteTime(testNow, x, 8*usualTime, &attempt{})
 	}
 	if s := v.currentSlowdown(testNow); s > 1 {
 		t.Fatalf("four answers of the route give a slowdown of %.2f", s)
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -139,7 +139,7 @@
 	for k := range targets {
 		i := (start + k) % len(targets)
 		t := targets[i]
-		if !set.Available(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
+		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
 			continue
 		}
 		t.probeOrder = t.cost(r.now)
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -26,7 +26,7 @@
 // probeIfDue probes a target that is out of the common path. Calls are the
 // first measurement; a target that has them needs no probe.
 func (r *Router) probeIfDue(s *service, t *target, e *Effects) {
-	if !t.health.ejected || t.probing || r.now.Sub(t.lastHeard) < probeAfter || !r.leased() {
+	if !t.health.ejected || t.evacuated || t.probing || r.now.Sub(t.lastHeard) < probeAfter || !r.leased() {
 		return
 	}
 	if !t.probes.take(r.now, r.probeRate(s, t), probeBurst) {
@@ -50,6 +50,9 @@
 	t.probing = false
 	t.lastHeard = r.now
 	t.takeReading(r.now, v.Reading)
+	if v.Healthy {
+		r.noteWarmth(t, v.Reading.Cold)
+	}
 	if !v.Healthy {
 		t.health.failed(r.now)
 		return
@@ -69,6 +72,7 @@
 	t.takeReading(r.now, v.Reading)
 	if v.Healthy {
 		t.service.noteTold(v.Reading)
+		r.noteWarmth(t, v.Reading.Cold)
 	}
 	if v.Unreachable && t.health.unreachable(r.now) {
 		r.healthTurned(t, e)
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -43,6 +43,7 @@
 	NoTable
 	Stopping
 	TargetsBusy
+	Evacuated
 	reasonCount
 )
 
@@ -68,6 +69,7 @@
 	NoTable:        {"no-table", 503, "try another box; this one has no table yet"},
 	Stopping:       {"stopping", 503, "open a new connection; this box is about to stop"},
 	TargetsBusy:    {"targets-busy", 503, "come back after the time given; all targets that were asked are full or slowed"},
+	Evacuated:      {"evacuated", 503, "come back later; the failure domains of all targets of this service are evacuated"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -55,6 +55,8 @@
 	moves boxMoves
 	// boxesLost is set while a table is put in force that only lacks boxes.
 	boxesLost bool
+	// restored are the failure domains that the table which is put in force restores.
+	restored []units.Domain
 	// servesFrom is when a box that was listed anew has had time to get its shares.
 	servesFrom units.Instant
 	leaseUntil units.Instant
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -143,10 +143,10 @@
 	return fmt.Sprintf("%s, %d to spare", text, m.Free)
 }
 
-// setTable puts a table in force: lines of "boxes NAMES", "service NAME
+// setTable puts a table in force: lines of "boxes NAME[@DOMAIN]...", "service NAME
 // COLUMN=VALUE...", "row SERVICE TARGET COLUMN=VALUE...", "registered SERVICE TARGET
-// [DOMAIN] [leaving] [silent]" and "route NAME COLUMN=VALUE...", with commas in place of
-// spaces.
+// [DOMAIN] [leaving] [silent] [cold=TIME]", "evacuated DOMAIN", "restored DOMAIN REVISION" and
+// "route NAME COLUMN=VALUE...", with commas in place of spaces.
 func (s *script) setTable(d *datadriven.TestData) {
 	next := table.NewTable()
 	next.Revision = s.table.Revision + 1
@@ -155,7 +155,8 @@
 		switch words[0] {
 		case "boxes":
 			for _, w := range words[1:] {
-				next.Boxes = append(next.Boxes, table.Box{ID: units.BoxID(w)})
+				id, domain, _ := strings.Cut(w, "@")
+				next.Boxes = append(next.Boxes, table.Box{ID: units.BoxID(id), Domain: units.Domain(domain)})
 			}
 		case "service":
 			v := sheet.NewService()
@@ -178,6 +179,14 @@
 			}
 			entry := next.Services[r.Service]
 			entry.Rows = append(entry.Rows, r)
+		case "evacuated":
+			next.Evacuations = append(next.Evacuations, table.Evacuation{Domain: units.Domain(words[1]), Active: true})
+		case "restored":
+			since, err := strconv.Atoi(words[2])
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			next.Evacuations = append(next.Evacuations, table.Evacuation{Domain: units.Domain(words[1]), Since: units.Revision(since)})
 		case "route":
 			v := sheet.NewRoute()
 			v.Name = words[1]
@@ -195,8 +204,17 @@
 	s.give(&TableChanged{Table: next})
 }
 
-// setFact sets what a registered target's line says: "leaving", "silent" or a domain.
+// setFact sets what a registered target's line says: "leaving", "silent", "cold=TIME" or a
+// domain.
 func (s *script) setFact(r *table.Row, word string) {
+	if left, isCold := strings.CutPrefix(word, "cold="); isCold {
+		cold, err := time.ParseDuration(left)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		r.Cold = cold
+		return
+	}
 	switch word {
 	case "leaving":
 		r.State = table.Leaving
@@ -244,7 +262,7 @@
 	})
 }
 
-// told CALL TARGET load=N pace=P gives the answer to a call's question.
+// told CALL TARGET load=N pace=P [cold=TIME] gives the answer to a call's question.
 func (s *script) told(d *datadriven.TestData) {
 	var load int
 	var pace string
@@ -254,7 +272,7 @@
 	if err != nil {
 		d.Fatalf(s.t, "%v", err)
 	}
-	s.answer(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x}})
+	s.answer(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x, Cold: s.duration(d, "cold")}})
 }
 
 // untold CALL TARGET how=unreachable|misdirected|healthy
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -15,10 +15,10 @@
 	entry   *table.Entry
 	row     table.Service
 	targets []*target
-	// fullSlowdown is how much longer calls took at nearly full targets, in fullAnswers
-	// answers.
-	fullSlowdown float64
-	fullAnswers  int
+	// whenFull and whenCold are how much longer calls took at targets that were nearly full,
+	// or cold.
+	whenFull learntSlowdown
+	whenCold learntSlowdown
 	// off are the mechanisms that aren't used.
 	off mechanismSet
 	// domain is the box's own failure domain.
@@ -113,7 +113,7 @@
 		t.weight = t.effectiveWeight(now)
 		sum += t.weight
 		s.sums = append(s.sums, sum)
-		if t.row.State != table.Active || t.row.Weight == 0 {
+		if !t.isActive() {
 			continue
 		}
 		active++
@@ -174,8 +174,16 @@
 
 func (c *candidates) Available(i int) bool {
 	t := c.service.targets[i]
-	if c.fresh && c.call.tried(t) {
-		return false
-	}
-	return t.takesWork(c.now, c.anyHealth) && !c.call.uses(t)
+	return t.takesWork(c.now, c.anyHealth) && !c.excluded(t)
+}
+
+// onlyInDoubt tells whether a target would be available if a probe showed it warm.
+func (c *candidates) onlyInDoubt(i int) bool {
+	t := c.service.targets[i]
+	return t.inDoubt(c.now) && t.takesWhenWarm(c.now, c.anyHealth) && !c.excluded(t)
+}
+
+// excluded tells whether the call itself rules a target out.
+func (c *candidates) excluded(t *target) bool {
+	return c.fresh && c.call.tried(t) || c.call.uses(t)
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -119,12 +119,16 @@
 	switch {
 	case t.row.State.String() != "active":
 		return "leaving"
+	case t.evacuated:
+		return "evacuated"
 	case t.row.Weight == 0:
 		return "weight"
 	case t.health.ejected:
 		return "health"
 	case now < t.notBefore:
 		return "shed"
+	case !t.coldAdmits(now):
+		return "cold"
 	case t.share.value <= 0:
 		return "share"
 	case !t.hasRoom(now):
--- a/pkg/core/routing/subset.go
+++ b/pkg/core/routing/subset.go
@@ -54,7 +54,7 @@
 func (r *Router) ownTargets(s *service) []*target {
 	var own, all []*target
 	for _, t := range s.targets {
-		if t.row.State != table.Active || t.row.Silent {
+		if t.row.State != table.Active || t.row.Silent || t.evacuated {
 			continue
 		}
 		all = append(all, t)
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -10,13 +10,14 @@
 // that an edit of one service is cheap however many there are.
 func (r *Router) changeTable(t *table.Table, e *Effects) {
 	tableRoutesChanged := t.Document != r.table.Document
+	evacuationsChanged := r.changeEvacuations(r.table.Evacuations, t.Evacuations)
 	r.table = t
 	boxesChanged := r.changeBoxes(t.Boxes)
 	routesChanged := r.dropMissing(t, e)
 	for _, n := range t.ServiceNames() {
 		entry := t.Services[n]
 		s := r.services[n]
-		if s != nil && s.entry == entry && !boxesChanged {
+		if s != nil && s.entry == entry && !boxesChanged && !evacuationsChanged {
 			continue
 		}
 		if s == nil || !sameRoutes(&s.row, &entry.Service) {
@@ -79,7 +80,9 @@
 	}
 	if s.entry != entry {
 		s.update(entry, r.now)
+		r.takeColdRows(s)
 	}
+	r.markEvacuated(s)
 	r.sweepBy(s, r.now)
 	s.burst = r.burstOf(s)
 	r.chooseSubset(s)
@@ -87,6 +90,7 @@
 		r.wantShare(t)
 	}
 	s.weigh(r.now)
+	r.refuseUnservable(s, e)
 	r.serveHeld(s, e)
 }
 
@@ -102,6 +106,9 @@
 }
 
 func (r *Router) wantShare(t *target) {
+	if t.isCold(r.now) {
+		r.shareCold(t)
+	}
 	if t.row.Registered {
 		r.shareRegistered(t)
 		return
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -62,6 +62,9 @@
 	recent   float64
 	lent     int
 	borrowed []*loan
+	// evacuated is set while the target's failure domain is evacuated.
+	evacuated bool
+	cold      coldness
 
 	sends, answers, failures, sheds, probesSent uint64
 }
@@ -90,6 +93,9 @@
 		// A target that reports again may be tried at once.
 		t.health.retryAt = 0
 	}
+	if row.Cold != t.row.Cold {
+		t.cold.reported = row.Cold
+	}
 	t.row = row
 	t.remote = !t.service.off[OwnDomain] && row.Domain != "" && t.service.domain != "" && row.Domain != t.service.domain
 	t.gone = false
@@ -97,7 +103,7 @@
 
 // effectiveWeight is the weight that draws calls now.
 func (t *target) effectiveWeight(now units.Instant) float64 {
-	if t.row.State != table.Active {
+	if t.row.State != table.Active || t.evacuated {
 		return 0
 	}
 	if t.service.off[Ramping] {
@@ -113,7 +119,7 @@
 
 // capacity is how many calls this box can count on at the target.
 func (t *target) capacity() int {
-	if t.row.State != table.Active || t.row.Weight == 0 {
+	if !t.isActive() {
 		return 0
 	}
 	return max(0, t.limit()-t.lent) + len(t.borrowed)
@@ -150,9 +156,22 @@
 	return nil
 }
 
+// inTable tells whether the table has the target take calls.
+func (t *target) inTable() bool {
+	return !t.gone && t.row.State == table.Active && t.row.Weight > 0
+}
+
+// isActive tells whether the target may take calls, but for its health and limits.
+func (t *target) isActive() bool { return t.inTable() && !t.evacuated }
+
 // takesWork tells whether a new call may go to the target now.
 func (t *target) takesWork(now units.Instant, anyHealth bool) bool {
-	if t.gone || t.row.State != table.Active || t.row.Weight == 0 || now < t.notBefore {
+	return t.coldAdmits(now) && t.takesWhenWarm(now, anyHealth)
+}
+
+// takesWhenWarm tells whether a new call might go to the target now, were it warm.
+func (t *target) takesWhenWarm(now units.Instant, anyHealth bool) bool {
+	if !t.isActive() || now < t.notBefore {
 		return false
 	}
 	if !anyHealth && !t.service.off[Ejection] && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -21,8 +21,8 @@
 	State    RowState `json:"state"`
 	// Sequence rises with each report, so that a late one can be recognized.
 	Sequence uint64 `json:"sequence"`
-	// Cold is how long the target stays slow from its start, as it said when it
-	// first registered.
+	// Cold is for how long the target stays cold, as it said when that last changed; zero
+	// for a warm one.
 	Cold time.Duration `json:"cold,omitempty"`
 	// Silent is set while no report comes, although reports of others do.
 	Silent bool `json:"silent,omitempty"`
@@ -53,11 +53,15 @@
 	}
 }
 
-// sameFacts tells whether two registrations differ in nothing but the sequence.
+// sameFacts tells whether a later registration says nothing new. While a target is cold
+// the time left gets shorter; it is news only when the target is warm at last, or has
+// become cold again.
 func (r *Registration) sameFacts(o *Registration) bool {
 	a, b := *r, *o
 	a.Sequence, b.Sequence = 0, 0
-	a.Cold, b.Cold = 0, 0
+	if a.Cold > 0 && b.Cold > 0 && b.Cold <= a.Cold {
+		b.Cold = a.Cold
+	}
 	a.Silent, b.Silent = false, false
 	return a == b
 }
@@ -100,7 +104,6 @@
 	}
 	delta := s.newDelta()
 	if held := s.targets[r.Target]; held != nil {
-		r.Cold = held.Cold
 		if held.Service != r.Service {
 			s.dropRow(held, delta)
 		}
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -39,7 +39,8 @@
 	// Slots is how many calls the target says it works on at a time; zero means
 	// that it didn't say.
 	Slots int `json:"slots,omitempty"`
-	// Cold is how long the target stays slow from its start.
+	// Cold is for how long the target stays cold, as of its last report of that; zero for a
+	// warm one.
 	Cold time.Duration `json:"cold,omitempty"`
 	// Silent is set while a registered target doesn't report.
 	Silent bool `json:"silent,omitempty"`
--- a/pkg/core/table/script_test.go
+++ b/pkg/core/table/script_test.go
@@ -12,8 +12,9 @@
 )
 
 // TestScripts drives a state with the commands of the files in testdata:
-// "edit ID [at=MS]" with an edit's bases and operations as JSON, "boxes NAMES",
-// and "show".
+// "edit ID [at=MS]" with an edit's bases and operations as JSON, "boxes NAME[@DOMAIN]...",
+// "evacuate DOMAIN [base=REVISION]", "restore DOMAIN [base=REVISION]" (without a base the
+// present one), and "show".
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		state := NewState()
@@ -24,9 +25,12 @@
 			case "boxes":
 				var boxes []Box
 				for _, a := range d.CmdArgs {
-					boxes = append(boxes, Box{ID: units.BoxID(a.Key)})
+					id, domain, _ := strings.Cut(a.Key, "@")
+					boxes = append(boxes, Box{ID: units.BoxID(id), Domain: units.Domain(domain)})
 				}
 				return fmt.Sprintf("revision %d\n", state.ApplyBoxes(BoxChange{Put: boxes}).Revision)
+			case "evacuate", "restore":
+				return orderEvacuation(t, state, d)
 			case "show":
 				return show(state)
 			}
@@ -54,6 +58,21 @@
 	return text + "\n"
 }
 
+var evacuationWords = map[EvacuationOutcome]string{
+	EvacuationDone: "done", EvacuationOvertaken: "overtaken", EvacuationUnknown: "unknown domain",
+}
+
+func orderEvacuation(t *testing.T, state *State, d *datadriven.TestData) string {
+	base := int(state.Table().Revision)
+	d.MaybeScanArgs(t, "base", &base)
+	o := &EvacuationOrder{Domain: units.Domain(d.CmdArgs[0].Key), Evacuate: d.Cmd == "evacuate", Base: units.Revision(base)}
+	if problems := CheckEvacuation(o); len(problems) > 0 {
+		return problems[0].String() + "\n"
+	}
+	outcome, _ := state.ApplyEvacuation(o, 0)
+	return fmt.Sprintf("%s, revision %d\n", evacuationWords[outcome], state.Table().Revision)
+}
+
 func show(state *State) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "revision %d, %d results, %d in the history\n", state.Table().Revision, state.ResultCount(), len(state.History()))
@@ -65,5 +84,8 @@
 		}
 		b.WriteString("\n")
 	}
+	for _, x := range state.Table().Evacuations {
+		fmt.Fprintf(&b, "%s evacuated=%t since %d\n", x.Domain, x.Active, x.Since)
+	}
 	return b.String()
 }
--- a/pkg/core/table/service.go
+++ b/pkg/core/table/service.go
@@ -64,6 +64,9 @@
 	ProbeTargets int `json:"probeTargets,omitempty"`
 	// ProbePath is what probes ask for; empty means the box's own setting.
 	ProbePath string `json:"probePath,omitempty"`
+	// ColdRate is how many calls a second a cold target takes, from all boxes together;
+	// zero means no limit.
+	ColdRate float64 `json:"coldRate,omitempty"`
 }
 
 // equal tells whether two services say the same.
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -20,6 +20,8 @@
 	Document units.DocumentVersion `json:"document,omitempty"`
 	// Routes come before the services' own hosts and prefixes.
 	Routes map[RouteKey]*Route `json:"-"`
+	// Evacuations are the failure domains that are or were evacuated, sorted by domain.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // Delta carries a table from one revision to the next.
@@ -34,6 +36,8 @@
 	// Document is the version of a document that comes in force, or zero.
 	Document units.DocumentVersion `json:"document,omitempty"`
 	Routes   RouteChange           `json:"routes"`
+	// Evacuations are the records of failure domains that change.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // BoxChange is a change of the list of boxes. It holds what differs only, since
@@ -109,6 +113,7 @@
 	next = &Table{
 		Revision: d.Revision, Services: t.Services, Boxes: patchBoxes(t.Boxes, d.Boxes),
 		Document: max(t.Document, d.Document), Routes: patchRoutes(t.Routes, d.Routes),
+		Evacuations: patchEvacuations(t.Evacuations, d.Evacuations),
 	}
 	if len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 {
 		return next, true
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -81,6 +81,9 @@
 		{"weight", "set a row's weight", "madderctl weight SERVICE TARGET WEIGHT", &setWeight{tool: t}, nil},
 		{"limit", "set a row's limits", "madderctl limit SERVICE TARGET --in-flight N --connections N --rate N", &setLimit{tool: t}, nil},
 		{"leave", "mark a row as leaving, or as active again with --undo", "madderctl leave SERVICE TARGET", &setLeaving{tool: t}, nil},
+		{"evacuate", "keep new calls away from all targets of a failure domain", "madderctl evacuate DOMAIN. Calls under way there end by themselves.", &orderEvacuation{tool: t, evacuate: true}, nil},
+		{"restore", "give the targets of an evacuated failure domain calls again", "madderctl restore DOMAIN", &orderEvacuation{tool: t}, nil},
+		{"evacuations", "list the failure domains that are or were evacuated", "", &listEvacuations{tool: t}, nil},
 		{name: "document", short: "read and put whole tables under a version", data: &struct{}{}, subcommands: []command{
 			{"get", "print the document in force", "Prints the newest document as it was put, or fails when no replica can be sure of it.", &documentGet{tool: t}, nil},
 			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -44,6 +44,15 @@
 	}).Err
 }
 
+// OrderEvacuation evacuates a failure domain or restores it. Without an error that is on
+// enough disks. The error is of kind Invalid, NotFound where no box or target is in such a
+// domain, Unavailable where another order came first, or Unknown.
+func (r *Replica) OrderEvacuation(o table.EvacuationOrder) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.EvacuationOrdered{Request: id, Order: o}
+	}).Err
+}
+
 // TargetReport is what a replica knows of a registered target.
 type TargetReport struct {
 	table.Registration
@@ -96,6 +105,8 @@
 		fields["leader"], fields["term"] = c.Leader, c.Term
 	case control.VotersChanged:
 		fields["voters"], fields["term"] = c.Voters, c.Term
+	case control.DomainEvacuated, control.DomainRestored:
+		fields["domain"], fields["operator"] = c.Domain, c.Operator
 	case control.LogReplayed:
 		fields["entries"], fields["term"] = c.Entries, c.Term
 	default:
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -56,6 +56,8 @@
 		func(s *table.Service) string { return strconv.Itoa(s.ProbeTargets) }},
 	{"probe_path", false, func(s *table.Service, c string) error { s.ProbePath = c; return nil },
 		func(s *table.Service) string { return s.ProbePath }},
+	{"cold_rate", false, func(s *table.Service, c string) error { return readFloat(&s.ColdRate, c) },
+		func(s *table.Service) string { return strconv.FormatFloat(s.ColdRate, 'f', -1, 64) }},
 }
 
 var rowColumns = []column[table.Row]{
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -132,6 +132,9 @@
 func (a *Attempt) readLoad() {
 	h := &a.Response.Header
 	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
+	if header := a.pools.settings.ColdHeader; header != "" {
+		a.Reading.Cold = parseCold(string(h.Peek(header)))
+	}
 	if seconds, err := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds >= 0 {
 		a.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -28,6 +28,9 @@
 	IdentityHeader string
 	// TargetHeader is where a target names itself in the answer to a probe.
 	TargetHeader string
+	// ColdHeader is where a target says for how many milliseconds it stays cold; empty reads
+	// none.
+	ColdHeader string
 	// PromiseStatus is set where some statuses promise that a call hasn't run.
 	PromiseStatus bool
 	// Unframed lets answers count that end with their connection.
--- a/pkg/target/reading.go
+++ b/pkg/target/reading.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
 )
@@ -34,3 +35,13 @@
 	}
 	return reading
 }
+
+// parseCold reads for how many milliseconds a target says that it stays cold. What can't be
+// read says that it is warm: the target's registration tells of cold ones as well.
+func parseCold(text string) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -33,7 +33,7 @@
 		RetryBudget: float64(s.RetryBudget), HedgeBudget: float64(s.HedgeBudget),
 		MeasureBudget: float64(s.MeasureBudget), Version: uint64(version),
 		ExtraBurst: int32(s.ExtraBurst), TargetConnections: int32(s.TargetConnections), ProbePath: s.ProbePath,
-		ProbeTargets: int32(s.ProbeTargets),
+		ProbeTargets: int32(s.ProbeTargets), ColdRate: s.ColdRate,
 	}
 }
 
@@ -48,7 +48,7 @@
 		RetryBudget: units.Percent(s.RetryBudget), HedgeBudget: units.Percent(s.HedgeBudget),
 		MeasureBudget: units.Percent(s.MeasureBudget),
 		ExtraBurst:    int(s.ExtraBurst), TargetConnections: int(s.TargetConnections), ProbePath: s.ProbePath,
-		ProbeTargets: int(s.ProbeTargets),
+		ProbeTargets: int(s.ProbeTargets), ColdRate: s.ColdRate,
 	}
 }
 
@@ -209,6 +209,7 @@
 	return &Table{
 		Revision: uint64(t.Revision), Services: parts.services, Rows: parts.rows,
 		Boxes: mapSlice(t.Boxes, FromBox), DocumentVersion: uint64(t.Document), Routes: fromRoutes(t.Routes),
+		Evacuations: mapSlice(t.Evacuations, fromEvacuation),
 	}
 }
 
@@ -222,6 +223,7 @@
 	out.Boxes = mapSlice(t.Boxes, ToBox)
 	out.Document = units.DocumentVersion(t.DocumentVersion)
 	out.Routes = toRoutes(t.Routes)
+	out.Evacuations = mapSlice(t.Evacuations, toEvacuation)
 	return out
 }
 
@@ -234,6 +236,7 @@
 
 		DocumentVersion: uint64(d.Document), Routes: mapSlice(d.Routes.Put, FromRoute),
 		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey), Patched: mapSlice(d.Patched, fromPatch),
+		Evacuations: mapSlice(d.Evacuations, fromEvacuation),
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -248,9 +251,10 @@
 		Changed: entryParts{services: d.Services, rows: d.Rows}.entries(),
 		Removed: mapSlice(d.Removed, func(n string) units.ServiceName { return units.ServiceName(n) }),
 
-		Document: units.DocumentVersion(d.DocumentVersion),
-		Patched:  mapSlice(d.Patched, toPatch),
-		Routes:   table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
+		Document:    units.DocumentVersion(d.DocumentVersion),
+		Patched:     mapSlice(d.Patched, toPatch),
+		Evacuations: mapSlice(d.Evacuations, toEvacuation),
+		Routes:      table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
 	}
 	if d.Boxes != nil {
 		out.Boxes = ToBoxChange(d.Boxes)
--- a/pkg/wire/convert_document.go
+++ b/pkg/wire/convert_document.go
@@ -124,3 +124,25 @@
 	}
 	return out
 }
+
+func fromEvacuation(x table.Evacuation) *Evacuation {
+	return &Evacuation{Domain: string(x.Domain), Active: x.Active, Since: uint64(x.Since), Operator: x.Operator, At: int64(x.At)}
+}
+
+func toEvacuation(x *Evacuation) table.Evacuation {
+	return table.Evacuation{
+		Domain: units.Domain(x.Domain), Active: x.Active, Since: units.Revision(x.Since), Operator: x.Operator, At: units.WallTime(x.At),
+	}
+}
+
+// FromEvacuationOrder converts an operator's order.
+func FromEvacuationOrder(o *table.EvacuationOrder) *EvacuationOrder {
+	return &EvacuationOrder{Domain: string(o.Domain), Evacuate: o.Evacuate, Base: uint64(o.Base), Operator: o.Operator}
+}
+
+// ToEvacuationOrder converts an operator's order back.
+func ToEvacuationOrder(o *EvacuationOrder) *table.EvacuationOrder {
+	return &table.EvacuationOrder{
+		Domain: units.Domain(o.Domain), Evacuate: o.Evacuate, Base: units.Revision(o.Base), Operator: o.Operator,
+	}
+}
--- a/pkg/wire/convert_test.go
+++ b/pkg/wire/convert_test.go
@@ -41,6 +41,7 @@
 		},
 	}, 5)
 	s.ApplyEdit(&table.Edit{ID: "e2"}, 6)
+	s.ApplyEvacuation(&table.EvacuationOrder{Domain: "domain", Evacuate: true, Operator: "o", Base: 9}, 7)
 	data, err := EncodeState(s)
 	if err != nil {
 		t.Fatal(err)
