--- a/pkg/lab/faultproxy.go
+++ b/pkg/lab/faultproxy.go
@@ -17,6 +17,9 @@
 	delay    time.Duration
 	conns    map[net.Conn]bool
 	closed   bool
+	// generation numbers the connections between two calls of SilenceOpen; those of earlier
+	// ones stay silent for good.
+	generation int
 }
 
 // Direction is a way that bytes go through a proxy.
@@ -65,6 +68,15 @@
 	p.changed.Broadcast()
 }
 
+// SilenceOpen silences the connections that are open now for good: they pass nothing and
+// aren't closed. New ones work.
+func (p *FaultProxy) SilenceOpen() {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.generation++
+	p.changed.Broadcast()
+}
+
 // Delay holds every piece of data up for a while.
 func (p *FaultProxy) Delay(d time.Duration) {
 	p.lock.Lock()
@@ -107,7 +119,8 @@
 
 func (p *FaultProxy) pass(in net.Conn) {
 	defer p.forget(in)
-	if !p.remember(in) || !p.await(ToTarget) {
+	generation, open := p.remember(in)
+	if !open || !p.await(ToTarget, generation) {
 		return
 	}
 	out, err := net.Dial("tcp", p.target)
@@ -115,26 +128,26 @@
 		return
 	}
 	defer p.forget(out)
-	if !p.remember(out) {
+	if _, open := p.remember(out); !open {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
-		p.copy(out, in, ToTarget)
+		p.copy(out, in, ToTarget, generation)
 		close(done)
 	}()
-	p.copy(in, out, FromTarget)
+	p.copy(in, out, FromTarget, generation)
 	<-done
 }
 
 // copy passes data on in one direction until it ends there.
-func (p *FaultProxy) copy(to, from net.Conn, d Direction) {
+func (p *FaultProxy) copy(to, from net.Conn, d Direction, generation int) {
 	defer closeWrite(to)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			if !p.await(d) {
+			if !p.await(d, generation) {
 				return
 			}
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -157,9 +170,9 @@
 }
 
 // await waits as the present fault says; false means that the proxy is closed.
-func (p *FaultProxy) await(d Direction) bool {
+func (p *FaultProxy) await(d Direction, generation int) bool {
 	p.lock.Lock()
-	for p.silent[d] && !p.closed {
+	for (p.silent[d] || generation != p.generation) && !p.closed {
 		p.changed.Wait()
 	}
 	closed, delay := p.closed, p.delay
@@ -170,11 +183,12 @@
 	return !closed
 }
 
-func (p *FaultProxy) remember(c net.Conn) bool {
+// remember keeps a connection, and tells its generation and whether the proxy is open.
+func (p *FaultProxy) remember(c net.Conn) (generation int, open bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.conns[c] = true
-	return !p.closed
+	return p.generation, !p.closed
 }
 
 func (p *FaultProxy) forget(c net.Conn) {
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -73,20 +73,29 @@
 	{"cut a target one way", func(x *soak) bool { return x.cutOneWay(x.anyPath()) }},
 	{"reset a target", func(x *soak) bool { x.anyPath().Reset(); return true }},
 	{"exchange a box's seeds", func(x *soak) bool { return x.exchangeSeeds(x.anyBox()) }},
+	{"silence a replica's open connections", func(x *soak) bool { x.anyProxy().SilenceOpen(); return true }},
+	{"silence a target's open connections", func(x *soak) bool { x.anyPath().SilenceOpen(); return true }},
 }
 
 const (
 	// firstFaults is how many of the faults the first seeds draw from, so that a seed that
 	// failed once plays the same faults again.
 	firstFaults = 17
-	// allFaultsFrom is the first seed that draws from all of them.
-	allFaultsFrom = 9000
+	// secondFaults is how many the seeds from secondFaultsFrom on draw from.
+	secondFaults     = 18
+	secondFaultsFrom = 9000
+	// allFaultsFrom is the first seed that draws from all of them, and evacuates a failure
+	// domain meanwhile.
+	allFaultsFrom = 10_000
 )
 
 // drawFault draws one of the faults that the soak's seed knows.
 func (x *soak) drawFault() int {
-	if x.seed < allFaultsFrom {
+	switch {
+	case x.seed < secondFaultsFrom:
 		return x.draw(firstFaults)
+	case x.seed < allFaultsFrom:
+		return x.draw(secondFaults)
 	}
 	return x.draw(len(soakFaults))
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -96,6 +96,8 @@
 	diskLost time.Time
 	faults   []string
 	claims   claims
+	// evacuated is what the operator's last order for soakDomain asked for.
+	evacuated bool
 	// paths are the proxies before the targets, in their order.
 	paths []*lab.FaultProxy
 }
@@ -117,6 +119,9 @@
 	for range x.size.callers {
 		x.spawn(x.call)
 	}
+	if seed >= allFaultsFrom {
+		x.spawn(x.evacuate)
+	}
 	for range 1 + seed%soakMostLanes {
 		x.spawn(x.oneFault)
 	}
@@ -126,6 +131,7 @@
 	x.heal()
 	x.checkDocument()
 	x.checkLeaving()
+	x.checkEvacuation()
 	x.checkCalls()
 }
 
@@ -275,6 +281,7 @@
 	x.lock.Unlock()
 	return &table.Registration{
 		Target: targetID(service, x.targets[t]), Service: units.ServiceName(service), Address: x.paths[t].Address(), Slots: 3, State: state, Sequence: sequence,
+		Domain: x.domainOf(t),
 	}
 }
 
