A call that couldn't be hedged is hedged later

Cause: a report sent to a target that had just fallen silent waited there for the whole 4,000 ms of its route. The timer for its hedge came once; at that moment no other target took work, the budget was spent, or the probes for the hedge found nothing suitable, and nobody looked again.

Ruled out: a call without a timer (each send of a repeatable call has one); attempts spent (one of two).

Change: a hedge that can't be done is tried again after as long as the first waited; a hedge that was paid for and found no target gets its token back, or the calls of a crowd would spend the budget on nothing.

Test: script hedge, which ended with "nothing" before.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -74,19 +74,30 @@
 const minHedgeDelay = 2 * time.Millisecond
 
 // hedge sends a call a second time if it is still without an answer, the budget
-// allows it and another target has room.
+// allows it and another target has room. Otherwise it is tried again later: without that a
+// call stayed for all of its route's 4 s at a target that had gone silent.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
 	s := c.service
-	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() || s.held.length > 0 || !r.leased() {
+	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() {
+		return
+	}
+	if s.held.length > 0 || !r.leased() {
+		r.hedgeLater(id, c)
 		return
 	}
 	t := r.choose(s, c)
 	if t == nil || !s.hedges.spend() {
+		r.hedgeLater(id, c)
 		return
 	}
 	r.place(id, c, t, HedgeSend, e)
 }
 
+// hedgeLater has a call that couldn't be hedged now looked at again.
+func (r *Router) hedgeLater(id CallID, c *call) {
+	r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
+}
+
 // release ends an attempt's claim on its target.
 func (r *Router) release(c *call, a *attempt, e *Effects) {
 	t := a.target
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -35,6 +35,12 @@
 	return true
 }
 
+// refund gives back what was spent on an extra that wasn't done.
+func (b *budget) refund() {
+	b.tokens++
+	b.spent--
+}
+
 // rateLimit is a token bucket over time.
 type rateLimit struct {
 	tokens float64
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -197,6 +197,10 @@
 	}
 	c.probeRound.open = false
 	if c.underWay() > 0 {
+		if c.probeRound.purpose == HedgeSend {
+			c.service.hedges.refund()
+			r.hedgeLater(id, c)
+		}
 		return
 	}
 	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: r.busyRetryAfter(c.service)}, e)
