--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -307,6 +307,8 @@
 	Attached     int         `json:"attached"`
 	WaitingEdits int         `json:"waitingEdits"`
 	KnownResults int         `json:"knownResults"`
+	// Evacuated are the failure domains that are evacuated now.
+	Evacuated []units.Domain `json:"evacuated,omitempty"`
 }
 
 // Status returns the replica's state at a time.
@@ -320,5 +322,6 @@
 		Attached:     r.sessions.Len(),
 		WaitingEdits: r.edits.waiting.Len(),
 		KnownResults: r.state.ResultCount(),
+		Evacuated:    r.state.Table().EvacuatedDomains(),
 	}
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -15,7 +15,9 @@
 	Calls     int               `json:"calls"`
 	Refusals  map[string]uint64 `json:"refusals,omitempty"`
 	Services  []ServiceStatus   `json:"services"`
-	Loans     LoanStatus        `json:"loans"`
+	// Evacuated are the failure domains whose targets take no new calls.
+	Evacuated []units.Domain `json:"evacuated,omitempty"`
+	Loans     LoanStatus     `json:"loans"`
 }
 
 // LoanStatus counts the loans between boxes.
@@ -73,6 +75,7 @@
 	s := Status{
 		Revision: r.table.Revision, LeaseLeft: r.leaseUntil.Sub(now), Boxes: r.rank.count,
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
+		Evacuated: r.table.EvacuatedDomains(),
 		Loans: LoanStatus{
 			Asked: r.loans.askedTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
--- a/pkg/core/table/evacuation.go
+++ b/pkg/core/table/evacuation.go
@@ -107,6 +107,17 @@
 	return x != nil && x.Active
 }
 
+// EvacuatedDomains returns the failure domains that are evacuated now, in order.
+func (t *Table) EvacuatedDomains() []units.Domain {
+	var domains []units.Domain
+	for _, x := range t.Evacuations {
+		if x.Active {
+			domains = append(domains, x.Domain)
+		}
+	}
+	return domains
+}
+
 func findEvacuation(list []Evacuation, d units.Domain) (int, bool) {
 	return slices.BinarySearchFunc(list, d, func(x Evacuation, d units.Domain) int {
 		return strings.Compare(string(x.Domain), string(d))
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -79,6 +79,9 @@
 		for _, b := range s.Status.Boxes {
 			rows = append(rows, boxCells(b))
 		}
+		for _, d := range s.Status.Evacuated {
+			t.print("\nthe failure domain %s is evacuated\n", d)
+		}
 		t.print("\n")
 		return t.printTable([]string{"box", "domain", "revision", "in force", "silent for", "stops within", "leaving"}, rows)
 	}
--- a/test/product_test.go
+++ b/test/product_test.go
@@ -72,6 +72,7 @@
 	x.mustCtl(0, []string{"accepted"}, "table", "edit", "--set", "shop/new.domain=south", "--set", "shop.cold_rate=2.5")
 	x.mustCtl(0, []string{"south is evacuated"}, "evacuate", "south")
 	x.mustCtl(0, []string{"south", "evacuated"}, "evacuations")
+	x.mustCtl(0, []string{"the failure domain south is evacuated"}, "status")
 	x.mustCtl(0, []string{"south takes calls"}, "restore", "south")
 	x.mustCtl(0, []string{"south", "restored"}, "evacuations")
 	x.mustCtl(2, []string{"there is no failure domain north"}, "evacuate", "north")
