Routing speaks of probes and load reports in the field's words

Change: probesTargets, unreported, noteReport, aimSpent, waitLimit, acceptsUnsuitable; the scripts' commands are answer and end-probe, and print probe in place of ask. No behaviour, figure or expectation changes: the scripts' outputs differ by that word only. Test: go test ./pkg/core/... passes.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -100,10 +100,10 @@
 	return s.targets[i]
 }
 
-// chooseIndex leaves the choice to the policy, but where targets are asked: what they
-// said counts only if the best of all of them is taken, not of a few drawn by lot.
+// chooseIndex leaves the choice to the policy, but where targets are probed: their load
+// reports count only if the best of all of them is taken, not of a few drawn by lot.
 func (r *Router) chooseIndex(set *candidates) int {
-	if set.service.asksTargets() {
+	if set.service.probesTargets() {
 		return leastOf[*target](set, r.random, set.Cost)
 	}
 	return r.policy.Choose(set, r.random)
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -204,7 +204,7 @@
 	case Answered:
 		t.answers++
 		t.noteFailure(r.now, 0)
-		t.service.noteTold(v.Reading)
+		t.service.noteReport(v.Reading)
 		t.latency.add(took)
 		t.service.latency.add(took)
 		t.grow()
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -13,7 +13,7 @@
 
 // The mechanisms that can be switched off.
 const (
-	// Probing asks targets for their load before a call is sent.
+	// Probing has targets report their load before a call is sent.
 	Probing Mechanism = "probing"
 	// Waiting lets a call wait until a target suits.
 	Waiting Mechanism = "waiting"
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -54,7 +54,7 @@
 
 // place sends a call to the target that seems best, or probes a few first.
 func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
-	if !r.on(Probing) || !c.service.asksTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
+	if !r.on(Probing) || !c.service.probesTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
 		r.send(id, c, best, why, e)
 		return
 	}
@@ -73,39 +73,39 @@
 	}
 }
 
-// untoldLimit is how many answers in a row without a load report show that a service's
+// unreportedLimit is how many answers in a row without a load report show that a service's
 // targets send none.
-const untoldLimit = 8
+const unreportedLimit = 8
 
-// noteTold notes whether an answer carried a load report.
-func (s *service) noteTold(x Reading) {
+// noteReport notes whether an answer carried a load report.
+func (s *service) noteReport(x Reading) {
 	if x.Known {
-		s.untold = 0
+		s.unreported = 0
 		return
 	}
-	s.untold++
+	s.unreported++
 }
 
-// asksTargets tells whether targets are probed before a call is sent. Those that send no
+// probesTargets tells whether targets are probed before a call is sent. Those that send no
 // load reports aren't; the latency of their answers decides then, until one sends a report.
-func (s *service) asksTargets() bool {
-	return s.row.ProbeTargets > 0 && s.untold < untoldLimit
+func (s *service) probesTargets() bool {
+	return s.row.ProbeTargets > 0 && s.unreported < unreportedLimit
 }
 
 // sendProbes probes the best targets; false means that there is none to probe or no budget
 // for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
-	asked := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
+	probed := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
 	rate := r.probeAllowance(c.service)
 	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
-	if len(asked) < 1 || !c.service.probeBudget.takeMany(r.now, float64(len(asked)), rate, burst) {
+	if len(probed) < 1 || !c.service.probeBudget.takeMany(r.now, float64(len(probed)), rate, burst) {
 		return false
 	}
 	c.probeRound.open = true
 	c.probeRound.number++
-	c.probeRound.pending = len(asked)
+	c.probeRound.pending = len(probed)
 	c.probeRound.rounds++
-	for _, t := range asked {
+	for _, t := range probed {
 		t.probesSent++
 		t.probedAt = r.now
 		e.add(Effect{
@@ -182,8 +182,8 @@
 // probes others a moment later, as long as the call can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
 	t := r.choose(c.service, c)
-	late := c.spentPart(r.now) >= c.service.lastPart(r.now) || !r.on(Waiting)
-	if t != nil && (r.isSuitable(c, t) || late && r.acceptsAnyway(c)) {
+	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
+	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
 		if !c.probeRound.waiting {
 			c.service.noteFound(r.now, true)
@@ -233,8 +233,8 @@
 	retryJitter = 0.25
 )
 
-// lastPart is the part of its aim at which a call that waits is sent or refused.
-func (s *service) lastPart(now units.Instant) float64 {
+// waitLimit is the part of its aim at which a call that waits is sent or refused.
+func (s *service) waitLimit(now units.Instant) float64 {
 	if s.isBusy(now) {
 		return crowdedPart
 	}
@@ -254,8 +254,8 @@
 	return time.Duration(jitter * float64(after)).Round(time.Millisecond)
 }
 
-// spentPart is how much of its aim the call has spent so far.
-func (c *call) spentPart(now units.Instant) float64 {
+// aimSpent is how much of its aim the call has spent so far.
+func (c *call) aimSpent(now units.Instant) float64 {
 	aim := float64(c.route.aim)
 	if aim == 0 {
 		aim = aimOfDeadline * float64(c.deadline.Sub(c.arrived))
@@ -266,7 +266,7 @@
 // isSuitable tells whether a target would serve the call about as well as any could: work
 // goes at its usual pace there, and a slot is free.
 func (r *Router) isSuitable(c *call, t *target) bool {
-	if !c.service.asksTargets() {
+	if !c.service.probesTargets() {
 		return true
 	}
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
@@ -294,12 +294,12 @@
 	return slowdown > slowAlike*least
 }
 
-// acceptsAnyway tells whether a call that can't wait any longer may go to a target that
+// acceptsUnsuitable tells whether a call that can't wait any longer may go to a target that
 // doesn't suit: when the call may have run already and so can't be refused for good, or no
 // target could be probed although the service isn't busy. Sent to targets that nothing is
 // known of, calls met others there: without such sends the two worst seconds of a crowd of
 // twice the capacity kept 0.35 of their calls' value in place of 0.30 (mean of two days).
-func (r *Router) acceptsAnyway(c *call) bool {
+func (r *Router) acceptsUnsuitable(c *call) bool {
 	if c.probeRound.purpose == HedgeSend {
 		return false
 	}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -71,7 +71,7 @@
 	}
 	t.takeReading(r.now, v.Reading)
 	if v.Healthy {
-		t.service.noteTold(v.Reading)
+		t.service.noteReport(v.Reading)
 		r.noteWarmth(t, v.Reading.Cold)
 	}
 	if v.Unreachable && t.health.unreachable(r.now) {
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -25,34 +25,34 @@
 	table   *table.Table
 	effects Effects
 	probes  map[string]*Endpoint
-	// asked holds the last question of each call.
-	asked map[string]Effect
+	// lastProbe is the last probe of each call.
+	lastProbe map[string]Effect
 }
 
 // commands are all that a script can say.
 var commands = map[string]func(s *script, d *datadriven.TestData){
-	"table":   (*script).setTable,
-	"call":    (*script).call,
-	"end":     (*script).end,
-	"start":   (*script).start,
-	"gone":    (*script).gone,
-	"pass":    (*script).pass,
-	"lease":   (*script).lease,
-	"peer":    (*script).peer,
-	"probed":  (*script).probed,
-	"repeat":  (*script).repeat,
-	"told":    (*script).told,
-	"untold":  (*script).untold,
-	"stop":    (*script).stop,
-	"stale":   (*script).stale,
-	"targets": (*script).targets,
+	"table":     (*script).setTable,
+	"call":      (*script).call,
+	"end":       (*script).end,
+	"start":     (*script).start,
+	"gone":      (*script).gone,
+	"pass":      (*script).pass,
+	"lease":     (*script).lease,
+	"peer":      (*script).peer,
+	"probed":    (*script).probed,
+	"repeat":    (*script).repeat,
+	"answer":    (*script).probeAnswer,
+	"end-probe": (*script).endProbe,
+	"stop":      (*script).stop,
+	"stale":     (*script).stale,
+	"targets":   (*script).targets,
 }
 
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{
 			t: t, now: units.Instant(time.Second), calls: map[string]CallID{}, table: table.NewTable(),
-			probes: map[string]*Endpoint{}, asked: map[string]Effect{},
+			probes: map[string]*Endpoint{}, lastProbe: map[string]Effect{},
 		}
 		router, err := NewRouter(Settings{
 			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
@@ -112,8 +112,8 @@
 			return "probe " + string(x.Endpoint.Target)
 		}
 		s.calls[name] = x.Call
-		s.asked[name] = x
-		return fmt.Sprintf("ask %s for %s", x.Endpoint.Target, name)
+		s.lastProbe[name] = x
+		return fmt.Sprintf("probe %s for %s", x.Endpoint.Target, name)
 	case TargetTurned:
 		return ""
 	case SendPeer:
@@ -262,8 +262,8 @@
 	})
 }
 
-// told CALL TARGET load=N pace=P [cold=TIME] gives the answer to a call's question.
-func (s *script) told(d *datadriven.TestData) {
+// answer CALL TARGET load=N pace=P [cold=TIME] gives the answer to a call's probe.
+func (s *script) probeAnswer(d *datadriven.TestData) {
 	var load int
 	var pace string
 	d.ScanArgs(s.t, "load", &load)
@@ -272,18 +272,19 @@
 	if err != nil {
 		d.Fatalf(s.t, "%v", err)
 	}
-	s.answer(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x, Cold: s.duration(d, "cold")}})
+	s.giveProbeEnded(d, ProbeEnded{Healthy: true, Reading: Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: x, Cold: s.duration(d, "cold")}})
 }
 
-// untold CALL TARGET how=unreachable|misdirected|healthy
-func (s *script) untold(d *datadriven.TestData) {
+// end-probe CALL TARGET how=unreachable|misdirected|healthy ends a call's probe without a load
+// report.
+func (s *script) endProbe(d *datadriven.TestData) {
 	how := s.word(d, "how")
-	s.answer(d, ProbeEnded{Healthy: how == "healthy", Unreachable: how == "unreachable", Misdirected: how == "misdirected"})
+	s.giveProbeEnded(d, ProbeEnded{Healthy: how == "healthy", Unreachable: how == "unreachable", Misdirected: how == "misdirected"})
 }
 
-func (s *script) answer(d *datadriven.TestData, v ProbeEnded) {
-	asked := s.asked[d.CmdArgs[0].Key]
-	v.Target, v.Call, v.Attempt = s.probes[d.CmdArgs[1].Key], asked.Call, asked.Attempt
+func (s *script) giveProbeEnded(d *datadriven.TestData, v ProbeEnded) {
+	probe := s.lastProbe[d.CmdArgs[0].Key]
+	v.Target, v.Call, v.Attempt = s.probes[d.CmdArgs[1].Key], probe.Call, probe.Attempt
 	s.give(&v)
 }
 
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -39,7 +39,7 @@
 	hedges  budget
 	latency latencyEstimate
 	wants   wantState
-	// asks is what is left of the budget for asking targets for their load.
+	// probeBudget is what is left of the budget for probes before sends.
 	probeBudget rateLimit
 	// waiting are the calls that wait for a target that suits, the most urgent first and
 	// the oldest of those; calls that have found one stay until they are passed over.
@@ -50,8 +50,8 @@
 	busyAt   units.Instant
 	// busySince is when the service last began to count as busy.
 	busySince units.Instant
-	// untold counts the answers in a row that carried no load report.
-	untold int
+	// unreported counts the answers in a row that carried no load report.
+	unreported int
 	// sweepAt is when time alone may next bring something about.
 	sweepAt units.Instant
 	calls   uint64
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -195,7 +195,7 @@
 // its part of the weights. The second keeps to the weights where targets are much
 // alike, the first leaves them where one of them isn't well.
 func (t *target) cost(now units.Instant) float64 {
-	if t.row.Registered && t.service.untold < untoldLimit {
+	if t.row.Registered && t.service.unreported < unreportedLimit {
 		return t.expectedTime(now)
 	}
 	queue := float64(t.inFlight) + t.reading.estimate(now, t.inFlight)
--- a/pkg/core/table/rules.go
+++ b/pkg/core/table/rules.go
@@ -38,7 +38,7 @@
 	{"hedge_budget", func(s *Service) bool { return validPercent(s.HedgeBudget) }, "give a percentage from 0 to 100"},
 	{"extra_burst", func(s *Service) bool { return s.ExtraBurst >= 0 }, "give 0 for the boxes' own bound, or a positive number"},
 	{"target_connections", func(s *Service) bool { return s.TargetConnections >= 0 }, "give 0 for no bound, or a positive number"},
-	{"probe_targets", func(s *Service) bool { return s.ProbeTargets >= 0 }, "give 0 to ask none, or a positive number"},
+	{"probe_targets", func(s *Service) bool { return s.ProbeTargets >= 0 }, "give 0 to probe none, or a positive number"},
 	{"cold_rate", func(s *Service) bool { return s.ColdRate >= 0 }, "give 0 for no limit, or a positive number of calls a second"},
 	{"measure_budget", func(s *Service) bool { return validPercent(s.MeasureBudget) }, "give a percentage from 0 to 100"},
 }
--- a/pkg/core/table/service.go
+++ b/pkg/core/table/service.go
@@ -59,8 +59,8 @@
 	// TargetConnections bounds the connections to each registered target, from all
 	// boxes together; zero means no bound.
 	TargetConnections int `json:"targetConnections,omitempty"`
-	// ProbeTargets is how many targets a box asks for their load before it sends a call,
-	// as far as the measuring budget goes; below 2 it asks none.
+	// ProbeTargets is how many targets a box probes for their load before it sends a call, as
+	// far as the measuring budget goes; 0 probes none.
 	ProbeTargets int `json:"probeTargets,omitempty"`
 	// ProbePath is what probes ask for; empty means the box's own setting.
 	ProbePath string `json:"probePath,omitempty"`
