--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -34,6 +34,7 @@
 			Loans:          true,
 			Disable:        []routing.Mechanism{},
 			ShareDelay:     Duration(routing.DefaultShareDelay),
+			ColdDoubt:      Duration(routing.DefaultColdDoubt),
 			MaxCalls:       4096,
 			MaxConnections: 20_000,
 			MaxBody:        1 << 20,
--- a/pkg/core/routing/cold.go
+++ b/pkg/core/routing/cold.go
@@ -24,9 +24,9 @@
 	coldBoxes = 2
 	// coldBurst is how many calls one of them may send a cold target at once.
 	coldBurst = 1
-	// coldDoubt is for how long after its failure domain was restored a target may be cold
-	// without having said so: a heartbeat comes every 1.5 s and takes up to half a second.
-	coldDoubt = 2 * time.Second
+	// restartDoubt is for how long after its start a box may have sent a cold target a call in
+	// its last life: that call counts in the same second as the next one.
+	restartDoubt = time.Second
 )
 
 // coldness is what is known of a cold target.
@@ -91,7 +91,7 @@
 // doubtWarmth notes that a target may have become cold.
 func (r *Router) doubtWarmth(t *target) {
 	wasCold := t.isCold(r.now)
-	t.cold.doubtUntil = r.now.Add(coldDoubt)
+	t.cold.doubtUntil = r.now.Add(r.settings.ColdDoubt)
 	r.beginCold(t, wasCold)
 }
 
@@ -102,8 +102,7 @@
 	}
 	r.shareCold(t)
 	t.cold.rate = rateLimit{at: r.now, tokens: coldBurst}
-	if r.now.Sub(r.startedAt) < time.Second {
-		// This box may have sent the target calls a moment ago, in its last life.
+	if r.now.Sub(r.startedAt) < restartDoubt {
 		t.cold.rate.tokens = 0
 	}
 }
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -20,6 +20,9 @@
 	// ShareDelay is how long a share waits before it rises; it must be longer
 	// than any other box can go on with an older table.
 	ShareDelay time.Duration
+	// ColdDoubt is for how long after its failure domain was restored a target may be cold
+	// without having said so.
+	ColdDoubt time.Duration
 	// ProbeCost is how long a probe keeps a slot of a target busy.
 	ProbeCost time.Duration
 	// Loans lets the boxes lend each other slots.
@@ -34,6 +37,7 @@
 const (
 	DefaultShareDelay  = 3 * time.Second
 	DefaultProbeCost   = 5 * time.Millisecond
+	DefaultColdDoubt   = 2 * time.Second
 	DefaultMaxDeadline = 5 * time.Minute
 )
 
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -55,7 +55,7 @@
 			probes: map[string]*Endpoint{}, lastProbe: map[string]Effect{},
 		}
 		router, err := NewRouter(Settings{
-			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
+			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ColdDoubt: DefaultColdDoubt, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
 		}, s.now)
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -103,6 +103,7 @@
 		Policy:      routing.PolicyName(s.Entry.Policy),
 		ServeStale:  s.Entry.ServeStale,
 		ShareDelay:  s.Entry.ShareDelay.Std(),
+		ColdDoubt:   s.Entry.ColdDoubt.Std(),
 		ProbeCost:   s.Entry.ProbeCost.Std(),
 		Loans:       s.Entry.Loans,
 		MaxDeadline: s.Entry.MaxDeadline.Std(),
