--- a/pkg/core/routing/cold.go
+++ b/pkg/core/routing/cold.go
@@ -47,8 +47,10 @@
 	return t.service.row.ColdRate > 0 && (now < t.cold.until || now < t.cold.doubtUntil)
 }
 
-// isKept tells whether the target is cold and this box is one of the few that send it calls.
-func (t *target) isKept(now units.Instant) bool { return t.isCold(now) && t.cold.share > 0 }
+// takesColdCalls tells whether the target is cold and takes calls of this box all the same.
+func (t *target) takesColdCalls(now units.Instant) bool {
+	return t.isCold(now) && t.cold.share > 0
+}
 
 // inDoubt tells whether only a probe can tell whether the target is cold.
 func (t *target) inDoubt(now units.Instant) bool {
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -48,7 +48,7 @@
 	if t.remote {
 		time += remoteCost
 	}
-	if !t.near && !t.isKept(now) {
+	if !t.near && !t.takesColdCalls(now) {
 		time += outsideCost
 	}
 	return time
