--- a/pkg/core/routing/cold_test.go
+++ b/pkg/core/routing/cold_test.go
@@ -77,6 +77,16 @@
 	f.tell(f.routers)
 }
 
+// comeBackCold has all targets of a domain start again, cold for 3 s.
+func (f *coldFleet) comeBackCold(d units.Domain, targets int) {
+	f.putTargets(targets, func(r *table.Row) {
+		if r.Domain == d {
+			r.Target += "-again"
+			r.Cold = 3 * time.Second
+		}
+	})
+}
+
 func (f *coldFleet) tell(routers []*Router) {
 	for _, r := range routers {
 		r.Reduce(f.now, &TableChanged{Table: f.table}, &Effects{})
@@ -159,12 +169,7 @@
 	const targets = 60
 	f := newColdFleet(t, 100, targets)
 	since := f.now
-	f.putTargets(targets, func(r *table.Row) {
-		if r.Domain == "d1" {
-			r.Target += "-again"
-			r.Cold = 3 * time.Second
-		}
-	})
+	f.comeBackCold("d1", targets)
 	f.pass(2500 * time.Millisecond)
 	if most := f.mostInASecond("d1", since); most > coldFleetMost {
 		t.Errorf("a cold target got %d calls in a second, it bears %d", most, coldFleetMost)
@@ -181,12 +186,7 @@
 	const targets = 60
 	f := newColdFleet(t, 100, targets)
 	since := f.now
-	f.putTargets(targets, func(r *table.Row) {
-		if r.Domain == "d1" {
-			r.Target += "-again"
-			r.Cold = 3 * time.Second
-		}
-	})
+	f.comeBackCold("d1", targets)
 	next := *f.table
 	next.Revision++
 	next.Boxes = f.table.Boxes[:50]
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -152,58 +152,82 @@
 	next.Revision = s.table.Revision + 1
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		words := strings.Fields(line)
-		switch words[0] {
-		case "boxes":
-			for _, w := range words[1:] {
-				id, domain, _ := strings.Cut(w, "@")
-				next.Boxes = append(next.Boxes, table.Box{ID: units.BoxID(id), Domain: units.Domain(domain)})
-			}
-		case "service":
-			v := sheet.NewService()
-			v.Name, v.Hosts = units.ServiceName(words[1]), []string{words[1]}
-			s.setCells(words[2:], func(name, value string) error { return sheet.SetServiceCell(&v, name, value) })
-			next.Services[v.Name] = &table.Entry{Service: v, Version: units.Version(next.Revision)}
-		case "row":
-			r := sheet.NewRow()
-			r.Service, r.Target, r.Address = units.ServiceName(words[1]), units.TargetID(words[2]), "127.0.0.1:1"
-			s.setCells(words[3:], func(name, value string) error { return sheet.SetRowCell(&r, name, value) })
-			entry := next.Services[r.Service]
-			entry.Rows = append(entry.Rows, r)
-		case "registered":
-			r := table.Row{
-				Service: units.ServiceName(words[1]), Target: units.TargetID(words[2]), Address: "127.0.0.1:1",
-				Weight: 100, State: table.Active, Registered: true, Slots: 3,
-			}
-			for _, w := range words[3:] {
-				s.setFact(&r, w)
-			}
-			entry := next.Services[r.Service]
-			entry.Rows = append(entry.Rows, r)
-		case "evacuated":
-			next.Evacuations = append(next.Evacuations, table.Evacuation{Domain: units.Domain(words[1]), Active: true})
-		case "restored":
-			since, err := strconv.Atoi(words[2])
-			if err != nil {
-				s.t.Fatal(err)
-			}
-			next.Evacuations = append(next.Evacuations, table.Evacuation{Domain: units.Domain(words[1]), Since: units.Revision(since)})
-		case "route":
-			v := sheet.NewRoute()
-			v.Name = words[1]
-			s.setCells(words[2:], func(name, value string) error {
-				return sheet.SetRouteCell(&v, name, strings.ReplaceAll(value, ",", " "))
-			})
-			if next.Routes == nil {
-				next.Routes = map[table.RouteKey]*table.Route{}
-			}
-			next.Routes[v.Key()] = &v
-			next.Document = units.DocumentVersion(next.Revision)
-		}
+		tableLines[words[0]](s, next, words[1:])
 	}
 	s.table = next
 	s.give(&TableChanged{Table: next})
 }
 
+// tableLines are the lines that a table may have; each adds to it.
+var tableLines = map[string]func(s *script, t *table.Table, words []string){
+	"boxes":      (*script).addBoxes,
+	"service":    (*script).addService,
+	"row":        (*script).addRow,
+	"registered": (*script).addRegistered,
+	"evacuated":  (*script).addEvacuated,
+	"restored":   (*script).addRestored,
+	"route":      (*script).addRoute,
+}
+
+func (s *script) addBoxes(t *table.Table, words []string) {
+	for _, w := range words {
+		id, domain, _ := strings.Cut(w, "@")
+		t.Boxes = append(t.Boxes, table.Box{ID: units.BoxID(id), Domain: units.Domain(domain)})
+	}
+}
+
+func (s *script) addService(t *table.Table, words []string) {
+	v := sheet.NewService()
+	v.Name, v.Hosts = units.ServiceName(words[0]), []string{words[0]}
+	s.setCells(words[1:], func(name, value string) error { return sheet.SetServiceCell(&v, name, value) })
+	t.Services[v.Name] = &table.Entry{Service: v, Version: units.Version(t.Revision)}
+}
+
+func (s *script) addRow(t *table.Table, words []string) {
+	r := sheet.NewRow()
+	r.Service, r.Target, r.Address = units.ServiceName(words[0]), units.TargetID(words[1]), "127.0.0.1:1"
+	s.setCells(words[2:], func(name, value string) error { return sheet.SetRowCell(&r, name, value) })
+	entry := t.Services[r.Service]
+	entry.Rows = append(entry.Rows, r)
+}
+
+func (s *script) addRegistered(t *table.Table, words []string) {
+	r := table.Row{
+		Service: units.ServiceName(words[0]), Target: units.TargetID(words[1]), Address: "127.0.0.1:1",
+		Weight: 100, State: table.Active, Registered: true, Slots: 3,
+	}
+	for _, w := range words[2:] {
+		s.setFact(&r, w)
+	}
+	entry := t.Services[r.Service]
+	entry.Rows = append(entry.Rows, r)
+}
+
+func (s *script) addEvacuated(t *table.Table, words []string) {
+	t.Evacuations = append(t.Evacuations, table.Evacuation{Domain: units.Domain(words[0]), Active: true})
+}
+
+func (s *script) addRestored(t *table.Table, words []string) {
+	since, err := strconv.Atoi(words[1])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	t.Evacuations = append(t.Evacuations, table.Evacuation{Domain: units.Domain(words[0]), Since: units.Revision(since)})
+}
+
+func (s *script) addRoute(t *table.Table, words []string) {
+	v := sheet.NewRoute()
+	v.Name = words[0]
+	s.setCells(words[1:], func(name, value string) error {
+		return sheet.SetRouteCell(&v, name, strings.ReplaceAll(value, ",", " "))
+	})
+	if t.Routes == nil {
+		t.Routes = map[table.RouteKey]*table.Route{}
+	}
+	t.Routes[v.Key()] = &v
+	t.Document = units.DocumentVersion(t.Revision)
+}
+
 // setFact sets what a registered target's line says: "leaving", "silent", "cold=TIME" or a
 // domain.
 func (s *script) setFact(r *table.Row, word string) {
