Logs say which domains a box takes for evacuated, and what probes say of cold targets

Cause: why a call went past a target could not be told from the logs where the target was evacuated or cold.

--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -102,7 +102,7 @@
 	e.shown = t.Revision
 	e.Log.WithFields(logrus.Fields{
 		"kind": "table-in-force", "revision": t.Revision, "document": t.Document, "services": len(t.Services),
-		"routes": len(t.Routes), "boxes": len(t.Boxes),
+		"routes": len(t.Routes), "boxes": len(t.Boxes), "evacuated": t.EvacuatedDomains(),
 	}).Info("another table is in force")
 }
 
@@ -149,6 +149,7 @@
 	case stepProbed:
 		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
 		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
+		f["coldMs"] = millis(s.probed.Reading.Cold)
 	case stepEnded:
 		f["result"] = s.result.String()
 	case stepRefused:
