Interfaces of the parts for two new customers: regions, large answers, rollouts

Cause: regions, residency, large answers and rollouts of a new version of a service's software have no place in the table, in the messages or in the evidence that boxes send. The parts are to be built side by side, so their interfaces come first.

Nothing fills or uses these yet, so nothing changes for today's deployments.

Tests: pkg/core/table, pkg/wire and platform pass.

--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -16,9 +16,9 @@
 	Address string       `json:"address"`
 	Domain  units.Domain `json:"domain,omitempty"`
 	// Software is the version of the target's software.
-	Software string   `json:"software,omitempty"`
-	Slots    int      `json:"slots,omitempty"`
-	State    RowState `json:"state"`
+	Software units.Software `json:"software,omitempty"`
+	Slots    int            `json:"slots,omitempty"`
+	State    RowState       `json:"state"`
 	// Sequence rises with each report, so that a late one can be recognized.
 	Sequence uint64 `json:"sequence"`
 	// Cold is for how long the target stays cold, as it said when that last changed; zero
@@ -50,6 +50,7 @@
 	return Row{
 		Service: r.Service, Target: r.Target, Address: r.Address, Domain: r.Domain, Weight: registeredWeight,
 		MaxConnections: s.TargetConnections, State: r.State, Registered: true, Slots: r.Slots, Cold: r.Cold, Silent: r.Silent,
+		Software: r.Software,
 	}
 }
 
--- a/pkg/core/table/route.go
+++ b/pkg/core/table/route.go
@@ -27,6 +27,11 @@
 	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// Priority ranks routes when not all calls can be served; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
+	// LargeAnswers is set where answers may be many times as long as those of other routes:
+	// they yield the box's link to others.
+	LargeAnswers bool `json:"largeAnswers,omitempty"`
+	// Regions restricts where calls may be served; nil allows every region.
+	Regions *AllowedRegions `json:"regions,omitempty"`
 	// Parts are the services that share the calls by weight.
 	Parts []Part `json:"parts"`
 }
@@ -49,7 +54,8 @@
 // equal tells whether two routes say the same.
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Key() == o.Key() && r.Work == o.Work && r.Deadline == o.Deadline && r.Aim == o.Aim &&
-		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && slices.Equal(r.Parts, o.Parts)
+		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && r.LargeAnswers == o.LargeAnswers &&
+		r.Regions.equal(o.Regions) && slices.Equal(r.Parts, o.Parts)
 }
 
 func (k RouteKey) compare(o RouteKey) int {
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -44,6 +44,8 @@
 	Cold time.Duration `json:"cold,omitempty"`
 	// Silent is set while a registered target doesn't report.
 	Silent bool `json:"silent,omitempty"`
+	// Software is the version of its software that a registered target named.
+	Software units.Software `json:"software,omitempty"`
 }
 
 func (e *Entry) find(target units.TargetID) (int, bool) {
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -22,6 +22,11 @@
 	Routes map[RouteKey]*Route `json:"-"`
 	// Evacuations are the failure domains that are or were evacuated, sorted by domain.
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
+	// Rollouts are the last rollouts of services, sorted by service.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
+	// InForce are the versions of software that take calls, sorted by service. Targets of a
+	// service that isn't listed take calls whatever their version.
+	InForce []SoftwareInForce `json:"inForce,omitempty"`
 }
 
 // Delta carries a table from one revision to the next.
@@ -38,6 +43,9 @@
 	Routes   RouteChange           `json:"routes"`
 	// Evacuations are the records of failure domains that change.
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
+	// Rollouts and InForce are the records of services that change.
+	Rollouts []Rollout         `json:"rollouts,omitempty"`
+	InForce  []SoftwareInForce `json:"inForce,omitempty"`
 }
 
 // BoxChange is a change of the list of boxes. It holds what differs only, since
@@ -114,6 +122,8 @@
 		Revision: d.Revision, Services: t.Services, Boxes: patchBoxes(t.Boxes, d.Boxes),
 		Document: max(t.Document, d.Document), Routes: patchRoutes(t.Routes, d.Routes),
 		Evacuations: patchEvacuations(t.Evacuations, d.Evacuations),
+		Rollouts:    patchByService(t.Rollouts, d.Rollouts, serviceOfRollout),
+		InForce:     patchByService(t.InForce, d.InForce, serviceInForce),
 	}
 	if len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 {
 		return next, true
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -59,6 +59,7 @@
 		Weight: int32(r.Weight), MaxInFlight: int32(r.MaxInFlight), MaxConnections: int32(r.MaxConnections),
 		MaxRate: r.MaxRate, State: int32(r.State),
 		Registered: r.Registered, Slots: int32(r.Slots), Cold: int64(r.Cold), Silent: r.Silent,
+		Software: string(r.Software),
 	}
 }
 
@@ -72,6 +73,7 @@
 		Domain: units.Domain(r.Domain), Weight: int(r.Weight), MaxInFlight: int(r.MaxInFlight),
 		MaxConnections: int(r.MaxConnections), MaxRate: r.MaxRate, State: table.RowState(r.State),
 		Registered: r.Registered, Slots: int(r.Slots), Cold: time.Duration(r.Cold), Silent: r.Silent,
+		Software: units.Software(r.Software),
 	}
 }
 
@@ -210,6 +212,7 @@
 		Revision: uint64(t.Revision), Services: parts.services, Rows: parts.rows,
 		Boxes: mapSlice(t.Boxes, FromBox), DocumentVersion: uint64(t.Document), Routes: fromRoutes(t.Routes),
 		Evacuations: mapSlice(t.Evacuations, fromEvacuation),
+		Rollouts:    mapSlice(t.Rollouts, fromRollout), InForce: mapSlice(t.InForce, fromInForce),
 	}
 }
 
@@ -224,6 +227,8 @@
 	out.Document = units.DocumentVersion(t.DocumentVersion)
 	out.Routes = toRoutes(t.Routes)
 	out.Evacuations = mapSlice(t.Evacuations, toEvacuation)
+	out.Rollouts = mapSlice(t.Rollouts, toRollout)
+	out.InForce = mapSlice(t.InForce, toInForce)
 	return out
 }
 
@@ -237,6 +242,7 @@
 		DocumentVersion: uint64(d.Document), Routes: mapSlice(d.Routes.Put, FromRoute),
 		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey), Patched: mapSlice(d.Patched, fromPatch),
 		Evacuations: mapSlice(d.Evacuations, fromEvacuation),
+		Rollouts:    mapSlice(d.Rollouts, fromRollout), InForce: mapSlice(d.InForce, fromInForce),
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -254,7 +260,8 @@
 		Document:    units.DocumentVersion(d.DocumentVersion),
 		Patched:     mapSlice(d.Patched, toPatch),
 		Evacuations: mapSlice(d.Evacuations, toEvacuation),
-		Routes:      table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
+		Rollouts:    mapSlice(d.Rollouts, toRollout), InForce: mapSlice(d.InForce, toInForce),
+		Routes: table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
 	}
 	if d.Boxes != nil {
 		out.Boxes = ToBoxChange(d.Boxes)
--- a/pkg/wire/convert_document.go
+++ b/pkg/wire/convert_document.go
@@ -16,6 +16,7 @@
 	return &Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: int32(r.Work), Deadline: int64(r.Deadline),
 		Aim: int64(r.Aim), MaxAttempts: int32(r.MaxAttempts), Priority: int32(r.Priority),
+		LargeAnswers: r.LargeAnswers, AllowedRegions: fromAllowedRegions(r.Regions), Restricted: r.Regions != nil,
 		Parts: mapSlice(r.Parts, func(p table.Part) *Part { return &Part{Service: string(p.Service), Weight: int32(p.Weight)} }),
 	}
 }
@@ -25,12 +26,27 @@
 	return &table.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: table.Work(r.Work), Deadline: time.Duration(r.Deadline),
 		Aim: time.Duration(r.Aim), MaxAttempts: int(r.MaxAttempts), Priority: int(r.Priority),
+		LargeAnswers: r.LargeAnswers, Regions: toAllowedRegions(r),
 		Parts: mapSlice(r.Parts, func(p *Part) table.Part {
 			return table.Part{Service: units.ServiceName(p.Service), Weight: int(p.Weight)}
 		}),
 	}
 }
 
+func fromAllowedRegions(a *table.AllowedRegions) []string {
+	if a == nil {
+		return nil
+	}
+	return mapSlice(a.Names, func(n units.Region) string { return string(n) })
+}
+
+func toAllowedRegions(r *Route) *table.AllowedRegions {
+	if !r.Restricted {
+		return nil
+	}
+	return &table.AllowedRegions{Names: mapSlice(r.AllowedRegions, func(n string) units.Region { return units.Region(n) })}
+}
+
 func fromRouteKey(k table.RouteKey) *RouteKey {
 	return &RouteKey{Host: k.Host, PathPrefix: k.PathPrefix}
 }
@@ -84,7 +100,7 @@
 func FromRegistration(r *table.Registration) *Registration {
 	return &Registration{
 		Target: string(r.Target), Service: string(r.Service), Address: r.Address, Domain: string(r.Domain),
-		Software: r.Software, Slots: int32(r.Slots), State: int32(r.State), Sequence: r.Sequence,
+		Software: string(r.Software), Slots: int32(r.Slots), State: int32(r.State), Sequence: r.Sequence,
 		Cold: int64(r.Cold), Silent: r.Silent,
 	}
 }
@@ -93,7 +109,7 @@
 func ToRegistration(r *Registration) *table.Registration {
 	return &table.Registration{
 		Target: units.TargetID(r.Target), Service: units.ServiceName(r.Service), Address: r.Address,
-		Domain: units.Domain(r.Domain), Software: r.Software, Slots: int(r.Slots), State: table.RowState(r.State),
+		Domain: units.Domain(r.Domain), Software: units.Software(r.Software), Slots: int(r.Slots), State: table.RowState(r.State),
 		Sequence: r.Sequence, Cold: time.Duration(r.Cold), Silent: r.Silent,
 	}
 }
