--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -45,6 +45,13 @@
 	s.retries.earn(s.row.RetryBudget, s.burst)
 	s.hedges.earn(s.row.HedgeBudget, s.burst)
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
+	if !s.isBusy(r.now) {
+		c.route.asked.learn(v.Deadline)
+	}
+	if r.comesTooLate(c, v.Deadline) {
+		r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: NotRun, RetryAfter: r.busyRetryAfter(s)}, e)
+		return
+	}
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
 			r.place(id, c, t, FirstSend, e)
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -202,6 +202,7 @@
 	turned := false
 	switch v.Result {
 	case Answered:
+		t.noteTrial(r.now, true)
 		t.answers++
 		t.noteFailure(r.now, 0)
 		t.service.noteReport(v.Reading)
@@ -214,6 +215,7 @@
 		t.noteFailure(r.now, 1)
 		turned = t.health.failed(r.now)
 	case NotSent:
+		t.noteTrial(r.now, false)
 		t.failures++
 		turned = t.health.unreachable(r.now)
 	case Misdirected:
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -51,7 +51,7 @@
 	if !t.near && !t.takesColdCalls(now) {
 		time += outsideCost
 	}
-	return time
+	return time * t.doubt(now)
 }
 
 const (
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -37,11 +37,16 @@
 	Subsetting Mechanism = "subsetting"
 	// EarlyCalls holds calls that come before a box's first table.
 	EarlyCalls Mechanism = "early-calls"
+	// Outlook judges targets that nothing recent is known of by the others of their failure
+	// domain.
+	Outlook Mechanism = "outlook"
+	// FirstTries serves callers who have just come before those who come back too late.
+	FirstTries Mechanism = "first-tries"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
-	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls,
+	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, Outlook, FirstTries,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -74,6 +74,9 @@
 		t.service.noteReport(v.Reading)
 		r.noteWarmth(t, v.Reading.Cold)
 	}
+	if v.Healthy || v.Unreachable {
+		t.noteTrial(r.now, v.Healthy)
+	}
 	if v.Unreachable && t.health.unreachable(r.now) {
 		r.healthTurned(t, e)
 	}
--- /dev/null
+++ b/pkg/core/routing/returning.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"time"
+)
+
+// While calls come faster than targets can serve them, callers who were refused come back, and
+// what they get then is late: in a crowd of 1.6 times the capacity a quarter of the places
+// went to them. Each of these places is one that a caller who has just come would have had in
+// time. How long a caller has been at it shows in the time that it has left, compared with
+// what the route's callers begin with.
+
+const (
+	// returnPart is the part of callers that ask for less than the route's usual deadline
+	// while there is room: those who come back after a failure, and a few odd ones.
+	returnPart = 0.1
+	// deadlineStep is how far the usual deadline moves with each call: one odd call in ten
+	// leaves it where it is.
+	deadlineStep = 0.04
+	// sureDeadlines is how many calls must have come before anything is said; a box gets a
+	// few calls of a route each second.
+	sureDeadlines = 4
+	// returnBelow is the part of the usual deadline below which a caller has come back.
+	returnBelow = 0.9
+)
+
+// usualDeadline is what a route's callers ask for when they first come: nearly all of them ask
+// for this much or more. It is learnt while the service has room, when few come back.
+type usualDeadline struct {
+	least time.Duration
+	calls int
+}
+
+// learn takes the deadline that a call asks for.
+func (u *usualDeadline) learn(asked time.Duration) {
+	if asked <= 0 {
+		return
+	}
+	u.calls++
+	if u.calls <= sureDeadlines {
+		if u.least == 0 || asked < u.least {
+			u.least = asked
+		}
+		return
+	}
+	step := deadlineStep * float64(u.least)
+	if asked < u.least {
+		u.least -= time.Duration((1 - returnPart) * step)
+	} else {
+		u.least += time.Duration(returnPart * step)
+	}
+}
+
+// spent is how long at least the caller has been at it before this call; zero for one that
+// has just come, and where that can't be told.
+func (u *usualDeadline) spent(asked time.Duration) time.Duration {
+	if asked <= 0 || u.calls < sureDeadlines || float64(asked) >= returnBelow*float64(u.least) {
+		return 0
+	}
+	return u.least - asked
+}
+
+// comesTooLate tells whether a call had better be refused at once: its caller has come back so
+// late that the answer would miss the aim, and callers who have just come wait for the places.
+func (r *Router) comesTooLate(c *call, asked time.Duration) bool {
+	x := c.route
+	if !r.on(FirstTries) || x.aim == 0 || !c.service.isBusy(r.now) {
+		return false
+	}
+	spent := x.asked.spent(asked)
+	return spent > 0 && spent+time.Duration(x.sureTime()) > x.aim
+}
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -75,6 +75,8 @@
 	calls       *container.Slab[call]
 	timers      *container.Heap[timer]
 	loans       loanBook
+	// outlooks are what the box found in each failure domain lately.
+	outlooks map[units.Domain]*outlook
 	// startedAt is when the router began; early are the calls that came before its first
 	// table.
 	startedAt units.Instant
@@ -113,6 +115,7 @@
 		calls:     container.NewSlab[call](),
 		timers:    container.NewHeap(timerBefore),
 		loans:     newLoanBook(),
+		outlooks:  map[units.Domain]*outlook{},
 		boxLists:  1,
 		beside:    map[units.Domain][]table.Box{},
 		now:       now,
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -33,6 +33,7 @@
 	answers int
 	// first are the first answers' times, which the typical time starts from.
 	first [sureAnswers]float64
+	asked usualDeadline
 	parts []routePart
 }
 
@@ -74,6 +75,7 @@
 func (x *route) learnFrom(old *route) {
 	if old != nil {
 		x.typical, x.answers, x.first = old.typical, old.answers, old.first
+		x.asked = old.asked
 	}
 }
 
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -65,6 +65,9 @@
 	// evacuated is set while the target's failure domain is evacuated.
 	evacuated bool
 	cold      coldness
+	// outlook is what the box found in the target's failure domain lately; nil where that
+	// isn't looked at.
+	outlook *outlook
 
 	sends, answers, failures, sheds, probesSent uint64
 }
