--- a/pkg/core/routing/returning.go
+++ b/pkg/core/routing/returning.go
@@ -64,7 +64,7 @@
 // late that the answer would miss the aim, and callers who have just come wait for the places.
 func (r *Router) comesTooLate(c *call, asked time.Duration) bool {
 	x := c.route
-	if !r.on(FirstTries) || x.aim == 0 || !c.service.isBusy(r.now) {
+	if !r.on(FirstTries) || x.aim == 0 || c.service.busyPart < 0.25 || r.now.Sub(c.service.busyAt) > 2*time.Second {
 		return false
 	}
 	spent := x.asked.spent(asked)
