Answers share a box's link: small ones at once, large ones in pieces by turns

Cause: on links of 7 Mbit/s an answer of 90 to 540 KB holds the link for 0.1 to 0.6 s, and everything small behind it waits.

Change: a setting for the link's rate (entry.linkMbps, from the platform's link-mbps); pkg/pacing with a pure scheduler (small answers at once, close aims before far ones, turns within an aim) and the writers' shell; routes with large answers (kind download, column large_answers) pass through once 16 KB have come; counters and a log line.

--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -140,6 +140,7 @@
 	MaxConnections int                 `json:"maxConnections" validate:"min=1,max=1000000" doc:"How many callers' connections may be open at once."`
 	MaxBody        int                 `json:"maxBody" validate:"min=1,max=1073741824" doc:"The largest request body, in bytes."`
 	BufferBody     int                 `json:"bufferBody" validate:"min=0,max=67108864" doc:"Answers up to this many bytes are passed on only once they are whole; longer ones are passed on as they come."`
+	LinkMbps       float64             `json:"linkMbps" validate:"min=0,max=1000000" doc:"How fast this box's link is, in megabits a second. Answers of more than two pieces (8 KB on links of up to 8 Mbit/s, at most 128 KB) are then written piece by piece at three quarters of it, taking turns, and small ones at once. 0 means that the link isn't a limit."`
 	HeaderBytes    int                 `json:"headerBytes" validate:"min=1024,max=1048576" doc:"The most that a request's head may take, in bytes."`
 	ReadTimeout    Duration            `json:"readTimeout" validate:"min=10ms,max=10m" doc:"How long a caller may take to send a request."`
 	IdleTimeout    Duration            `json:"idleTimeout" validate:"min=10ms,max=1h" doc:"How long a caller's connection may be idle."`
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -38,7 +38,7 @@
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
-		Purpose: why, Evidence: evidence,
+		Purpose: why, Evidence: evidence, Aim: c.route.aim, LargeAnswer: c.route.largeAnswers,
 	})
 	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -206,6 +206,10 @@
 	Connections int
 	// Once is set for a Send of work that must not run twice.
 	Once bool
+	// Aim is the aim of the call's route, zero for none; LargeAnswer is set where the route's
+	// answers are large. Both are set for a Send.
+	Aim         time.Duration
+	LargeAnswer bool
 	// ProbePath is what a probe asks for; empty means the box's own setting.
 	ProbePath string
 	// Ejected is set for a TargetTurned that takes the target out; Failures is how many
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -26,6 +26,8 @@
 	aim         time.Duration
 	maxAttempts int
 	priority    int
+	// largeAnswers is set where answers yield the box's link to others.
+	largeAnswers bool
 	// typical is the median time of the route's calls at a target's usual pace, in
 	// nanoseconds; zero before the first.
 	typical float64
@@ -57,7 +59,7 @@
 func (r *Router) newRoute(row *table.Route) *route {
 	x := &route{
 		prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
-		maxAttempts: maxAttempts, priority: row.Priority,
+		maxAttempts: maxAttempts, priority: row.Priority, largeAnswers: row.LargeAnswers,
 	}
 	if row.MaxAttempts > 0 {
 		x.maxAttempts = min(row.MaxAttempts, maxAttempts)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/madderpond/madderpond/pkg/core/subscription"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/pacing"
 	"github.com/madderpond/madderpond/pkg/target"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -41,7 +42,9 @@
 	// running counts the sends under way.
 	running atomic.Int64
 
-	pools    *target.Pools
+	pools *target.Pools
+	// pacer shares the box's link among answers; nil where it isn't limited.
+	pacer    *pacing.Pacer
 	workers  pond.Pool
 	control  *controlClient
 	peers    *peerLinks
@@ -77,6 +80,7 @@
 		waiting: map[*call]bool{},
 		pools:   target.NewPools(targetSettings(s), c.Clock),
 		workers: pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queuePart)), pond.WithNonBlocking(true)),
+		pacer:   pacing.NewPacer(pacing.FromMegabits(s.LinkMbps), c.Clock),
 		metrics: newMetrics(),
 		done:    make(chan struct{}),
 	}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -75,6 +75,7 @@
 		"badRequests": e.metrics.badRequests.Value(),
 		"refusals":    s.Routing.Refusals,
 		"latency":     e.metrics.latencies(),
+		"link":        e.pacer.Counts(),
 		"revision":    s.Subscription.Revision,
 		"tableAgeMs":  s.Subscription.GrantAge.Milliseconds(),
 		"leaseLeftMs": s.Subscription.LeaseLeft.Milliseconds(),
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -198,26 +198,3 @@
 	ctx.SetContentType(problemType)
 	ctx.SetBody(data)
 }
-
-// writeAnswer passes a target's answer on, whole or as it comes.
-func (e *Entry) writeAnswer(ctx *fasthttp.RequestCtx, a answer) {
-	from := a.attempt.Response
-	out := &ctx.Response
-	closing := out.ConnectionClose()
-	from.Header.CopyTo(&out.Header)
-	removeHopByHop(&out.Header)
-	if closing {
-		out.SetConnectionClose()
-	}
-	out.Header.Set(targetHeader, string(a.endpoint.Target))
-	if from.BodyStream() == nil || a.attempt.Whole() {
-		out.SkipBody = from.SkipBody
-		out.SetBody(a.attempt.Body())
-		a.attempt.Release()
-		return
-	}
-	size := from.Header.ContentLength()
-	out.SetBodyStream(a.attempt.Stream(func(r routing.AttemptResult) {
-		e.reduce(&routing.AttemptEnded{Call: a.id, Attempt: a.number, Result: r})
-	}), size)
-}
--- a/pkg/sheet/routes.go
+++ b/pkg/sheet/routes.go
@@ -28,6 +28,8 @@
 		func(r *table.Route) string { return r.Aim.String() }},
 	{"max_attempts", false, func(r *table.Route, c string) error { return readInt(&r.MaxAttempts, c) },
 		func(r *table.Route) string { return strconv.Itoa(r.MaxAttempts) }},
+	{"large_answers", false, func(r *table.Route, c string) error { return readBool(&r.LargeAnswers, c) },
+		func(r *table.Route) string { return strconv.FormatBool(r.LargeAnswers) }},
 	{"priority", false, func(r *table.Route, c string) error { return readInt(&r.Priority, c) },
 		func(r *table.Route) string { return strconv.Itoa(r.Priority) }},
 }
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -282,6 +282,15 @@
 	return nil
 }
 
+func readBool(into *bool, cell string) error {
+	b, err := strconv.ParseBool(cell)
+	if err != nil {
+		return fault.New(fault.Invalid, "write true or false", "%q is neither", cell)
+	}
+	*into = b
+	return nil
+}
+
 func readFloat(into *float64, cell string) error {
 	x, err := strconv.ParseFloat(cell, 64)
 	if err != nil {
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -77,10 +77,29 @@
 	return a.Response.SkipBody || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
 }
 
+// firstBytes is how much of a large answer must have come before it is passed on. A target
+// that fails before has cost the caller nothing, since the call can still go elsewhere: those
+// that answer with an error or cut their answers do so in its beginning or leave it short.
+const firstBytes = 16 << 10
+
+// bufferedBytes is how much of the answer is read before it is passed on. A failed answer of
+// a route with large ones is held as others are, since the call may be tried elsewhere.
+func (a *Attempt) bufferedBytes() int {
+	most := a.pools.settings.BufferBody
+	if a.largeAnswer && a.Response.Header.ContentLength() >= framedByChunks && a.classify() == routing.Answered {
+		return min(most, firstBytes)
+	}
+	return most
+}
+
+// framedByChunks is the content length of an answer in chunks; that of one whose end is the
+// end of its connection lies below.
+const framedByChunks = -1
+
 // readBody reads up to as much as is buffered; a longer body is streamed.
 func (a *Attempt) readBody() (routing.AttemptResult, bool) {
-	limit := a.pools.settings.BufferBody
-	if a.Response.Header.ContentLength() > limit {
+	limit := a.bufferedBytes()
+	if !a.largeAnswer && a.Response.Header.ContentLength() > limit {
 		return a.classify(), true
 	}
 	var body bytes.Buffer
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -23,6 +23,10 @@
 	limit    int
 	// idleLimit is how long the connection may have rested.
 	idleLimit time.Duration
+	// Aim is the aim of the call's route; zero means none.
+	Aim time.Duration
+	// largeAnswer is set where the route's answers are large: they pass through as they come.
+	largeAnswer bool
 	// Request is the attempt's own copy.
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
@@ -53,6 +57,7 @@
 	}
 	return &Attempt{
 		pools: p, idleLimit: idleLimit, endpoint: x.Endpoint, deadline: x.Deadline, notAfter: x.NotAfter, limit: x.Connections,
+		Aim: x.Aim, largeAnswer: x.LargeAnswer,
 		Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(),
 	}
 }
