Large answers that are coming in: known, bounded, and not the targets' fault

Cause: what targets send occupies the box's link on its way in whatever the box reads; probes and small answers behind it came late and were put down to their targets.

Change: routing/inbound.go learns how long routes' answers are, knows for how long the link is occupied, has calls with large answers wait for a little when a quarter of their aim is on its way, sends calls unprobed meanwhile, and keeps what came late behind large answers out of targets' times and health. It can be switched off (shared-link).

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -45,8 +45,16 @@
 	s.retries.earn(s.row.RetryBudget, s.burst)
 	s.hedges.earn(s.row.HedgeBudget, s.burst)
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
-	if s.held.length == 0 {
-		if t := r.choose(s, c); t != nil {
+	r.start(id, c, e)
+}
+
+// start sends a call that was admitted, or holds it.
+func (r *Router) start(id CallID, c *call, e *Effects) {
+	if r.waitsForLink(id, c, e) {
+		return
+	}
+	if c.service.held.length == 0 {
+		if t := r.choose(c.service, c); t != nil {
 			r.place(id, c, t, FirstSend, e)
 			r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
 			return
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -27,6 +27,7 @@
 			a.loan.inUse = true
 		}
 	}
+	r.expect(c.route, a)
 	t.link(a)
 	t.noteSend()
 	t.sends++
@@ -102,6 +103,7 @@
 func (r *Router) release(c *call, a *attempt, e *Effects) {
 	t := a.target
 	t.unlink(a)
+	r.comes(c.route, a, false)
 	if a.loan != nil {
 		r.endLoanUse(a.loan, e)
 	}
@@ -138,6 +140,7 @@
 		return
 	}
 	c.streaming = true
+	r.answerBegins(c, a, v.Coming)
 	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
 	r.cancelOthers(v.Call, c, a, e)
@@ -150,7 +153,7 @@
 			continue
 		}
 		// A loser that is overdue says something about its target.
-		a.target.latency.add(r.now.Sub(a.sent))
+		a.target.latency.add(r.timeAtTarget(c, a))
 		r.cancel(id, c, a, e)
 	}
 }
@@ -164,12 +167,13 @@
 	if a == nil {
 		return
 	}
-	took := r.now.Sub(a.sent)
+	took := r.timeAtTarget(c, a)
 	t := a.target
 	if a.atPace && v.Result == Answered {
 		t.noteTime(r.now, c.route, took, a)
 	}
 	r.learn(t, v, took, e)
+	r.comes(c.route, a, v.Result == Answered && !a.begun)
 	r.release(c, a, e)
 	if c.streaming {
 		r.streamEnded(v, c)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -28,6 +30,13 @@
 	cold   bool
 	// typical is the route's typical time then.
 	typical float64
+	// busyAt is for how long large answers had occupied the box's link until the sending.
+	busyAt time.Duration
+	// expected is how many bytes of a large answer are expected that hasn't begun.
+	expected float64
+	// begun is set once an answer passes through, answered is how long that took.
+	begun    bool
+	answered time.Duration
 }
 
 // call is a call that hasn't been answered yet.
@@ -148,6 +157,8 @@
 	probeTimer
 	// earlyTimer ends the wait for the box's first table.
 	earlyTimer
+	// linkTimer ends a wait for large answers to come in.
+	linkTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -191,6 +202,8 @@
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
+	case linkTimer:
+		r.start(t.call, c, e)
 	case earlyTimer:
 		r.refuseEarly(t.call, c, e)
 	case probeTimer:
@@ -203,7 +216,7 @@
 func (r *Router) deadlinePassed(id CallID, c *call, e *Effects) {
 	// A target that lets calls run out of time isn't well.
 	for i := range c.attempts {
-		if a := &c.attempts[i]; a.target != nil && a.target.health.failed(r.now) {
+		if a := &c.attempts[i]; a.target != nil && !r.saysNothing(a) && a.target.health.failed(r.now) {
 			r.healthTurned(a.target, e)
 		}
 	}
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -67,6 +67,9 @@
 	Call    CallID
 	Attempt AttemptNumber
 	Reading Reading
+	// Coming is how many bytes of the body are still to come; negative when the answer
+	// doesn't say how long it is.
+	Coming int
 }
 
 // ProbeEnded says how a probe ended.
--- /dev/null
+++ b/pkg/core/routing/inbound.go
@@ -0,0 +1,180 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A box can't slow down what targets send it: an answer that is long occupies the link on its
+// way in, and everything behind it comes late. What is on its way is known, though. So few
+// large answers are asked for at a time, and what comes late because of one isn't taken for a
+// target's fault.
+
+const (
+	// inboundPart is the part of its aim that a call with a large answer leaves to the answers
+	// that are already on their way. With more of them, each would take much of the others' aims,
+	// and all small answers would wait behind them.
+	inboundPart = 0.25
+	// inboundWait is the part of its aim that such a call waits at the most: enough for an
+	// average answer to come in, and most of the aim is left for its own.
+	inboundWait = 0.125
+	// leastInboundWait keeps waiting calls from looking too often.
+	leastInboundWait = 2 * time.Millisecond
+	// sizeGain is the weight of the newest answer in a route's expected size: sizes vary by a
+	// factor of six, so that only a mean of some ten says anything.
+	sizeGain = 0.1
+	// hiddenPart is the part of its time for which the link must have been occupied for a call
+	// without an answer to say nothing of its target.
+	hiddenPart = 0.5
+)
+
+// inbound is what a box knows of the large answers on their way to it.
+type inbound struct {
+	// rate is in bytes a second; zero means that the link isn't limited.
+	rate float64
+	// busyUntil is when what has begun to come in will be there.
+	busyUntil units.Instant
+	// busyTotal is for how long the link has been occupied by large answers since the start,
+	// and will be until busyUntil.
+	busyTotal time.Duration
+}
+
+// begins notes that so many bytes of an answer are coming in now.
+func (x *inbound) begins(now units.Instant, bytes float64) {
+	if x.rate <= 0 || bytes <= 0 {
+		return
+	}
+	took := x.timeOf(bytes)
+	x.busyUntil = max(x.busyUntil, now).Add(took)
+	x.busyTotal += took
+}
+
+func (x *inbound) timeOf(bytes float64) time.Duration {
+	if x.rate <= 0 {
+		return 0
+	}
+	return time.Duration(bytes / x.rate * float64(time.Second))
+}
+
+// left is for how long the link will still be occupied.
+func (x *inbound) left(now units.Instant) time.Duration { return max(0, x.busyUntil.Sub(now)) }
+
+// busyBy is for how long the link was occupied until now, since the start.
+func (x *inbound) busyBy(now units.Instant) time.Duration { return x.busyTotal - x.left(now) }
+
+// learnSize takes how many bytes of an answer came behind those that are held for a retry.
+func (x *route) learnSize(bytes float64) {
+	if x.sized {
+		x.size += sizeGain * (bytes - x.size)
+		return
+	}
+	x.size, x.sized = bytes, true
+}
+
+// answerBegins notes an answer that begins to pass through. One that doesn't say how long it
+// is counts as its route's usual.
+func (r *Router) answerBegins(c *call, a *attempt, coming int) {
+	a.answered = r.timeAtTarget(c, a)
+	a.begun = true
+	r.comes(c.route, a, false)
+	if coming < 0 {
+		r.inbound.begins(r.now, c.route.size)
+		return
+	}
+	c.route.learnSize(float64(coming))
+	r.inbound.begins(r.now, float64(coming))
+}
+
+// expect counts an attempt whose answer may be large, and hasn't begun.
+func (r *Router) expect(x *route, a *attempt) {
+	a.busyAt = r.inbound.busyBy(r.now)
+	if x.largeAnswers {
+		a.expected = x.size
+		r.expected += a.expected
+	}
+}
+
+// comes ends that count; whole is set when the answer was whole before it was passed on.
+func (r *Router) comes(x *route, a *attempt, whole bool) {
+	if !x.largeAnswers {
+		return
+	}
+	r.expected -= a.expected
+	a.expected = 0
+	if whole {
+		x.learnSize(0)
+	}
+}
+
+// hidden is for how long, since an attempt was sent, its answer may have waited behind
+// large ones.
+func (r *Router) hidden(a *attempt) time.Duration { return r.inbound.busyBy(r.now) - a.busyAt }
+
+// timeAtTarget is how long an attempt's answer took, as far as its target is concerned. What
+// it took beyond the route's typical time isn't the target's while other answers occupied
+// the link, and what passing an answer through takes isn't at all.
+func (r *Router) timeAtTarget(c *call, a *attempt) time.Duration {
+	if a.begun {
+		return a.answered
+	}
+	took := r.now.Sub(a.sent)
+	hidden := r.hidden(a)
+	if hidden <= 0 {
+		return took
+	}
+	return max(min(took, time.Duration(c.route.typical)), took-hidden)
+}
+
+// saysNothing tells whether an attempt that wasn't answered in time says nothing of its
+// target: the answer is passing through, or may be waiting behind others.
+func (r *Router) saysNothing(a *attempt) bool {
+	return a.begun || float64(r.hidden(a)) > hiddenPart*float64(r.now.Sub(a.sent))
+}
+
+// goesUnprobed tells whether a call had better go to a target by what is known of it than
+// wait for probes, whose answers would come too late because of the large ones that are
+// coming in. While the service is busy, a target that nothing is known of is likely to be
+// full, and calls wait all the same.
+func (r *Router) goesUnprobed(c *call, t *target) bool {
+	return r.linkHidesProbes(c) && !r.isTooSlow(t) && t.load(r.now)+1 <= t.slots()
+}
+
+// linkHidesProbes tells whether probes' answers come too late, at a service that isn't busy.
+func (r *Router) linkHidesProbes(c *call) bool {
+	return r.on(SharedLink) && r.inbound.left(r.now) > probeLimit && !c.service.isBusy(r.now)
+}
+
+// sendUnprobed sends a call whose probes' answers wait behind large ones to the target that
+// seems best by what is known of it.
+func (r *Router) sendUnprobed(id CallID, c *call, e *Effects) bool {
+	if c.probeRound.pending == 0 || !r.linkHidesProbes(c) {
+		return false
+	}
+	t := r.choose(c.service, c)
+	if t == nil || !r.goesUnprobed(c, t) {
+		return false
+	}
+	c.probeRound.open = false
+	r.send(id, c, t, c.probeRound.purpose, e)
+	return true
+}
+
+// waitsForLink has a call with a large answer wait while enough of them are on their way.
+func (r *Router) waitsForLink(id CallID, c *call, e *Effects) bool {
+	if !c.route.largeAnswers || !r.on(SharedLink) || c.route.aim == 0 {
+		return false
+	}
+	coming := r.inbound.left(r.now) + r.inbound.timeOf(r.expected)
+	room := time.Duration(inboundPart * float64(c.route.aim))
+	waited := r.now.Sub(c.arrived)
+	most := time.Duration(inboundWait * float64(c.route.aim))
+	if coming <= room || waited >= most {
+		return false
+	}
+	r.linkWaits++
+	e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
+	wait := max(leastInboundWait, min(coming-room, most-waited))
+	r.timers.Push(timer{at: r.now.Add(wait), call: id, kind: linkTimer})
+	return true
+}
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -37,11 +37,13 @@
 	Subsetting Mechanism = "subsetting"
 	// EarlyCalls holds calls that come before a box's first table.
 	EarlyCalls Mechanism = "early-calls"
+	// SharedLink has calls heed the large answers that are coming in on the box's link.
+	SharedLink Mechanism = "shared-link"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
-	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls,
+	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, SharedLink,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -54,7 +54,7 @@
 
 // place sends a call to the target that seems best, or probes a few first.
 func (r *Router) place(id CallID, c *call, best *target, why Purpose, e *Effects) {
-	if !r.on(Probing) || !c.service.probesTargets() || best.isFresh(r.now) && r.isSuitable(c, best) {
+	if !r.on(Probing) || !c.service.probesTargets() || best.isFresh(r.now) && r.isSuitable(c, best) || r.goesUnprobed(c, best) {
 		r.send(id, c, best, why, e)
 		return
 	}
@@ -208,6 +208,9 @@
 
 // probeTimePassed goes on without the answers that haven't come, or probes again.
 func (r *Router) probeTimePassed(id CallID, c *call, e *Effects) {
+	if r.sendUnprobed(id, c, e) {
+		return
+	}
 	r.dropServed(c.service)
 	if c.probeRound.pending > 0 || !c.service.mayProbe(id) || !r.sendProbes(id, c, e) {
 		r.concludeProbing(id, c, e)
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -29,6 +29,9 @@
 	Loans bool
 	// MaxDeadline bounds what a caller may ask for.
 	MaxDeadline time.Duration
+	// LinkRate is how fast the box's link is, in bytes a second; zero means that it isn't
+	// limited.
+	LinkRate float64
 	// Disable are the mechanisms that aren't used.
 	Disable []Mechanism
 }
@@ -83,6 +86,11 @@
 	now       units.Instant
 	sweepAt   units.Instant
 	refusals  [reasonCount]uint64
+	// inbound is what is coming in, expected how many bytes of answers that haven't begun;
+	// linkWaits counts the calls' waits for it.
+	inbound   inbound
+	expected  float64
+	linkWaits uint64
 	// freed are the services at which room has come up during this event.
 	freed []*service
 }
@@ -115,6 +123,7 @@
 		loans:     newLoanBook(),
 		boxLists:  1,
 		beside:    map[units.Domain][]table.Box{},
+		inbound:   inbound{rate: s.LinkRate},
 		now:       now,
 		startedAt: now,
 		off:       off,
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -28,6 +28,10 @@
 	priority    int
 	// largeAnswers is set where answers yield the box's link to others.
 	largeAnswers bool
+	// size is how many bytes of its answers come while they pass through, as a mean; sized
+	// is set once one has come.
+	size  float64
+	sized bool
 	// typical is the median time of the route's calls at a target's usual pace, in
 	// nanoseconds; zero before the first.
 	typical float64
@@ -76,6 +80,7 @@
 func (x *route) learnFrom(old *route) {
 	if old != nil {
 		x.typical, x.answers, x.first = old.typical, old.answers, old.first
+		x.size, x.sized = old.size, old.sized
 	}
 }
 
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -56,6 +56,7 @@
 		}
 		router, err := NewRouter(Settings{
 			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ColdDoubt: DefaultColdDoubt, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
+			LinkRate: 875_000,
 		}, s.now)
 		if err != nil {
 			t.Fatal(err)
@@ -339,9 +340,10 @@
 
 // start NAME attempt=N
 func (s *script) start(d *datadriven.TestData) {
-	var n int
+	var n, coming int
 	d.ScanArgs(s.t, "attempt", &n)
-	s.give(&AttemptStarted{Call: s.calls[d.CmdArgs[0].Key], Attempt: AttemptNumber(n)})
+	d.MaybeScanArgs(s.t, "coming", &coming)
+	s.give(&AttemptStarted{Call: s.calls[d.CmdArgs[0].Key], Attempt: AttemptNumber(n), Coming: coming})
 }
 
 // gone NAME
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -18,6 +18,26 @@
 	// Evacuated are the failure domains whose targets take no new calls.
 	Evacuated []units.Domain `json:"evacuated,omitempty"`
 	Loans     LoanStatus     `json:"loans"`
+	Inbound   InboundStatus  `json:"inbound"`
+}
+
+// InboundStatus is what a box knows of the large answers on their way to it.
+type InboundStatus struct {
+	// LeftMs is for how long the link will still be occupied, BusyMs for how long it was
+	// since the start.
+	LeftMs int64 `json:"leftMs"`
+	BusyMs int64 `json:"busyMs"`
+	// Expected is how many bytes are expected of answers that haven't begun.
+	Expected int64 `json:"expected"`
+	// Waits counts how often calls waited before they asked for more.
+	Waits uint64 `json:"waits"`
+}
+
+func (r *Router) inboundStatus(now units.Instant) InboundStatus {
+	return InboundStatus{
+		LeftMs: r.inbound.left(now).Milliseconds(), BusyMs: r.inbound.busyBy(now).Milliseconds(),
+		Expected: int64(r.expected), Waits: r.linkWaits,
+	}
 }
 
 // LoanStatus counts the loans between boxes.
@@ -76,6 +96,7 @@
 		Revision: r.table.Revision, LeaseLeft: r.leaseUntil.Sub(now), Boxes: r.rank.count,
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
 		Evacuated: r.table.EvacuatedDomains(),
+		Inbound:   r.inboundStatus(now),
 		Loans: LoanStatus{
 			Asked: r.loans.askedTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -133,7 +133,7 @@
 	c.note(step{at: e.Clock.Now(), what: stepEnded, attempt: number, result: result})
 	e.lock.Unlock()
 	if streaming {
-		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Reading: a.Reading})
+		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Reading: a.Reading, Coming: a.Coming()})
 	} else {
 		e.reduce(&routing.AttemptEnded{
 			Call: id, Attempt: number, Result: result, Reading: a.Reading, RetryAfter: a.RetryAfter,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -111,6 +111,7 @@
 		ProbeCost:   s.Entry.ProbeCost.Std(),
 		Loans:       s.Entry.Loans,
 		MaxDeadline: s.Entry.MaxDeadline.Std(),
+		LinkRate:    float64(pacing.FromMegabits(s.Entry.LinkMbps)),
 		Disable:     s.Entry.Disable,
 	}, c.Clock.Now())
 }
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -76,6 +76,7 @@
 		"refusals":    s.Routing.Refusals,
 		"latency":     e.metrics.latencies(),
 		"link":        e.pacer.Counts(),
+		"inbound":     s.Routing.Inbound,
 		"revision":    s.Subscription.Revision,
 		"tableAgeMs":  s.Subscription.GrantAge.Milliseconds(),
 		"leaseLeftMs": s.Subscription.LeaseLeft.Milliseconds(),
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -119,6 +119,16 @@
 // Whole tells whether the answer has come to its end.
 func (a *Attempt) Whole() bool { return a.whole }
 
+// Coming is how many bytes of a streamed answer are still to come; negative when it doesn't
+// say how long it is.
+func (a *Attempt) Coming() int {
+	length := a.Response.Header.ContentLength()
+	if length < 0 {
+		return length
+	}
+	return length - len(a.prefix)
+}
+
 // Body returns the whole body of an answer that isn't streamed.
 func (a *Attempt) Body() []byte { return a.prefix }
 
