--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -68,6 +68,31 @@
 	}
 }
 
+func TestRoutesSayWhetherTheirAnswersAreLarge(t *testing.T) {
+	text := "route,host,path_prefix,work,services,large_answers\na,a.test,/,repeatable,s,true\nb,b.test,/,once,s,\n"
+	routes, err := ReadRoutes(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !routes[0].LargeAnswers || routes[1].LargeAnswers {
+		t.Errorf("the routes are %+v", routes)
+	}
+	var out bytes.Buffer
+	if err := WriteRoutes(&out, routes); err != nil {
+		t.Fatal(err)
+	}
+	again, err := ReadRoutes(&out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(routes, again); d != "" {
+		t.Error(d)
+	}
+	if _, err := ReadRoutes(strings.NewReader(strings.Replace(text, "true", "huge", 1))); err == nil || !strings.Contains(err.Error(), "line 2, column large_answers") {
+		t.Errorf("a word that is neither true nor false gives %v", err)
+	}
+}
+
 func TestDiffFindsJustWhatDiffers(t *testing.T) {
 	rows, err := ReadRows(strings.NewReader("service,target,address\ns,t1,10.0.0.1:80\ns,t2,10.0.0.2:80\n"))
 	if err != nil {
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,8 @@
 
 // answers is a stand-in target that gives each request on a connection the next of the
 // answers it was told, as raw bytes; "RESET" and "CLOSE" on a line of their own end the
-// connection, and a line "LATER" keeps what follows for the next request.
+// connection, a line "BYTES N" stands for so many bytes, and a line "LATER" keeps what follows
+// for the next request.
 type answers struct {
 	listener net.Listener
 	script   string
@@ -63,6 +65,10 @@
 			case "CLOSE":
 				return
 			}
+			if n, err := strconv.Atoi(strings.TrimPrefix(strings.TrimSpace(line), "BYTES ")); err == nil {
+				io.WriteString(conn, strings.Repeat("x", n))
+				continue
+			}
 			io.WriteString(conn, strings.ReplaceAll(strings.ReplaceAll(line, "\n", ""), `\n`, "\r\n"))
 		}
 	}
@@ -71,8 +77,12 @@
 }
 
 func newTestPools() *Pools {
+	return newPools(1 << 10)
+}
+
+func newPools(bufferBody int) *Pools {
 	return NewPools(Settings{
-		ConnectTimeout: time.Second, IdleLimit: time.Minute, BufferBody: 1 << 10, ShedHeader: "X-Shed",
+		ConnectTimeout: time.Second, IdleLimit: time.Minute, BufferBody: bufferBody, ShedHeader: "X-Shed",
 		LoadHeader: "X-Load", DeadlineHeader: "X-Deadline-Ms", CallIDHeader: "X-Call", IdentityHeader: "X-Expected-Target",
 		TargetHeader: "X-Target", PromiseStatus: true, Unframed: true, ProbePath: "/healthz",
 	}, clock.NewClock())
@@ -87,19 +97,23 @@
 			d.MaybeScanArgs(t, "calls", &count)
 			target := startAnswers(t, d.Input+"\n")
 			pools := newTestPools()
+			if d.HasArg("large") {
+				pools = newPools(64 << 10)
+			}
 			var lines []string
 			for i := range count {
-				lines = append(lines, callOnce(pools, target.listener.Addr().String(), fmt.Sprintf("call-%d", i+1)))
+				id := fmt.Sprintf("call-%d", i+1)
+				lines = append(lines, callOnce(pools, target.listener.Addr().String(), id, d.HasArg("large")))
 			}
 			return strings.Join(lines, "\n") + "\n"
 		})
 	})
 }
 
-func callOnce(pools *Pools, address, id string) string {
+func callOnce(pools *Pools, address, id string, large bool) string {
 	a := pools.NewAttempt(&routing.Effect{
 		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true},
-		Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
+		Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute), LargeAnswer: large,
 	})
 	a.Request.SetRequestURI("/")
 	a.Request.Header.SetHost("s")
@@ -108,7 +122,11 @@
 	if streaming {
 		return streamOnce(pools, a)
 	}
-	text := fmt.Sprintf("%s %q, connections kept: %d", result, a.Body(), pools.kept())
+	body := fmt.Sprintf("%q", a.Body())
+	if len(a.Body()) > 100 {
+		body = fmt.Sprintf("%d bytes", len(a.Body()))
+	}
+	text := fmt.Sprintf("%s %s, connections kept: %d", result, body, pools.kept())
 	a.Release()
 	return text
 }
@@ -121,7 +139,7 @@
 		pools := newTestPools()
 		pools.settings.OnceIdle = time.Hour
 		address := target.listener.Addr().String()
-		first := callOnce(pools, address, "call-1")
+		first := callOnce(pools, address, "call-1", false)
 		for _, x := range pools.pools {
 			for _, c := range x.idle {
 				c.idleSince -= units.Instant(2 * time.Hour)
@@ -159,7 +177,7 @@
 			target := startAnswers(t, `HTTP/1.1 200 OK\nX-Call: call-1\n`+s.header+`\nContent-Length: 0\n\n`+"\n")
 			pools := newTestPools()
 			address := target.listener.Addr().String()
-			callOnce(pools, address, "call-1")
+			callOnce(pools, address, "call-1", false)
 			for _, x := range pools.pools {
 				for _, c := range x.idle {
 					c.idleSince -= units.Instant(s.rested)
