--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -78,8 +78,8 @@
 }
 
 // firstBytes is how much of a large answer must have come before it is passed on. A target
-// that fails before has cost the caller nothing, since the call can still go elsewhere: those
-// that answer with an error or cut their answers do so in its beginning or leave it short.
+// that fails before has cost the caller nothing, since the call can still go elsewhere; more
+// would hold the answer up for longer and take more memory, of which boxes have little.
 const firstBytes = 16 << 10
 
 // bufferedBytes is how much of the answer is read before it is passed on. A failed answer of
