--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -103,7 +103,7 @@
 func (r *Router) release(c *call, a *attempt, e *Effects) {
 	t := a.target
 	t.unlink(a)
-	r.comes(c.route, a, false)
+	r.expectNoMore(a)
 	if a.loan != nil {
 		r.endLoanUse(a.loan, e)
 	}
@@ -169,11 +169,13 @@
 	}
 	took := r.timeAtTarget(c, a)
 	t := a.target
+	if v.Result == Answered {
+		c.route.noteShort(a)
+	}
 	if a.atPace && v.Result == Answered {
 		t.noteTime(r.now, c.route, took, a)
 	}
 	r.learn(t, v, took, e)
-	r.comes(c.route, a, v.Result == Answered && !a.begun)
 	r.release(c, a, e)
 	if c.streaming {
 		r.streamEnded(v, c)
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -77,7 +77,7 @@
 func (r *Router) answerBegins(c *call, a *attempt, coming int) {
 	a.answered = r.timeAtTarget(c, a)
 	a.begun = true
-	r.comes(c.route, a, false)
+	r.expectNoMore(a)
 	if coming < 0 {
 		r.inbound.begins(r.now, c.route.size)
 		return
@@ -86,7 +86,7 @@
 	r.inbound.begins(r.now, float64(coming))
 }
 
-// expect counts an attempt whose answer may be large, and hasn't begun.
+// expect counts what an attempt that is being sent may bring.
 func (r *Router) expect(x *route, a *attempt) {
 	a.busyAt = r.inbound.busyBy(r.now)
 	if x.largeAnswers {
@@ -95,14 +95,15 @@
 	}
 }
 
-// comes ends that count; whole is set when the answer was whole before it was passed on.
-func (r *Router) comes(x *route, a *attempt, whole bool) {
-	if !x.largeAnswers {
-		return
-	}
+// expectNoMore ends that count: the answer has begun, or won't come.
+func (r *Router) expectNoMore(a *attempt) {
 	r.expected -= a.expected
 	a.expected = 0
-	if whole {
+}
+
+// noteShort notes that a route with large answers brought one that was whole at once.
+func (x *route) noteShort(a *attempt) {
+	if x.largeAnswers && !a.begun {
 		x.learnSize(0)
 	}
 }
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -52,6 +52,9 @@
 
 // pace has the body of a large answer take turns on the box's link.
 func (e *Entry) pace(ctx *fasthttp.RequestCtx, a answer, body io.ReadCloser) io.ReadCloser {
+	if e.pacer == nil {
+		return body
+	}
 	conn := ctx.Conn()
 	id := string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader))
 	return e.pacer.Pace(pacing.Answer{
--- a/pkg/pacing/body.go
+++ b/pkg/pacing/body.go
@@ -41,7 +41,7 @@
 }
 
 // Pace returns the body through which an answer is to be read. Without a limited link it is
-// the answer's own.
+// the answer's own, and Ended isn't called.
 func (p *Pacer) Pace(a Answer) io.ReadCloser {
 	if p == nil {
 		return a.From
