An answer's claimed length hides targets for a second at the most

Cause: a target that claims a length of gigabytes, or breaks off, left the link counted as occupied: no call would be probed and no target ejected until then.

Change: what one answer counts for is bounded by a second of the link, and the count ends with the last answer under way. Tests: script large-answers-huge (with the bound away the target isn't ejected); the property checks that the link is free once no call is under way.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -103,7 +103,7 @@
 func (r *Router) release(c *call, a *attempt, e *Effects) {
 	t := a.target
 	t.unlink(a)
-	r.expectNoMore(a)
+	r.attemptOver(a)
 	if a.loan != nil {
 		r.endLoanUse(a.loan, e)
 	}
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -27,6 +27,10 @@
 	// hiddenPart is the part of its time for which the link must have been occupied for a call
 	// without an answer to say nothing of its target.
 	hiddenPart = 0.5
+	// mostOccupied is for how long one answer counts as occupying the link: longer ones share
+	// it with others by then, and what a target says of an answer's length may be wrong. No
+	// call may be kept from probing, and no target from being ejected, for longer by one.
+	mostOccupied = time.Second
 )
 
 // inbound is what a box knows of the large answers on their way to it.
@@ -38,10 +42,13 @@
 	// busyTotal is for how long the link has been occupied by large answers since the start,
 	// and will be until busyUntil.
 	busyTotal time.Duration
+	// passing counts the answers that are coming in.
+	passing int
 }
 
 // begins notes that so many bytes of an answer are coming in now.
 func (x *inbound) begins(now units.Instant, bytes float64) {
+	x.passing++
 	if x.rate <= 0 || bytes <= 0 {
 		return
 	}
@@ -50,6 +57,17 @@
 	x.busyTotal += took
 }
 
+// ends notes that an answer has come in, or was given up. With the last of them the link is
+// free, whatever was expected.
+func (x *inbound) ends(now units.Instant) {
+	x.passing--
+	if x.passing > 0 {
+		return
+	}
+	x.busyTotal -= x.left(now)
+	x.busyUntil = min(x.busyUntil, now)
+}
+
 func (x *inbound) timeOf(bytes float64) time.Duration {
 	if x.rate <= 0 {
 		return 0
@@ -82,8 +100,9 @@
 		r.inbound.begins(r.now, c.route.size)
 		return
 	}
-	c.route.learnSize(float64(coming))
-	r.inbound.begins(r.now, float64(coming))
+	bytes := min(float64(coming), r.inbound.rate*mostOccupied.Seconds())
+	c.route.learnSize(bytes)
+	r.inbound.begins(r.now, bytes)
 }
 
 // expect counts what an attempt that is being sent may bring.
@@ -95,6 +114,14 @@
 	}
 }
 
+// attemptOver ends what was counted of an attempt.
+func (r *Router) attemptOver(a *attempt) {
+	r.expectNoMore(a)
+	if a.begun {
+		r.inbound.ends(r.now)
+	}
+}
+
 // expectNoMore ends that count: the answer has begun, or won't come.
 func (r *Router) expectNoMore(a *attempt) {
 	r.expected -= a.expected
--- a/pkg/core/routing/inbound_test.go
+++ b/pkg/core/routing/inbound_test.go
@@ -110,5 +110,8 @@
 		if math.Abs(w.router.expected) > 1 {
 			t.Fatalf("%f bytes are still expected of no call", w.router.expected)
 		}
+		if n, left := w.router.inbound.passing, w.router.inbound.left(w.now); n != 0 || left != 0 {
+			t.Fatalf("%d answers occupy the link for another %s, but no call is under way", n, left)
+		}
 	})
 }
