An answer that passes through ends its call's probing for a second send

Cause: a call that was probing for a hedge when its first answer began was sent again once the probe's answer came. Whichever attempt ended first ended the call, and the other one counted as under way at its target for ever (script large-answers-hedged: v1 in-flight=1 after the call's end). Change: the round of probes is closed when the answer begins, and the hedge given back. Conclusion: with the change both targets are at 0; the script failed before.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -144,6 +144,19 @@
 	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
 	r.cancelOthers(v.Call, c, a, e)
+	c.endProbing()
+}
+
+// endProbing ends a call's probing for a second send, which an answer that passes through
+// makes needless. Sent all the same, it would count at its target for ever.
+func (c *call) endProbing() {
+	if !c.probeRound.open {
+		return
+	}
+	c.probeRound.open = false
+	if c.probeRound.purpose == HedgeSend {
+		c.service.hedges.refund()
+	}
 }
 
 func (r *Router) cancelOthers(id CallID, c *call, winner *attempt, e *Effects) {
