Calls that wait for the link heed the lease, the table and their deadline

Cause: the end of such a wait sent the call as a new one, without the checks that a new one has passed: to a target of a service that had left the table meanwhile, and without a lease (the shell would have turned that down). A caller's deadline of less than an eighth of the aim could pass during the wait, and a call that no target can serve waited to be refused. Change: the end of the wait checks lease and service; the wait is an eighth of the aim or of the deadline, whichever is closer; none where the service has no active target.

--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -203,7 +203,7 @@
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
 	case linkTimer:
-		r.start(t.call, c, e)
+		r.linkTimePassed(t.call, c, e)
 	case earlyTimer:
 		r.refuseEarly(t.call, c, e)
 	case probeTimer:
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -16,8 +16,9 @@
 	// that are already on their way. With more of them, each would take much of the others' aims,
 	// and all small answers would wait behind them.
 	inboundPart = 0.25
-	// inboundWait is the part of its aim that such a call waits at the most: enough for an
-	// average answer to come in, and most of the aim is left for its own.
+	// inboundWait is the part of its aim, or of its deadline if that is closer, that such a call
+	// waits at the most: enough for an average answer to come in, and most of the aim is left
+	// for its own.
 	inboundWait = 0.125
 	// leastInboundWait keeps waiting calls from looking too often.
 	leastInboundWait = 2 * time.Millisecond
@@ -188,15 +189,30 @@
 	return true
 }
 
-// waitsForLink has a call with a large answer wait while enough of them are on their way.
+// linkTimePassed goes on with a call that waited for large answers to come in, unless what
+// it was admitted by is no longer there.
+func (r *Router) linkTimePassed(id CallID, c *call, e *Effects) {
+	if !r.leased() {
+		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetry}, e)
+		return
+	}
+	if r.services[c.service.row.Name] != c.service {
+		r.refuse(id, c, Refusal{Reason: NoService, Outcome: NotRun}, e)
+		return
+	}
+	r.start(id, c, e)
+}
+
+// waitsForLink has a call with a large answer wait while enough of them are on their way. One
+// that no target can serve doesn't wait to be refused.
 func (r *Router) waitsForLink(id CallID, c *call, e *Effects) bool {
-	if !c.route.largeAnswers || !r.on(SharedLink) || c.route.aim == 0 {
+	if !c.route.largeAnswers || !r.on(SharedLink) || c.route.aim == 0 || !c.service.hasActiveTarget() {
 		return false
 	}
 	coming := r.inbound.left(r.now) + r.inbound.timeOf(r.expected)
 	room := time.Duration(inboundPart * float64(c.route.aim))
 	waited := r.now.Sub(c.arrived)
-	most := time.Duration(inboundWait * float64(c.route.aim))
+	most := time.Duration(inboundWait * float64(min(c.route.aim, c.deadline.Sub(c.arrived))))
 	if coming <= room || waited >= most {
 		return false
 	}
