An answer given up occupies the link no longer, also while others come in

Cause: what was counted of an answer that its caller or target gave up stayed counted until no answer at all was coming in. With downloads that overlap and are given up, the link counted as occupied for ever longer: calls went unprobed, waited, and targets that let calls run out of time weren't ejected. Change: the link isn't occupied for longer than what is still coming in takes together; hidden time is nothing with the mechanism off. The property now also checks the first after each event; its check at the end compares that time with 0 in place of a count of answers.

--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -37,6 +37,8 @@
 	// begun is set once an answer passes through, answered is how long that took.
 	begun    bool
 	answered time.Duration
+	// takes is for how long such an answer occupies the box's link.
+	takes time.Duration
 }
 
 // call is a call that hasn't been answered yet.
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -43,30 +43,28 @@
 	// busyTotal is for how long the link has been occupied by large answers since the start,
 	// and will be until busyUntil.
 	busyTotal time.Duration
-	// passing counts the answers that are coming in.
-	passing int
+	// passing is for how long the answers that are coming in occupy the link, together.
+	passing time.Duration
 }
 
-// begins notes that so many bytes of an answer are coming in now.
-func (x *inbound) begins(now units.Instant, bytes float64) {
-	x.passing++
-	if x.rate <= 0 || bytes <= 0 {
-		return
-	}
-	took := x.timeOf(bytes)
-	x.busyUntil = max(x.busyUntil, now).Add(took)
-	x.busyTotal += took
+// begins notes that so many bytes of an answer are coming in now, and returns for how long
+// they occupy the link.
+func (x *inbound) begins(now units.Instant, bytes float64) time.Duration {
+	takes := x.timeOf(bytes)
+	x.passing += takes
+	x.busyUntil = max(x.busyUntil, now).Add(takes)
+	x.busyTotal += takes
+	return takes
 }
 
-// ends notes that an answer has come in, or was given up. With the last of them the link is
-// free, whatever was expected.
-func (x *inbound) ends(now units.Instant) {
-	x.passing--
-	if x.passing > 0 {
-		return
+// ends notes that an answer that takes so long has come in, or was given up. The link isn't
+// occupied for longer than by those that are left.
+func (x *inbound) ends(now units.Instant, takes time.Duration) {
+	x.passing -= takes
+	if excess := x.left(now) - x.passing; excess > 0 {
+		x.busyTotal -= excess
+		x.busyUntil = x.busyUntil.Add(-excess)
 	}
-	x.busyTotal -= x.left(now)
-	x.busyUntil = min(x.busyUntil, now)
 }
 
 func (x *inbound) timeOf(bytes float64) time.Duration {
@@ -98,12 +96,12 @@
 	a.begun = true
 	r.expectNoMore(a)
 	if coming < 0 {
-		r.inbound.begins(r.now, c.route.size)
+		a.takes = r.inbound.begins(r.now, c.route.size)
 		return
 	}
 	bytes := min(float64(coming), r.inbound.rate*mostOccupied.Seconds())
 	c.route.learnSize(bytes)
-	r.inbound.begins(r.now, bytes)
+	a.takes = r.inbound.begins(r.now, bytes)
 }
 
 // expect counts what an attempt that is being sent may bring.
@@ -118,9 +116,8 @@
 // attemptOver ends what was counted of an attempt.
 func (r *Router) attemptOver(a *attempt) {
 	r.expectNoMore(a)
-	if a.begun {
-		r.inbound.ends(r.now)
-	}
+	r.inbound.ends(r.now, a.takes)
+	a.takes = 0
 }
 
 // expectNoMore ends that count: the answer has begun, or won't come.
@@ -138,7 +135,12 @@
 
 // hidden is for how long, since an attempt was sent, its answer may have waited behind
 // large ones.
-func (r *Router) hidden(a *attempt) time.Duration { return r.inbound.busyBy(r.now) - a.busyAt }
+func (r *Router) hidden(a *attempt) time.Duration {
+	if !r.on(SharedLink) {
+		return 0
+	}
+	return r.inbound.busyBy(r.now) - a.busyAt
+}
 
 // timeAtTarget is how long an attempt's answer took, as far as its target is concerned. What
 // it took beyond the route's typical time isn't the target's while other answers occupied
--- a/pkg/core/routing/inbound_test.go
+++ b/pkg/core/routing/inbound_test.go
@@ -66,6 +66,9 @@
 	if w.router.expected < -1 {
 		t.Fatalf("%f bytes are expected", w.router.expected)
 	}
+	if x := &w.router.inbound; x.passing < 0 || x.left(w.now) > x.passing {
+		t.Fatalf("the link is occupied for %s by answers that take %s", x.left(w.now), x.passing)
+	}
 }
 
 // pass lets time pass; the link can't have been occupied for longer than that.
@@ -110,8 +113,22 @@
 		if math.Abs(w.router.expected) > 1 {
 			t.Fatalf("%f bytes are still expected of no call", w.router.expected)
 		}
-		if n, left := w.router.inbound.passing, w.router.inbound.left(w.now); n != 0 || left != 0 {
-			t.Fatalf("%d answers occupy the link for another %s, but no call is under way", n, left)
+		if passing, left := w.router.inbound.passing, w.router.inbound.left(w.now); passing != 0 || left != 0 {
+			t.Fatalf("answers of %s occupy the link for another %s, but no call is under way", passing, left)
 		}
 	})
 }
+
+// With the mechanism switched off, what takes long is put down to its target.
+func TestWithoutSharedLinkNothingIsHidden(t *testing.T) {
+	r, err := NewRouter(Settings{Box: "me", LinkRate: 1000, Disable: []Mechanism{SharedLink}}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, a := &call{route: &route{}}, &attempt{}
+	r.inbound.begins(0, 1000)
+	r.now = units.Instant(time.Second)
+	if took := r.timeAtTarget(c, a); took != time.Second || r.saysNothing(a) {
+		t.Errorf("an answer that came after 1s counts as %s", took)
+	}
+}
