Small answers delay a large one's next piece by a quarter of a second at the most

Cause: what small answers wrote was counted against answers' part of the link without bound. While they took more than three quarters of the link, no large answer got a turn, and after that none until the whole excess had been made up for, although the link had long been idle: calls hung, whatever their deadline or caller did. Change: small answers move the next turn by 250 ms from the last one at the most. The tests' scripts know answers that come many times.

--- a/pkg/pacing/link.go
+++ b/pkg/pacing/link.go
@@ -39,6 +39,10 @@
 	// starvedAfter is how long a piece waits before it goes ahead of closer aims: a caller
 	// whose route has a far aim must not lose its answer to a stream of more urgent ones.
 	starvedAfter = time.Second
+	// mostYield is how long a piece waits for small answers at the most. While they take all of
+	// answers' part of the link, for seconds or minutes, callers of large answers would
+	// otherwise get nothing until well after.
+	mostYield = 250 * time.Millisecond
 )
 
 // noAim ranks answers of routes without an aim behind all others.
@@ -57,6 +61,8 @@
 	rate Rate
 	// free is when what was written will have left, as far as answers' part of the link goes.
 	free units.Instant
+	// lastTurn is when the last piece was granted.
+	lastTurn units.Instant
 	// waiting are in the order in which they asked. A writer asks for one piece at a time, so
 	// that those of one aim take turns.
 	waiting []waiter
@@ -73,8 +79,21 @@
 // IsSmall tells whether an answer is written at once, before the rest of large ones.
 func (l *Link) IsSmall(bytes int) bool { return bytes <= smallPieces*l.Piece() }
 
-// Wrote counts bytes that were written without asking; what waits comes later by them.
-func (l *Link) Wrote(now units.Instant, bytes int) { l.occupy(now, bytes) }
+// Wrote counts bytes that were written without asking; what waits comes later by them, but
+// not without end.
+func (l *Link) Wrote(now units.Instant, bytes int) {
+	before := l.free
+	l.occupy(now, bytes)
+	l.free = min(l.free, max(before, l.yieldsUntil(now)))
+}
+
+// yieldsUntil is up to when the next piece waits for small answers.
+func (l *Link) yieldsUntil(now units.Instant) units.Instant {
+	if len(l.waiting) == 0 {
+		return now.Add(mostYield)
+	}
+	return max(l.lastTurn, l.waiting[0].since).Add(mostYield)
+}
 
 // Ask puts a writer's next piece among those that wait. A closer aim goes first; zero means
 // none.
@@ -96,6 +115,7 @@
 	i := l.first(now)
 	w := l.waiting[i]
 	l.remove(i)
+	l.lastTurn = now
 	l.occupy(now, w.bytes)
 	return w.id, true
 }
--- a/pkg/pacing/link_test.go
+++ b/pkg/pacing/link_test.go
@@ -20,6 +20,9 @@
 	at    time.Duration
 	// leaves is after how many pieces its caller hangs up; zero means never.
 	leaves int
+	// times is how often it comes, every how far apart.
+	times int
+	every time.Duration
 }
 
 // script plays answers on a link: each large one asks for its next piece as soon as it has
@@ -33,8 +36,8 @@
 }
 
 // TestLinkScripts drives a link by the files in testdata: "link mbps=N", then
-// "answer NAME bytes=N [aim=D] [at=D] [leaves=PIECES]", then "run", which prints who wrote
-// how much and when.
+// "answer NAME bytes=N [aim=D] [at=D] [leaves=PIECES] [times=N every=D]", then "run", which
+// prints who wrote how much and when, but for answers that come many times.
 func TestLinkScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		s := &script{}
@@ -46,7 +49,7 @@
 				s = &script{link: NewLink(FromMegabits(float64(mbps))), writing: map[WriterID]*arrival{}}
 				return fmt.Sprintf("piece %d bytes\n", s.link.Piece())
 			case "answer":
-				s.coming = append(s.coming, readArrival(t, d))
+				s.addArrivals(readArrival(t, d))
 				return ""
 			case "run":
 				return s.run()
@@ -58,10 +61,11 @@
 }
 
 func readArrival(t *testing.T, d *datadriven.TestData) arrival {
-	a := arrival{name: d.CmdArgs[0].Key}
+	a := arrival{name: d.CmdArgs[0].Key, times: 1}
 	d.ScanArgs(t, "bytes", &a.bytes)
 	d.MaybeScanArgs(t, "leaves", &a.leaves)
-	for key, into := range map[string]*time.Duration{"aim": &a.aim, "at": &a.at} {
+	d.MaybeScanArgs(t, "times", &a.times)
+	for key, into := range map[string]*time.Duration{"aim": &a.aim, "at": &a.at, "every": &a.every} {
 		if text := ""; d.MaybeScanArgs(t, key, &text) {
 			parsed, err := time.ParseDuration(text)
 			if err != nil {
@@ -73,6 +77,13 @@
 	return a
 }
 
+func (s *script) addArrivals(a arrival) {
+	for range a.times {
+		s.coming = append(s.coming, a)
+		a.at += a.every
+	}
+}
+
 // start is when scripts begin.
 const start = units.Instant(time.Second)
 
@@ -108,7 +119,9 @@
 		s.coming = s.coming[1:]
 		if s.link.IsSmall(a.bytes) {
 			s.link.Wrote(now, a.bytes)
-			s.print(now, a.name, a.bytes, "at once")
+			if a.times == 1 {
+				s.print(now, a.name, a.bytes, "at once")
+			}
 			continue
 		}
 		id := WriterID(len(s.names))
