Long answers that may promise that a call hasn't run aren't passed on

Cause: an answer longer than what is held was passed on whatever it said: a target's own 503 without the mark of a shed call reached the caller as "not run" although the target may have run the call, and a marked one wasn't tried elsewhere. Both stood in the code before; answers of any length of routes with large ones make it more likely. Change: only answered and failed calls are streamed, others end as their short kind does.

--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -100,7 +100,7 @@
 func (a *Attempt) readBody() (routing.AttemptResult, bool) {
 	limit := a.bufferedBytes()
 	if !a.largeAnswer && a.Response.Header.ContentLength() > limit {
-		return a.classify(), true
+		return a.passOn()
 	}
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, a.Response.BodyStream(), int64(limit)+1)
@@ -111,11 +111,18 @@
 		return a.classify(), false
 	case err == nil:
 		a.prefix = body.Bytes()
-		return a.classify(), true
+		return a.passOn()
 	}
 	return routing.Broken, false
 }
 
+// passOn has an answer streamed that is too long to be held. One that sheds the call, or may
+// be taken for a promise that the call hasn't run, isn't for the caller whatever its length.
+func (a *Attempt) passOn() (routing.AttemptResult, bool) {
+	result := a.classify()
+	return result, result == routing.Answered || result == routing.Failed
+}
+
 // Whole tells whether the answer has come to its end.
 func (a *Attempt) Whole() bool { return a.whole }
 
