--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -22,8 +22,8 @@
 	inboundWait = 0.125
 	// leastInboundWait keeps waiting calls from looking too often.
 	leastInboundWait = 2 * time.Millisecond
-	// sizeGain is the weight of the newest answer in a route's expected size: sizes vary by a
-	// factor of six, so that only a mean of some ten says anything.
+	// sizeGain is the weight of the newest answer in a route's expected size: sizes of one route
+	// may vary by several times, so that a call's wait must not depend on the newest alone.
 	sizeGain = 0.1
 	// hiddenPart is the part of its time for which the link must have been occupied for a call
 	// without an answer to say nothing of its target.
--- a/pkg/pacing/link.go
+++ b/pkg/pacing/link.go
@@ -24,7 +24,8 @@
 	// heads of packets; a small call must not queue behind a large answer because of them.
 	pacedPart = 0.75
 	// pieceTime is how long a piece occupies the link: as long as a small answer may have to
-	// wait behind it, a small part of callers' closest aims (150 ms).
+	// wait behind it, a small part of the closest aims that callers of small answers have, which
+	// are tenths of a second.
 	pieceTime = 5 * time.Millisecond
 	// leastPiece keeps a slow link from being used in packets that are mostly heads, mostPiece
 	// a fast one from copying buffers that cost memory for each answer.
