--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -27,6 +27,7 @@
 			a.loan.inUse = true
 		}
 	}
+	r.expect(c.route, a)
 	t.link(a)
 	t.noteSend()
 	t.sends++
@@ -38,7 +39,7 @@
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
-		Purpose: why, Evidence: evidence,
+		Purpose: why, Evidence: evidence, Aim: c.route.aim, LargeAnswer: c.route.largeAnswers,
 	})
 	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
@@ -102,6 +103,7 @@
 func (r *Router) release(c *call, a *attempt, e *Effects) {
 	t := a.target
 	t.unlink(a)
+	r.attemptOver(a)
 	if a.loan != nil {
 		r.endLoanUse(a.loan, e)
 	}
@@ -138,9 +140,23 @@
 		return
 	}
 	c.streaming = true
+	r.answerBegins(c, a, v.Coming)
 	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
 	r.cancelOthers(v.Call, c, a, e)
+	c.endProbing()
+}
+
+// endProbing ends a call's probing for a second send, which an answer that passes through
+// makes needless. Sent all the same, it would count at its target for ever.
+func (c *call) endProbing() {
+	if !c.probeRound.open {
+		return
+	}
+	c.probeRound.open = false
+	if c.probeRound.purpose == HedgeSend {
+		c.service.hedges.refund()
+	}
 }
 
 func (r *Router) cancelOthers(id CallID, c *call, winner *attempt, e *Effects) {
@@ -150,7 +166,7 @@
 			continue
 		}
 		// A loser that is overdue says something about its target.
-		a.target.latency.add(r.now.Sub(a.sent))
+		a.target.latency.add(r.timeAtTarget(c, a))
 		r.cancel(id, c, a, e)
 	}
 }
@@ -164,8 +180,11 @@
 	if a == nil {
 		return
 	}
-	took := r.now.Sub(a.sent)
+	took := r.timeAtTarget(c, a)
 	t := a.target
+	if v.Result == Answered {
+		c.route.noteShort(a)
+	}
 	if a.atPace && v.Result == Answered {
 		t.noteTime(r.now, c.route, took, a)
 	}
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -26,6 +26,12 @@
 	aim         time.Duration
 	maxAttempts int
 	priority    int
+	// largeAnswers is set where answers yield the box's link to others.
+	largeAnswers bool
+	// size is how many bytes of its answers come while they pass through, as a mean; sized
+	// is set once one has come.
+	size  float64
+	sized bool
 	// typical is the median time of the route's calls at a target's usual pace, in
 	// nanoseconds; zero before the first.
 	typical float64
@@ -59,7 +65,7 @@
 func (r *Router) newRoute(row *table.Route) *route {
 	x := &route{
 		prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
-		maxAttempts: maxAttempts, priority: row.Priority,
+		maxAttempts: maxAttempts, priority: row.Priority, largeAnswers: row.LargeAnswers,
 	}
 	if row.MaxAttempts > 0 {
 		x.maxAttempts = min(row.MaxAttempts, maxAttempts)
@@ -77,6 +83,7 @@
 	if old != nil {
 		x.typical, x.answers, x.first = old.typical, old.answers, old.first
 		x.asked = old.asked
+		x.size, x.sized = old.size, old.sized
 	}
 }
 
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -77,11 +77,30 @@
 	return a.Response.SkipBody || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
 }
 
+// firstBytes is how much of a large answer must have come before it is passed on. A target
+// that fails before has cost the caller nothing, since the call can still go elsewhere; more
+// would hold the answer up for longer and take more memory, of which boxes have little.
+const firstBytes = 16 << 10
+
+// bufferedBytes is how much of the answer is read before it is passed on. A failed answer of
+// a route with large ones is held as others are, since the call may be tried elsewhere.
+func (a *Attempt) bufferedBytes() int {
+	most := a.pools.settings.BufferBody
+	if a.largeAnswer && a.Response.Header.ContentLength() >= framedByChunks && a.classify() == routing.Answered {
+		return min(most, firstBytes)
+	}
+	return most
+}
+
+// framedByChunks is the content length of an answer in chunks; that of one whose end is the
+// end of its connection lies below.
+const framedByChunks = -1
+
 // readBody reads up to as much as is buffered; a longer body is streamed.
 func (a *Attempt) readBody() (routing.AttemptResult, bool) {
-	limit := a.pools.settings.BufferBody
-	if a.Response.Header.ContentLength() > limit {
-		return a.classify(), true
+	limit := a.bufferedBytes()
+	if !a.largeAnswer && a.Response.Header.ContentLength() > limit {
+		return a.passOn()
 	}
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, a.Response.BodyStream(), int64(limit)+1)
@@ -92,14 +111,31 @@
 		return a.classify(), false
 	case err == nil:
 		a.prefix = body.Bytes()
-		return a.classify(), true
+		return a.passOn()
 	}
 	return routing.Broken, false
 }
 
+// passOn has an answer streamed that is too long to be held. One that sheds the call, or may
+// be taken for a promise that the call hasn't run, isn't for the caller whatever its length.
+func (a *Attempt) passOn() (routing.AttemptResult, bool) {
+	result := a.classify()
+	return result, result == routing.Answered || result == routing.Failed
+}
+
 // Whole tells whether the answer has come to its end.
 func (a *Attempt) Whole() bool { return a.whole }
 
+// Coming is how many bytes of a streamed answer are still to come; negative when it doesn't
+// say how long it is.
+func (a *Attempt) Coming() int {
+	length := a.Response.Header.ContentLength()
+	if length < 0 {
+		return length
+	}
+	return length - len(a.prefix)
+}
+
 // Body returns the whole body of an answer that isn't streamed.
 func (a *Attempt) Body() []byte { return a.prefix }
 
