Rollouts: judge, plan, orders and steps of the table, decisions of the control core

Cause: an operator can't move a service to another version of its software; nothing tells a bad version from a good one, or records what was decided.

Change: pkg/core/rollout compares both versions window by window (Shiryaev-Roberts sums over Fisher's noncentral hypergeometric likelihoods, for failures and slow answers, over all and by route) and says which step is due; the table takes orders and steps; the leader grants exposures with leases, takes boxes' evidence, and notes the version in force.

--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -76,6 +76,10 @@
 		r.leases.proposing = false
 	case *wire.Command_Evacuation:
 		delta, refused = r.applyEvacuation(wire.ToEvacuationOrder(k.Evacuation), units.WallTime(c.At), e)
+	case *wire.Command_Rollout:
+		delta, refused = r.applyRolloutOrder(wire.ToRolloutOrder(k.Rollout), units.WallTime(c.At))
+	case *wire.Command_RolloutStep:
+		delta = r.state.ApplyRolloutStep(wire.ToRolloutStep(k.RolloutStep))
 	default:
 		delta = r.applyRequest(c, e)
 	}
@@ -83,6 +87,7 @@
 	if delta == nil {
 		return
 	}
+	r.noteRollouts(delta, before, e)
 	r.deltas.Push(delta.Shrink(before))
 	e.TableChanged = true
 }
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -68,6 +68,13 @@
 	Order   table.EvacuationOrder
 }
 
+// RolloutOrdered is an operator's order to move a service to another version of its software,
+// or to end that.
+type RolloutOrdered struct {
+	Request RequestID
+	Order   table.RolloutOrder
+}
+
 // ReadRequested asks for the newest state; the answer comes once this replica is
 // sure to have it.
 type ReadRequested struct{ Request RequestID }
@@ -97,6 +104,7 @@
 func (TargetReported) controlEvent()    {}
 func (TargetDeparted) controlEvent()    {}
 func (EvacuationOrdered) controlEvent() {}
+func (RolloutOrdered) controlEvent()    {}
 func (ReadRequested) controlEvent()     {}
 func (BoxMessage) controlEvent()        {}
 func (BoxDetached) controlEvent()       {}
@@ -105,7 +113,7 @@
 
 // Answer is the answer to a request of this process's shell. Without an error, what was
 // asked for is on enough disks, or held already; an error is of kind Invalid, NotFound,
-// Unavailable or, where it couldn't be learned in time, Unknown.
+// Conflict, Unavailable or, where it couldn't be learned in time, Unknown.
 type Answer struct {
 	Request RequestID
 	Err     error
@@ -113,6 +121,8 @@
 	Result *table.Result
 	// Document is the document in force, for a ReadRequested.
 	Document *table.Document
+	// Table is the newest table, for a ReadRequested.
+	Table *table.Table
 }
 
 // BoxSend is a message to a box.
@@ -151,6 +161,8 @@
 	LogReplayed     ChangeKind = "log-replayed"
 	DomainEvacuated ChangeKind = "domain-evacuated"
 	DomainRestored  ChangeKind = "domain-restored"
+	RolloutChanged  ChangeKind = "rollout"
+	SoftwareInForce ChangeKind = "software-in-force"
 )
 
 // Change is something that a replica has come to believe.
@@ -166,6 +178,10 @@
 	Leader   units.ReplicaID
 	Voters   []units.ReplicaID
 	Term     units.Term
+	// Rollout is the record of a rollout after the change.
+	Rollout *table.Rollout
+	// Software is the version of a service's software that is in force.
+	Software table.SoftwareInForce
 	// Entries is how many entries of the log were read again since the start.
 	Entries int
 }
--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -45,6 +45,7 @@
 		r.tickAt = r.now
 	}
 	r.leases.leases[box.ID] = &lease{box: box, renewed: r.now, revision: units.Revision(request.Revision)}
+	r.takeEvidence(request)
 	m := r.envelope()
 	m.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{
 		Box:      request.Box.Id,
@@ -52,7 +53,7 @@
 		Start:    request.Start,
 		Revision: uint64(r.state.Table().Revision),
 		Duration: int64(r.settings.Lease),
-		Replicas: r.replicasUnknownTo(request),
+		Replicas: r.replicasUnknownTo(request), Exposures: r.exposures(),
 	}}
 	send(m)
 }
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -29,6 +29,8 @@
 	SnapshotEvery int
 	// KeepEntries is how many entries stay in the log behind a snapshot.
 	KeepEntries int
+	// Rollouts says whether and within what limits rollouts may be ordered.
+	Rollouts RolloutSettings
 }
 
 // Defaults of the settings that operators rarely change.
@@ -73,6 +75,7 @@
 	// requests are those for whole tables, registered targets and reads.
 	requests requestBook
 	hearing  hearingBook
+	rollouts rolloutBook
 	// knownLeader and knownMembership are what was last told of in the log.
 	knownLeader     units.ReplicaID
 	knownMembership units.Index
@@ -105,6 +108,7 @@
 		leases:   newLeaseBook(),
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
+		rollouts: newRolloutBook(),
 		now:      now,
 
 		startedAt: now,
@@ -148,6 +152,8 @@
 		r.departTarget(v, &log, e)
 	case EvacuationOrdered:
 		r.orderEvacuation(v, &log, e)
+	case RolloutOrdered:
+		r.orderRollout(v, &log, e)
 	case ReadRequested:
 		r.read(v, &log, e)
 	case BoxMessage:
@@ -179,8 +185,9 @@
 		r.tellHeard(&log)
 		r.noteSilence(&log)
 		r.updateBoxes(&log)
+		r.tendRollouts(&log)
 	}
-	if r.hasWaiting() {
+	if r.hasWaiting() || r.rollouts.busy() {
 		r.tickAt = min(r.tickAt, r.now.Add(tickPeriod))
 	}
 	r.compact(&log, e)
@@ -222,6 +229,7 @@
 	r.ledSince = r.now
 	r.leases = newLeaseBook()
 	r.hearing.proposing = false
+	r.rollouts.forgetOffice()
 	r.edits.forgetProposals()
 }
 
@@ -309,6 +317,8 @@
 	KnownResults int         `json:"knownResults"`
 	// Evacuated are the failure domains that are evacuated now.
 	Evacuated []units.Domain `json:"evacuated,omitempty"`
+	// Rollouts are the last rollouts of services.
+	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 }
 
 // Status returns the replica's state at a time.
@@ -323,5 +333,6 @@
 		WaitingEdits: r.edits.waiting.Len(),
 		KnownResults: r.state.ResultCount(),
 		Evacuated:    r.state.Table().EvacuatedDomains(),
+		Rollouts:     r.rolloutStatuses(now),
 	}
 }
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -216,7 +216,7 @@
 // office, else when the leader has said what the newest is and it is applied here.
 func (r *Replica) read(v ReadRequested, log *replication.Effects, e *Effects) {
 	if r.node.HasLease(r.now) {
-		e.Answers = append(e.Answers, Answer{Request: v.Request, Document: r.state.Document()})
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Document: r.state.Document(), Table: r.state.Table()})
 		return
 	}
 	r.requests.number++
@@ -264,7 +264,7 @@
 		if w.index == 0 || r.node.Commit() < w.index {
 			continue
 		}
-		e.Answers = append(e.Answers, Answer{Request: w.request, Document: r.state.Document()})
+		e.Answers = append(e.Answers, Answer{Request: w.request, Document: r.state.Document(), Table: r.state.Table()})
 		r.requests.reads.Delete(n)
 	}
 }
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -37,6 +37,8 @@
 // leader. What that saves wasn't measured by itself.
 func (r *Replica) keepWaiting(s *session, request *wire.RenewRequest, e *Effects) {
 	s.waiting = request
+	// When a leader hears of it, the box may have sent calls that it doesn't tell of.
+	request.Revision = 0
 	answer := r.boxEnvelope()
 	answer.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{Box: request.Box.Id, Nonce: request.Nonce, Start: request.Start}}
 	e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: answer})
--- /dev/null
+++ b/pkg/core/rollout/candidates.go
@@ -0,0 +1,86 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Candidate is a target that can take calls now.
+type Candidate struct {
+	Target units.TargetID
+	Domain units.Domain
+	Slots  int
+	// Cold is set while the target can take few calls only.
+	Cold bool
+}
+
+// Side is the targets of one version that can take calls now.
+type Side []Candidate
+
+// trialTargets is how many targets take a share of the calls so that each has the load of
+// an old target: a fault that shows only under load would else stay hidden.
+func trialTargets(share float64, old, fresh Side) int {
+	return min(len(fresh), max(1, int(math.Round(share*float64(len(old))))))
+}
+
+// pick chooses targets for the trial. Those of the present ones that still can stay; warm
+// ones come first, and failure domains by turns.
+func (s Side) pick(count int, present []units.TargetID) []units.TargetID {
+	rank := map[units.TargetID]int{}
+	inDomain := map[units.Domain]int{}
+	byID := slices.SortedFunc(slices.Values(s), func(a, b Candidate) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	for _, c := range byID {
+		rank[c.Target] = inDomain[c.Domain]
+		inDomain[c.Domain]++
+	}
+	slices.SortStableFunc(byID, func(a, b Candidate) int {
+		return cmp.Or(
+			falseFirst(!slices.Contains(present, a.Target), !slices.Contains(present, b.Target)),
+			falseFirst(a.Cold, b.Cold), cmp.Compare(rank[a.Target], rank[b.Target]))
+	})
+	var ids []units.TargetID
+	for _, c := range byID[:min(count, len(byID))] {
+		ids = append(ids, c.Target)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// slots is how many calls the targets can take at once; one that doesn't say has one.
+func (s Side) slots() int {
+	total := 0
+	for _, c := range s {
+		total += max(1, c.Slots)
+	}
+	return total
+}
+
+// leastRoom is the part of the old version's slots that the new one must have to take all
+// calls. Operators may move to fewer targets, but not to a handful that happen to be up.
+const leastRoom = 0.5
+
+// hasRoomFor tells whether the targets can take the calls of others.
+func (s Side) hasRoomFor(old Side) bool {
+	return len(s) > 0 && float64(s.slots()) >= leastRoom*float64(old.slots())
+}
+
+// holdsAll tells whether all of these targets can take calls.
+func (s Side) holdsAll(ids []units.TargetID) bool {
+	return !slices.ContainsFunc(ids, func(id units.TargetID) bool {
+		return !slices.ContainsFunc(s, func(c Candidate) bool { return c.Target == id })
+	})
+}
--- /dev/null
+++ b/pkg/core/rollout/counts.go
@@ -0,0 +1,86 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Counts are answers of one version on one route.
+type Counts struct {
+	Good, Bad uint64
+	Times     Histogram
+}
+
+// Answers is how many answers were counted.
+func (c *Counts) Answers() uint64 { return c.Good + c.Bad }
+
+// Add adds other answers.
+func (c *Counts) Add(o *Counts) {
+	c.Good += o.Good
+	c.Bad += o.Bad
+	for i, n := range o.Times {
+		c.Times[i] += n
+	}
+}
+
+// since returns what was counted after an earlier report. A count below the earlier one
+// comes from a report that was overtaken, and says nothing new.
+func (c *Counts) since(earlier *Counts) Counts {
+	d := Counts{Good: c.Good - min(c.Good, earlier.Good), Bad: c.Bad - min(c.Bad, earlier.Bad)}
+	for i, n := range c.Times {
+		d.Times[i] = n - min(n, earlier.Times[i])
+	}
+	return d
+}
+
+// above is how many answers took longer than a bucket's upper end.
+func (h *Histogram) above(bucket int) uint64 {
+	total := uint64(0)
+	for _, n := range h[min(Buckets, bucket+1):] {
+		total += uint64(n)
+	}
+	return total
+}
+
+// quantile returns the bucket below whose upper end a share of the answers lie.
+func (h *Histogram) quantile(share float64) int {
+	want := share * float64(h.Total())
+	seen := 0.0
+	for i, n := range h {
+		seen += float64(n)
+		if seen >= want {
+			return i
+		}
+	}
+	return Buckets - 1
+}
+
+// Sample is what both versions did on one route in the same time.
+type Sample struct{ New, Old Counts }
+
+// Window holds the samples of a short time by route.
+type Window map[RouteID]*Sample
+
+func (w Window) sample(route RouteID) *Sample {
+	s := w[route]
+	if s == nil {
+		s = &Sample{}
+		w[route] = s
+	}
+	return s
+}
+
+func (w Window) routes() []RouteID {
+	routes := make([]RouteID, 0, len(w))
+	for r := range w {
+		routes = append(routes, r)
+	}
+	slices.Sort(routes)
+	return routes
+}
+
+// median returns the upper end of the bucket in which the middle answer lies.
+func (h *Histogram) median() time.Duration {
+	return time.Duration(float64(firstBucket) * math.Pow(2, float64(h.quantile(0.5))/2)).Round(time.Millisecond)
+}
--- a/pkg/core/table/document.go
+++ b/pkg/core/table/document.go
@@ -86,6 +86,7 @@
 			delta.Removed = append(delta.Removed, n)
 		}
 	}
+	s.endRollouts(delta)
 	return s.commit(delta)
 }
 
--- a/pkg/core/table/state.go
+++ b/pkg/core/table/state.go
@@ -143,6 +143,7 @@
 		return reject(result, detail), nil
 	}
 	delta := draft.delta()
+	s.endRollouts(delta)
 	result.Outcome = Accepted
 	result.Revision = delta.Revision
 	for _, c := range delta.Changed {
--- a/pkg/wire/convert_rollout.go
+++ b/pkg/wire/convert_rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -39,3 +40,42 @@
 func toInForce(x *SoftwareInForce) table.SoftwareInForce {
 	return table.SoftwareInForce{Service: units.ServiceName(x.Service), Software: units.Software(x.Software)}
 }
+
+// FromRolloutOrder converts an operator's order.
+func FromRolloutOrder(o *table.RolloutOrder) *RolloutOrder {
+	return &RolloutOrder{
+		Service: string(o.Service), To: string(o.To), Duration: int64(o.Duration), Abort: o.Abort, Operator: o.Operator,
+	}
+}
+
+// ToRolloutOrder converts an operator's order back.
+func ToRolloutOrder(o *RolloutOrder) *table.RolloutOrder {
+	return &table.RolloutOrder{
+		Service: units.ServiceName(o.Service), To: units.Software(o.To), Duration: time.Duration(o.Duration),
+		Abort: o.Abort, Operator: o.Operator,
+	}
+}
+
+// FromRolloutStep converts a leader's decision.
+func FromRolloutStep(x *table.RolloutStep) *RolloutStep {
+	return &RolloutStep{
+		Service: string(x.Service), Order: uint64(x.Order), Stage: int32(x.Stage), Share: float64(x.Share),
+		Targets: fromTargets(x.Targets), Elapsed: int64(x.Elapsed), Reason: x.Reason,
+	}
+}
+
+// ToRolloutStep converts a leader's decision back.
+func ToRolloutStep(x *RolloutStep) *table.RolloutStep {
+	return &table.RolloutStep{
+		Service: units.ServiceName(x.Service), Order: units.Revision(x.Order), Stage: table.RolloutStage(x.Stage),
+		Share: units.Percent(x.Share), Targets: toTargets(x.Targets), Elapsed: time.Duration(x.Elapsed), Reason: x.Reason,
+	}
+}
+
+// FromExposure converts an exposure that is granted for a time.
+func FromExposure(x rollout.Exposure, duration time.Duration) *Exposure {
+	return &Exposure{
+		Service: string(x.Service), Order: uint64(x.Order), Since: uint64(x.Since), Share: float64(x.Share),
+		Duration: int64(duration),
+	}
+}
