Rollouts: scripts of the table, random schedules of the control core

Cause: what an order, a step and a leader's decision do under faults was not proved.

Change: scripts of orders and steps; boxes of the test world send calls by their tables and exposures and tell of the answers; properties: a good version is completed in time, a bad one rolled back after at most 60 calls, a leader's loss holds up nothing, acknowledged rollouts are known everywhere, one that has ended never goes on, a bad version is never completed, none completes while a box in touch waits for the old version. A version that gave no answer is not completed any more, whatever few calls the service had: found in the 48th schedule (rapid.: a bad version completed on 0 of 0 answers).

--- a/pkg/core/control/promises_test.go
+++ b/pkg/core/control/promises_test.go
@@ -40,6 +40,9 @@
 	first, seen := w.contents[t.Revision]
 	if !seen {
 		w.contents[t.Revision] = t
+		if w.traffic != nil {
+			w.traffic.checkCompletion(t)
+		}
 		return
 	}
 	if d := cmp.Diff(first, t); d != "" {
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -42,6 +42,8 @@
 	DefaultSilentAfter   = 6 * time.Second
 	DefaultSnapshotEvery = 1000
 	DefaultKeepEntries   = 500
+	DefaultRolloutShare  = 10
+	DefaultRolloutSlack  = 50
 	// retryPeriod is how often a waiting edit is passed to the leader again.
 	retryPeriod = 300 * time.Millisecond
 	// readRetryPeriod is how often the leader is asked again for a read.
--- /dev/null
+++ b/pkg/core/control/rollout_test.go
@@ -0,0 +1,296 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+const (
+	testService  = units.ServiceName("s")
+	testDuration = 4 * time.Second
+)
+
+// registerSoftware has targets of a version of the service register, until each is told
+// that it stands in the table.
+func (w *world) registerSoftware(software units.Software, count int) {
+	for i := range count {
+		t := &table.Registration{
+			Target: units.TargetID(fmt.Sprintf("%s-%d", software, i)), Service: testService, Software: software,
+			Address: fmt.Sprintf("127.0.%d.%d:80", 1+len(software)%100+int(software[len(software)-1]), i+1), State: table.Active, Sequence: 1,
+		}
+		w.keepReporting(t)
+	}
+}
+
+// keepReporting has a target report on, to any replica, until it has left.
+func (w *world) keepReporting(t *table.Registration) {
+	next := *t
+	next.Sequence++
+	if w.orders.gone[t.Target] {
+		return
+	}
+	r := w.replicas[w.random.IntN(len(w.replicas))]
+	w.order(r, func(id RequestID) Event { return TargetReported{Request: id, Registration: t} }, func(Answer) {})
+	w.after(200*time.Millisecond, func() { w.keepReporting(&next) })
+}
+
+// newRolloutWorld returns a world with a service whose targets are of version v1, and calls.
+func newRolloutWorld(t fataler, w *world, bad func(units.Software) float64) *traffic {
+	w.putDocument(w.leader(), false)
+	w.run(500 * time.Millisecond)
+	w.registerSoftware("v1", 6)
+	w.run(2 * time.Second)
+	if got := w.leader().core.Table().SoftwareInForce(testService); got != "v1" {
+		t.Fatalf("version %q is in force", got)
+	}
+	x := newTraffic(w, testService, bad)
+	w.run(200 * time.Millisecond)
+	return x
+}
+
+// badIfNamed has the answers of versions whose name ends so fail.
+func badIfNamed(software units.Software) float64 {
+	if strings.HasSuffix(string(software), "bad") {
+		return 1
+	}
+	return 0
+}
+
+func (w *world) orderRollout(r *replicaFake, o table.RolloutOrder, answered func(Answer)) {
+	w.order(r, func(id RequestID) Event { return RolloutOrdered{Request: id, Order: o} }, answered)
+}
+
+// orderNow has an order carried out by the leader's word.
+func (w *world) orderNow(o table.RolloutOrder) error {
+	err := fault.New(fault.Unknown, "", "no answer")
+	w.orderRollout(w.leader(), o, func(a Answer) { err = a.Err })
+	w.run(100 * time.Millisecond)
+	return err
+}
+
+func order(to units.Software) table.RolloutOrder {
+	return table.RolloutOrder{Service: testService, To: to, Duration: testDuration, Operator: "test"}
+}
+
+func (w *world) rollout() *table.Rollout { return w.leader().core.Table().Rollout(testService) }
+
+func TestAGoodVersionIsCompleted(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 3, 4)
+		x := newRolloutWorld(t, w, badIfNamed)
+		w.registerSoftware("v2", 6)
+		if err := w.orderNow(order("v2")); err != nil {
+			t.Fatal(err)
+		}
+		w.run(testDuration - 100*time.Millisecond)
+		if r := w.rollout(); r.Stage != table.RolloutCompleted {
+			t.Fatalf("seed %d: the rollout is %+v", seed, r)
+		}
+		sent := x.sent["v1"]
+		w.run(time.Second)
+		if x.sent["v1"] != sent {
+			t.Fatalf("seed %d: calls go to the old version after the end", seed)
+		}
+		w.checkEnd()
+	}
+}
+
+func TestABadVersionIsRolledBackSoon(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 3, 4)
+		x := newRolloutWorld(t, w, badIfNamed)
+		w.registerSoftware("v2bad", 6)
+		if err := w.orderNow(order("v2bad")); err != nil {
+			t.Fatal(err)
+		}
+		w.run(testDuration / 2)
+		if r := w.rollout(); r.Stage != table.RolloutRolledBack {
+			t.Fatalf("seed %d: the rollout is %+v", seed, r)
+		}
+		sent := x.sent["v2bad"]
+		if sent > 60 {
+			t.Fatalf("seed %d: the bad version got %d calls", seed, sent)
+		}
+		w.run(testDuration)
+		if x.sent["v2bad"] != sent {
+			t.Fatalf("seed %d: the bad version got calls after its end", seed)
+		}
+		w.checkEnd()
+	}
+}
+
+// A leader that is lost in the trial or in the shift holds up nothing: its successor knows
+// how much time is over, and what boxes have seen.
+func TestARolloutOutlivesItsLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 3, 4)
+		newRolloutWorld(t, w, badIfNamed)
+		w.registerSoftware("v2", 6)
+		o := order("v2")
+		o.Duration = 2 * testDuration
+		if err := w.orderNow(o); err != nil {
+			t.Fatal(err)
+		}
+		w.run(testDuration)
+		old := w.leader()
+		w.crash(old)
+		w.run(testDuration - 100*time.Millisecond)
+		if r := w.rollout(); r.Stage != table.RolloutCompleted {
+			t.Fatalf("seed %d: the rollout is %+v", seed, r)
+		}
+		w.checkEnd()
+	}
+}
+
+func TestRolloutOrdersGetClearAnswers(t *testing.T) {
+	w := newWorld(t, 1, 3, 2)
+	newRolloutWorld(t, w, badIfNamed)
+	short, unknown, abort := order("v2"), order("v2"), order("")
+	short.Duration, unknown.Service, abort.Abort = time.Second, "elsewhere", true
+	cases := []struct {
+		what  string
+		order table.RolloutOrder
+		kind  fault.Kind
+	}{
+		{"too short", short, fault.Invalid},
+		{"unknown service", unknown, fault.NotFound},
+		{"in force already", order("v1"), fault.Invalid},
+		{"without a version", order(""), fault.Invalid},
+		{"nothing to end", abort, fault.NotFound},
+		{"proper", order("v2"), ""},
+		{"the same again", order("v2"), ""},
+		{"another one", order("v3"), fault.Conflict},
+		{"end it", abort, ""},
+		{"end it again", abort, ""},
+		{"the same, late", order("v2"), ""},
+	}
+	for _, c := range cases {
+		err := w.orderNow(c.order)
+		if err == nil && c.kind != "" || err != nil && fault.KindOf(err) != c.kind {
+			t.Fatalf("%s: the answer is %v", c.what, err)
+		}
+	}
+	if r := w.rollout(); r.Stage != table.RolloutRolledBack {
+		t.Fatalf("an order that came late has begun another rollout: %+v", r)
+	}
+}
+
+// mover is an operator who orders one rollout after the other and sends each order again, to
+// another replica each time, until it is acknowledged.
+type mover struct {
+	world        *world
+	number, next int
+	to           units.Software
+	acknowledged bool
+}
+
+// turn orders the next version once the present rollout has ended; every other one is bad.
+func (o *mover) turn() {
+	leader := o.world.leader()
+	if o.to != "" && (!o.acknowledged || leader == nil || leader.core.Table().Rollout(testService).Active()) {
+		return
+	}
+	o.number++
+	o.to, o.acknowledged = units.Software(fmt.Sprintf("n%d", o.number)), false
+	if o.number%2 == 0 {
+		o.to += "bad"
+	}
+	o.world.registerSoftware(o.to, 3)
+	o.send(o.number)
+}
+
+func (o *mover) send(number int) {
+	if o.acknowledged || number != o.number {
+		return
+	}
+	w := o.world
+	r := w.replicas[o.next%len(w.replicas)]
+	o.next++
+	w.orderRollout(r, order(o.to), func(a Answer) {
+		if a.Err == nil && number == o.number {
+			o.acknowledged = true
+		}
+		if k := fault.KindOf(a.Err); a.Err != nil && (k == fault.NotFound || k == fault.Invalid) {
+			w.t.Fatalf("a proper order was refused: %v", a.Err)
+		}
+	})
+	w.after(resendEvery, func() { o.send(number) })
+}
+
+// checkRollouts makes sure that nothing acknowledged is lost on any replica or box, that an
+// ended rollout never goes on, and that no bad version was completed.
+func (w *world) checkRollouts(acknowledged units.Software) map[units.Revision]table.RolloutStage {
+	ended := map[units.Revision]table.RolloutStage{}
+	for _, revision := range slices.Sorted(maps.Keys(w.contents)) {
+		r := w.contents[revision].Rollout(testService)
+		if r == nil {
+			continue
+		}
+		if stage := ended[r.Order]; stage != 0 && stage != r.Stage {
+			w.t.Fatalf("rollout %d ended in stage %d and is in stage %d at revision %d", r.Order, stage, r.Stage, revision)
+		}
+		if !r.Active() {
+			ended[r.Order] = r.Stage
+		}
+		if r.Stage == table.RolloutCompleted && badIfNamed(r.To) > 0 {
+			w.t.Fatalf("the bad version %s was completed: %s", r.To, r.Reason)
+		}
+	}
+	for _, r := range w.replicas {
+		if got := r.core.Table().Rollout(testService); got == nil || got.To != acknowledged {
+			w.t.Fatalf("%s shows the rollout %+v, the one to %s was acknowledged", r.id, got, acknowledged)
+		}
+	}
+	for _, b := range w.boxes {
+		if got := b.core.Table().Rollout(testService); got == nil || got.To != acknowledged {
+			w.t.Fatalf("box %s shows the rollout %+v, the one to %s was acknowledged", b.id, got, acknowledged)
+		}
+	}
+	return ended
+}
+
+// Under any faults that the cluster bears, beside documents, evacuations, edits and targets
+// that come and go, acknowledged rollouts are known everywhere in the end and have ended,
+// none that was rolled back goes on, and none completes while a box in touch waits for the
+// old version.
+func TestAcknowledgedRolloutsHold(t *testing.T) {
+	ends := map[table.RolloutStage]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newGrowingWorld(t, rapid.Uint64().Draw(t, "seed"), 5, 5, 3)
+		newRolloutWorld(t, w, badIfNamed)
+		evacuations := newEvacuator(w, "d")
+		w.inDomain("d")
+		o := &mover{world: w}
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 1, 20).Draw(t, "faults")
+		for _, s := range steps {
+			o.turn()
+			if s%5 == 0 {
+				evacuations.turn()
+			}
+			growthFaults[s%len(growthFaults)].do(w, s/len(growthFaults))
+			w.run(pause(s) + time.Duration(s%7)*200*time.Millisecond)
+		}
+		w.checkEnd()
+		if !o.acknowledged {
+			t.Fatalf("the order of %s wasn't acknowledged after all faults had ended", o.to)
+		}
+		w.run(testDuration)
+		for _, stage := range w.checkRollouts(o.to) {
+			ends[stage]++
+		}
+		if r := w.rollout(); r.Active() {
+			t.Fatalf("the rollout is under way after its deadline: %+v", r)
+		}
+	})
+	t.Logf("%d rollouts were completed, %d rolled back", ends[table.RolloutCompleted], ends[table.RolloutRolledBack])
+}
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/subscription"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -50,6 +51,8 @@
 	growth *replication.Growth
 	seeds  int
 	orders orderBook
+	// traffic is set where boxes send calls.
+	traffic *traffic
 }
 
 type fataler interface {
@@ -129,6 +132,7 @@
 		settings: Settings{
 			Lease: testLease, LeaseMargin: 100 * time.Millisecond, EditTimeout: time.Second,
 			SnapshotEvery: 20, KeepEntries: 5, ReadTimeout: 300 * time.Millisecond, SilentAfter: time.Second,
+			Rollouts: RolloutSettings{Enabled: true, Limits: rollout.Limits{Share: 0.1, Slack: 50}},
 		},
 	}
 	for i := range replicas {
@@ -415,6 +419,9 @@
 	if !b.up {
 		return
 	}
+	if w.traffic != nil {
+		w.traffic.take(b, e)
+	}
 	var effects subscription.Effects
 	b.core.Reduce(w.now, e, &effects)
 	if effects.Attach {
@@ -449,6 +456,9 @@
 }
 
 func (w *world) sendFromBox(b *boxFake, m *wire.Envelope) {
+	if w.traffic != nil {
+		w.traffic.tell(b, m)
+	}
 	r := w.replica(b.replica)
 	c := connectionOf(w.boxIndex(b), b.life, b.attachment)
 	w.after(w.latency(), func() {
--- a/pkg/core/rollout/decide.go
+++ b/pkg/core/rollout/decide.go
@@ -29,9 +29,10 @@
 	// leastAnswers is how many answers a version must have given to get all calls. Of a
 	// version of which a tenth of the answers is bad, 20 show two.
 	leastAnswers = 20
-	// fewCalls is how many times the slack a service's calls may be to go on without that:
-	// so few can't show a bad version, nor meet many of its answers.
-	fewCalls = 5
+	// fewCalls is how many times the slack a service's calls may be for fewerAnswers to do:
+	// so few don't give more, nor do many of them meet a bad version.
+	fewCalls     = 5
+	fewerAnswers = 5
 )
 
 // Decide returns the step that is due, or nil.
@@ -93,18 +94,27 @@
 // obstacle says why the new version can't take all calls yet, or is empty.
 func (w *Watch) obstacle(f *Facts) string {
 	total := w.Total()
-	calls := total.New.Answers() + total.Old.Answers()
+	answers := total.New.Answers()
 	switch {
 	case !w.allReported(f):
 		return "not all boxes have reported what they saw"
 	case !f.New.hasRoomFor(f.Old):
 		return fmt.Sprintf("the %d targets of the new version can't take the calls of %d", len(f.New), len(f.Old))
-	case total.New.Answers() < leastAnswers && calls >= uint64(fewCalls*w.limits.Slack):
-		return fmt.Sprintf("%d answers of the new version are too few to judge it", total.New.Answers())
+	case answers < w.answersNeeded():
+		return fmt.Sprintf("%d answers of the new version are too few to judge it", answers)
 	}
 	return ""
 }
 
+// answersNeeded is how many answers the new version must have given.
+func (w *Watch) answersNeeded() uint64 {
+	total := w.Total()
+	if total.New.Answers()+total.Old.Answers() < uint64(fewCalls*w.limits.Slack) {
+		return fewerAnswers
+	}
+	return leastAnswers
+}
+
 func (w *Watch) allReported(f *Facts) bool {
 	if f.InOffice >= patience {
 		return true
--- a/pkg/core/table/rollout.go
+++ b/pkg/core/table/rollout.go
@@ -23,6 +23,13 @@
 	RolloutRolledBack
 )
 
+var stageWords = map[RolloutStage]string{
+	RolloutTrial: "trial", RolloutShifted: "shifted", RolloutCompleted: "completed", RolloutRolledBack: "rolled-back",
+}
+
+// String returns the stage's name.
+func (s RolloutStage) String() string { return stageWords[s] }
+
 // Rollout is the move of a service's calls to another version of its software. A service
 // keeps the record of its last one.
 type Rollout struct {
--- a/pkg/core/table/script_test.go
+++ b/pkg/core/table/script_test.go
@@ -14,7 +14,9 @@
 // TestScripts drives a state with the commands of the files in testdata:
 // "edit ID [at=MS]" with an edit's bases and operations as JSON, "boxes NAME[@DOMAIN]...",
 // "evacuate DOMAIN [base=REVISION]", "restore DOMAIN [base=REVISION]" (without a base the
-// present one), and "show".
+// present one), "rollout SERVICE VERSION [seconds=N] [at=MS]" (without seconds the version is
+// put in force at once), "abort SERVICE", "step SERVICE ORDER STAGE [elapsed=MS]
+// [targets=(ID,...)]", "register TARGET SERVICE [version=V]", "depart TARGET", and "show".
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		state := NewState()
@@ -31,6 +33,12 @@
 				return fmt.Sprintf("revision %d\n", state.ApplyBoxes(BoxChange{Put: boxes}).Revision)
 			case "evacuate", "restore":
 				return orderEvacuation(t, state, d)
+			case "rollout", "abort":
+				return orderRollout(t, state, d)
+			case "step":
+				return takeRolloutStep(t, state, d)
+			case "register", "depart":
+				return moveTarget(t, state, d)
 			case "show":
 				return show(state)
 			}
@@ -84,6 +92,13 @@
 		}
 		b.WriteString("\n")
 	}
+	for _, x := range state.Table().InForce {
+		fmt.Fprintf(&b, "%s has %s in force\n", x.Service, x.Software)
+	}
+	for _, x := range state.Table().Rollouts {
+		fmt.Fprintf(&b, "%s from %s to %s: %s, order %d, since %d, share %g, targets %v, %s: %s\n",
+			x.Service, x.From, x.To, x.Stage, x.Order, x.Since, float64(x.Share), x.Targets, x.Elapsed, x.Reason)
+	}
 	for _, x := range state.Table().Evacuations {
 		fmt.Fprintf(&b, "%s evacuated=%t since %d\n", x.Domain, x.Active, x.Since)
 	}
