--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/admin"
+	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/reload"
@@ -198,6 +199,24 @@
 	return c.askAny(method, path, nil, &answer)
 }
 
+// Rollouts returns the last rollouts of services as the server knows them.
+func (c *Client) Rollouts() ([]control.RolloutStatus, error) {
+	var list []control.RolloutStatus
+	return list, c.askAny("GET", "/v1/rollouts", nil, &list)
+}
+
+// OrderRollout orders a rollout or ends the one under way; an order may be sent again
+// without harm.
+func (c *Client) OrderRollout(o table.RolloutOrder) error {
+	method := "PUT"
+	if o.Abort {
+		method = "DELETE"
+	}
+	var answer json.RawMessage
+	path := "/v1/rollouts/" + url.PathEscape(string(o.Service)) + "?operator=" + url.QueryEscape(o.Operator)
+	return c.askAny(method, path, o, &answer)
+}
+
 // Dump returns a server's whole state as JSON.
 func (c *Client) Dump() (json.RawMessage, error) {
 	var raw json.RawMessage
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -23,6 +23,7 @@
 			Lease:           Duration(control.DefaultLease),
 			Growth:          Growth{Voters: 3, ReplaceAfter: Duration(replication.DefaultReplaceAfter)},
 			SilentAfter:     Duration(control.DefaultSilentAfter),
+			Rollout:         Rollout{Share: control.DefaultRolloutShare, Slack: control.DefaultRolloutSlack},
 			ReadTimeout:     Duration(control.DefaultReadTimeout),
 			EditTimeout:     Duration(control.DefaultEditTimeout),
 			SnapshotEvery:   control.DefaultSnapshotEvery,
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -117,9 +117,17 @@
 	ReadTimeout     Duration `json:"readTimeout" validate:"min=10ms,max=60s" doc:"How long a read of the newest document may wait for the leader's word."`
 	EditTimeout     Duration `json:"editTimeout" validate:"min=100ms,max=60s" doc:"How long an edit may wait for a quorum before its outcome is called unknown."`
 	SnapshotEvery   int      `json:"snapshotEvery" validate:"min=10,max=1000000" doc:"How many log entries go between two snapshots."`
+	Rollout         Rollout  `json:"rollout" doc:"Rollouts of new versions of services' software."`
 	KeepEntries     int      `json:"keepEntries" validate:"min=0,max=1000000" doc:"How many entries stay in the log behind a snapshot, for replicas that are a little behind."`
 }
 
+// Rollout says whether and within what limits services are moved to new versions.
+type Rollout struct {
+	Enabled bool    `json:"enabled" doc:"Whether rollouts may be ordered. Then a service's registered targets get calls only if they are of the version in force, which is that of its first targets. It must be the same on all control replicas."`
+	Share   float64 `json:"share" validate:"gt=0,max=50" doc:"The part of a service's calls that a bad version may take from the order to its deadline, in hundredths; the trial takes half of it."`
+	Slack   int     `json:"slack" validate:"min=1,max=1000000" doc:"The calls that a bad version may take beside that share."`
+}
+
 // Growth says how a cluster with seeds forms and grows by itself.
 type Growth struct {
 	Bootstrap    bool     `json:"bootstrap" doc:"Whether a new cluster may be formed. It is true only when the whole system starts for the first time."`
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -84,6 +84,11 @@
 		{"evacuate", "keep new calls away from all targets of a failure domain", "madderctl evacuate DOMAIN. Calls under way there end by themselves.", &orderEvacuation{tool: t, evacuate: true}, nil},
 		{"restore", "give the targets of an evacuated failure domain calls again", "madderctl restore DOMAIN", &orderEvacuation{tool: t}, nil},
 		{"evacuations", "list the failure domains that are or were evacuated", "", &listEvacuations{tool: t}, nil},
+		{name: "rollout", short: "move a service to another version of its software", data: &struct{}{}, subcommands: []command{
+			{"start", "order a rollout", "madderctl rollout start SERVICE VERSION DURATION. The targets of the version are to run beside the old ones; it is completed or rolled back within the time.", &startRollout{tool: t}, nil},
+			{"show", "list the last rollouts of services", "Shows stage, share, time and answers of both versions; ask the leader for the answers.", &showRollouts{tool: t}, nil},
+			{"abort", "roll back the rollout under way", "madderctl rollout abort SERVICE. The new version takes no calls any more; those under way there end by themselves.", &abortRollout{tool: t}, nil},
+		}},
 		{name: "document", short: "read and put whole tables under a version", data: &struct{}{}, subcommands: []command{
 			{"get", "print the document in force", "Prints the newest document as it was put, or fails when no replica can be sure of it.", &documentGet{tool: t}, nil},
 			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -16,6 +16,7 @@
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/latency"
 	"github.com/madderpond/madderpond/pkg/store"
@@ -100,6 +101,9 @@
 		ReadTimeout: s.ReadTimeout.Std(), SilentAfter: s.SilentAfter.Std(),
 		Lease: s.Lease.Std(), LeaseMargin: control.DefaultLeaseMargin, EditTimeout: s.EditTimeout.Std(),
 		SnapshotEvery: s.SnapshotEvery, KeepEntries: s.KeepEntries,
+		Rollouts: control.RolloutSettings{
+			Enabled: s.Rollout.Enabled, Limits: rollout.Limits{Share: s.Rollout.Share / 100, Slack: s.Rollout.Slack},
+		},
 	}
 }
 
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -53,6 +53,25 @@
 	}).Err
 }
 
+// OrderRollout orders a rollout, or ends the one under way. Without an error that is on enough
+// disks. The error is of kind Invalid, NotFound for an unknown service, Conflict where another
+// rollout is under way, Unavailable where no version is in force yet, or Unknown.
+func (r *Replica) OrderRollout(o table.RolloutOrder) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.RolloutOrdered{Request: id, Order: o}
+	}).Err
+}
+
+// Rollout returns the newest record of a service's last rollout, or nil when it had none. The
+// error is an Unavailable fault when this replica can't be sure of it.
+func (r *Replica) Rollout(service units.ServiceName) (*table.Rollout, error) {
+	a := r.ask(func(id control.RequestID) control.Event { return control.ReadRequested{Request: id} })
+	if a.Err != nil {
+		return nil, a.Err
+	}
+	return a.Table.Rollout(service), nil
+}
+
 // TargetReport is what a replica knows of a registered target.
 type TargetReport struct {
 	table.Registration
@@ -107,6 +126,12 @@
 		fields["voters"], fields["term"] = c.Voters, c.Term
 	case control.DomainEvacuated, control.DomainRestored:
 		fields["domain"], fields["operator"] = c.Domain, c.Operator
+	case control.RolloutChanged:
+		x := c.Rollout
+		fields["service"], fields["from"], fields["to"], fields["stage"] = x.Service, x.From, x.To, x.Stage.String()
+		fields["targets"], fields["elapsed"], fields["operator"], fields["reason"] = x.Targets, x.Elapsed.String(), x.Operator, x.Reason
+	case control.SoftwareInForce:
+		fields["service"], fields["software"] = c.Software.Service, c.Software.Software
 	case control.LogReplayed:
 		fields["entries"], fields["term"] = c.Entries, c.Term
 	default:
