Boxes heed rollouts: sides of targets, exposures, evidence

Cause: the table may say that a rollout of a new version is under way, but boxes sent calls to targets of all versions alike.

Change: each target stands on a side by its version (in force, on trial, replaced, closed). A trial's calls are chosen by a lot that is off by one call at the most, and only while the box holds a fresh exposure for the table's stage; what the new version fails goes to the old one. Boxes count answers by version and route and send them with each request for a lease while a rollout is under way. A box that sees several bad answers stops by itself and sends a request at once. Without a rollout a call costs one comparison more.

Tests: pkg/core, pkg/wire, pkg/entry pass; BenchmarkCall still makes no allocation.

--- a/pkg/core/box/box.go
+++ b/pkg/core/box/box.go
@@ -6,6 +6,7 @@
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/subscription"
 	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
 )
 
 // Event is a subscription.Event, a routing.Event or a Tick.
@@ -54,10 +55,14 @@
 		b.reduceSubscription(now, subscription.Tick{}, e)
 		b.router.Reduce(now, &routing.Tick{}, &e.Routing)
 	}
+	if b.router.EvidenceDue() {
+		b.reduceSubscription(now, subscription.Urgent{}, e)
+	}
 }
 
 // reduceSubscription lets the router know at once what has changed.
 func (b *Box) reduceSubscription(now units.Instant, event subscription.Event, e *Effects) {
+	before := len(e.Subscription.Sends)
 	b.subscription.Reduce(now, event, &e.Subscription)
 	if e.Subscription.Table != nil {
 		b.router.Reduce(now, &routing.TableChanged{Table: e.Subscription.Table}, &e.Routing)
@@ -67,6 +72,21 @@
 		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil()}, &e.Routing)
 		e.Subscription.LeaseChanged = false
 	}
+	if e.Subscription.ExposuresChanged {
+		b.router.Reduce(now, &routing.ExposuresChanged{Exposures: e.Subscription.Exposures}, &e.Routing)
+		e.Subscription.ExposuresChanged = false
+		e.Subscription.Exposures = nil
+	}
+	b.addEvidence(e.Subscription.Sends[before:])
+}
+
+// addEvidence has requests for a lease carry what the router has seen of new versions.
+func (b *Box) addEvidence(sends []*wire.Envelope) {
+	for _, m := range sends {
+		if x := m.GetRenewRequest(); x != nil {
+			x.Evidence = wire.FromEvidence(b.router.TakeEvidence())
+		}
+	}
 }
 
 // NextWake returns when the next Tick is due at the latest.
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -45,6 +45,7 @@
 	s.retries.earn(s.row.RetryBudget, s.burst)
 	s.hedges.earn(s.row.HedgeBudget, s.burst)
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
+	c.onTrial = r.draw(s)
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
 			r.place(id, c, t, FirstSend, e)
@@ -84,11 +85,23 @@
 	return len(r.table.Services) == 0 && r.table.Document == 0
 }
 
-// choose picks a target for a call, or returns nil when none takes work now.
+// choose picks a target for a call, or returns nil when none takes work now. A call for the
+// new version that finds no room there goes to the others.
 func (r *Router) choose(s *service, c *call) *target {
+	if c.onTrial {
+		if t := r.chooseOf(s, c, r.callSide(s, c)); t != nil {
+			return t
+		}
+		c.onTrial = false
+	}
+	return r.chooseOf(s, c, r.openSide(s))
+}
+
+// chooseOf picks a target of a side.
+func (r *Router) chooseOf(s *service, c *call, from side) *target {
 	// The set is kept in the router, since a policy's argument would be garbage.
 	set := &r.candidates
-	*set = candidates{service: s, now: r.now, call: c, anyHealth: s.mostlyEjected, fresh: c.tries > 0}
+	*set = candidates{service: s, now: r.now, call: c, anyHealth: s.mostlyEjected && from != onTrial, fresh: c.tries > 0, side: from}
 	i := r.chooseIndex(set)
 	if i < 0 && set.fresh {
 		set.fresh = false
@@ -113,6 +126,7 @@
 // vain; then it is refused at once, so that its caller can turn elsewhere.
 func (r *Router) holdOrRefuse(id CallID, c *call, e *Effects) {
 	s := c.service
+	c.onTrial = false
 	until := min(c.deadline, r.now.Add(s.row.HoldLimit))
 	if reason := r.refusesToHold(s, c, until); reason != 0 {
 		r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfter()}, e)
@@ -134,6 +148,9 @@
 	if !s.hasActiveTarget() && c.route.work != table.Patient {
 		return s.noTargetReason()
 	}
+	if r.openSide(s) == noSide && c.route.work != table.Patient {
+		return RolloutUnsure
+	}
 	wait := max(s.expectedWait(), r.frontAge(s))
 	room := time.Duration(holdMargin * float64(until.Sub(r.now)))
 	if wait > room || r.now.Add(wait+s.latency.steadyMean()) > c.deadline {
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -15,6 +15,8 @@
 	c.arrivals++
 	c.past[c.tries%maxAttempts] = t
 	c.tries++
+	// What the new version fails goes to the old one.
+	c.onTrial = false
 	*a = attempt{
 		number: c.sends, target: t, sent: r.now, hedge: hedge, typical: c.route.sureTime(),
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
@@ -37,7 +39,7 @@
 	t.noteColdSend(r.now)
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
-		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
+		Deadline: c.deadline, NotAfter: r.notAfterOf(t), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence,
 	})
 	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
@@ -151,6 +153,7 @@
 		}
 		// A loser that is overdue says something about its target.
 		a.target.latency.add(r.now.Sub(a.sent))
+		r.noteOvertaken(c, a)
 		r.cancel(id, c, a, e)
 	}
 }
@@ -169,7 +172,9 @@
 	if a.atPace && v.Result == Answered {
 		t.noteTime(r.now, c.route, took, a)
 	}
+	wasEjected := t.health.ejected
 	r.learn(t, v, took, e)
+	r.noteResult(c, t, v.Result, took, t.health.ejected && !wasEjected, e)
 	r.release(c, a, e)
 	if c.streaming {
 		r.streamEnded(v, c)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -56,6 +56,8 @@
 	probeRound probeRound
 	// kept is a failed answer that the caller gets when nothing better comes.
 	kept keptAnswer
+	// onTrial is set while the lot has the call go to a rollout's new version.
+	onTrial bool
 	// streaming is set once the head of an answer has been passed on.
 	streaming bool
 }
@@ -203,7 +205,12 @@
 func (r *Router) deadlinePassed(id CallID, c *call, e *Effects) {
 	// A target that lets calls run out of time isn't well.
 	for i := range c.attempts {
-		if a := &c.attempts[i]; a.target != nil && a.target.health.failed(r.now) {
+		a := &c.attempts[i]
+		if a.target == nil {
+			continue
+		}
+		r.noteUnanswered(c, a, e)
+		if a.target.health.failed(r.now) {
 			r.healthTurned(a.target, e)
 		}
 	}
--- a/pkg/core/routing/evacuation.go
+++ b/pkg/core/routing/evacuation.go
@@ -41,6 +41,9 @@
 	if slices.ContainsFunc(s.targets, func(t *target) bool { return t.evacuated && t.inTable() }) {
 		return Evacuated
 	}
+	if s.hasOtherVersions() {
+		return OtherVersions
+	}
 	return NoTarget
 }
 
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -188,6 +188,9 @@
 	TargetTurned
 	// SendPeer sends Loan to the box Peer.
 	SendPeer
+	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
+	// it is for the log.
+	ExposureTurned
 )
 
 // Effect is one thing for the shell to do.
@@ -218,6 +221,7 @@
 	Refusal  Refusal
 	Peer     units.BoxID
 	Loan     LoanMessage
+	Turn     *ExposureTurn
 }
 
 // Effects collects what the shell is to do; it may be used again after Reset.
--- /dev/null
+++ b/pkg/core/routing/exposure.go
@@ -0,0 +1,169 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/rollout"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// ExposuresChanged says which new versions the box may send calls to. It replaces all that
+// was said before.
+type ExposuresChanged struct{ Exposures []rollout.Exposure }
+
+func (*ExposuresChanged) routingEvent() {}
+
+const (
+	// ownStopAnswers is how many bad answers of a new version end a box's own exposure, if
+	// they are at least ownStopPart of that version's answers. Hardly any good version has
+	// as many, and a version that fails most calls is stopped in a few of them, without a
+	// leader. Fewer may be one target's or link's fault.
+	ownStopAnswers = 3
+	ownStopPart    = 0.25
+	// ownStopMemory is after how many answers earlier ones count for half, so that a version
+	// which turns bad late is stopped as soon as one that is bad at once.
+	ownStopMemory = 16
+	// ownStopTime is how long such a box sends the new version nothing. The leader, who gets
+	// the evidence of all boxes meanwhile, has decided by then in most cases: it hears from
+	// each box 2 to 3 times a second.
+	ownStopTime = time.Second
+)
+
+// takeExposures takes what the newest grant says.
+func (r *Router) takeExposures(list []rollout.Exposure, e *Effects) {
+	r.exposures = list
+	for _, v := range r.rollouts {
+		was := v.exposed(r.now)
+		v.exposure = r.exposureFor(v.record.Service)
+		if v.stop.at != 0 && v.exposure.Asked >= v.stop.at.Add(ownStopTime) {
+			v.stop = ownStop{}
+		}
+		if v.service.rollout != v || was == v.exposed(r.now) {
+			continue
+		}
+		e.add(Effect{Kind: ExposureTurned, Turn: v.turn(!was, false)})
+		r.freed = append(r.freed, v.service)
+	}
+}
+
+func (r *Router) exposureFor(s units.ServiceName) rollout.Exposure {
+	for _, x := range r.exposures {
+		if x.Service == s {
+			return x
+		}
+	}
+	return rollout.Exposure{}
+}
+
+// exposed tells whether this box may send calls to the new version now. During a trial the
+// exposure must be for the table's own stage. Once the calls have shifted one for an earlier
+// stage will do: the table itself shows that the version passed its trial, and the exposure
+// that it hasn't been rolled back for longer than exposures last.
+func (v *rolloutState) exposed(now units.Instant) bool {
+	x := &v.exposure
+	if x.Order != v.record.Order || now >= x.Until {
+		return false
+	}
+	if v.record.Stage == table.RolloutShifted {
+		return x.Since <= v.record.Since
+	}
+	return x.Since == v.record.Since && v.stop.at == 0
+}
+
+// share is the part of the service's calls that goes to the new version now.
+func (v *rolloutState) share() float64 {
+	return min(v.record.Share, v.exposure.Share).Of(1)
+}
+
+// draw decides by lot whether a new call goes to the new version.
+func (r *Router) draw(s *service) bool {
+	v := s.rollout
+	if v == nil || v.record.Stage != table.RolloutTrial || !v.exposed(r.now) {
+		return false
+	}
+	return v.lot.draw(v.share(), r.random)
+}
+
+// lot chooses a part of the calls: one at random of each run of as many as the part allows.
+// Drawn for each call alone, 122 boxes might together choose some hundred calls too many in
+// a day; so each of them is off by one at the most.
+type lot struct {
+	// passed is how much of the present run has passed, chosen where in it the chosen call
+	// lies.
+	passed, chosen float64
+}
+
+func newLot(random *rand.Rand) lot { return lot{chosen: random.Float64()} }
+
+func (l *lot) draw(share float64, random *rand.Rand) bool {
+	before := l.passed
+	l.passed += share
+	hit := before <= l.chosen && l.chosen < l.passed
+	if l.passed >= 1 {
+		l.passed--
+		l.chosen = random.Float64()
+		hit = hit || l.chosen < l.passed
+	}
+	return hit
+}
+
+// ownStop is a box's own end of its exposure.
+type ownStop struct {
+	// good and bad count the new version's last answers.
+	good, bad int
+	// at is when the exposure was ended; zero for not.
+	at units.Instant
+}
+
+// noteNewAnswer takes an answer of the new version. After several bad ones the leader gets
+// the evidence at once, and a trial's exposure ends.
+func (r *Router) noteNewAnswer(v *rolloutState, bad bool, e *Effects) {
+	if v.stop.good+v.stop.bad >= ownStopMemory {
+		v.stop.good /= 2
+		v.stop.bad /= 2
+	}
+	if !bad {
+		v.stop.good++
+		return
+	}
+	v.stop.bad++
+	if v.stop.at != 0 || v.stop.bad < ownStopAnswers || float64(v.stop.bad) < ownStopPart*float64(v.stop.good+v.stop.bad) {
+		return
+	}
+	r.evidenceDue = true
+	if v.record.Stage != table.RolloutTrial {
+		// The old version takes no calls any more: stopping would refuse them all.
+		v.stop = ownStop{}
+		return
+	}
+	v.stop.at = r.now
+	e.add(Effect{Kind: ExposureTurned, Turn: v.turn(false, true)})
+}
+
+// ExposureTurn is what the log says when a box's exposure begins or ends.
+type ExposureTurn struct {
+	Service  units.ServiceName
+	Software units.Software
+	Order    units.Revision
+	Share    units.Percent
+	// On is set where it begins. Stopped is set where the box ended it by itself, after
+	// Bad of the new version's last Bad+Good answers.
+	On, Stopped bool
+	Good, Bad   int
+}
+
+func (v *rolloutState) turn(on, stopped bool) *ExposureTurn {
+	return &ExposureTurn{
+		Service: v.record.Service, Software: v.record.To, Order: v.record.Order, Share: v.record.Share,
+		On: on, Stopped: stopped, Good: v.stop.good, Bad: v.stop.bad,
+	}
+}
+
+// EvidenceDue tells once whether evidence is to be sent without waiting for the next renewal.
+func (r *Router) EvidenceDue() bool {
+	due := r.evidenceDue
+	r.evidenceDue = false
+	return due
+}
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -109,7 +109,7 @@
 		t.probesSent++
 		t.probedAt = r.now
 		e.add(Effect{
-			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
+			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
 		})
 	}
@@ -121,7 +121,9 @@
 func (r *Router) probeAllowance(s *service) float64 {
 	rate := 0.0
 	for _, t := range s.targets {
-		rate += r.probeRate(s, t)
+		if t.side <= onTrial {
+			rate += r.probeRate(s, t)
+		}
 	}
 	return rate
 }
@@ -130,7 +132,11 @@
 // the answer of one that was probed a moment ago serves all calls. The slice is used again
 // by the next call.
 func (r *Router) bestTargets(c *call, n int) []*target {
-	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: c.tries > 0}
+	from := r.callSide(c.service, c)
+	set := candidates{
+		service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected && from != onTrial, fresh: c.tries > 0,
+		side: from,
+	}
 	r.best = r.best[:0]
 	// Targets of the same cost come up in a random order, so that the boxes don't all probe
 	// the same ones.
@@ -181,7 +187,12 @@
 // concludeProbing sends the call to what is now the best target, if that suits; else it
 // probes others a moment later, as long as the call can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
+	wasOnTrial := c.onTrial
 	t := r.choose(c.service, c)
+	if wasOnTrial && (!c.onTrial || !r.isSuitable(c, t)) {
+		r.leaveTrial(id, c, e)
+		return
+	}
 	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
@@ -206,6 +217,15 @@
 	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: r.busyRetryAfter(c.service)}, e)
 }
 
+// leaveTrial has a call that finds no room at the new version go to the others, as a new call
+// would.
+func (r *Router) leaveTrial(id CallID, c *call, e *Effects) {
+	c.onTrial = false
+	if t := r.choose(c.service, c); t != nil && t.isFresh(r.now) && r.isSuitable(c, t) || !r.sendProbes(id, c, e) {
+		r.concludeProbing(id, c, e)
+	}
+}
+
 // probeTimePassed goes on without the answers that haven't come, or probes again.
 func (r *Router) probeTimePassed(id CallID, c *call, e *Effects) {
 	r.dropServed(c.service)
@@ -287,7 +307,7 @@
 	}
 	least := slowdown
 	for _, o := range t.service.targets {
-		if o.takesWork(r.now, t.service.mostlyEjected) {
+		if o.side == t.side && o.takesWork(r.now, t.service.mostlyEjected) {
 			least = min(least, o.currentSlowdown(r.now))
 		}
 	}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -44,6 +44,8 @@
 	Stopping
 	TargetsBusy
 	Evacuated
+	OtherVersions
+	RolloutUnsure
 	reasonCount
 )
 
@@ -70,6 +72,8 @@
 	Stopping:       {"stopping", 503, "open a new connection; this box is about to stop"},
 	TargetsBusy:    {"targets-busy", 503, "come back after the time given; all targets that were asked are full or slowed"},
 	Evacuated:      {"evacuated", 503, "come back later; the failure domains of all targets of this service are evacuated"},
+	OtherVersions:  {"other-versions", 503, "come back later; no target of this service runs the version of its software that takes calls"},
+	RolloutUnsure:  {"rollout-unsure", 503, "try another box; this one can't tell now which version of the service's software takes calls"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -85,6 +86,12 @@
 	refusals  [reasonCount]uint64
 	// freed are the services at which room has come up during this event.
 	freed []*service
+	// rollouts are those under way, and those over whose evidence is to be sent once more;
+	// exposures are what the newest grant said.
+	rollouts  []*rolloutState
+	exposures []rollout.Exposure
+	// evidenceDue is set when evidence is to be sent at once.
+	evidenceDue bool
 }
 
 // sweepPeriod is how often shares, ejections and probes are looked at.
@@ -145,6 +152,8 @@
 		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
 	case *LeaseChanged:
 		r.leaseUntil = v.Until
+	case *ExposuresChanged:
+		r.takeExposures(v.Exposures, e)
 	case *ProbeEnded:
 		r.probeEnded(v, e)
 	case *PeerMessage:
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -17,6 +17,7 @@
 // route is what a box knows of a route: one of the table's, or the one that a
 // service's own hosts and prefix make.
 type route struct {
+	host   string
 	prefix string
 	work   table.Work
 	// deadline bounds what a caller may ask for; zero leaves that to the settings.
@@ -45,9 +46,9 @@
 }
 
 // serviceRoute is the route that a service's own hosts and prefix make.
-func serviceRoute(s *service) *route {
+func serviceRoute(s *service, host string) *route {
 	return &route{
-		prefix: s.row.PathPrefix, work: s.row.Work, usual: s.row.Deadline, maxAttempts: maxAttempts,
+		host: host, prefix: s.row.PathPrefix, work: s.row.Work, usual: s.row.Deadline, maxAttempts: maxAttempts,
 		parts: []routePart{{service: s, weight: 1}},
 	}
 }
@@ -56,7 +57,7 @@
 // no calls.
 func (r *Router) newRoute(row *table.Route) *route {
 	x := &route{
-		prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
+		host: row.Host, prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
 		maxAttempts: maxAttempts, priority: row.Priority,
 	}
 	if row.MaxAttempts > 0 {
@@ -89,7 +90,7 @@
 	}
 	for _, s := range r.order {
 		for _, h := range ownHosts(&s.row) {
-			x.byHost[h] = append(x.byHost[h], serviceRoute(s))
+			x.byHost[h] = append(x.byHost[h], serviceRoute(s, h))
 		}
 	}
 	for _, routes := range x.byHost {
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -56,6 +56,8 @@
 	sweepAt units.Instant
 	calls   uint64
 	refused uint64
+	// rollout is the one that is under way, or nil.
+	rollout *rolloutState
 }
 
 func newService(row table.Service) *service {
@@ -162,6 +164,8 @@
 	anyHealth bool
 	// fresh leaves out the targets that the call has been sent to.
 	fresh bool
+	// side is that of the targets to choose from.
+	side side
 }
 
 func (c *candidates) Len() int                     { return len(c.service.targets) }
@@ -176,13 +180,13 @@
 
 func (c *candidates) Available(i int) bool {
 	t := c.service.targets[i]
-	return t.takesWork(c.now, c.anyHealth) && !c.excluded(t)
+	return t.side == c.side && t.takesWork(c.now, c.anyHealth) && !c.excluded(t)
 }
 
 // onlyInDoubt tells whether a target would be available if a probe showed it warm.
 func (c *candidates) onlyInDoubt(i int) bool {
 	t := c.service.targets[i]
-	return t.inDoubt(c.now) && t.takesWhenWarm(c.now, c.anyHealth) && !c.excluded(t)
+	return t.side == c.side && t.inDoubt(c.now) && t.takesWhenWarm(c.now, c.anyHealth) && !c.excluded(t)
 }
 
 // excluded tells whether the call itself rules a target out.
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -41,6 +42,30 @@
 	Latency    time.Duration     `json:"latency"`
 	Targets    []TargetStatus    `json:"targets"`
 	HedgeDelay time.Duration     `json:"hedgeDelay"`
+	// Rollout is what the box sees of a rollout that is under way.
+	Rollout *RolloutStatus `json:"rollout,omitempty"`
+}
+
+// RolloutStatus is what a box sees of a rollout of a service.
+type RolloutStatus struct {
+	From  units.Software     `json:"from"`
+	To    units.Software     `json:"to"`
+	Stage table.RolloutStage `json:"stage"`
+	Order units.Revision     `json:"order"`
+	// Exposed tells whether this box may send calls to the new version, Share which part of
+	// them, in hundredths.
+	Exposed bool          `json:"exposed"`
+	Share   units.Percent `json:"share"`
+	// Stopped is set while the box keeps calls from the new version by its own evidence.
+	Stopped bool           `json:"stopped,omitempty"`
+	Old     VersionAnswers `json:"old"`
+	New     VersionAnswers `json:"new"`
+}
+
+// VersionAnswers counts what a version answered since the order.
+type VersionAnswers struct {
+	Good uint64 `json:"good"`
+	Bad  uint64 `json:"bad"`
 }
 
 // TargetStatus is what a box knows of a target in a service.
@@ -97,12 +122,31 @@
 		Service: s.row.Name, Version: s.entry.Version, Calls: s.calls, Refused: s.refused, Held: s.held.length,
 		Retries: s.retries.spent, Hedges: s.hedges.spent, Latency: s.latency.mean(), HedgeDelay: s.hedgeDelay(),
 	}
+	if s.rollout != nil {
+		status.Rollout = s.rollout.status(now)
+	}
 	for _, t := range s.targets {
 		status.Targets = append(status.Targets, r.targetStatus(t, now))
 	}
 	return status
 }
 
+func (v *rolloutState) status(now units.Instant) *RolloutStatus {
+	return &RolloutStatus{
+		From: v.record.From, To: v.record.To, Stage: v.record.Stage, Order: v.record.Order, Exposed: v.exposed(now),
+		Share: v.record.Share, Stopped: v.stop.at != 0, Old: sumAnswers(v.evidence.old), New: sumAnswers(v.evidence.new),
+	}
+}
+
+func sumAnswers(list []routeEvidence) VersionAnswers {
+	var sum VersionAnswers
+	for i := range list {
+		sum.Good += list[i].good
+		sum.Bad += list[i].bad
+	}
+	return sum
+}
+
 func (r *Router) targetStatus(t *target, now units.Instant) TargetStatus {
 	share := int(t.share.value)
 	if share >= unlimited {
@@ -124,6 +168,8 @@
 		return "leaving"
 	case t.evacuated:
 		return "evacuated"
+	case t.side > onTrial:
+		return "version"
 	case t.row.Weight == 0:
 		return "weight"
 	case t.health.ejected:
--- a/pkg/core/routing/subset.go
+++ b/pkg/core/routing/subset.go
@@ -40,7 +40,8 @@
 		return
 	}
 	for _, t := range s.targets {
-		t.near = false
+		// All boxes send calls to the few targets of a trial.
+		t.near = t.side == onTrial
 	}
 	slices.SortFunc(own, func(a, b *target) int { return compareHashes(s.row.Name, a.row.Target, b.row.Target) })
 	first := place * len(own) / len(boxes)
@@ -54,7 +55,7 @@
 func (r *Router) ownTargets(s *service) []*target {
 	var own, all []*target
 	for _, t := range s.targets {
-		if t.row.State != table.Active || t.row.Silent || t.evacuated {
+		if t.row.State != table.Active || t.row.Silent || t.evacuated || t.side != inForce {
 			continue
 		}
 		all = append(all, t)
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -11,13 +11,14 @@
 func (r *Router) changeTable(t *table.Table, e *Effects) {
 	tableRoutesChanged := t.Document != r.table.Document
 	evacuationsChanged := r.changeEvacuations(r.table.Evacuations, t.Evacuations)
+	rolloutsChanged := versionsChanged(r.table, t)
 	r.table = t
 	boxesChanged := r.changeBoxes(t.Boxes)
 	routesChanged := r.dropMissing(t, e)
 	for _, n := range t.ServiceNames() {
 		entry := t.Services[n]
 		s := r.services[n]
-		if s != nil && s.entry == entry && !boxesChanged && !evacuationsChanged {
+		if s != nil && s.entry == entry && !boxesChanged && !evacuationsChanged && !rolloutsChanged {
 			continue
 		}
 		if s == nil || !sameRoutes(&s.row, &entry.Service) {
@@ -85,6 +86,7 @@
 		r.takeColdRows(s)
 	}
 	r.markEvacuated(s)
+	r.markVersions(s)
 	r.sweepBy(s, r.now)
 	s.burst = r.burstOf(s)
 	r.chooseSubset(s)
@@ -100,6 +102,7 @@
 // end as they would have.
 func (r *Router) dropService(s *service, e *Effects) {
 	delete(r.services, s.row.Name)
+	r.followRollout(s, nil)
 	for _, id := range s.held.drain() {
 		if c := r.calls.Get(id); c != nil && c.held {
 			r.refuse(id, c, Refusal{Reason: NoService, Outcome: c.outcome()}, e)
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -64,6 +64,7 @@
 	borrowed []*loan
 	// evacuated is set while the target's failure domain is evacuated.
 	evacuated bool
+	side      side
 	cold      coldness
 
 	sends, answers, failures, sheds, probesSent uint64
@@ -103,7 +104,7 @@
 
 // effectiveWeight is the weight that draws calls now.
 func (t *target) effectiveWeight(now units.Instant) float64 {
-	if t.row.State != table.Active || t.evacuated {
+	if t.row.State != table.Active || t.evacuated || t.side != inForce {
 		return 0
 	}
 	if t.service.off[Ramping] {
@@ -161,8 +162,9 @@
 	return !t.gone && t.row.State == table.Active && t.row.Weight > 0
 }
 
-// isActive tells whether the target may take calls, but for its health and limits.
-func (t *target) isActive() bool { return t.inTable() && !t.evacuated }
+// isActive tells whether the target may take the service's calls, but for its health and
+// limits.
+func (t *target) isActive() bool { return t.inTable() && !t.evacuated && t.side == inForce }
 
 // takesWork tells whether a new call may go to the target now.
 func (t *target) takesWork(now units.Instant, anyHealth bool) bool {
@@ -171,7 +173,7 @@
 
 // takesWhenWarm tells whether a new call might go to the target now, were it warm.
 func (t *target) takesWhenWarm(now units.Instant, anyHealth bool) bool {
-	if !t.isActive() || now < t.notBefore {
+	if !t.inTable() || t.evacuated || t.side == closed || now < t.notBefore {
 		return false
 	}
 	if !anyHealth && !t.service.off[Ejection] && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
@@ -88,6 +89,9 @@
 	Table *table.Table
 	// LeaseChanged is set when LeaseUntil returns something new.
 	LeaseChanged bool
+	// ExposuresChanged is set when Exposures replace those there were.
+	ExposuresChanged bool
+	Exposures        []rollout.Exposure
 }
 
 // grant is a lease that waits for the revision it was given for.
@@ -119,6 +123,10 @@
 	// leaseTime is how long the last grant was for.
 	leaseTime time.Duration
 	leaving   bool
+	// exposedBy names the request whose answer the present exposures came with; exposed is set
+	// while there are some.
+	exposedBy uint64
+	exposed   bool
 }
 
 // NewSubscription returns a subscription that has no table yet.
@@ -159,6 +167,8 @@
 		s.leaving = v.On
 		s.renewAt = now
 		s.tick(now, e)
+	case Urgent:
+		s.sendUrgently(now, e)
 	}
 }
 
@@ -204,7 +214,7 @@
 			s.patchTable(now, wire.ToDelta(d), e)
 		}
 	case *wire.Envelope_RenewResponse:
-		s.takeGrant(now, b.RenewResponse)
+		s.takeGrant(now, b.RenewResponse, e)
 	case *wire.Envelope_Fragment:
 		s.takeFragment(now, b.Fragment, e)
 	}
@@ -251,7 +261,7 @@
 	e.Table = next
 }
 
-func (s *Subscription) takeGrant(now units.Instant, r *wire.RenewResponse) {
+func (s *Subscription) takeGrant(now units.Instant, r *wire.RenewResponse, e *Effects) {
 	sent, known := s.sentAt[r.Nonce]
 	if !known || r.Start != s.settings.Start {
 		return
@@ -265,6 +275,7 @@
 	s.noteNews(now)
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
+	s.takeExposures(sent, r, e)
 	s.grants = append(s.grants, grant{
 		revision: units.Revision(r.Revision),
 		until:    sent.Add(time.Duration(r.Duration)),
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -117,6 +117,20 @@
 	}).Info("a target's health has turned")
 }
 
+// logExposure logs that this box begins to send calls to a new version, or ends it.
+func (e *Entry) logExposure(x *routing.ExposureTurn) {
+	kind, text := "exposure-ended", "calls may no longer be sent to the new version"
+	switch {
+	case x.On:
+		kind, text = "exposure-began", "calls may be sent to the new version"
+	case x.Stopped:
+		kind, text = "exposure-stopped", "this box sends the new version nothing after its bad answers"
+	}
+	e.Log.WithFields(logrus.Fields{
+		"kind": kind, "service": x.Service, "software": x.Software, "order": x.Order, "share": x.Share, "good": x.Good, "bad": x.Bad,
+	}).Info(text)
+}
+
 // logTrace writes a call's steps to the log.
 func (e *Entry) logTrace(c *call, ordinary bool) {
 	if ordinary && e.traced.Add(1)%sampleEvery != 0 {
--- /dev/null
+++ b/pkg/wire/convert_evidence.go
@@ -0,0 +1,51 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/rollout"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// FromEvidence returns the messages for what a box has seen of versions.
+func FromEvidence(list []rollout.Evidence) []*VersionEvidence {
+	return mapSlice(list, fromOneEvidence)
+}
+
+// ToEvidence is the inverse of FromEvidence. Buckets beyond the known ones are dropped.
+func ToEvidence(list []*VersionEvidence) []rollout.Evidence {
+	return mapSlice(list, toOneEvidence)
+}
+
+// fromOneEvidence leaves out the empty buckets at the end.
+func fromOneEvidence(x rollout.Evidence) *VersionEvidence {
+	used := len(x.Times)
+	for used > 0 && x.Times[used-1] == 0 {
+		used--
+	}
+	times := x.Times
+	return &VersionEvidence{
+		Service: string(x.Service), Order: uint64(x.Order), Software: string(x.Software), Route: string(x.Route),
+		Good: x.Good, Bad: x.Bad, Times: times[:used], UnderWay: x.UnderWay,
+	}
+}
+
+func toOneEvidence(x *VersionEvidence) rollout.Evidence {
+	out := rollout.Evidence{
+		Service: units.ServiceName(x.Service), Order: units.Revision(x.Order), Software: units.Software(x.Software),
+		Route: rollout.RouteID(x.Route), Good: x.Good, Bad: x.Bad, UnderWay: x.UnderWay,
+	}
+	copy(out.Times[:], x.Times)
+	return out
+}
+
+// ToExposures returns the exposures of a grant whose request was sent at an instant of the
+// box's clock.
+func ToExposures(list []*Exposure, asked units.Instant) []rollout.Exposure {
+	return mapSlice(list, func(x *Exposure) rollout.Exposure {
+		return rollout.Exposure{
+			Service: units.ServiceName(x.Service), Order: units.Revision(x.Order), Since: units.Revision(x.Since),
+			Share: units.Percent(x.Share), Asked: asked, Until: asked.Add(time.Duration(x.Duration)),
+		}
+	})
+}
