Scripts of rollouts at a box

Cause: what boxes do during rollouts had no tests.

Change: scripts for the trial's share, no grant, a grant for an older or newer stage, one that runs out, a box's own stop, retries at the old version, the shift, completed, rolled back, a version that nobody ordered, cold and evacuated targets, no target left, probes.

Tests: pkg/core/routing passes.

--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -46,6 +46,8 @@
 	"stop":      (*script).stop,
 	"stale":     (*script).stale,
 	"targets":   (*script).targets,
+	"expose":    (*script).expose,
+	"evidence":  (*script).evidence,
 }
 
 func TestScripts(t *testing.T) {
@@ -81,6 +83,9 @@
 	if d.Cmd == "targets" {
 		return s.listTargets()
 	}
+	if d.Cmd == "evidence" {
+		return s.listEvidence()
+	}
 	if len(lines) == 0 {
 		return "nothing\n"
 	}
@@ -116,6 +121,8 @@
 		return fmt.Sprintf("probe %s for %s", x.Endpoint.Target, name)
 	case TargetTurned:
 		return ""
+	case ExposureTurned:
+		return describeTurn(x.Turn)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
@@ -145,7 +152,8 @@
 
 // setTable puts a table in force: lines of "boxes NAME[@DOMAIN]...", "service NAME
 // COLUMN=VALUE...", "row SERVICE TARGET COLUMN=VALUE...", "registered SERVICE TARGET
-// [DOMAIN] [leaving] [silent] [cold=TIME]", "evacuated DOMAIN", "restored DOMAIN REVISION" and
+// [DOMAIN] [leaving] [silent] [cold=TIME] [software=V]", "in-force SERVICE V", "rollout SERVICE
+// FROM TO STAGE ORDER SINCE SHARE [TARGET,TARGET...]", "evacuated DOMAIN", "restored DOMAIN REVISION" and
 // "route NAME COLUMN=VALUE...", with commas in place of spaces.
 func (s *script) setTable(d *datadriven.TestData) {
 	next := table.NewTable()
@@ -167,6 +175,8 @@
 	"evacuated":  (*script).addEvacuated,
 	"restored":   (*script).addRestored,
 	"route":      (*script).addRoute,
+	"in-force":   (*script).addInForce,
+	"rollout":    (*script).addRollout,
 }
 
 func (s *script) addBoxes(t *table.Table, words []string) {
@@ -228,8 +238,8 @@
 	t.Document = units.DocumentVersion(t.Revision)
 }
 
-// setFact sets what a registered target's line says: "leaving", "silent", "cold=TIME" or a
-// domain.
+// setFact sets what a registered target's line says: "leaving", "silent", "cold=TIME",
+// "software=V" or a domain.
 func (s *script) setFact(r *table.Row, word string) {
 	if left, isCold := strings.CutPrefix(word, "cold="); isCold {
 		cold, err := time.ParseDuration(left)
@@ -239,6 +249,10 @@
 		r.Cold = cold
 		return
 	}
+	if v, named := strings.CutPrefix(word, "software="); named {
+		r.Software = units.Software(v)
+		return
+	}
 	switch word {
 	case "leaving":
 		r.State = table.Leaving
