Properties of exposures over many boxes; tests of grants and evidence

Cause: the bound on what a bad version gets was argued, not counted.

Change: a fleet of whole boxes (subscription and routing) in virtual time with a leader that grants, steps and rolls back; messages lost, late and reordered, boxes frozen, restarted and cut off, the leader away. Evidence is taken of a call that a hedge overtook, also where the answer isn't streamed: the script showed that it was missing.

--- /dev/null
+++ b/pkg/core/box/exposure_test.go
@@ -0,0 +1,184 @@
+package box
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/core/subscription"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fixedseed"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+const (
+	// mostOfCalls and slack bound what a bad version may get of its service's calls.
+	mostOfCalls = 0.1
+	slack       = 50
+	// leaderPause is how often the leader looks at the evidence.
+	leaderPause = 100 * time.Millisecond
+)
+
+// trouble is what goes wrong in a fleet, and how long the stages of its trial last.
+type trouble struct {
+	boxes           int
+	seed            uint64
+	loss, late, bad float64
+	stages          []time.Duration
+}
+
+// However messages are lost, late and reordered, whichever boxes stand still, start anew or
+// are cut off, and whatever stops the leader: all boxes together send the new version at most
+// a tenth of the calls and 50, and none once the last grant has run out.
+func TestExposureIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := trouble{
+			boxes: rapid.SampledFrom([]int{1, 4, 12}).Draw(rt, "boxes"),
+			seed:  rapid.Uint64().Draw(rt, "seed"),
+			loss:  rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "loss"),
+			late:  rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "late"),
+			bad:   rapid.SampledFrom([]float64{0, 0.02, 0.2, 1}).Draw(rt, "bad"),
+		}
+		for range rapid.IntRange(1, 4).Draw(rt, "stages") {
+			x.stages = append(x.stages, time.Duration(rapid.IntRange(200, 2500).Draw(rt, "ms"))*time.Millisecond)
+		}
+		x.play(rt)
+	})
+}
+
+// The same with as many boxes as a large deployment has, each of which gets few calls.
+func TestExposureOfManyBoxesIsBounded(t *testing.T) {
+	for _, bad := range []float64{0, 0.1, 1} {
+		x := trouble{boxes: 122, seed: 7, loss: 0.05, late: 0.05, bad: bad, stages: []time.Duration{2 * time.Second, time.Second, 3 * time.Second}}
+		f := x.play(t)
+		t.Logf("with a part of %.1f bad the new version got %d of %d calls", bad, f.newSends, f.calls)
+	}
+}
+
+// play has a trial's stages pass, which the leader rolls back at the end at the latest.
+func (x *trouble) play(t failer) *fleet {
+	f := newFleet(t, x.boxes, x.seed)
+	f.loss, f.late, f.bad = x.loss, x.late, x.bad
+	f.run(1500 * time.Millisecond)
+	f.calls = 0
+	f.leader.step(table.RolloutTrial, 10, 2)
+	for i, d := range x.stages {
+		f.disturb()
+		f.runStage(d)
+		f.checkShare()
+		if f.leader.record().Active() && i+1 < len(x.stages) {
+			f.leader.step(table.RolloutTrial, 10, 4*(i+1))
+		}
+	}
+	if f.leader.record().Active() {
+		f.leader.step(table.RolloutRolledBack, 0, 0)
+	}
+	f.run(4 * time.Second)
+	f.checkShare()
+	return f
+}
+
+// runStage lets a stage pass, during which the leader rolls back when it knows of 50 bad
+// answers.
+func (f *fleet) runStage(d time.Duration) {
+	for ; d > 0; d -= leaderPause {
+		f.run(min(d, leaderPause))
+		if !f.leader.down && f.leader.knownBad() >= 50 && f.leader.record().Active() {
+			f.leader.step(table.RolloutRolledBack, 0, 0)
+		}
+	}
+}
+
+// disturb has something go wrong during the next stage.
+func (f *fleet) disturb() {
+	for _, m := range f.boxes {
+		switch f.random.IntN(12) {
+		case 0:
+			f.after(f.upTo(2*time.Second), func() { m.frozenUntil = f.now.Add(f.upTo(3 * time.Second)) })
+		case 1:
+			f.after(f.upTo(2*time.Second), func() { f.start(m) })
+		case 2:
+			f.after(f.upTo(4*time.Second), func() { m.cutFrom = f.now })
+		}
+	}
+	if f.random.IntN(3) > 0 {
+		return
+	}
+	f.after(f.upTo(2*time.Second), func() {
+		f.leader.down = true
+		f.after(f.upTo(2*time.Second), func() { f.leader.down = false })
+	})
+}
+
+func (f *fleet) upTo(most time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(most)))
+}
+
+func (f *fleet) checkShare() {
+	if most := mostOfCalls*float64(f.calls) + slack; float64(f.newSends) > most {
+		f.t.Fatalf("the new version got %d of %d calls", f.newSends, f.calls)
+	}
+}
+
+// A trial in peace: the new version gets its share, each box off by one call at the most.
+func TestExposureIsUsed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, 12, rapid.Uint64().Draw(rt, "seed"))
+		f.run(1500 * time.Millisecond)
+		f.leader.step(table.RolloutTrial, 10, 4)
+		f.run(500 * time.Millisecond)
+		f.calls, f.newSends = 0, 0
+		f.run(4 * time.Second)
+		if off := float64(f.newSends) - mostOfCalls*float64(f.calls); math.Abs(off) > float64(len(f.boxes)) {
+			rt.Fatalf("the new version got %d of %d calls, with each box off by one at the most", f.newSends, f.calls)
+		}
+	})
+}
+
+// A box that sees several bad answers sends its evidence before the next renewal is due.
+func TestBadAnswersReachTheLeaderAtOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, 1, rapid.Uint64().Draw(rt, "seed"))
+		f.run(1500 * time.Millisecond)
+		f.leader.step(table.RolloutTrial, 100, 4)
+		f.run(500 * time.Millisecond)
+		f.bad = 1
+		m := f.boxes[0]
+		m.core.Reduce(f.now, subscription.Urgent{}, &m.effects)
+		m.effects.Reset()
+		var sends []routing.Effect
+		for range 3 {
+			m.core.Reduce(f.now, &routing.CallArrived{Owner: m, Host: []byte(theService), Path: []byte("/")}, &m.effects)
+		}
+		for _, x := range m.effects.Routing.List {
+			if x.Kind == routing.Send {
+				sends = append(sends, x)
+			}
+		}
+		m.effects.Reset()
+		for _, x := range sends {
+			m.core.Reduce(f.now.Add(time.Millisecond), &routing.AttemptEnded{Call: x.Call, Attempt: x.Attempt, Result: routing.Failed}, &m.effects)
+		}
+		if n := len(m.effects.Subscription.Sends); n != 1 {
+			rt.Fatalf("the box sent %d requests", n)
+		}
+		if bad := lastBad(m); bad != 3 {
+			rt.Fatalf("the evidence has %d bad answers", bad)
+		}
+	})
+}
+
+func lastBad(m *member) uint64 {
+	bad := uint64(0)
+	for _, x := range m.effects.Subscription.Sends[0].GetRenewRequest().Evidence {
+		if units.Software(x.Software) == newSoftware {
+			bad += x.Bad
+		}
+	}
+	return bad
+}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -146,6 +146,7 @@
 }
 
 func (r *Router) cancelOthers(id CallID, c *call, winner *attempt, e *Effects) {
+	r.noteOvertaken(c, winner)
 	for i := range c.attempts {
 		a := &c.attempts[i]
 		if a == winner || a.target == nil {
@@ -153,7 +154,6 @@
 		}
 		// A loser that is overdue says something about its target.
 		a.target.latency.add(r.now.Sub(a.sent))
-		r.noteOvertaken(c, a)
 		r.cancel(id, c, a, e)
 	}
 }
@@ -253,6 +253,7 @@
 }
 
 func (r *Router) deliver(v *AttemptEnded, c *call, t *target, e *Effects) {
+	r.noteOvertaken(c, nil)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: t.endpoint})
 	r.finish(v.Call, c, e)
 }
--- a/pkg/core/routing/evidence.go
+++ b/pkg/core/routing/evidence.go
@@ -96,12 +96,18 @@
 	r.noteBad(v, c, a.target, e)
 }
 
-// noteOvertaken takes as evidence that another target answered first: the attempt takes at
-// least as long as it has taken. Without that a hedge would hide a slow version. A hedge that
-// is overtaken began late, so that its time would say too little.
-func (r *Router) noteOvertaken(c *call, a *attempt) {
-	if v := a.target.service.rollout; v != nil && !a.hedge {
-		v.evidence.of(v.isNew(a.target), c.route.host, c.route.prefix).addGood(r.now.Sub(a.sent))
+// noteOvertaken takes as evidence that another target answered before the call's first one,
+// which takes at least as long as it has taken. Without that a hedge would hide a slow
+// version. A hedge that is overtaken began late, so that its time would say too little.
+func (r *Router) noteOvertaken(c *call, winner *attempt) {
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		if a == winner || a.target == nil || a.hedge {
+			continue
+		}
+		if v := a.target.service.rollout; v != nil {
+			v.evidence.of(v.isNew(a.target), c.route.host, c.route.prefix).addGood(r.now.Sub(a.sent))
+		}
 	}
 }
 
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -343,3 +343,6 @@
 	status.Replica = s.replicas.current
 	return status
 }
+
+// Attachment returns the number of the present attempt to attach, or of the connection.
+func (s *Subscription) Attachment() Attachment { return s.attachment }
