The share of a trial is that of the newest grant

Cause: the control side raises the share in grants for services with few calls; boxes took the lesser of it and the table's.

Change: the lot takes the grant's share.

Tests: pkg/core/routing and pkg/core/box pass; the script shows a grant with another share than the table's.

--- a/pkg/core/routing/exposure.go
+++ b/pkg/core/routing/exposure.go
@@ -72,18 +72,13 @@
 	return x.Since == v.record.Since && v.stop.at == 0
 }
 
-// share is the part of the service's calls that goes to the new version now.
-func (v *rolloutState) share() float64 {
-	return min(v.record.Share, v.exposure.Share).Of(1)
-}
-
 // draw decides by lot whether a new call goes to the new version.
 func (r *Router) draw(s *service) bool {
 	v := s.rollout
 	if v == nil || v.record.Stage != table.RolloutTrial || !v.exposed(r.now) {
 		return false
 	}
-	return v.lot.draw(v.share(), r.random)
+	return v.lot.draw(v.exposure.Share.Of(1), r.random)
 }
 
 // lot chooses a part of the calls: one at random of each run of as many as the part allows.
@@ -156,7 +151,7 @@
 
 func (v *rolloutState) turn(on, stopped bool) *ExposureTurn {
 	return &ExposureTurn{
-		Service: v.record.Service, Software: v.record.To, Order: v.record.Order, Share: v.record.Share,
+		Service: v.record.Service, Software: v.record.To, Order: v.record.Order, Share: v.exposure.Share,
 		On: on, Stopped: stopped, Good: v.stop.good, Bad: v.stop.bad,
 	}
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -53,7 +53,7 @@
 	Stage table.RolloutStage `json:"stage"`
 	Order units.Revision     `json:"order"`
 	// Exposed tells whether this box may send calls to the new version, Share which part of
-	// them, in hundredths.
+	// them the last grant named, in hundredths.
 	Exposed bool          `json:"exposed"`
 	Share   units.Percent `json:"share"`
 	// Stopped is set while the box keeps calls from the new version by its own evidence.
@@ -134,7 +134,7 @@
 func (v *rolloutState) status(now units.Instant) *RolloutStatus {
 	return &RolloutStatus{
 		From: v.record.From, To: v.record.To, Stage: v.record.Stage, Order: v.record.Order, Exposed: v.exposed(now),
-		Share: v.record.Share, Stopped: v.stop.at != 0, Old: sumAnswers(v.evidence.old), New: sumAnswers(v.evidence.new),
+		Share: v.exposure.Share, Stopped: v.stop.at != 0, Old: sumAnswers(v.evidence.old), New: sumAnswers(v.evidence.new),
 	}
 }
 
