Exposures take effect before the lease; urgent requests have a pause; stand-in versions

Cause: a box that started while all calls went to the new version refused those that came before its first table: its lease took effect before the exposure of the same grant. In the shift each third bad answer brought about a request for a lease.

Change: the order of the two; 200 ms between such requests; stand-in targets take the fault of a version: a part of failures, slowness, from the n-th call on, on one host name.

Tests: pkg/core pass; the new one fails with the old order.

--- a/pkg/core/box/box.go
+++ b/pkg/core/box/box.go
@@ -68,15 +68,16 @@
 		b.router.Reduce(now, &routing.TableChanged{Table: e.Subscription.Table}, &e.Routing)
 		e.Subscription.Table = nil
 	}
-	if e.Subscription.LeaseChanged {
-		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil()}, &e.Routing)
-		e.Subscription.LeaseChanged = false
-	}
+	// Before the lease, which has the router decide about calls that came before it.
 	if e.Subscription.ExposuresChanged {
 		b.router.Reduce(now, &routing.ExposuresChanged{Exposures: e.Subscription.Exposures}, &e.Routing)
 		e.Subscription.ExposuresChanged = false
 		e.Subscription.Exposures = nil
 	}
+	if e.Subscription.LeaseChanged {
+		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil()}, &e.Routing)
+		e.Subscription.LeaseChanged = false
+	}
 	b.addEvidence(e.Subscription.Sends[before:])
 }
 
--- a/pkg/core/box/exposure_test.go
+++ b/pkg/core/box/exposure_test.go
@@ -182,3 +182,17 @@
 	}
 	return bad
 }
+
+// A box that starts while all calls go to the new version serves those that came before its
+// first table.
+func TestEarlyCallsGoToTheShiftedVersion(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.leader.step(table.RolloutTrial, 10, 2)
+	f.leader.step(table.RolloutShifted, 100, 0)
+	m := f.boxes[0]
+	f.give(m, &routing.CallArrived{Owner: m, Host: []byte(theService), Path: []byte("/")})
+	f.run(100 * time.Millisecond)
+	if f.newSends == 0 {
+		t.Fatal("a call that came before the first table wasn't sent")
+	}
+}
--- a/pkg/core/routing/exposure.go
+++ b/pkg/core/routing/exposure.go
@@ -29,6 +29,10 @@
 	// the evidence of all boxes meanwhile, has decided by then in most cases: it hears from
 	// each box 2 to 3 times a second.
 	ownStopTime = time.Second
+	// urgentPause is the time between two requests for a lease that bad answers bring about: a
+	// box with a hundred bad answers a second must not crowd the leader, which hears from it
+	// every 400 ms anyway.
+	urgentPause = 200 * time.Millisecond
 )
 
 // takeExposures takes what the newest grant says.
@@ -127,7 +131,10 @@
 	if v.stop.at != 0 || v.stop.bad < ownStopAnswers || float64(v.stop.bad) < ownStopPart*float64(v.stop.good+v.stop.bad) {
 		return
 	}
-	r.evidenceDue = true
+	if v.urgentAt == 0 || r.now.Sub(v.urgentAt) >= urgentPause {
+		v.urgentAt = r.now
+		r.evidenceDue = true
+	}
 	if v.record.Stage != table.RolloutTrial {
 		// The old version takes no calls any more: stopping would refuse them all.
 		v.stop = ownStop{}
--- a/pkg/core/routing/rollout.go
+++ b/pkg/core/routing/rollout.go
@@ -37,6 +37,8 @@
 	exposure rollout.Exposure
 	lot      lot
 	stop     ownStop
+	// urgentAt is when bad answers last brought about a request for a lease.
+	urgentAt units.Instant
 	evidence evidence
 }
 
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -65,6 +66,24 @@
 	Sick bool
 	// Lie reports no load, whatever there is.
 	Lie bool
+	// Version is what a bad version of the target's software does beside that.
+	Version VersionFault
+}
+
+// VersionFault is what is wrong with a version of a target's software.
+type VersionFault struct {
+	// FailPercent is how many of a hundred calls get 500, Slow is added to each call's work.
+	FailPercent int
+	Slow        time.Duration
+	// After is how many calls the target runs well first, Host the only host name whose calls
+	// meet the fault; empty for all.
+	After int64
+	Host  string
+}
+
+// meets tells whether a call meets the fault, as the target's n-th.
+func (v *VersionFault) meets(host string, n int64) bool {
+	return n > v.After && (v.Host == "" || v.Host == host)
 }
 
 // StartTarget starts a stand-in target.
@@ -160,6 +179,10 @@
 	t.Behave(Behavior{
 		Slow: time.Duration(q.GetUintOrZero("slow_us")) * time.Microsecond,
 		Fail: q.GetBool("fail"), Shed: q.GetBool("shed"), Sick: q.GetBool("sick"), Lie: q.GetBool("lie"),
+		Version: VersionFault{
+			FailPercent: q.GetUintOrZero("version_fail_percent"), Slow: time.Duration(q.GetUintOrZero("version_slow_us")) * time.Microsecond,
+			After: int64(q.GetUintOrZero("version_after")), Host: string(q.Peek("version_host")),
+		},
 	})
 }
 
@@ -190,11 +213,15 @@
 
 func (t *Target) run(ctx *fasthttp.RequestCtx, b Behavior) {
 	request := string(ctx.Request.Header.Peek(RequestHeader))
-	t.runs.Add(1)
+	n := t.runs.Add(1)
 	if err := t.journal.Add(string(ctx.Host()), request); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
+	if b.Version.meets(string(ctx.Host()), n) {
+		b.Fail = b.Fail || rand.IntN(100) < b.Version.FailPercent
+		b.Slow += b.Version.Slow
+	}
 	if b.Fail {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
