A box that has just started waits for its first grant during a shift

Cause: a box that serves without a lease and had none yet sent calls to the old version during a shift, where the leader, which doesn't know the box yet, may call the old version drained.

Change: only a box that has lost a lease turns to the old version.

--- a/pkg/core/routing/rollout.go
+++ b/pkg/core/routing/rollout.go
@@ -121,13 +121,13 @@
 // Once a rollout has shifted them a box without a fresh exposure knows neither whether the
 // new version was rolled back nor whether the old targets still run: it sends to neither. A
 // box that serves without a lease, by its settings, takes the old ones: they were good when
-// it lost touch.
+// it lost touch. One that has just started waits for its first grant.
 func (r *Router) openSide(s *service) side {
 	v := s.rollout
 	if v == nil || v.record.Stage != table.RolloutShifted || v.exposed(r.now) {
 		return inForce
 	}
-	if r.settings.ServeStale && r.now >= r.leaseUntil {
+	if r.settings.ServeStale && r.leaseUntil != 0 && r.now >= r.leaseUntil {
 		return replaced
 	}
 	return noSide
