--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -46,6 +46,7 @@
 var beliefKinds = map[string]bool{
 	"table-in-force": false, "control-attach": false, "control-lost": false,
 	"target-ejected": true, "target-back": true,
+	"exposure-began": false, "exposure-ended": false, "exposure-stopped": false,
 }
 
 // maxLine bounds a line of a log.
