Property: a drained box sends the old version nothing, and tells what is under way

Cause: completed means that the old targets stop at once; that no box sends there any more, and that what boxes tell of calls under way is true, wasn't checked.

Change: the fleet counts attempts at the old version and compares each request's evidence with them; after a box has told of none at the shift's revision it may send none. The leader withholds exposures while it goes on granting leases. Boxes that turn to the old version then, or don't count calls under way, fail it.

--- a/pkg/core/box/exposure_test.go
+++ b/pkg/core/box/exposure_test.go
@@ -197,3 +197,31 @@
 		t.Fatal("a call that came before the first table wasn't sent")
 	}
 }
+
+// Once a box has told that nothing is under way at the old version it sends that nothing, so
+// that the old targets may stop when all boxes have.
+func TestADrainedBoxSendsTheOldVersionNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, 6, rapid.Uint64().Draw(rt, "seed"))
+		f.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "loss")
+		f.late = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "late")
+		f.bad = rapid.SampledFrom([]float64{0, 0.2}).Draw(rt, "bad")
+		f.run(1500 * time.Millisecond)
+		f.leader.step(table.RolloutTrial, 10, 4)
+		f.disturb()
+		f.run(time.Second)
+		f.leader.step(table.RolloutShifted, 100, 0)
+		f.run(f.upTo(2 * time.Second))
+		f.leader.withholds = true
+		f.run(2 * time.Second)
+		drained := 0
+		for _, m := range f.boxes {
+			if m.drainedAt != 0 {
+				drained++
+			}
+		}
+		if f.loss == 0 && drained == 0 {
+			rt.Fatalf("no box was drained")
+		}
+	})
+}
--- a/pkg/core/box/fleet_test.go
+++ b/pkg/core/box/fleet_test.go
@@ -55,10 +55,20 @@
 	index   int
 	start   uint64
 	effects Effects
+	// open are the attempts under way at the old version.
+	open map[attemptKey]bool
+	// drainedAt is the stage for which the box has told that nothing is under way at the old
+	// version, by its revision.
+	drainedAt units.Revision
 	// frozenUntil is when a box that stands still wakes, cutFrom when its messages end.
 	frozenUntil, cutFrom units.Instant
 }
 
+type attemptKey struct {
+	call   routing.CallID
+	number routing.AttemptNumber
+}
+
 // happening is what happens at a time.
 type happening struct {
 	at units.Instant
@@ -86,6 +96,8 @@
 // start starts a box, anew where it ran before.
 func (f *fleet) start(m *member) {
 	m.start++
+	m.drainedAt = 0
+	m.open = map[attemptKey]bool{}
 	core, err := NewBox(subscription.Settings{
 		Box: table.Box{ID: boxName(m.index)}, Replicas: []units.ReplicaID{"r1", "r2"}, RenewEvery: renewEvery, Silence: silence,
 		Start: m.start, Seed: f.random.Uint64(),
@@ -148,6 +160,9 @@
 		})
 		return
 	}
+	if x, ended := e.(*routing.AttemptEnded); ended {
+		delete(m.open, attemptKey{x.Call, x.Attempt})
+	}
 	m.effects.Reset()
 	m.core.Reduce(f.now, e, &m.effects)
 	f.carryOut(m)
@@ -157,11 +172,15 @@
 	routed, sends, attach := m.effects.Routing.List, m.effects.Subscription.Sends, m.effects.Subscription
 	m.effects = Effects{}
 	for _, x := range routed {
-		if x.Kind == routing.Send {
+		switch x.Kind {
+		case routing.Send:
 			f.answer(m, x)
+		case routing.Cancel:
+			delete(m.open, attemptKey{x.Call, x.Attempt})
 		}
 	}
 	for _, s := range sends {
+		f.checkUnderWay(m, s.GetRenewRequest())
 		f.post(m, func() { f.leader.receive(m, s) })
 	}
 	if attach.Attach {
@@ -169,6 +188,19 @@
 	}
 }
 
+// checkUnderWay checks what a request tells of the old version's calls.
+func (f *fleet) checkUnderWay(m *member, x *wire.RenewRequest) {
+	told := 0
+	for _, v := range x.Evidence {
+		if units.Software(v.Software) == oldSoftware {
+			told += int(v.UnderWay)
+		}
+	}
+	if len(x.Evidence) > 0 && told != len(m.open) {
+		f.t.Fatalf("box %d tells of %d calls under way at the old version, there are %d", m.index, told, len(m.open))
+	}
+}
+
 // post delivers a message between a box and its replica, late or never at times.
 func (f *fleet) post(m *member, do func()) {
 	start := m.start
@@ -189,6 +221,10 @@
 // answer answers an attempt after some time, and counts it where it went.
 func (f *fleet) answer(m *member, x routing.Effect) {
 	result := routing.Answered
+	if x.Endpoint.Target[0] == 'o' {
+		f.leader.checkOldSend(m)
+		m.open[attemptKey{x.Call, x.Attempt}] = true
+	}
 	if x.Endpoint.Target[0] == 'n' {
 		f.newSends++
 		f.lastNew = f.now
@@ -209,8 +245,8 @@
 type leader struct {
 	f     *fleet
 	table *table.Table
-	// down is set while no leader answers.
-	down bool
+	// down is set while no leader answers, withholds while it grants leases without exposures.
+	down, withholds bool
 	// stageSince is when the present stage began, endedAt when the rollout was rolled back.
 	stageSince, endedAt units.Instant
 	// seen are the bad answers of the new version that each run of a box has told of.
@@ -289,10 +325,11 @@
 			l.seen[fmt.Sprintf("%d/%d", m.index, request.Start)] = v.Bad
 		}
 	}
+	l.noteDrained(m, request)
 	response := &wire.RenewResponse{
 		Box: request.Box.Id, Nonce: request.Nonce, Start: request.Start, Revision: uint64(l.table.Revision), Duration: int64(exposureTime),
 	}
-	if v := l.record(); v.Active() {
+	if v := l.record(); v.Active() && !l.withholds {
 		response.Exposures = []*wire.Exposure{{
 			Service: string(theService), Order: uint64(v.Order), Since: uint64(v.Since), Share: float64(v.Share), Duration: int64(exposureTime),
 		}}
@@ -309,15 +346,39 @@
 }
 
 // checkSend checks a send to the new version: nobody may send any when the last grant has run
-// out that the leader can have given, without a rollout in its table, or after a failure.
+// out that the leader can have given, without a rollout in its table, or after a failure on
+// trial.
 func (l *leader) checkSend(m *member, n routing.AttemptNumber) {
-	if n > 1 {
-		l.f.t.Fatalf("box %d sent the new version a call again", m.index)
-	}
 	if l.endedAt != 0 && l.f.now >= l.endedAt.Add(exposureTime) {
 		l.f.t.Fatalf("box %d sent the new version a call %s after the rollback", m.index, l.f.now.Sub(l.endedAt))
 	}
-	if v := m.core.Subscription().Table().Rollout(theService); !v.Active() {
+	v := m.core.Subscription().Table().Rollout(theService)
+	if !v.Active() {
 		l.f.t.Fatalf("box %d sent the new version a call without a rollout in its table", m.index)
 	}
+	if n > 1 && v.Stage == table.RolloutTrial {
+		l.f.t.Fatalf("box %d sent the new version a call again", m.index)
+	}
+}
+
+// noteDrained notes a box that knows of the shift and has nothing under way at the old version.
+func (l *leader) noteDrained(m *member, request *wire.RenewRequest) {
+	v := l.record()
+	if v == nil || v.Stage != table.RolloutShifted || request.Revision < uint64(v.Since) {
+		return
+	}
+	for _, x := range request.Evidence {
+		if units.Software(x.Software) == oldSoftware && x.UnderWay > 0 {
+			return
+		}
+	}
+	m.drainedAt = v.Since
+}
+
+// checkOldSend checks a send to the old version: none may come from a box in touch that was
+// drained.
+func (l *leader) checkOldSend(m *member) {
+	if m.drainedAt != 0 && l.f.now < m.core.Subscription().LeaseUntil() {
+		l.f.t.Fatalf("box %d sent the old version a call after it had told that none was under way", m.index)
+	}
 }
