--- a/pkg/core/control/rollout_test.go
+++ b/pkg/core/control/rollout_test.go
@@ -259,6 +259,19 @@
 	return ended
 }
 
+// rolloutFaults are what befalls rollouts beside all else.
+var rolloutFaults = append([]disturbance{
+	{"abort", func(w *world, n int) {
+		w.orderRollout(w.replicas[n%len(w.replicas)], table.RolloutOrder{Service: testService, Abort: true}, func(Answer) {})
+	}},
+	{"lose a new target", func(w *world, n int) {
+		w.depart(w.replicas[n%len(w.replicas)], units.TargetID(fmt.Sprintf("n%d-%d", 1+n%5, n%3)))
+	}},
+	{"lose an old target", func(w *world, n int) {
+		w.depart(w.replicas[n%len(w.replicas)], units.TargetID(fmt.Sprintf("v1-%d", n%6)))
+	}},
+}, growthFaults...)
+
 // Under any faults that the cluster bears, beside documents, evacuations, edits and targets
 // that come and go, acknowledged rollouts are known everywhere in the end and have ended,
 // none that was rolled back goes on, and none completes while a box in touch waits for the
@@ -271,13 +284,13 @@
 		evacuations := newEvacuator(w, "d")
 		w.inDomain("d")
 		o := &mover{world: w}
-		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 1, 20).Draw(t, "faults")
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(rolloutFaults)*1000-1), 1, 20).Draw(t, "faults")
 		for _, s := range steps {
 			o.turn()
 			if s%5 == 0 {
 				evacuations.turn()
 			}
-			growthFaults[s%len(growthFaults)].do(w, s/len(growthFaults))
+			rolloutFaults[s%len(rolloutFaults)].do(w, s/len(rolloutFaults))
 			w.run(pause(s) + time.Duration(s%7)*200*time.Millisecond)
 		}
 		w.checkEnd()
