--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -79,7 +79,16 @@
 		return
 	}
 	index := units.Index(r.Snapshot.Index)
-	if index > n.log.commit || !n.formed() {
+	term, kept := n.log.term(index)
+	switch {
+	case !n.formed():
+		n.install(r.Snapshot, e)
+	case index <= n.log.commit:
+	case kept && term == units.Term(r.Snapshot.Term):
+		// The log holds all that the snapshot covers. Entries that follow may have been
+		// acknowledged: put in place of the log, a late snapshot would lose them.
+		n.commitTo(index, e)
+	default:
 		n.install(r.Snapshot, e)
 	}
 	n.answerAppend(p.id, &wire.AppendResponse{Match: uint64(max(index, n.log.commit)), Round: r.Round}, e)
