Rollouts: boxes of the test world act as real ones during the shift

Cause: with many calls under way at every box a report from before the shift was never empty, so the schedules couldn't show that a report's revision matters. Change: boxes with few calls; a box without a fresh exposure refuses during the shift; a call to a version that a completed rollout has replaced fails the test.

--- a/pkg/core/control/traffic_test.go
+++ b/pkg/core/control/traffic_test.go
@@ -22,6 +22,8 @@
 	callers map[*boxFake]*caller
 	// sent counts the calls to each version.
 	sent map[units.Software]int
+	// replaced are the versions that completed rollouts have replaced.
+	replaced map[units.Software]bool
 }
 
 // caller is what one start of a box has sent and been granted.
@@ -40,7 +42,7 @@
 )
 
 func newTraffic(w *world, service units.ServiceName, bad func(units.Software) float64) *traffic {
-	x := &traffic{world: w, service: service, bad: bad, callers: map[*boxFake]*caller{}, sent: map[units.Software]int{}}
+	x := &traffic{world: w, service: service, bad: bad, callers: map[*boxFake]*caller{}, sent: map[units.Software]int{}, replaced: map[units.Software]bool{}}
 	w.traffic = x
 	w.after(callEvery, x.tick)
 	return x
@@ -59,8 +61,12 @@
 }
 
 func (x *traffic) tick() {
-	for _, b := range x.world.boxes {
-		if b.up {
+	for i, b := range x.world.boxes {
+		for software, ends := range x.caller(b).underWay {
+			x.caller(b).underWay[software] = slices.DeleteFunc(ends, func(at units.Instant) bool { return at <= x.world.now })
+		}
+		// Boxes with few calls have none under way most of the time.
+		if b.up && x.world.random.IntN(1+i*i*10) == 0 {
 			x.call(b, x.caller(b))
 		}
 	}
@@ -69,13 +75,13 @@
 
 func (x *traffic) call(b *boxFake, c *caller) {
 	w := x.world
-	for software, ends := range c.underWay {
-		c.underWay[software] = slices.DeleteFunc(ends, func(at units.Instant) bool { return at <= w.now })
-	}
-	to := x.choose(b.core.Table(), c)
+	to := x.choose(b, c)
 	if to == "" {
 		return
 	}
+	if x.replaced[to] && w.now < b.core.LeaseUntil() {
+		w.t.Fatalf("box %s sends a call to %s, whose targets have stopped", b.id, to)
+	}
 	x.sent[to]++
 	c.underWay[to] = append(c.underWay[to], w.now.Add(time.Duration(w.random.Int64N(int64(longestCall)))))
 	e := c.counts[to]
@@ -92,13 +98,20 @@
 }
 
 // choose returns the version that a call goes to, as a box does.
-func (x *traffic) choose(t *table.Table, c *caller) units.Software {
+func (x *traffic) choose(b *boxFake, c *caller) units.Software {
+	t := b.core.Table()
 	r := t.Rollout(x.service)
 	if !r.Active() {
 		return t.SoftwareInForce(x.service)
 	}
-	g, known := c.granted[r.Order]
-	if known && g.Since == r.Since && x.world.now < g.Until && x.world.random.Float64()*100 < float64(g.Share) {
+	g := c.granted[r.Order]
+	fresh := x.world.now < g.Until
+	switch {
+	case r.Stage == table.RolloutShifted && fresh:
+		return r.To
+	case r.Stage == table.RolloutShifted && x.world.now < b.core.LeaseUntil():
+		return ""
+	case fresh && g.Since == r.Since && x.world.random.Float64()*100 < float64(g.Share):
 		return r.To
 	}
 	return r.From
@@ -142,6 +155,7 @@
 	if r == nil || r.Stage != table.RolloutCompleted || r.Since != t.Revision {
 		return
 	}
+	x.replaced[r.From] = true
 	for _, b := range x.world.boxes {
 		if !b.up || b.side != 0 || x.world.now >= b.core.LeaseUntil() {
 			continue
