Stories of rollouts with real processes

Cause: the two sides of rollouts had met in no test.

Change: a service with targets of two versions, callers, and a rollout that is good, bad at once, later, on one of two routes, slow; the leader killed during the trial and the shift, all replicas killed during the trial, a box frozen until after the rollback. Old targets are killed on completed.

--- /dev/null
+++ b/test/rollout_test.go
@@ -0,0 +1,309 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+const (
+	rolloutService = units.ServiceName("shop")
+	oldSoftware    = units.Software("v1")
+	newSoftware    = units.Software("v2")
+	rolloutTime    = 10 * time.Second
+	// exposureEnd is how long after the last grant a box may still send the new version a
+	// call: the exposure's second, and room for a busy machine.
+	exposureEnd = 2 * time.Second
+	// mostOfCalls and callsBeside bound what a bad version may get.
+	mostOfCalls = 0.1
+	callsBeside = 50
+)
+
+// rolloutStory is a story of a service with targets of two versions, and callers.
+type rolloutStory struct {
+	*story
+	old, fresh []*lab.TargetProcess
+	done       chan struct{}
+	work       sync.WaitGroup
+	// ordered is how many calls had been made at the order.
+	ordered int
+}
+
+func beginRollout(t *testing.T) *rolloutStory {
+	x := &rolloutStory{done: make(chan struct{})}
+	x.story = begin(t, setting{
+		replicas: 3, boxes: 3, targets: 8, targetArguments: []string{"--slots", "8", "--queue", "32", "--work", "5ms"},
+		adjust: func(s *config.Settings) {
+			s.Control.Rollout.Enabled = true
+			s.Entry.ServeStale = true
+		},
+	})
+	t.Cleanup(x.stop)
+	x.old, x.fresh = x.targets[:4], x.targets[4:]
+	x.must(lab.Eventually(patience, func() error { return x.api().PutDocument(rolloutDocument()) }))
+	x.keepReporting(x.old, oldSoftware)
+	x.must(lab.Eventually(patience, func() error { return x.wantInForce(oldSoftware) }))
+	var entries []string
+	for _, b := range x.cluster.Boxes {
+		x.must(x.cluster.AwaitServing(b, patience))
+		entries = append(entries, b.Entry)
+	}
+	x.caller = lab.NewCaller(entries...)
+	for k := range 8 {
+		x.spawn(func() { x.call(k) })
+	}
+	x.keepReporting(x.fresh, newSoftware)
+	return x
+}
+
+// rolloutDocument has a service that two hosts lead to.
+func rolloutDocument() json.RawMessage {
+	d := table.Document{Version: 1, Services: []table.Service{{
+		Name: rolloutService, Work: table.Repeatable, Deadline: 2 * time.Second, HoldLimit: time.Second, HoldCount: 100,
+		RetryBudget: 20, HedgeBudget: 10, ProbeTargets: 2, MeasureBudget: 20, ProbePath: "/healthz",
+	}}}
+	for _, name := range []string{"shop", "menu"} {
+		d.Routes = append(d.Routes, &table.Route{
+			Name: name, Host: name + ".test", PathPrefix: "/", Work: table.Repeatable, Deadline: 2 * time.Second,
+			Aim: 200 * time.Millisecond, Parts: []table.Part{{Service: rolloutService, Weight: 1}},
+		})
+	}
+	data, _ := json.Marshal(&d)
+	return data
+}
+
+// spawn does something again and again until the story's calls end.
+func (x *rolloutStory) spawn(f func()) {
+	x.work.Add(1)
+	go func() {
+		defer x.work.Done()
+		for {
+			select {
+			case <-x.done:
+				return
+			default:
+				f()
+			}
+		}
+	}()
+}
+
+// stop ends the calls and reports.
+func (x *rolloutStory) stop() {
+	select {
+	case <-x.done:
+	default:
+		close(x.done)
+	}
+	x.work.Wait()
+}
+
+func (x *rolloutStory) call(k int) {
+	host := "shop.test"
+	if k%4 == 0 {
+		host = "menu.test"
+	}
+	x.caller.Do(lab.Plan{Host: host})
+	time.Sleep(15 * time.Millisecond)
+}
+
+// keepReporting has targets of a version report themselves.
+func (x *rolloutStory) keepReporting(targets []*lab.TargetProcess, v units.Software) {
+	sequence := uint64(0)
+	api := x.api()
+	x.spawn(func() {
+		sequence++
+		for _, t := range targets {
+			if t.Process.Ended() {
+				continue
+			}
+			// One that isn't acknowledged is sent again with the next round.
+			api.Report(&table.Registration{
+				Target: units.TargetID(t.Name), Service: rolloutService, Address: t.Address, Software: v, Slots: 8,
+				State: table.Active, Sequence: sequence,
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+	})
+}
+
+func (x *rolloutStory) wantInForce(v units.Software) error {
+	t, err := x.api().Table()
+	if err == nil && t.SoftwareInForce(rolloutService) != v {
+		err = fmt.Errorf("version %q is in force", t.SoftwareInForce(rolloutService))
+	}
+	return err
+}
+
+// order orders the new version and waits until it gets calls.
+func (x *rolloutStory) order() {
+	x.Helper()
+	x.ordered = len(x.caller.Calls())
+	x.send(table.RolloutOrder{Service: rolloutService, To: newSoftware, Duration: rolloutTime, Operator: "story"})
+	x.must(lab.Eventually(rolloutTime, func() error {
+		if x.runsOf(x.fresh) == 0 {
+			return fmt.Errorf("the new version gets no calls")
+		}
+		return nil
+	}))
+}
+
+// send sends an order until it is acknowledged.
+func (x *rolloutStory) send(o table.RolloutOrder) {
+	x.Helper()
+	x.must(lab.Eventually(patience, func() error { return x.api().OrderRollout(o) }))
+}
+
+func (x *rolloutStory) awaitStage(stages ...table.RolloutStage) table.RolloutStage {
+	x.Helper()
+	var found table.RolloutStage
+	x.must(lab.Eventually(patience, func() error {
+		t, err := x.api().Table()
+		if err != nil {
+			return err
+		}
+		v := t.Rollout(rolloutService)
+		for _, s := range stages {
+			if v != nil && v.Stage == s {
+				found = s
+				x.Logf("stage %d after %s: %s", s, v.Elapsed, v.Reason)
+				return nil
+			}
+		}
+		return fmt.Errorf("the rollout is %+v", v)
+	}))
+	return found
+}
+
+func (x *rolloutStory) runsOf(targets []*lab.TargetProcess) int {
+	n := 0
+	for _, t := range targets {
+		n += int(x.statsOf(t).Runs)
+	}
+	return n
+}
+
+// mustGetNothing fails if the new version gets a call within a second.
+func (x *rolloutStory) mustGetNothing(when string) {
+	x.Helper()
+	before := x.runsOf(x.fresh)
+	time.Sleep(time.Second)
+	if n := x.runsOf(x.fresh) - before; n > 0 {
+		x.Fatalf("%d calls went to the new version %s", n, when)
+	}
+}
+
+// mustBeBounded fails if the new version got more than a tenth of the calls since the order.
+func (x *rolloutStory) mustBeBounded() {
+	x.Helper()
+	calls, got := len(x.caller.Calls())-x.ordered, x.runsOf(x.fresh)
+	x.Logf("the new version got %d of %d calls", got, calls)
+	if float64(got) > mostOfCalls*float64(calls)+callsBeside {
+		x.Fatalf("the new version got %d of %d calls", got, calls)
+	}
+}
+
+func TestAGoodVersionTakesOver(t *testing.T) {
+	x := beginRollout(t)
+	x.order()
+	x.awaitStage(table.RolloutCompleted)
+	// The old targets stop at once, without draining.
+	for _, o := range x.old {
+		o.Process.Kill()
+	}
+	time.Sleep(2 * time.Second)
+	x.stop()
+	s := x.mustBeClean()
+	if s.Unknown > 0 || s.Errors > 0 || s.Refused > s.Sent/50 {
+		t.Fatalf("the rollout cost calls: %+v", s)
+	}
+}
+
+func TestABadVersionIsRolledBack(t *testing.T) {
+	scenarios := []struct{ testName, fault string }{
+		{"bad at once", "version_fail_percent=100"},
+		{"bad later", "version_fail_percent=60&version_after=20"},
+		{"bad on one route", "version_fail_percent=100&version_host=menu.test"},
+		{"slow", "version_slow_us=60000"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			x := beginRollout(t)
+			for _, n := range x.fresh {
+				x.behave(n, s.fault)
+			}
+			x.order()
+			x.awaitStage(table.RolloutRolledBack)
+			x.mustBeBounded()
+			time.Sleep(exposureEnd)
+			x.mustGetNothing("after the rollback")
+			x.stop()
+			x.mustBeClean()
+		})
+	}
+}
+
+func TestTheLeaderIsKilledDuringATrial(t *testing.T) {
+	x := beginRollout(t)
+	x.order()
+	leader := x.leader()
+	leader.Process.Kill()
+	x.awaitStage(table.RolloutCompleted, table.RolloutRolledBack)
+	x.stop()
+	x.mustBeClean()
+}
+
+func TestAllReplicasAreKilledDuringATrial(t *testing.T) {
+	x := beginRollout(t)
+	x.order()
+	for _, n := range x.cluster.Replicas {
+		n.Process.Kill()
+	}
+	time.Sleep(exposureEnd)
+	x.mustGetNothing("while no leader could grant it")
+	for _, n := range x.cluster.Replicas {
+		x.must(x.cluster.StartAgain(n))
+	}
+	x.awaitStage(table.RolloutCompleted, table.RolloutRolledBack)
+	x.stop()
+	x.mustBeClean()
+}
+
+func TestABoxThatWakesDuringATrialSendsTheNewVersionNothing(t *testing.T) {
+	x := beginRollout(t)
+	x.order()
+	frozen := x.cluster.Boxes[0]
+	frozen.Process.Freeze()
+	x.send(table.RolloutOrder{Service: rolloutService, Abort: true, Operator: "story"})
+	x.awaitStage(table.RolloutRolledBack)
+	time.Sleep(exposureEnd)
+	before := x.runsOf(x.fresh)
+	frozen.Process.Thaw()
+	time.Sleep(time.Second)
+	if n := x.runsOf(x.fresh) - before; n > 0 {
+		t.Fatalf("%d calls went to the new version after the box had woken", n)
+	}
+	x.stop()
+	x.mustBeClean()
+}
+
+func TestTheLeaderIsKilledDuringTheShift(t *testing.T) {
+	x := beginRollout(t)
+	x.order()
+	leader := x.leader()
+	x.awaitStage(table.RolloutShifted, table.RolloutCompleted)
+	leader.Process.Kill()
+	x.awaitStage(table.RolloutCompleted, table.RolloutRolledBack)
+	x.stop()
+	s := x.mustBeClean()
+	if s.Unknown > 0 || s.Errors > 0 {
+		t.Fatalf("the rollout cost calls: %+v", s)
+	}
+}
