The soak orders rollouts from seed 11000 on

Cause: rollouts met no random faults with real processes.

Change: from that seed on half of one service's targets are of a second version, an operator orders moves between the two, or ends them, at any replica; at the end a rollout is ordered, all replicas are killed once it is acknowledged, it must end on every replica, and the version that isn't in force gets no calls.

--- /dev/null
+++ b/test/soak_rollout_test.go
@@ -0,0 +1,118 @@
+package test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+const (
+	// rolloutsFrom is the first seed whose targets have versions, between which an operator
+	// moves the calls of a service.
+	rolloutsFrom = 11_000
+	// soakRollout is how long such a rollout may take.
+	soakRollout = 4 * time.Second
+	// soakRolled is the service whose targets have two versions.
+	soakRolled = units.ServiceName("shop")
+)
+
+func (x *soak) rollsOut() bool { return x.seed >= rolloutsFrom }
+
+// softwareOf is the version of a target: every other one of the service is of the second, in
+// both failure domains.
+func (x *soak) softwareOf(service string, t int) units.Software {
+	switch {
+	case !x.rollsOut():
+		return ""
+	case units.ServiceName(service) == soakRolled && t/len(soakServices)%2 == 1:
+		return newSoftware
+	}
+	return oldSoftware
+}
+
+// rollOut has an operator order rollouts, or end the one under way, at any replica.
+func (x *soak) rollOut() {
+	o := table.RolloutOrder{Service: soakRolled, To: oldSoftware, Duration: soakRollout, Operator: "soak"}
+	switch x.draw(5) {
+	case 0:
+		o.Abort = true
+	case 1, 2:
+		o.To = newSoftware
+	}
+	// Most orders come while another one is under way, or while nobody leads.
+	x.oneReplica(x.anyReplica()).OrderRollout(o)
+	x.pause(300, 2000)
+}
+
+// checkRollout orders a rollout, kills all replicas once it is acknowledged, and makes sure
+// that it goes on to an end, after which the version that isn't in force gets no calls.
+func (x *soak) checkRollout() {
+	var to units.Software
+	x.must(lab.Eventually(patience, func() error {
+		x.keepBusy()
+		t, err := x.oneReplica(x.anyReplica()).Table()
+		if err != nil {
+			return err
+		}
+		to = newSoftware
+		if t.SoftwareInForce(soakRolled) == newSoftware {
+			to = oldSoftware
+		}
+		return x.oneReplica(x.anyReplica()).OrderRollout(table.RolloutOrder{Service: soakRolled, To: to, Duration: soakRollout, Operator: "soak"})
+	}))
+	x.killAll()
+	var end *table.Table
+	x.must(lab.Eventually(patience, func() (err error) {
+		x.keepBusy()
+		end, err = x.endOfRollout(to)
+		return err
+	}))
+	inForce := end.SoftwareInForce(soakRolled)
+	x.Logf("the rollout to %s ended in stage %d (%s)", to, end.Rollout(soakRolled).Stage, end.Rollout(soakRolled).Reason)
+	time.Sleep(soakLeaveBound)
+	before := x.runsOfOthers(inForce)
+	x.keepBusy()
+	if n := x.runsOfOthers(inForce) - before; n > 0 {
+		x.Errorf("%d calls went to targets of another version than %s, which was in force", n, inForce)
+	}
+}
+
+// keepBusy makes some calls and has all targets report.
+func (x *soak) keepBusy() {
+	x.reportAll(x.cluster.Replicas[1])
+	for range 10 {
+		x.caller.Do(lab.Plan{Host: string(soakRolled) + ".test"})
+	}
+}
+
+// endOfRollout returns the table once every replica shows the rollout ended.
+func (x *soak) endOfRollout(to units.Software) (t *table.Table, err error) {
+	for _, n := range x.cluster.Replicas {
+		if t, err = x.oneReplica(n).Table(); err != nil {
+			return nil, err
+		}
+		v := t.Rollout(soakRolled)
+		if v == nil || v.To != to {
+			return nil, fmt.Errorf("%s has lost the rollout to %s that was acknowledged: %+v", n.Settings.Box, to, v)
+		}
+		if v.Active() {
+			return nil, fmt.Errorf("%s shows the rollout in stage %d", n.Settings.Box, v.Stage)
+		}
+	}
+	return t, nil
+}
+
+// runsOfOthers counts the calls that the service's targets of other versions have run.
+func (x *soak) runsOfOthers(inForce units.Software) int {
+	n := 0
+	for i, t := range x.targets {
+		service := soakServices[i%len(soakServices)]
+		if units.ServiceName(service) == soakRolled && x.softwareOf(service, i) != inForce {
+			n += int(x.statsOf(t).Runs)
+		}
+	}
+	return n
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -55,6 +55,10 @@
 
 // soakSizeOf makes one seed in eight a large one.
 func soakSizeOf(seed uint64) soakSize {
+	if seed >= rolloutsFrom {
+		// Each version needs targets in both failure domains.
+		return soakSize{boxes: 3, targets: 8, callers: 6}
+	}
 	if seed%8 == 7 {
 		return soakSize{boxes: 12, targets: 12, callers: 18}
 	}
@@ -122,6 +126,9 @@
 	if seed >= allFaultsFrom {
 		x.spawn(x.evacuate)
 	}
+	if x.rollsOut() {
+		x.spawn(x.rollOut)
+	}
 	for range 1 + seed%soakMostLanes {
 		x.spawn(x.oneFault)
 	}
@@ -130,6 +137,9 @@
 	x.work.Wait()
 	x.heal()
 	x.checkDocument()
+	if x.rollsOut() {
+		x.checkRollout()
+	}
 	x.checkLeaving()
 	x.checkEvacuation()
 	x.checkCalls()
@@ -153,6 +163,7 @@
 			s.Control.Growth.Voters = soakReplicas
 			s.Control.ReadTimeout = config.Duration(time.Second)
 			s.Control.EditTimeout = config.Duration(2 * time.Second)
+			s.Control.Rollout.Enabled = x.rollsOut()
 		},
 	})
 	x.must(err)
@@ -281,7 +292,7 @@
 	x.lock.Unlock()
 	return &table.Registration{
 		Target: targetID(service, x.targets[t]), Service: units.ServiceName(service), Address: x.paths[t].Address(), Slots: 3, State: state, Sequence: sequence,
-		Domain: x.domainOf(t),
+		Domain: x.domainOf(t), Software: x.softwareOf(service, t),
 	}
 }
 
