--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -45,6 +45,8 @@
 	TargetsBusy
 	Evacuated
 	TooLate
+	OtherVersions
+	RolloutUnsure
 	reasonCount
 )
 
@@ -72,6 +74,8 @@
 	TargetsBusy:    {"targets-busy", 503, "come back after the time given; all targets that were asked are full or slowed"},
 	Evacuated:      {"evacuated", 503, "come back later; the failure domains of all targets of this service are evacuated"},
 	TooLate:        {"too-late", 503, "come back when fewer calls come; the answer would miss the aim, and callers who have just come go first"},
+	OtherVersions:  {"other-versions", 503, "come back later; no target of this service runs the version of its software that takes calls"},
+	RolloutUnsure:  {"rollout-unsure", 503, "try another box; this one can't tell now which version of the service's software takes calls"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
