Rollout orders carry the revision they were taken at; a delayed copy begins or ends nothing

Change: an order carries the revision of the table that the replica held which took it. Where another rollout of the service has begun or ended since, it is overtaken, which its caller learns as no clear answer. An order to end a rollout ends none that was ordered later.

--- a/pkg/core/control/rolloutorders.go
+++ b/pkg/core/control/rolloutorders.go
@@ -11,12 +11,15 @@
 	"github.com/madderpond/madderpond/pkg/wire"
 )
 
-// orderRollout takes an operator's order.
+// orderRollout takes an operator's order. It carries what this replica held when it came: a
+// copy that waits here behind a cut must not begin a version again that was rolled back, nor
+// end a rollout that was ordered later.
 func (r *Replica) orderRollout(v RolloutOrdered, log *replication.Effects, e *Effects) {
 	if err := r.checkRolloutOrder(&v.Order); err != nil {
 		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
 		return
 	}
+	v.Order.Base = r.state.Table().Revision
 	c := &wire.Command{Kind: &wire.Command_Rollout{Rollout: wire.FromRolloutOrder(&v.Order)}}
 	r.submitCommand(v.Request, c, fmt.Sprintf("order of a rollout of %s", v.Order.Service), log, e)
 }
@@ -51,6 +54,9 @@
 		return fault.New(fault.Unavailable, "send it again once targets have registered", "it isn't known yet which version of %s is in force", o.Service)
 	case table.RolloutInForce:
 		return fault.New(fault.Invalid, "name another version", "version %s of %s is in force already", o.To, o.Service)
+	case table.RolloutOvertaken:
+		return fault.New(fault.Unavailable, "look at its present state and send the order again if it is still wanted",
+			"another rollout of %s began or ended first", o.Service)
 	case table.RolloutOver:
 		return fault.New(fault.Conflict, "order a rollout to the version before", "the rollout of %s is completed", o.Service)
 	}
--- a/pkg/core/table/rollout_test.go
+++ b/pkg/core/table/rollout_test.go
@@ -13,6 +13,7 @@
 var rolloutOutcomes = map[RolloutOutcome]string{
 	RolloutTaken: "taken", RolloutConflicts: "conflicts", RolloutUnknownService: "unknown service", RolloutNoVersion: "no version in force",
 	RolloutInForce: "in force already", RolloutOver: "over",
+	RolloutOvertaken: "overtaken",
 }
 
 func orderRollout(t *testing.T, state *State, d *datadriven.TestData) string {
@@ -21,6 +22,9 @@
 		o.To = units.Software(d.CmdArgs[1].Key)
 	}
 	var duration, at int
+	base := int(state.Table().Revision)
+	d.MaybeScanArgs(t, "base", &base)
+	o.Base = units.Revision(base)
 	d.MaybeScanArgs(t, "seconds", &duration)
 	d.MaybeScanArgs(t, "at", &at)
 	o.Duration = time.Duration(duration) * time.Second
--- a/pkg/core/table/rolloutorder.go
+++ b/pkg/core/table/rolloutorder.go
@@ -18,6 +18,9 @@
 	// Abort is set to end the rollout under way; To and Duration aren't used then.
 	Abort    bool   `json:"abort,omitempty"`
 	Operator string `json:"operator,omitempty"`
+	// Base is the revision of the table that the replica held which took the order. An order
+	// that was delayed while another rollout began or ended is known by it.
+	Base units.Revision `json:"-"`
 }
 
 // RolloutStep is the leader's decision on the next stage of a rollout.
@@ -50,6 +53,8 @@
 	RolloutInForce
 	// RolloutOver: the rollout to be ended isn't under way any more.
 	RolloutOver
+	// RolloutOvertaken: a rollout of the service has begun or ended since the order was taken.
+	RolloutOvertaken
 )
 
 // rolloutRepeat is how long after a rollout was ordered an order of the same version counts
@@ -73,6 +78,8 @@
 		return RolloutConflicts, nil
 	case held != nil && held.To == o.To && (held.Stage == RolloutCompleted && inForce == o.To || held.orderedJustBefore(at)):
 		return RolloutTaken, nil
+	case held != nil && held.Since > o.Base:
+		return RolloutOvertaken, nil
 	case s.table.Services[o.Service] == nil:
 		return RolloutUnknownService, nil
 	case inForce == "":
@@ -97,6 +104,8 @@
 	switch {
 	case held == nil:
 		return RolloutUnknownService, nil
+	case held.Order > o.Base:
+		return RolloutOvertaken, nil
 	case held.Stage == RolloutRolledBack:
 		return RolloutTaken, nil
 	case held.Stage == RolloutCompleted:
--- a/pkg/wire/convert_rollout.go
+++ b/pkg/wire/convert_rollout.go
@@ -45,6 +45,7 @@
 func FromRolloutOrder(o *table.RolloutOrder) *RolloutOrder {
 	return &RolloutOrder{
 		Service: string(o.Service), To: string(o.To), Duration: int64(o.Duration), Abort: o.Abort, Operator: o.Operator,
+		Base: uint64(o.Base),
 	}
 }
 
@@ -52,7 +53,7 @@
 func ToRolloutOrder(o *RolloutOrder) *table.RolloutOrder {
 	return &table.RolloutOrder{
 		Service: units.ServiceName(o.Service), To: units.Software(o.To), Duration: time.Duration(o.Duration),
-		Abort: o.Abort, Operator: o.Operator,
+		Abort: o.Abort, Operator: o.Operator, Base: units.Revision(o.Base),
 	}
 }
 
