Residency: calls of a restricted route go to targets in its regions only

Cause: a route may name the regions that may serve its calls, and nothing read that.

Calls that wait for one region don't keep others waiting.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -233,6 +233,7 @@
 	setMemoryLimit(s)
 	if a.entry != nil {
 		a.entry.SetReplicas(s)
+		a.entry.SetRegions(s)
 	}
 	if a.replica != nil {
 		a.replica.SetSeeds(s)
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -6,12 +6,14 @@
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 // Defaults returns the settings that hold where the file says nothing.
 func Defaults() *Settings {
 	return &Settings{
 		LogLevel: "info",
+		Regions:  map[units.Domain]units.Region{},
 		Roles:    []Role{RoleEntry},
 		Replicas: []Replica{},
 		Seeds:    []string{},
--- a/pkg/config/difference.go
+++ b/pkg/config/difference.go
@@ -15,7 +15,7 @@
 
 // takenRunning are the fields whose changes a running process takes. All others tie it to
 // its ports or its data folder, or are part of what it has promised to others.
-var takenRunning = []string{"logLevel", "memoryLimitMB", "seeds", "replicas"}
+var takenRunning = []string{"logLevel", "memoryLimitMB", "seeds", "replicas", "regions"}
 
 // Differences returns the fields in which two settings differ, in the order of the
 // settings. Lists are compared as a whole.
@@ -37,6 +37,7 @@
 	merged.LogLevel = next.LogLevel
 	merged.MemoryLimitMB = next.MemoryLimitMB
 	merged.Seeds = next.Seeds
+	merged.Regions = next.Regions
 	if !inForce.Has(RoleControl) {
 		merged.Replicas = next.Replicas
 	}
--- a/pkg/config/difference_test.go
+++ b/pkg/config/difference_test.go
@@ -16,6 +16,7 @@
 		{"the log level", func(s *Settings) { s.LogLevel = "debug" }, []Difference{{"logLevel", true}}},
 		{"the seeds", func(s *Settings) { s.Seeds = []string{"127.0.0.1:1"} }, []Difference{{"seeds", true}}},
 		{"a replica's address", func(s *Settings) { s.Replicas = []Replica{{Box: "c", Address: "127.0.0.1:2"}} }, []Difference{{"replicas", true}}},
+		{"the regions", func(s *Settings) { s.Regions["north-a"] = "north" }, []Difference{{"regions", true}}},
 		{"a port", func(s *Settings) { s.Entry.Listen = "127.0.0.1:3" }, []Difference{{"entry.listen", false}}},
 		{"a nested list", func(s *Settings) { s.Entry.Disable = append(s.Entry.Disable, "waiting") }, []Difference{{"entry.disable", false}}},
 		{"several", func(s *Settings) { s.Box, s.MemoryLimitMB = "other", 100 }, []Difference{{"box", false}, {"memoryLimitMB", true}}},
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -27,6 +27,8 @@
 	Metrics       Metrics    `json:"metrics" doc:"The port for metrics alone."`
 	Platform      Platform   `json:"platform" doc:"The platform's list of live and leaving boxes."`
 	Stop          StopTiming `json:"stop" doc:"The planned stop."`
+
+	Regions map[units.Domain]units.Region `json:"regions" validate:"max=1024,dive,keys,name,endkeys,name" doc:"The regions of the failure domains, as in {\"north-a\": \"north\"}, the same on every box. A target whose domain isn't listed has no region: routes that allow some regions only don't use it."`
 }
 
 // Role is something that a process does.
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -35,7 +36,8 @@
 		r.refuse(id, c, Refusal{Reason: Stopping, Outcome: NotRun, RetryAfter: stoppingRetry}, e)
 		return
 	}
-	s := c.route.pick()
+	c.bind(v.Host, v.Path)
+	s := r.pickService(c)
 	if s == nil {
 		r.refuse(id, c, Refusal{Reason: NoTarget, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
 		return
@@ -45,7 +47,7 @@
 	s.retries.earn(s.row.RetryBudget, s.burst)
 	s.hedges.earn(s.row.HedgeBudget, s.burst)
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
-	if s.held.length == 0 {
+	if !r.standsBehind(s, c) {
 		if t := r.choose(s, c); t != nil {
 			r.place(id, c, t, FirstSend, e)
 			r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
@@ -88,7 +90,7 @@
 func (r *Router) choose(s *service, c *call) *target {
 	// The set is kept in the router, since a policy's argument would be garbage.
 	set := &r.candidates
-	*set = candidates{service: s, now: r.now, call: c, anyHealth: s.mostlyEjected, fresh: c.tries > 0}
+	*set = candidates{service: s, now: r.now, call: c, anyHealth: r.anyHealth(s, c), fresh: c.tries > 0}
 	i := r.chooseIndex(set)
 	if i < 0 && set.fresh {
 		set.fresh = false
@@ -115,7 +117,7 @@
 	s := c.service
 	until := min(c.deadline, r.now.Add(s.row.HoldLimit))
 	if reason := r.refusesToHold(s, c, until); reason != 0 {
-		r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfter()}, e)
+		r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason)}, e)
 		return
 	}
 	c.held = true
@@ -128,13 +130,19 @@
 }
 
 func (r *Router) refusesToHold(s *service, c *call, until units.Instant) Reason {
+	if s.isBarred(c) {
+		return RegionBarred
+	}
 	if s.held.length >= s.row.HoldCount {
 		return TooManyHeld
 	}
-	if !s.hasActiveTarget() && c.route.work != table.Patient {
-		return s.noTargetReason()
+	if !s.hasActiveTarget(c) && c.route.work != table.Patient {
+		return s.noTargetReason(c)
+	}
+	wait := s.expectedWait(c)
+	if r.standsBehind(s, c) {
+		wait = max(wait, r.frontAge(s))
 	}
-	wait := max(s.expectedWait(), r.frontAge(s))
 	room := time.Duration(holdMargin * float64(until.Sub(r.now)))
 	if wait > room || r.now.Add(wait+s.latency.steadyMean()) > c.deadline {
 		return WaitTooLong
@@ -156,9 +164,11 @@
 	return 0
 }
 
-func (s *service) hasActiveTarget() bool {
+// hasActiveTarget tells whether a target of the service may take the call, but for its
+// health and limits.
+func (s *service) hasActiveTarget(c *call) bool {
 	for _, t := range s.targets {
-		if t.isActive() {
+		if t.isActive() && c.mayUse(t) {
 			return true
 		}
 	}
@@ -167,24 +177,39 @@
 
 // serveHeld sends held calls, oldest first, while targets take them.
 func (r *Router) serveHeld(s *service, e *Effects) {
-	for s.held.length > 0 {
-		if !r.leased() {
-			return
-		}
-		id, c := r.firstHeld(s)
-		if c == nil {
-			return
-		}
-		t := r.choose(s, c)
+	for s.held.length > 0 && r.leased() {
+		i, t := r.nextServable(s)
 		if t == nil {
 			return
 		}
-		s.held.popFront()
+		id := s.held.remove(i)
+		c := r.calls.Get(id)
 		c.held = false
 		r.send(id, c, t, FirstSend, e)
 	}
 }
 
+// nextServable returns the place of the oldest held call that a target takes, and that
+// target; nil for none. Calls that may go to some regions only don't keep others waiting.
+func (r *Router) nextServable(s *service) (int, *target) {
+	r.firstHeld(s)
+	var blocked *table.AllowedRegions
+	for i, id := range s.held.waiting() {
+		c := r.calls.Get(id)
+		if c == nil || !c.held || blocked != nil && blocked.Equal(c.regions) {
+			continue
+		}
+		if t := r.choose(s, c); t != nil {
+			return i, t
+		}
+		if c.regions == nil {
+			return 0, nil
+		}
+		blocked = c.regions
+	}
+	return 0, nil
+}
+
 // firstHeld returns the oldest call that is still held, passing over those that
 // have ended meanwhile.
 func (r *Router) firstHeld(s *service) (CallID, *call) {
@@ -223,6 +248,21 @@
 
 func (q *heldQueue) front() CallID { return q.ids[q.head] }
 
+// waiting lists the queue, oldest first; it holds until the queue changes.
+func (q *heldQueue) waiting() []CallID { return q.ids[q.head:] }
+
+// remove takes the call at a place counted from the front out of the queue.
+func (q *heldQueue) remove(i int) CallID {
+	id := q.ids[q.head+i]
+	if i == 0 {
+		q.popFront()
+		return id
+	}
+	q.ids = slices.Delete(q.ids, q.head+i, q.head+i+1)
+	q.length--
+	return id
+}
+
 func (q *heldQueue) popFront() {
 	q.head++
 	q.length--
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -81,7 +81,7 @@
 	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() {
 		return
 	}
-	if s.held.length > 0 || !r.leased() {
+	if r.standsBehind(s, c) || !r.leased() {
 		r.hedgeLater(id, c)
 		return
 	}
@@ -292,7 +292,7 @@
 // retry sends a call again to another target, if the budget allows it. A retry is free
 // when nothing of the call can have arrived anywhere.
 func (r *Router) retry(id CallID, c *call, free bool, e *Effects) bool {
-	if !r.on(Retrying) || c.spentAttempts() || !r.leased() || c.service.held.length > 0 {
+	if !r.on(Retrying) || c.spentAttempts() || !r.leased() || r.standsBehind(c.service, c) {
 		return false
 	}
 	t := r.choose(c.service, c)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -34,6 +35,10 @@
 type call struct {
 	owner any
 	route *route
+	// host and path are what the call asked for, regions where targets must be to take it;
+	// a new table binds the call anew.
+	host, path []byte
+	regions    *table.AllowedRegions
 	// service is the one of the route's services that the call goes to.
 	service  *service
 	arrived  units.Instant
@@ -68,9 +73,17 @@
 }
 
 func (c *call) reset() {
-	*c = call{}
+	host, path := c.host[:0], c.path[:0]
+	if cap(path) > maxKeptPath {
+		path = nil
+	}
+	*c = call{host: host, path: path}
 }
 
+// maxKeptPath bounds the room for paths that outlasts calls: nearly all paths are shorter, so
+// that few calls need new room.
+const maxKeptPath = 1 << 10
+
 // outcome says what the caller may be told if the call ends now.
 func (c *call) outcome() Outcome {
 	if c.mayHaveRun || c.underWay() > 0 {
--- a/pkg/core/routing/evacuation.go
+++ b/pkg/core/routing/evacuation.go
@@ -36,40 +36,60 @@
 
 func (r *Router) wasRestored(d units.Domain) bool { return slices.Contains(r.restored, d) }
 
-// noTargetReason says why a service has no target that may take calls.
-func (s *service) noTargetReason() Reason {
-	if slices.ContainsFunc(s.targets, func(t *target) bool { return t.evacuated && t.inTable() }) {
+// noTargetReason says why a service has no target that may take a call.
+func (s *service) noTargetReason(c *call) Reason {
+	if s.isBarred(c) {
+		return RegionBarred
+	}
+	if slices.ContainsFunc(s.targets, func(t *target) bool { return t.evacuated && t.inTable() && c.mayUse(t) }) {
 		return Evacuated
 	}
 	return NoTarget
 }
 
-// refuseUnservable refuses the calls that wait at a service without targets: none will
-// come free for them.
+// refuseUnservable refuses the calls that wait at a service without targets for them: none
+// will come free.
 func (r *Router) refuseUnservable(s *service, e *Effects) {
-	if s.hasActiveTarget() {
+	if len(s.held.waiting())+len(s.waiting) == 0 || s.hasActiveTarget(nil) && !r.routes.restricts {
 		return
 	}
-	ids := s.held.drain()
-	for _, w := range s.waiting {
-		ids = append(ids, w.id)
+	var unservable []CallID
+	for _, id := range s.held.drain() {
+		if r.isServable(s, id) {
+			s.held.pushBack(id)
+			continue
+		}
+		unservable = append(unservable, id)
 	}
-	s.waiting = nil
-	for _, id := range ids {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waitingCall) bool {
+		if r.isServable(s, w.id) {
+			return false
+		}
+		unservable = append(unservable, w.id)
+		return true
+	})
+	for _, id := range unservable {
 		r.refuseWaiting(s, id, e)
 	}
 }
 
+// isServable tells whether the service has a target for a call that waits.
+func (r *Router) isServable(s *service, id CallID) bool {
+	c := r.calls.Get(id)
+	return c != nil && s.hasActiveTarget(c)
+}
+
 // refuseWaiting refuses a call that still waits for a target of the service and isn't under
-// way. A patient one is held until its time is up.
+// way. A patient one is held until its time is up, unless its regions rule all targets out.
 func (r *Router) refuseWaiting(s *service, id CallID, e *Effects) {
 	c := r.calls.Get(id)
 	if c == nil || c.service != s || !c.held && !c.probeRound.open || c.underWay() > 0 {
 		return
 	}
-	if c.held && c.route.work == table.Patient {
+	reason := s.noTargetReason(c)
+	if c.held && c.route.work == table.Patient && reason != RegionBarred {
 		s.held.pushBack(id)
 		return
 	}
-	r.refuse(id, c, Refusal{Reason: s.noTargetReason(), Outcome: c.outcome(), RetryAfter: s.retryAfter()}, e)
+	r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason)}, e)
 }
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -31,6 +31,9 @@
 // LeaseChanged says until when the table may be trusted.
 type LeaseChanged struct{ Until units.Instant }
 
+// RegionsChanged gives the regions of the failure domains anew.
+type RegionsChanged struct{ Regions map[units.Domain]units.Region }
+
 // StopPlanned says when the box will have stopped. From half of the time until then a
 // call is taken only if it is sure to end before.
 type StopPlanned struct{ Until units.Instant }
@@ -93,6 +96,7 @@
 func (*Tick) routingEvent()           {}
 func (*TableChanged) routingEvent()   {}
 func (*LeaseChanged) routingEvent()   {}
+func (*RegionsChanged) routingEvent() {}
 func (*StopPlanned) routingEvent()    {}
 func (*CallArrived) routingEvent()    {}
 func (*CallerGone) routingEvent()     {}
@@ -188,6 +192,9 @@
 	TargetTurned
 	// SendPeer sends Loan to the box Peer.
 	SendPeer
+	// RegionUnknown tells that the region of Endpoint's failure domain isn't known; it is for
+	// the log, once for each domain.
+	RegionUnknown
 )
 
 // Effect is one thing for the shell to do.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -130,7 +130,7 @@
 // the answer of one that was probed a moment ago serves all calls. The slice is used again
 // by the next call.
 func (r *Router) bestTargets(c *call, n int) []*target {
-	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: c.tries > 0}
+	set := candidates{service: c.service, now: r.now, call: c, anyHealth: r.anyHealth(c.service, c), fresh: c.tries > 0}
 	r.best = r.best[:0]
 	// Targets of the same cost come up in a random order, so that the boxes don't all probe
 	// the same ones.
@@ -182,6 +182,10 @@
 // probes others a moment later, as long as the call can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
 	t := r.choose(c.service, c)
+	if t == nil && c.underWay() == 0 && !c.service.hasActiveTarget(c) {
+		r.refuseWaiting(c.service, id, e)
+		return
+	}
 	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
@@ -269,7 +273,7 @@
 	if !c.service.probesTargets() {
 		return true
 	}
-	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
+	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(c, t) {
 		return false
 	}
 	if !r.on(Concurrency) {
@@ -279,15 +283,15 @@
 }
 
 // isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
-// at all targets of the service, none is too slow: refusing calls would help nobody.
-func (r *Router) isTooSlow(t *target) bool {
+// at all targets of the service that the call may use, none is too slow: refusing calls would help nobody.
+func (r *Router) isTooSlow(c *call, t *target) bool {
 	slowdown := t.currentSlowdown(r.now)
 	if !r.on(SlowTargets) || slowdown < heavySlowdown {
 		return false
 	}
 	least := slowdown
 	for _, o := range t.service.targets {
-		if o.takesWork(r.now, t.service.mostlyEjected) {
+		if c.mayUse(o) && o.takesWork(r.now, t.service.mostlyEjected) {
 			least = min(least, o.currentSlowdown(r.now))
 		}
 	}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -44,6 +44,7 @@
 	Stopping
 	TargetsBusy
 	Evacuated
+	RegionBarred
 	reasonCount
 )
 
@@ -70,6 +71,7 @@
 	Stopping:       {"stopping", 503, "open a new connection; this box is about to stop"},
 	TargetsBusy:    {"targets-busy", 503, "come back after the time given; all targets that were asked are full or slowed"},
 	Evacuated:      {"evacuated", 503, "come back later; the failure domains of all targets of this service are evacuated"},
+	RegionBarred:   {"region-not-allowed", 503, "come back later, or allow more regions; no target of this service is in a region that the route allows"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- /dev/null
+++ b/pkg/core/routing/residency_test.go
@@ -0,0 +1,250 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// residencyWorld is one router under a random schedule, with what its sends may be.
+type residencyWorld struct {
+	*rapid.T
+	router  *Router
+	now     units.Instant
+	table   *table.Table
+	regions map[units.Domain]units.Region
+	// calls are the calls in the box, running their attempts.
+	calls   map[*residentCall]bool
+	running []Effect
+	// restricted counts what became of calls that may go to some regions only.
+	restricted residencyCounts
+}
+
+// residentCall is a call with the regions that bind it.
+type residentCall struct {
+	host, path string
+	id         CallID
+	allowed    *table.AllowedRegions
+}
+
+// residencyCounts show that a schedule has brought the cases about.
+type residencyCounts struct{ sends, retries, hedges, probes, refusals int }
+
+var (
+	residencyDomains = []units.Domain{"d1", "d2", "d3", "d4", "d5", ""}
+	residencyRegions = []units.Region{"north", "south", "east"}
+)
+
+func (w *residencyWorld) start() {
+	r, err := NewRouter(Settings{
+		Box: "me", Domain: "d1", Regions: w.regions, Seed: 1, ServeStale: true, ShareDelay: time.Second, ColdDoubt: DefaultColdDoubt,
+		ProbeCost: DefaultProbeCost, MaxDeadline: time.Minute,
+	}, w.now)
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.router, w.calls, w.running = r, map[*residentCall]bool{}, nil
+	w.give(&TableChanged{Table: w.table})
+}
+
+func (w *residencyWorld) give(event Event) {
+	var e Effects
+	w.router.Reduce(w.now, event, &e)
+	for _, x := range e.List {
+		w.check(x)
+	}
+}
+
+// check looks at one effect: a send or a probe for a call must go to a target of the present
+// table whose region binds the call.
+func (w *residencyWorld) check(x Effect) {
+	c, ok := x.Owner.(*residentCall)
+	if !ok {
+		return
+	}
+	c.id = x.Call
+	switch x.Kind {
+	case Send, Probe:
+		w.checkRegion(x, c)
+		w.running = append(w.running, x)
+	case Refuse:
+		if c.allowed != nil {
+			w.restricted.refusals++
+		}
+		delete(w.calls, c)
+	case Deliver:
+		delete(w.calls, c)
+	}
+}
+
+func (w *residencyWorld) checkRegion(x Effect, c *residentCall) {
+	entry := w.table.Services[x.Endpoint.Service]
+	if entry == nil {
+		w.Fatalf("%s goes to service %s, which the table lacks", c.host+c.path, x.Endpoint.Service)
+	}
+	i := slices.IndexFunc(entry.Rows, func(r table.Row) bool { return r.Target == x.Endpoint.Target })
+	if i < 0 {
+		w.Fatalf("%s goes to target %s, which the table lacks", c.host+c.path, x.Endpoint.Target)
+	}
+	if c.allowed == nil {
+		return
+	}
+	region := w.regions[entry.Rows[i].Domain]
+	if region == "" || !slices.Contains(c.allowed.Names, region) {
+		w.Fatalf("%s goes to %s in region %q, allowed are %q", c.host+c.path, x.Endpoint.Target, region, c.allowed.Names)
+	}
+	switch {
+	case x.Kind == Probe:
+		w.restricted.probes++
+	case x.Purpose == RetrySend:
+		w.restricted.retries++
+	case x.Purpose == HedgeSend:
+		w.restricted.hedges++
+	}
+	w.restricted.sends++
+}
+
+// bind gives a call the regions of the present table's route. One that no route matches any
+// more stays bound as it was.
+func (w *residencyWorld) bind(c *residentCall) {
+	longest := -1
+	for _, x := range w.table.Routes {
+		if x.Host == c.host && strings.HasPrefix(c.path, x.PathPrefix) && len(x.PathPrefix) > longest {
+			longest, c.allowed = len(x.PathPrefix), x.Regions
+		}
+	}
+}
+
+// changeTable draws a table of two services and some routes, each allowing any regions.
+func (w *residencyWorld) changeTable() {
+	next := table.NewTable()
+	next.Revision, next.Document = w.table.Revision+1, w.table.Document+1
+	for _, name := range []units.ServiceName{"a", "b"} {
+		next.Services[name] = w.drawService(name)
+	}
+	next.Routes = map[table.RouteKey]*table.Route{}
+	for _, prefix := range []string{"/", "/x/"} {
+		if rapid.IntRange(0, 4).Draw(w.T, "route "+prefix) == 0 {
+			continue
+		}
+		x := &table.Route{
+			Name: prefix, Host: "h", PathPrefix: prefix, Work: table.Work(rapid.IntRange(int(table.Repeatable), int(table.Patient)).Draw(w.T, "work")),
+			Deadline: time.Second, Aim: 100 * time.Millisecond, Parts: []table.Part{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}},
+			Regions: w.drawAllowed(),
+		}
+		next.Routes[x.Key()] = x
+	}
+	for _, d := range residencyDomains[:3] {
+		if rapid.IntRange(0, 5).Draw(w.T, "evacuated") == 0 {
+			next.Evacuations = append(next.Evacuations, table.Evacuation{Domain: d, Active: true, Since: next.Revision})
+		}
+	}
+	w.table = next
+	for c := range w.calls {
+		w.bind(c)
+	}
+	w.give(&TableChanged{Table: next})
+}
+
+func (w *residencyWorld) drawService(name units.ServiceName) *table.Entry {
+	entry := &table.Entry{Version: units.Version(w.table.Revision + 1), Service: table.Service{
+		Name: name, Work: table.Repeatable, Hosts: []string{string(name)}, Deadline: time.Second, HoldLimit: 500 * time.Millisecond, HoldCount: 20,
+		RetryBudget: 100, HedgeBudget: 100, MeasureBudget: 100, ProbeTargets: 2 * rapid.IntRange(0, 1).Draw(w.T, "probe targets"),
+	}}
+	registered := rapid.Bool().Draw(w.T, "registered")
+	for i := range 6 {
+		if rapid.IntRange(0, 3).Draw(w.T, "target") == 0 {
+			continue
+		}
+		entry.Rows = append(entry.Rows, table.Row{
+			Service: name, Target: units.TargetID(fmt.Sprintf("%s%d", name, i)), Address: fmt.Sprintf("127.0.0.1:%d", 1+i%4),
+			Domain: rapid.SampledFrom(residencyDomains).Draw(w.T, "domain"), Weight: 100, MaxConnections: rapid.IntRange(0, 1).Draw(w.T, "limit"),
+			State: table.Active, Registered: registered, Slots: 2,
+		})
+	}
+	return entry
+}
+
+func (w *residencyWorld) drawAllowed() *table.AllowedRegions {
+	if rapid.IntRange(0, 2).Draw(w.T, "restricted") == 0 {
+		return nil
+	}
+	return &table.AllowedRegions{Names: rapid.SliceOfNDistinct(rapid.SampledFrom(residencyRegions), 0, 2, rapid.ID[units.Region]).Draw(w.T, "allowed")}
+}
+
+// changeRegions draws another map of regions; some domains have none.
+func (w *residencyWorld) changeRegions() {
+	regions := map[units.Domain]units.Region{}
+	for _, d := range residencyDomains[:4] {
+		regions[d] = rapid.SampledFrom(residencyRegions).Draw(w.T, "region")
+	}
+	w.regions = maps.Clone(regions)
+	w.give(&RegionsChanged{Regions: regions})
+}
+
+func (w *residencyWorld) call() {
+	c := &residentCall{host: "h", path: rapid.SampledFrom([]string{"/", "/x/1", "/y"}).Draw(w.T, "path")}
+	w.bind(c)
+	w.calls[c] = true
+	w.give(&CallArrived{Owner: c, Host: []byte(c.host), Path: []byte(c.path)})
+}
+
+// endOne ends an attempt or a probe that is under way.
+func (w *residencyWorld) endOne() {
+	if len(w.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.running)-1).Draw(w.T, "which")
+	x := w.running[i]
+	w.running = slices.Delete(w.running, i, i+1)
+	reading := Reading{Known: true, InFlight: float64(rapid.IntRange(0, 2).Draw(w.T, "load")), Slots: 2, Pace: 1}
+	if x.Kind == Probe {
+		w.give(&ProbeEnded{Target: x.Endpoint, Healthy: true, Reading: reading, Call: x.Call, Attempt: x.Attempt})
+		return
+	}
+	result := rapid.SampledFrom([]AttemptResult{Answered, Answered, Failed, Shed, NotSent, Broken, Misdirected}).Draw(w.T, "result")
+	w.give(&AttemptEnded{Call: x.Call, Attempt: x.Attempt, Result: result, Reading: reading})
+}
+
+func (w *residencyWorld) pass() {
+	end := w.now.Add(time.Duration(rapid.IntRange(1, 150).Draw(w.T, "time")) * time.Millisecond)
+	for w.router.NextWake() <= end {
+		w.now = max(w.now, w.router.NextWake())
+		w.give(&Tick{})
+	}
+	w.now = end
+}
+
+// Whatever comes and goes, a call is never sent, and no probe made for it, outside the regions
+// that its route allows at that moment.
+func TestNoSendLeavesTheAllowedRegions(t *testing.T) {
+	var all residencyCounts
+	rapid.Check(t, func(t *rapid.T) {
+		w := &residencyWorld{T: t, now: units.Instant(time.Second), table: table.NewTable()}
+		w.start()
+		w.changeRegions()
+		w.changeTable()
+		steps := []func(){w.call, w.call, w.call, w.endOne, w.endOne, w.pass, w.pass, w.changeTable, w.changeRegions, w.start}
+		for range 120 {
+			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
+		}
+		c := w.restricted
+		all.sends += c.sends
+		all.retries += c.retries
+		all.hedges += c.hedges
+		all.probes += c.probes
+		all.refusals += c.refusals
+	})
+	t.Logf("%+v", all)
+	if all.retries == 0 || all.hedges == 0 || all.probes == 0 || all.refusals == 0 {
+		t.Errorf("the schedules don't bring all cases about: %+v", all)
+	}
+}
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -13,8 +13,10 @@
 type Settings struct {
 	Box    units.BoxID
 	Domain units.Domain
-	Seed   uint64
-	Policy PolicyName
+	// Regions are the regions of the failure domains.
+	Regions map[units.Domain]units.Region
+	Seed    uint64
+	Policy  PolicyName
 	// ServeStale lets the box serve on when its lease on the table has run out.
 	ServeStale bool
 	// ShareDelay is how long a share waits before it rises; it must be longer
@@ -83,6 +85,11 @@
 	now       units.Instant
 	sweepAt   units.Instant
 	refusals  [reasonCount]uint64
+	// unknown are the failure domains whose region isn't known and that the log has been told
+	// of.
+	unknown map[units.Domain]bool
+	// changed is room for the services that a new table changes.
+	changed []*service
 	// freed are the services at which room has come up during this event.
 	freed []*service
 }
@@ -115,6 +122,7 @@
 		loans:     newLoanBook(),
 		boxLists:  1,
 		beside:    map[units.Domain][]table.Box{},
+		unknown:   map[units.Domain]bool{},
 		now:       now,
 		startedAt: now,
 		off:       off,
@@ -140,6 +148,8 @@
 		r.tick(e)
 	case *TableChanged:
 		r.changeTable(v.Table, e)
+	case *RegionsChanged:
+		r.changeRegions(v.Regions, e)
 	case *StopPlanned:
 		r.stopsAt = v.Until
 		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -12,6 +12,8 @@
 	byHost map[string][]*route
 	// byKey holds the table's routes, for what was learnt of them to outlast a change.
 	byKey map[table.RouteKey]*route
+	// restricts is set where a route, or a call in the box, may go to some regions only.
+	restricts bool
 }
 
 // route is what a box knows of a route: one of the table's, or the one that a
@@ -26,6 +28,8 @@
 	aim         time.Duration
 	maxAttempts int
 	priority    int
+	// regions are where targets must be to take the route's calls; nil allows all.
+	regions *table.AllowedRegions
 	// typical is the median time of the route's calls at a target's usual pace, in
 	// nanoseconds; zero before the first.
 	typical float64
@@ -57,7 +61,7 @@
 func (r *Router) newRoute(row *table.Route) *route {
 	x := &route{
 		prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
-		maxAttempts: maxAttempts, priority: row.Priority,
+		maxAttempts: maxAttempts, priority: row.Priority, regions: row.Regions,
 	}
 	if row.MaxAttempts > 0 {
 		x.maxAttempts = min(row.MaxAttempts, maxAttempts)
@@ -85,6 +89,7 @@
 		added := r.newRoute(row)
 		added.learnFrom(r.routes.byKey[key])
 		x.byKey[key] = added
+		x.restricts = x.restricts || added.regions != nil
 		x.byHost[row.Host] = append(x.byHost[row.Host], added)
 	}
 	for _, s := range r.order {
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -46,6 +46,7 @@
 	"stop":      (*script).stop,
 	"stale":     (*script).stale,
 	"targets":   (*script).targets,
+	"regions":   (*script).regions,
 }
 
 func TestScripts(t *testing.T) {
@@ -116,6 +117,8 @@
 		return fmt.Sprintf("probe %s for %s", x.Endpoint.Target, name)
 	case TargetTurned:
 		return ""
+	case RegionUnknown:
+		return "the region of " + string(x.Endpoint.Domain) + " isn't known"
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
@@ -317,6 +320,15 @@
 	s.give(&StopPlanned{Until: s.now.Add(s.duration(d, "within"))})
 }
 
+// regions DOMAIN=REGION... puts the regions of the failure domains in force.
+func (s *script) regions(d *datadriven.TestData) {
+	regions := map[units.Domain]units.Region{}
+	for _, a := range d.CmdArgs {
+		regions[units.Domain(a.Key)] = units.Region(a.Vals[0])
+	}
+	s.give(&RegionsChanged{Regions: regions})
+}
+
 // stale lets the router serve without a lease.
 func (s *script) stale(*datadriven.TestData) { s.router.settings.ServeStale = true }
 
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -130,7 +130,7 @@
 // retryAfter is when a refused caller may come back: the time in which the
 // calls that wait now should be through.
 func (s *service) retryAfter() time.Duration {
-	wait := s.expectedWait()
+	wait := s.expectedWait(nil)
 	return max(minRetryAfter, min(wait, maxRetryAfter))
 }
 
@@ -139,11 +139,14 @@
 	maxRetryAfter = 10 * time.Second
 )
 
-// expectedWait estimates how long a call that is held now will wait.
-func (s *service) expectedWait() time.Duration {
+// expectedWait estimates how long a call that is held now will wait; nil stands for one
+// that any target may take.
+func (s *service) expectedWait(c *call) time.Duration {
 	capacity := 0
 	for _, t := range s.targets {
-		capacity += t.capacity()
+		if c.mayUse(t) {
+			capacity += t.capacity()
+		}
 	}
 	if capacity == 0 {
 		return 0
@@ -187,5 +190,5 @@
 
 // excluded tells whether the call itself rules a target out.
 func (c *candidates) excluded(t *target) bool {
-	return c.fresh && c.call.tried(t) || c.call.uses(t)
+	return !c.call.mayUse(t) || c.fresh && c.call.tried(t) || c.call.uses(t)
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -17,7 +17,11 @@
 	Services  []ServiceStatus   `json:"services"`
 	// Evacuated are the failure domains whose targets take no new calls.
 	Evacuated []units.Domain `json:"evacuated,omitempty"`
-	Loans     LoanStatus     `json:"loans"`
+	// Region is the box's own; empty where it isn't known.
+	Region units.Region `json:"region,omitempty"`
+	// Restricted are the routes whose calls may go to some regions only.
+	Restricted []RestrictedRoute `json:"restricted,omitempty"`
+	Loans      LoanStatus        `json:"loans"`
 }
 
 // LoanStatus counts the loans between boxes.
@@ -47,6 +51,7 @@
 type TargetStatus struct {
 	Target   units.TargetID `json:"target"`
 	Address  string         `json:"address"`
+	Region   units.Region   `json:"region,omitempty"`
 	State    string         `json:"state"`
 	Weight   int            `json:"weight"`
 	InFlight int            `json:"inFlight"`
@@ -75,7 +80,7 @@
 	s := Status{
 		Revision: r.table.Revision, LeaseLeft: r.leaseUntil.Sub(now), Boxes: r.rank.count,
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
-		Evacuated: r.table.EvacuatedDomains(),
+		Evacuated: r.table.EvacuatedDomains(), Region: r.settings.Regions[r.settings.Domain], Restricted: r.restrictedRoutes(),
 		Loans: LoanStatus{
 			Asked: r.loans.askedTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
@@ -109,7 +114,7 @@
 		share = -1
 	}
 	return TargetStatus{
-		Target: t.row.Target, Address: t.row.Address, State: t.row.State.String(), Weight: t.row.Weight,
+		Target: t.row.Target, Address: t.row.Address, Region: t.region, State: t.row.State.String(), Weight: t.row.Weight,
 		InFlight: t.inFlight, Share: share, Lent: t.lent, Borrowed: len(t.borrowed),
 		Ejected: t.health.ejected, Ramp: t.health.ramp(now), Latency: t.latency.mean(),
 		Sends: t.sends, Answers: t.answers, Failures: t.failures, Sheds: t.sheds, Probes: t.probesSent,
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -13,7 +13,8 @@
 	evacuationsChanged := r.changeEvacuations(r.table.Evacuations, t.Evacuations)
 	r.table = t
 	boxesChanged := r.changeBoxes(t.Boxes)
-	routesChanged := r.dropMissing(t, e)
+	routesChanged := r.dropMissing(t, e) || tableRoutesChanged
+	r.changed = r.changed[:0]
 	for _, n := range t.ServiceNames() {
 		entry := t.Services[n]
 		s := r.services[n]
@@ -23,14 +24,27 @@
 		if s == nil || !sameRoutes(&s.row, &entry.Service) {
 			routesChanged = true
 		}
-		r.putService(entry, e)
+		r.changed = append(r.changed, r.putService(entry, e))
 	}
-	if routesChanged || tableRoutesChanged {
+	if routesChanged {
 		slices.SortFunc(r.order, compareServices)
 		r.indexRoutes()
+		if r.bindCalls() {
+			r.changed = append(r.changed[:0], r.order...)
+		}
+	}
+	for _, s := range r.changed {
+		r.settleCalls(s, e)
 	}
 }
 
+// settleCalls refuses the calls that wait for a service in vain, and sends those that a
+// target takes.
+func (r *Router) settleCalls(s *service, e *Effects) {
+	r.refuseUnservable(s, e)
+	r.serveHeld(s, e)
+}
+
 // changeBoxes notes a new list of boxes, and tells whether it differs.
 func (r *Router) changeBoxes(boxes []table.Box) bool {
 	if slices.Equal(r.rank.boxes, boxes) {
@@ -71,7 +85,9 @@
 	return a.PathPrefix == b.PathPrefix && slices.Equal(a.Hosts, b.Hosts)
 }
 
-func (r *Router) putService(entry *table.Entry, e *Effects) {
+// putService takes a service of a new table. What waits for it is settled once the table's
+// routes hold too.
+func (r *Router) putService(entry *table.Entry, e *Effects) *service {
 	s := r.services[entry.Service.Name]
 	if s == nil {
 		s = newService(entry.Service)
@@ -84,6 +100,7 @@
 		s.update(entry, r.now)
 		r.takeColdRows(s)
 	}
+	r.markRegions(s, e)
 	r.markEvacuated(s)
 	r.sweepBy(s, r.now)
 	s.burst = r.burstOf(s)
@@ -92,8 +109,7 @@
 		r.wantShare(t)
 	}
 	s.weigh(r.now)
-	r.refuseUnservable(s, e)
-	r.serveHeld(s, e)
+	return s
 }
 
 // dropService refuses what the service still holds; calls that have been sent
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -14,6 +14,8 @@
 	endpoint *Endpoint
 	// remote is set for a target in another failure domain than this box.
 	remote bool
+	// region is the one of the target's failure domain; empty where it isn't known.
+	region units.Region
 	// sentSince counts the sends since the target's last load report.
 	sentSince int
 	// slowdown is how much longer than elsewhere calls take here, as last learnt at slowdownAt.
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -91,17 +92,34 @@
 func (r *Router) serveWaiting(s *service, e *Effects) {
 	for {
 		r.dropServed(s)
-		if len(s.waiting) == 0 {
+		i, t := r.nextSuitable(s)
+		if t == nil {
 			return
 		}
-		id := s.waiting[0].id
+		id := s.waiting[i].id
+		s.waiting = slices.Delete(s.waiting, i, i+1)
 		c := r.calls.Get(id)
-		t := r.choose(s, c)
-		if t == nil || !t.isFresh(r.now) || !r.isSuitable(c, t) {
-			return
-		}
-		s.waiting = s.waiting[1:]
 		c.probeRound.open = false
 		r.send(id, c, t, c.probeRound.purpose, e)
 	}
 }
+
+// nextSuitable returns the place of the first waiting call that a target suits, and that
+// target; nil for none. Calls that may go to some regions only don't keep others waiting.
+func (r *Router) nextSuitable(s *service) (int, *target) {
+	var blocked *table.AllowedRegions
+	for i, w := range s.waiting {
+		c := r.calls.Get(w.id)
+		if c == nil || !c.probeRound.open || c.service != s || blocked != nil && blocked.Equal(c.regions) {
+			continue
+		}
+		if t := r.choose(s, c); t != nil && t.isFresh(r.now) && r.isSuitable(c, t) {
+			return i, t
+		}
+		if c.regions == nil {
+			return 0, nil
+		}
+		blocked = c.regions
+	}
+	return 0, nil
+}
--- a/pkg/core/table/residency.go
+++ b/pkg/core/table/residency.go
@@ -18,7 +18,21 @@
 	return a == nil || region != "" && slices.Contains(a.Names, region)
 }
 
-func (a *AllowedRegions) equal(o *AllowedRegions) bool {
+// valid tells whether the names can be those of regions, each given once.
+func (a *AllowedRegions) valid() bool {
+	if a == nil {
+		return true
+	}
+	for i, n := range a.Names {
+		if !validName(string(n)) || slices.Contains(a.Names[:i], n) {
+			return false
+		}
+	}
+	return true
+}
+
+// Equal tells whether two lists allow the same regions, in the same order.
+func (a *AllowedRegions) Equal(o *AllowedRegions) bool {
 	if a == nil || o == nil {
 		return a == o
 	}
--- a/pkg/core/table/route.go
+++ b/pkg/core/table/route.go
@@ -55,10 +55,11 @@
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Key() == o.Key() && r.Work == o.Work && r.Deadline == o.Deadline && r.Aim == o.Aim &&
 		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && r.LargeAnswers == o.LargeAnswers &&
-		r.Regions.equal(o.Regions) && slices.Equal(r.Parts, o.Parts)
+		r.Regions.Equal(o.Regions) && slices.Equal(r.Parts, o.Parts)
 }
 
-func (k RouteKey) compare(o RouteKey) int {
+// Compare orders routes by host and path prefix.
+func (k RouteKey) Compare(o RouteKey) int {
 	return cmp.Or(strings.Compare(k.Host, o.Host), strings.Compare(k.PathPrefix, o.PathPrefix))
 }
 
@@ -84,8 +85,8 @@
 			c.Removed = append(c.Removed, k)
 		}
 	}
-	slices.SortFunc(c.Put, func(a, b *Route) int { return a.Key().compare(b.Key()) })
-	slices.SortFunc(c.Removed, RouteKey.compare)
+	slices.SortFunc(c.Put, func(a, b *Route) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(c.Removed, RouteKey.Compare)
 	return c
 }
 
@@ -113,6 +114,7 @@
 	{"deadline", func(r *Route) bool { return r.Deadline > 0 }, "give a positive duration such as 2s"},
 	{"aim", func(r *Route) bool { return r.Aim >= 0 }, "give a duration, or 0s for none"},
 	{"max_attempts", func(r *Route) bool { return r.MaxAttempts >= 0 }, "give 0 for the box's own bound, or a positive number"},
+	{"regions", func(r *Route) bool { return r.Regions.valid() }, "name each region once, with 1 to 64 of a-z, 0-9, '-', '.' and '_'"},
 	{"parts", func(r *Route) bool { return partWeight(r.Parts) > 0 }, "give at least one service a positive weight, and none a negative one"},
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -53,6 +53,8 @@
 	shown units.Revision
 	// traced counts the ordinary calls, of which a sample is logged.
 	traced atomic.Uint64
+	// barred counts the calls whose regions have no target, for the log.
+	barred barredCalls
 	// listedLeaving is set while the platform's list has this box as leaving.
 	listedLeaving atomic.Bool
 	done          chan struct{}
@@ -99,6 +101,7 @@
 	}, routing.Settings{
 		Box:         id,
 		Domain:      units.Domain(s.Domain),
+		Regions:     s.Regions,
 		Seed:        rand.Uint64(),
 		Policy:      routing.PolicyName(s.Entry.Policy),
 		ServeStale:  s.Entry.ServeStale,
@@ -199,6 +202,7 @@
 		x.Owner.(*call).id = x.Call
 		e.metrics.held.Add(1)
 	case routing.Refuse:
+		e.noteRefusal(&x)
 		x.Owner.(*call).refuse(x)
 	case routing.Deliver:
 		x.Owner.(*call).deliver(x)
@@ -212,6 +216,8 @@
 		e.logTurn(&x)
 	case routing.SendPeer:
 		e.peers.send(x.Peer, x.Loan)
+	case routing.RegionUnknown:
+		e.logUnknownRegion(&x)
 	}
 }
 
@@ -259,6 +265,11 @@
 	e.reduceLocked(subscription.ReplicasChanged{Replicas: s.ReplicaIDs()})
 }
 
+// SetRegions takes the regions of the failure domains that changed settings name.
+func (e *Entry) SetRegions(s *config.Settings) {
+	e.reduce(&routing.RegionsChanged{Regions: s.Regions})
+}
+
 // SetListedLeaving says whether the platform's list has this box as leaving. Such
 // a box isn't ready, but it doesn't turn its callers away: the list may be wrong.
 func (e *Entry) SetListedLeaving(on bool) {
--- /dev/null
+++ b/pkg/entry/residency.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// barredLogEvery is the least time between two lines on calls whose regions have no target: a
+// route that allows the wrong regions has all of its calls refused.
+const barredLogEvery = 10 * time.Second
+
+// barredCalls counts refused calls between two lines of the log.
+type barredCalls struct {
+	count  int
+	nextAt units.Instant
+}
+
+// noteRefusal tells the log, now and then, of calls that no target in an allowed region could
+// take.
+func (e *Entry) noteRefusal(x *routing.Effect) {
+	if x.Refusal.Reason != routing.RegionBarred {
+		return
+	}
+	e.barred.count++
+	now := e.Clock.Now()
+	if now < e.barred.nextAt {
+		return
+	}
+	fields := logrus.Fields{"kind": "region-not-allowed", "refused": e.barred.count, "revision": e.core.Subscription().Table().Revision}
+	if c, ok := x.Owner.(*call); ok {
+		fields["call"] = string(c.request.Header.Peek(e.Settings.Entry.CallIDHeader))
+		fields["host"] = string(c.request.Host())
+	}
+	e.Log.WithFields(fields).Warn("region not allowed: no target is in a region that the route of this call allows")
+	e.barred = barredCalls{nextAt: now.Add(barredLogEvery)}
+}
+
+// logUnknownRegion tells that targets of a failure domain take no calls of restricted routes.
+func (e *Entry) logUnknownRegion(x *routing.Effect) {
+	e.Log.WithFields(logrus.Fields{
+		"kind": "region-unknown", "domain": x.Endpoint.Domain, "service": x.Endpoint.Service, "target": x.Endpoint.Target,
+	}).Warn("the region of a failure domain isn't known; routes that allow some regions only don't use its targets")
+}
--- a/pkg/sheet/routes.go
+++ b/pkg/sheet/routes.go
@@ -30,6 +30,39 @@
 		func(r *table.Route) string { return strconv.Itoa(r.MaxAttempts) }},
 	{"priority", false, func(r *table.Route, c string) error { return readInt(&r.Priority, c) },
 		func(r *table.Route) string { return strconv.Itoa(r.Priority) }},
+	{"regions", false, readRegions, writeRegions},
+}
+
+// noRegion stands for a list that allows no region; an empty cell allows all.
+const noRegion = "none"
+
+func readRegions(r *table.Route, cell string) error {
+	if cell == "" {
+		r.Regions = nil
+		return nil
+	}
+	r.Regions = &table.AllowedRegions{}
+	if cell == noRegion {
+		return nil
+	}
+	for _, name := range strings.Fields(cell) {
+		r.Regions.Names = append(r.Regions.Names, units.Region(name))
+	}
+	return nil
+}
+
+func writeRegions(r *table.Route) string {
+	if r.Regions == nil {
+		return ""
+	}
+	if len(r.Regions.Names) == 0 {
+		return noRegion
+	}
+	words := make([]string, 0, len(r.Regions.Names))
+	for _, n := range r.Regions.Names {
+		words = append(words, string(n))
+	}
+	return strings.Join(words, listSeparator)
 }
 
 // NewRoute returns a route with every default.
--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 func TestAWrongCellIsNamedByLineAndColumn(t *testing.T) {
@@ -113,3 +114,39 @@
 		}
 	})
 }
+
+func TestRegionsOfRoutes(t *testing.T) {
+	const header = "route,host,path_prefix,work,services,regions\n"
+	scenarios := []struct {
+		testName, cell string
+		want           *table.AllowedRegions
+	}{
+		{"all", "", nil},
+		{"none", "none", &table.AllowedRegions{}},
+		{"two", "north south", &table.AllowedRegions{Names: []units.Region{"north", "south"}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			routes, err := ReadRoutes(strings.NewReader(header + "r,h,/,once,s," + s.cell + "\n"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(s.want, routes[0].Regions); d != "" {
+				t.Error(d)
+			}
+			var out bytes.Buffer
+			if err := WriteRoutes(&out, routes); err != nil {
+				t.Fatal(err)
+			}
+			again, err := ReadRoutes(&out)
+			if d := cmp.Diff(routes, again); err != nil || d != "" {
+				t.Error(err, d)
+			}
+		})
+	}
+	for _, cell := range []string{"North", "north north"} {
+		if _, err := ReadRoutes(strings.NewReader(header + "r,h,/,once,s," + cell + "\n")); err == nil {
+			t.Errorf("%q is taken for regions", cell)
+		}
+	}
+}
