--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -89,6 +89,7 @@
 			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
 		}},
 		{"targets", "list the targets that registered by themselves", "Shows state, sequence, and how long ago the leader heard of each; ask the leader for the latter.", &listTargets{tool: t}, nil},
+		{"regions", "list the routes that allow some regions only", "Names an entry box with --server; shows how many targets it has for each route.", &listRegions{tool: t}, nil},
 		{"services", "list the services", "", &listServices{tool: t}, nil},
 		{"status", "show who leads, who is in force at which revision and who is silent", "", &showStatus{tool: t}, nil},
 		{"dump", "print a process's whole state as JSON", "Names the process with --server; entry boxes answer as well.", &showDump{tool: t}, nil},
--- /dev/null
+++ b/test/residency_test.go
@@ -0,0 +1,181 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// storyRegions places the targets of a story: the first three in a region each, the fourth in
+// a failure domain whose region isn't known.
+var storyRegions = map[units.Domain]units.Region{"d1": "north", "d2": "south", "d3": "east"}
+
+const storyTargets = 4
+
+// residencyStory has one service on all targets, a route that allows some regions only under
+// eu.test and one that allows all under any.test.
+type residencyStory struct {
+	*story
+	version  units.DocumentVersion
+	sequence uint64
+}
+
+func beginResidency(t *testing.T) *residencyStory {
+	x := &residencyStory{story: begin(t, setting{
+		replicas: 1, boxes: 2, targets: storyTargets, targetArguments: []string{"--slots", "8", "--queue", "32", "--work", "2ms"},
+		adjust: func(s *config.Settings) {
+			s.Regions = storyRegions
+			// One box stands in a region that no restricted call may be served in.
+			s.Domain = map[string]string{"box-1": "d1", "box-2": "d3"}[s.Box]
+			s.Control.SilentAfter = 0
+		},
+	})}
+	var entries []string
+	for _, b := range x.cluster.Boxes {
+		entries = append(entries, b.Entry)
+	}
+	x.caller = lab.NewCaller(entries...)
+	return x
+}
+
+// put puts a document whose restricted route allows some regions, and waits until every box
+// has so many targets for it.
+func (x *residencyStory) put(targets int, regions ...units.Region) {
+	x.Helper()
+	x.version++
+	d := table.Document{
+		Version: x.version,
+		Services: []table.Service{{
+			Name: "shop", Work: table.Repeatable, Deadline: 5 * time.Second, HoldLimit: time.Second, HoldCount: 100,
+			RetryBudget: 100, HedgeBudget: 100, MeasureBudget: 5, ProbeTargets: 2, ProbePath: "/healthz",
+		}},
+		Routes: []*table.Route{
+			storyRoute("eu.test", &table.AllowedRegions{Names: regions}),
+			storyRoute("any.test", nil),
+		},
+	}
+	raw, err := json.Marshal(&d)
+	x.must(err)
+	x.must(x.api().PutDocument(raw))
+	x.reportAll()
+	for _, b := range x.cluster.Boxes {
+		x.must(lab.Eventually(patience, func() error { return showsRestriction(b, regions, targets) }))
+		x.must(x.cluster.AwaitServing(b, patience))
+	}
+}
+
+func storyRoute(host string, regions *table.AllowedRegions) *table.Route {
+	return &table.Route{
+		Name: host, Host: host, PathPrefix: "/", Work: table.Repeatable, Deadline: 5 * time.Second, Aim: 20 * time.Millisecond,
+		Parts: []table.Part{{Service: "shop", Weight: 1}}, Regions: regions,
+	}
+}
+
+func showsRestriction(b *lab.Node, regions []units.Region, targets int) error {
+	d, err := b.Dump()
+	if err != nil {
+		return err
+	}
+	shown := d.Entry.Routing.Restricted
+	if len(shown) != 1 || !slices.Equal(shown[0].Regions, regions) || shown[0].Targets != targets {
+		return fmt.Errorf("%s shows %+v, want %d targets in %q", b.Settings.Box, shown, targets, regions)
+	}
+	return nil
+}
+
+func (x *residencyStory) reportAll() {
+	for i, t := range x.targets {
+		x.sequence++
+		x.must(x.api().Report(&table.Registration{
+			Target: units.TargetID(t.Name), Service: "shop", Address: t.Address, Slots: 8, State: table.Active,
+			Sequence: x.sequence, Domain: units.Domain(fmt.Sprintf("d%d", i+1)),
+		}))
+	}
+}
+
+// callBoth makes restricted calls and others, and returns the restricted ones.
+func (x *residencyStory) callBoth(n int) []lab.Call {
+	before := len(x.caller.Calls())
+	x.callAll(n, 12, func(i int) lab.Plan {
+		host := []string{"eu.test", "any.test"}[i%2]
+		return lab.Plan{Host: host, Work: time.Duration(i%30) * time.Millisecond, Deadline: 2 * time.Second}
+	})
+	return slices.DeleteFunc(x.caller.Calls()[before:], func(c lab.Call) bool { return c.Host != "eu.test" })
+}
+
+// runsAt counts the calls of a list that each target ran.
+func (x *residencyStory) runsAt(calls []lab.Call) (at [storyTargets]int) {
+	x.Helper()
+	for i, t := range x.targets {
+		runs, err := lab.ReadJournals(t.Journal)
+		x.must(err)
+		for _, c := range calls {
+			at[i] += runs[c.Request]
+		}
+	}
+	return at
+}
+
+// mustStay fails if a target ran calls of the list that isn't among those allowed.
+func (x *residencyStory) mustStay(calls []lab.Call, allowed ...int) {
+	x.Helper()
+	at := x.runsAt(calls)
+	for i, n := range at {
+		if n > 0 && !slices.Contains(allowed, i) {
+			x.Errorf("target %d ran %d calls that may not go there; all: %v", i+1, n, at)
+		}
+	}
+	x.Logf("the targets ran %v of %d restricted calls", at, len(calls))
+}
+
+// Restricted calls run at targets in their regions only, whatever box they come by, while
+// targets fail and are killed and tables take regions away; without any they are refused as
+// not run.
+func TestRestrictedCallsStayInTheirRegions(t *testing.T) {
+	x := beginResidency(t)
+	x.put(1, "north")
+	x.mustStay(x.callBoth(400), 0)
+
+	x.put(2, "south", "north")
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		time.Sleep(100 * time.Millisecond)
+		x.targets[0].Process.Kill()
+	}()
+	x.mustStay(x.callBoth(400), 0, 1)
+	<-killed
+
+	// The only region left has no target that answers.
+	x.put(1, "north")
+	calls := x.callBoth(40)
+	x.mustStay(calls, 0)
+	for _, c := range calls {
+		if c.Verdict == lab.Whole {
+			t.Errorf("a call was answered though its region is down: %+v", c)
+		}
+	}
+
+	x.put(0, "atlantis")
+	calls = x.callBoth(40)
+	x.mustStay(calls)
+	for _, c := range calls {
+		if c.Verdict != lab.NotRun || c.Reason != routing.RegionBarred.String() {
+			t.Errorf("a call that no region may serve got %+v", c)
+		}
+	}
+
+	x.put(1, "east")
+	if at := x.runsAt(x.callBoth(100)); at[2] == 0 {
+		t.Errorf("the region that is allowed now ran nothing: %v", at)
+	}
+	x.mustBeClean()
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +99,8 @@
 	claims   claims
 	// evacuated is what the operator's last order for soakDomain asked for.
 	evacuated bool
+	// called counts the calls.
+	called atomic.Int64
 	// paths are the proxies before the targets, in their order.
 	paths []*lab.FaultProxy
 }
@@ -153,6 +156,7 @@
 			s.Control.Growth.Voters = soakReplicas
 			s.Control.ReadTimeout = config.Duration(time.Second)
 			s.Control.EditTimeout = config.Duration(2 * time.Second)
+			s.Regions = soakRegions
 		},
 	})
 	x.must(err)
@@ -221,6 +225,7 @@
 			Aim: time.Second, Parts: []table.Part{{Service: name, Weight: int(version%5) + 1}},
 		})
 	}
+	d.Routes = append(d.Routes, residentRoute())
 	data, _ := json.Marshal(&d)
 	return data
 }
@@ -301,6 +306,10 @@
 }
 
 func (x *soak) call() {
+	if x.called.Add(1)%soakResidentEvery == 0 {
+		x.callResident()
+		return
+	}
 	service := soakServices[x.draw(len(soakServices))]
 	x.caller.Do(lab.Plan{Host: service + ".test", Once: service == "pay", Work: time.Duration(x.draw(20)) * time.Millisecond})
 	time.Sleep(soakCallPause)
@@ -375,6 +384,7 @@
 	if !summary.Clean() {
 		x.Errorf("calls were lost, doubled or wrong: %s", summary)
 	}
+	x.checkResidency()
 	if summary.Whole*2 < summary.Sent {
 		x.Errorf("fewer than half of the calls were answered: %s", summary)
 	}
