Distance in time: the way to each failure domain is measured and counts beside the work

Cause: all domains elsewhere cost the same, so that calls left their region while its other domain had room, and a probe to another region was given up after 12 ms although its answer takes 17.

Change: the way there and back is the least time of a probe to a domain lately, less that to the own domain; it is added to what a target is expected to take, beside 0.6 of the work for leaving the domain. Probes are waited for by the way longer, and a target isn't probed again before.

Tests: script distance (fails without the way), TestTheWayIsLearntFromTheQuickestProbes. In script probing-first a call probes less often before the same refusal, since a probe elsewhere is waited for longer.

--- /dev/null
+++ b/pkg/core/routing/distance_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// The way is what the quickest probes of some seconds took longer than in the own domain.
+func TestTheWayIsLearntFromTheQuickestProbes(t *testing.T) {
+	const ms = time.Millisecond
+	scenarios := []struct {
+		testName   string
+		own, there []time.Duration
+		sameRegion bool
+		after      time.Duration
+		want       time.Duration
+		wantLater  time.Duration
+	}{
+		{"nothing measured in the region", nil, nil, true, 0, assumedNear, assumedNear},
+		{"nothing measured elsewhere", nil, nil, false, 0, assumedFar, assumedFar},
+		{"only there", nil, []time.Duration{17 * ms}, false, 0, assumedFar, assumedFar},
+		{"slow answers don't count", []time.Duration{90 * ms, 7 * ms}, []time.Duration{23 * ms, 120 * ms}, false, 0, 16 * ms, 16 * ms},
+		{"never negative", []time.Duration{9 * ms}, []time.Duration{8 * ms}, true, 0, 0, 0},
+		{"a longer way is noticed", []time.Duration{7 * ms}, []time.Duration{9 * ms}, true, leastWindow + ms, 2 * ms, 33 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			own := &domainDistance{}
+			there := &domainDistance{own: own, sameRegion: s.sameRegion}
+			noteAll(own, testNow, s.own)
+			noteAll(there, testNow, s.there)
+			if way := there.way(); way != s.want {
+				t.Errorf("the way is %s, want %s", way, s.want)
+			}
+			// Two windows later only what was measured since counts.
+			for i := range 2 {
+				if now := testNow.Add(time.Duration(i+1) * s.after); s.after > 0 {
+					noteAll(own, now, []time.Duration{7 * ms})
+					noteAll(there, now, []time.Duration{40 * ms})
+				}
+			}
+			if way := there.way(); way != s.wantLater {
+				t.Errorf("later the way is %s, want %s", way, s.wantLater)
+			}
+			if way := own.way(); way != 0 {
+				t.Errorf("the way to the own domain is %s", way)
+			}
+		})
+	}
+}
+
+func noteAll(x *domainDistance, now units.Instant, took []time.Duration) {
+	for _, d := range took {
+		x.note(now, d)
+	}
+}
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -23,13 +23,11 @@
 	// nearlyFull is the part of the slots from which on work takes nearlyFullPace.
 	nearlyFull     = 0.8
 	nearlyFullPace = 1.6
-	// remoteCost is what a target in another failure domain must be better by.
-	remoteCost = 0.6
 )
 
-// expectedTime is the time that a call sent now would take at the target, over that of
-// the work alone.
-func (t *target) expectedTime(now units.Instant) float64 {
+// expectedTime is the time that a call of a route sent now would take at the target, over
+// that of the work alone; nil stands for any route.
+func (t *target) expectedTime(now units.Instant, x *route) float64 {
 	slots := t.slots()
 	load := t.load(now) + 1
 	time := t.expectedPace(now) * t.currentSlowdown(now)
@@ -45,9 +43,7 @@
 	if load > slots {
 		time += (load - slots) / slots * usualPace * nearlyFullPace
 	}
-	if t.remote {
-		time += remoteCost
-	}
+	time += t.awayCost(x)
 	if !t.near && !t.takesColdCalls(now) {
 		time += outsideCost
 	}
--- a/pkg/core/routing/lending.go
+++ b/pkg/core/routing/lending.go
@@ -86,7 +86,7 @@
 		if !t.mayLend(r.now) {
 			continue
 		}
-		if cost := t.cost(r.now); best == nil || cost < bestCost {
+		if cost := t.cost(r.now, nil); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -11,7 +11,8 @@
 // budget; without budget the box chooses by the readings that it has.
 
 const (
-	// probeLimit is how long a call waits for the answers to its probes at the most.
+	// probeLimit is how long a call waits for the answers to its probes at the most, besides
+	// the way to targets elsewhere and back.
 	probeLimit = 12 * time.Millisecond
 	// maxProbed bounds the targets that are probed for one send.
 	maxProbed = 4
@@ -105,15 +106,16 @@
 	c.probeRound.number++
 	c.probeRound.pending = len(probed)
 	c.probeRound.rounds++
+	limit := probeLimit
 	for _, t := range probed {
-		t.probesSent++
-		t.probedAt = r.now
+		limit = max(limit, t.probeLimit())
+		t.noteProbeSent(r.now)
 		e.add(Effect{
 			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
 		})
 	}
-	r.timers.Push(timer{at: r.now.Add(probeLimit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+	r.timers.Push(timer{at: r.now.Add(limit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 	return true
 }
 
@@ -139,10 +141,10 @@
 	for k := range targets {
 		i := (start + k) % len(targets)
 		t := targets[i]
-		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
+		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < t.probeLimit() {
 			continue
 		}
-		t.probeOrder = t.cost(r.now)
+		t.probeOrder = t.cost(r.now, c.route)
 		r.best = insertByCost(r.best, t, n)
 	}
 	return r.best
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -69,6 +69,7 @@
 	if t == nil {
 		return
 	}
+	t.noteProbeTime(r.now, v.Healthy)
 	t.takeReading(r.now, v.Reading)
 	if v.Healthy {
 		t.service.noteReport(v.Reading)
--- a/pkg/core/routing/residency.go
+++ b/pkg/core/routing/residency.go
@@ -57,6 +57,7 @@
 func (r *Router) markRegions(s *service, e *Effects) {
 	for _, t := range s.targets {
 		t.region = r.settings.Regions[t.row.Domain]
+		t.distance = r.distanceTo(t.row.Domain)
 		if t.region == "" {
 			r.tellUnknown(t, e)
 		}
@@ -81,6 +82,9 @@
 	}
 	r.settings.Regions = regions
 	clear(r.unknown)
+	for d, x := range r.distances {
+		r.placeDistance(d, x)
+	}
 	for _, s := range r.order {
 		r.markRegions(s, e)
 		r.settleCalls(s, e)
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -88,6 +88,8 @@
 	// unknown are the failure domains whose region isn't known and that the log has been told
 	// of.
 	unknown map[units.Domain]bool
+	// distances are what is known of the ways to failure domains.
+	distances map[units.Domain]*domainDistance
 	// changed is room for the services that a new table changes.
 	changed []*service
 	// freed are the services at which room has come up during this event.
@@ -122,6 +124,7 @@
 		loans:     newLoanBook(),
 		boxLists:  1,
 		beside:    map[units.Domain][]table.Box{},
+		distances: map[units.Domain]*domainDistance{},
 		unknown:   map[units.Domain]bool{},
 		now:       now,
 		startedAt: now,
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -174,7 +174,7 @@
 func (c *candidates) Reported(i int) float64       { return c.service.targets[i].reading.InFlight }
 
 func (c *candidates) Cost(i int) float64 {
-	return c.service.targets[i].cost(c.now)
+	return c.service.targets[i].cost(c.now, c.call.route)
 }
 
 func (c *candidates) Available(i int) bool {
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -16,6 +16,11 @@
 	remote bool
 	// region is the one of the target's failure domain; empty where it isn't known.
 	region units.Region
+	// distance is what is known of the way to the target's failure domain.
+	distance *domainDistance
+	// probesOut counts the probes for calls that are under way, the first since probeOutSince.
+	probesOut     int
+	probeOutSince units.Instant
 	// sentSince counts the sends since the target's last load report.
 	sentSince int
 	// slowdown is how much longer than elsewhere calls take here, as last learnt at slowdownAt.
@@ -192,13 +197,13 @@
 // rateBurst is how many calls of a box may come at once under a rate limit.
 const rateBurst = 1
 
-// cost says how bad a choice the target would be: the queue that a call would
+// cost says how bad a choice the target would be for a call of a route: the queue that a call would
 // join, in units of the service's usual latency, and how far the target is above
 // its part of the weights. The second keeps to the weights where targets are much
 // alike, the first leaves them where one of them isn't well.
-func (t *target) cost(now units.Instant) float64 {
+func (t *target) cost(now units.Instant, x *route) float64 {
 	if t.row.Registered && t.service.unreported < unreportedLimit {
-		return t.expectedTime(now)
+		return t.expectedTime(now, x)
 	}
 	queue := float64(t.inFlight) + t.reading.estimate(now, t.inFlight)
 	return (queue+1)*t.slowness(now) + surplusCost*t.surplus()
