--- a/pkg/core/routing/distance.go
+++ b/pkg/core/routing/distance.go
@@ -33,7 +33,7 @@
 type domainDistance struct {
 	// own is the box's own domain; nil for itself.
 	own *domainDistance
-	// sameRegion is set where the domain is known to be in the box's own region.
+	// sameRegion is set where the domain is in the box's own region, or no regions are known.
 	sameRegion bool
 	// least is the least time that a probe took in the present window, which began at since,
 	// before that of the window before; zero for none.
