--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -31,6 +31,9 @@
 // LeaseChanged says until when the table may be trusted.
 type LeaseChanged struct{ Until units.Instant }
 
+// RegionsChanged gives the regions of the failure domains anew.
+type RegionsChanged struct{ Regions map[units.Domain]units.Region }
+
 // StopPlanned says when the box will have stopped. From half of the time until then a
 // call is taken only if it is sure to end before.
 type StopPlanned struct{ Until units.Instant }
@@ -96,6 +99,7 @@
 func (*Tick) routingEvent()           {}
 func (*TableChanged) routingEvent()   {}
 func (*LeaseChanged) routingEvent()   {}
+func (*RegionsChanged) routingEvent() {}
 func (*StopPlanned) routingEvent()    {}
 func (*CallArrived) routingEvent()    {}
 func (*CallerGone) routingEvent()     {}
@@ -194,6 +198,9 @@
 	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
 	// it is for the log.
 	ExposureTurned
+	// RegionUnknown tells that the region of Endpoint's failure domain isn't known; it is for
+	// the log, once for each domain.
+	RegionUnknown
 )
 
 // Effect is one thing for the shell to do.
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -168,7 +168,7 @@
 // coming in. While the service is busy, a target that nothing is known of is likely to be
 // full, and calls wait all the same.
 func (r *Router) goesUnprobed(c *call, t *target) bool {
-	return r.linkHidesProbes(c) && !r.isTooSlow(t) && t.load(r.now)+1 <= t.slots()
+	return r.linkHidesProbes(c) && !r.isTooSlow(c, t) && t.load(r.now)+1 <= t.slots()
 }
 
 // linkHidesProbes tells whether probes' answers come too late, at a service that isn't busy.
@@ -208,7 +208,7 @@
 // waitsForLink has a call with a large answer wait while enough of them are on their way. One
 // that no target can serve doesn't wait to be refused.
 func (r *Router) waitsForLink(id CallID, c *call, e *Effects) bool {
-	if !c.route.largeAnswers || !r.on(SharedLink) || c.route.aim == 0 || !c.service.hasActiveTarget() {
+	if !c.route.largeAnswers || !r.on(SharedLink) || c.route.aim == 0 || !c.service.hasActiveTarget(c) {
 		return false
 	}
 	coming := r.inbound.left(r.now) + r.inbound.timeOf(r.expected)
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -11,7 +11,8 @@
 // budget; without budget the box chooses by the readings that it has.
 
 const (
-	// probeLimit is how long a call waits for the answers to its probes at the most.
+	// probeLimit is how long a call waits for the answers to its probes at the most, besides
+	// the way to targets elsewhere and back.
 	probeLimit = 12 * time.Millisecond
 	// maxProbed bounds the targets that are probed for one send.
 	maxProbed = 4
@@ -105,15 +106,16 @@
 	c.probeRound.number++
 	c.probeRound.pending = len(probed)
 	c.probeRound.rounds++
+	limit := probeLimit
 	for _, t := range probed {
-		t.probesSent++
-		t.probedAt = r.now
+		limit = max(limit, t.probeLimit())
+		t.noteProbeSent(r.now)
 		e.add(Effect{
 			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
 		})
 	}
-	r.timers.Push(timer{at: r.now.Add(probeLimit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+	r.timers.Push(timer{at: r.now.Add(limit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 	return true
 }
 
@@ -134,7 +136,7 @@
 func (r *Router) bestTargets(c *call, n int) []*target {
 	from := r.callSide(c.service, c)
 	set := candidates{
-		service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected && from != onTrial, fresh: c.tries > 0,
+		service: c.service, now: r.now, call: c, anyHealth: r.anyHealth(c.service, c) && from != onTrial, fresh: c.tries > 0,
 		side: from,
 	}
 	r.best = r.best[:0]
@@ -145,10 +147,10 @@
 	for k := range targets {
 		i := (start + k) % len(targets)
 		t := targets[i]
-		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
+		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < t.probeLimit() {
 			continue
 		}
-		t.probeOrder = t.cost(r.now)
+		t.probeOrder = t.cost(r.now, c.route)
 		r.best = insertByCost(r.best, t, n)
 	}
 	return r.best
@@ -193,6 +195,10 @@
 		r.leaveTrial(id, c, e)
 		return
 	}
+	if t == nil && c.underWay() == 0 && !c.service.hasActiveTarget(c) {
+		r.refuseWaiting(c.service, id, e)
+		return
+	}
 	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
@@ -292,7 +298,7 @@
 	if !c.service.probesTargets() {
 		return true
 	}
-	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
+	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(c, t) {
 		return false
 	}
 	if !r.on(Concurrency) {
@@ -302,15 +308,15 @@
 }
 
 // isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
-// at all targets of the service, none is too slow: refusing calls would help nobody.
-func (r *Router) isTooSlow(t *target) bool {
+// at all targets of the service that the call may use, none is too slow: refusing calls would help nobody.
+func (r *Router) isTooSlow(c *call, t *target) bool {
 	slowdown := t.currentSlowdown(r.now)
 	if !r.on(SlowTargets) || slowdown < heavySlowdown {
 		return false
 	}
 	least := slowdown
 	for _, o := range t.service.targets {
-		if o.side == t.side && o.takesWork(r.now, t.service.mostlyEjected) {
+		if o.side == t.side && c.mayUse(o) && o.takesWork(r.now, t.service.mostlyEjected) {
 			least = min(least, o.currentSlowdown(r.now))
 		}
 	}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -47,6 +47,7 @@
 	TooLate
 	OtherVersions
 	RolloutUnsure
+	RegionBarred
 	reasonCount
 )
 
@@ -76,6 +77,7 @@
 	TooLate:        {"too-late", 503, "come back when fewer calls come; the answer would miss the aim, and callers who have just come go first"},
 	OtherVersions:  {"other-versions", 503, "come back later; no target of this service runs the version of its software that takes calls"},
 	RolloutUnsure:  {"rollout-unsure", 503, "try another box; this one can't tell now which version of the service's software takes calls"},
+	RegionBarred:   {"region-not-allowed", 503, "come back later, or allow more regions; no target of this service is in a region that the route allows"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -14,8 +14,10 @@
 type Settings struct {
 	Box    units.BoxID
 	Domain units.Domain
-	Seed   uint64
-	Policy PolicyName
+	// Regions are the regions of the failure domains.
+	Regions map[units.Domain]units.Region
+	Seed    uint64
+	Policy  PolicyName
 	// ServeStale lets the box serve on when its lease on the table has run out.
 	ServeStale bool
 	// ShareDelay is how long a share waits before it rises; it must be longer
@@ -94,6 +96,13 @@
 	inbound   inbound
 	expected  float64
 	linkWaits uint64
+	// unknown are the failure domains whose region isn't known and that the log has been told
+	// of.
+	unknown map[units.Domain]bool
+	// distances are what is known of the ways to failure domains.
+	distances map[units.Domain]*domainDistance
+	// changed is room for the services that a new table changes.
+	changed []*service
 	// freed are the services at which room has come up during this event.
 	freed []*service
 	// rollouts are those under way, and those over whose evidence is to be sent once more;
@@ -134,6 +143,8 @@
 		boxLists:  1,
 		beside:    map[units.Domain][]table.Box{},
 		inbound:   inbound{rate: s.LinkRate},
+		distances: map[units.Domain]*domainDistance{},
+		unknown:   map[units.Domain]bool{},
 		now:       now,
 		startedAt: now,
 		off:       off,
@@ -159,6 +170,8 @@
 		r.tick(e)
 	case *TableChanged:
 		r.changeTable(v.Table, e)
+	case *RegionsChanged:
+		r.changeRegions(v.Regions, e)
 	case *StopPlanned:
 		r.stopsAt = v.Until
 		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -132,7 +132,7 @@
 // retryAfter is when a refused caller may come back: the time in which the
 // calls that wait now should be through.
 func (s *service) retryAfter() time.Duration {
-	wait := s.expectedWait()
+	wait := s.expectedWait(nil)
 	return max(minRetryAfter, min(wait, maxRetryAfter))
 }
 
@@ -141,11 +141,14 @@
 	maxRetryAfter = 10 * time.Second
 )
 
-// expectedWait estimates how long a call that is held now will wait.
-func (s *service) expectedWait() time.Duration {
+// expectedWait estimates how long a call that is held now will wait; nil stands for one
+// that any target may take.
+func (s *service) expectedWait(c *call) time.Duration {
 	capacity := 0
 	for _, t := range s.targets {
-		capacity += t.capacity()
+		if c.mayUse(t) {
+			capacity += t.capacity()
+		}
 	}
 	if capacity == 0 {
 		return 0
@@ -175,7 +178,7 @@
 func (c *candidates) Reported(i int) float64       { return c.service.targets[i].reading.InFlight }
 
 func (c *candidates) Cost(i int) float64 {
-	return c.service.targets[i].cost(c.now)
+	return c.service.targets[i].cost(c.now, c.call.route)
 }
 
 func (c *candidates) Available(i int) bool {
@@ -191,5 +194,5 @@
 
 // excluded tells whether the call itself rules a target out.
 func (c *candidates) excluded(t *target) bool {
-	return c.fresh && c.call.tried(t) || c.call.uses(t)
+	return !c.call.mayUse(t) || c.fresh && c.call.tried(t) || c.call.uses(t)
 }
