Pool the budgets for retries and hedges where a box's part is less than one

Cause: a box saved up ExtraBurst/boxes tokens of each kind. With 95 to 473 boxes that is 0.40 to 0.50, and a send costs one, so that no box of such a deployment ever hedged a call, nor sent one again after a failure that a byte may have reached a target with.

Change: where a box's part of either is below one, both are saved up in one pool (2 x ExtraBurst over all boxes); where that is below one as well, whole tokens go to some boxes by rendezvous hashing.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -42,8 +42,7 @@
 	}
 	c.service = s
 	s.calls++
-	s.retries.earn(s.row.RetryBudget, s.burst)
-	s.hedges.earn(s.row.HedgeBudget, s.burst)
+	s.earnExtras()
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if s.held.length == 0 {
 		if t := r.choose(s, c); t != nil {
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -303,12 +303,6 @@
 	return true
 }
 
-// spendRetry takes what a retry costs. A call that failed is worth more than a hedge, so
-// the budget for hedges stands in when that for retries is spent.
-func (s *service) spendRetry() bool {
-	return s.retries.spend() || s.row.HedgeBudget > 0 && s.hedges.spend()
-}
-
 // resend deals with an attempt that the target certainly didn't run. Any kind
 // of work may be sent again then.
 func (r *Router) resend(id CallID, c *call, reason Reason, e *Effects) {
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -14,12 +14,58 @@
 // how many all boxes may.
 const budgetBurst = 10
 
-// burstOf is how many tokens a box may save up for a service.
-func (r *Router) burstOf(s *service) float64 {
+// shareExtras works out what this box may save up for a service's retries and hedges. A
+// part of less than one token would never pay for a send, so small parts go into one pool
+// for both; where even that is less than one, whole tokens go to some of the boxes.
+func (r *Router) shareExtras(s *service) {
+	boxes := float64(max(1, r.rank.count))
+	s.pooled = false
+	s.burst = budgetBurst
 	if s.row.ExtraBurst == 0 {
-		return budgetBurst
+		return
 	}
-	return float64(s.row.ExtraBurst) / float64(max(1, r.rank.count))
+	s.burst = float64(s.row.ExtraBurst) / boxes
+	if s.burst >= 1 {
+		return
+	}
+	s.pooled = true
+	s.retries.tokens = 0
+	both := extraKinds * s.row.ExtraBurst
+	s.burst = float64(both) / boxes
+	if s.burst < 1 {
+		s.burst = float64(r.rank.wholeShare(both, r.rank.countBefore(units.TargetID(s.row.Name), r.rank.boxes)))
+	}
+}
+
+// extraKinds is how many kinds of extra sends there are: retries and hedges.
+const extraKinds = 2
+
+// earnExtras takes what a call earns for retries and hedges.
+func (s *service) earnExtras() {
+	if !s.pooled {
+		s.retries.earn(s.row.RetryBudget, s.burst)
+		s.hedges.earn(s.row.HedgeBudget, s.burst)
+		return
+	}
+	pool := &s.hedges
+	if s.row.HedgeBudget == 0 {
+		pool = &s.retries
+	}
+	pool.earn(s.row.RetryBudget+s.row.HedgeBudget, s.burst)
+}
+
+// spendRetry takes what a retry costs. A call that failed is worth more than a hedge, so
+// the budget for hedges stands in when that for retries is spent.
+func (s *service) spendRetry() bool {
+	if s.retries.spend() {
+		return true
+	}
+	if s.row.HedgeBudget == 0 || !s.hedges.spend() {
+		return false
+	}
+	s.hedges.spent--
+	s.retries.spent++
+	return true
 }
 
 func (b *budget) earn(share units.Percent, burst float64) {
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -33,8 +33,10 @@
 	// recent counts the last sends.
 	recent float64
 	held   heldQueue
-	// burst bounds what each of the budgets saves up.
+	// burst bounds what each of the budgets saves up, or the one for both where pooled is
+	// set.
 	burst   float64
+	pooled  bool
 	retries budget
 	hedges  budget
 	latency latencyEstimate
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -86,7 +86,7 @@
 	}
 	r.markEvacuated(s)
 	r.sweepBy(s, r.now)
-	s.burst = r.burstOf(s)
+	r.shareExtras(s)
 	r.chooseSubset(s)
 	for _, t := range s.targets {
 		r.wantShare(t)
