Don't probe a target again that hasn't answered yet; answers serve the calls that wait

An answer that came after its round was a reading and nothing else.

Change: a target with an unanswered probe of this box isn't probed by it until the answer, the failure, or 500 ms. An answer whose call no longer waits for it serves the first of those that wait, if its target suits.

Tests: script probe-unanswered fails on the code before (a second probe goes to the silent target). Two scripts left probes unanswered that every shell answers: waiting now answers its second probe, no-load-reports answers all of them by the call that sent them, and still shows that the eighth answer without a report ends probing and the next report begins it again. probing-first: rounds go to targets that haven't been asked.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -108,6 +108,7 @@
 	for _, t := range probed {
 		t.probesSent++
 		t.probedAt = r.now
+		t.unanswered++
 		e.add(Effect{
 			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
 			Connections: t.connections, ProbePath: c.service.row.ProbePath,
@@ -139,7 +140,10 @@
 	for k := range targets {
 		i := (start + k) % len(targets)
 		t := targets[i]
-		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
+		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.awaitsProbe(r.now) {
+			continue
+		}
+		if t.probedAt != 0 && r.now.Sub(t.probedAt) < probeLimit {
 			continue
 		}
 		t.probeOrder = t.cost(r.now)
@@ -170,6 +174,7 @@
 func (r *Router) probeAnswered(v *ProbeEnded, t *target, e *Effects) {
 	c := r.calls.Get(v.Call)
 	if c == nil || !c.probeRound.open || c.probeRound.number != v.Attempt {
+		r.shareAnswer(t)
 		return
 	}
 	c.probeRound.pending--
@@ -266,9 +271,11 @@
 // isSuitable tells whether a target would serve the call about as well as any could: work
 // goes at its usual pace there, and a slot is free.
 func (r *Router) isSuitable(c *call, t *target) bool {
-	if !c.service.probesTargets() {
-		return true
-	}
+	return !c.service.probesTargets() || r.suits(t)
+}
+
+// suits tells the same of a target that is probed.
+func (r *Router) suits(t *target) bool {
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(t) {
 		return false
 	}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
 
 const (
 	// probeAfter is how long an ejected target must have been silent to be worth
@@ -69,6 +73,7 @@
 	if t == nil {
 		return
 	}
+	t.unanswered = max(0, t.unanswered-1)
 	t.takeReading(r.now, v.Reading)
 	if v.Healthy {
 		t.service.noteReport(v.Reading)
@@ -82,6 +87,25 @@
 	}
 }
 
+// probeBound is after what time an unanswered probe counts as lost, so that the target may
+// be probed again: a probe behind a large answer, or one whose packet was lost and sent
+// again, is answered within some 0.3 s.
+const probeBound = 500 * time.Millisecond
+
+// awaitsProbe tells whether a probe of this box is on its way to the target. Another one
+// would wait behind it, and cost the target as much as the first.
+func (t *target) awaitsProbe(now units.Instant) bool {
+	return t.unanswered > 0 && now.Sub(t.probedAt) < probeBound
+}
+
+// shareAnswer lets the calls that wait use an answer that the call which asked no longer
+// waits for.
+func (r *Router) shareAnswer(t *target) {
+	if t != nil && len(t.service.waiting) > 0 && t.isFresh(r.now) && r.suits(t) {
+		r.freed = append(r.freed, t.service)
+	}
+}
+
 func (r *Router) findTarget(x *Endpoint) *target {
 	s := r.services[x.Service]
 	if s == nil {
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -25,8 +25,10 @@
 	// near is set where the target belongs to the box's subset of the service's targets.
 	near       bool
 	probeOrder float64
-	// probedAt is when a call last probed the target; zero for never.
-	probedAt units.Instant
+	// probedAt is when a call last probed the target; zero for never. unanswered counts the
+	// calls' probes of it that have no answer yet.
+	probedAt   units.Instant
+	unanswered int
 	// gone is set when the table no longer has the row.
 	gone     bool
 	inFlight int
