Close and learn calls that a target which serves others doesn't answer

Cause: a target may drop what it can't queue without a word. Nothing told such a call from a slow one: it stayed until its caller's deadline, counted as a failure of the target, and a hedge that was dropped as well was the last send. A hedge's probes were waited for 12 ms, on links on which they take 40 to 300.

A call that has been out for four times its route's typical time is missed; its target is asked for its load. If that leaves the call out, or the target has answered two later calls while this one was out for four times what nearly all take, the call is unanswered: the target counts as full (not as failed), a repeatable call is sent elsewhere within budget and attempts, and the first attempt is closed once another is under way. Without a target that suits it stands behind all others that wait. Two such calls within a minute tell that the service hangs when full; then calls of work once go only to targets whose load is known now, and targets are kept below the number of calls at which one was dropped. A report that leaves out a call which is answered later stops the use of reports for a minute. A hedge's probes are waited for 100 ms. A call that begins another round of probes may stand in the line again: it was never served from there a second time. Logged as service-hangs; status and metrics count unanswered calls by service and target; unanswered-calls switches it off.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -20,6 +20,7 @@
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
 		full:   t.load(r.now)+1 >= nearlyFull*t.slots(),
 		cold:   t.isCold(r.now),
+		ahead:  t.load(r.now), patience: c.patience(t, r.now), longPatience: c.longPatience(t, r.now),
 	}
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
@@ -40,9 +41,17 @@
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence,
 	})
-	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
+	if !hedge && r.hedges(c) {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
+	if r.on(UnansweredCalls) && r.now.Add(a.patience) < c.deadline {
+		r.timers.Push(timer{at: r.now.Add(a.patience), call: id, kind: silenceTimer})
+	}
+}
+
+// hedges tells whether calls like this one are sent a second time when they are late.
+func (r *Router) hedges(c *call) bool {
+	return c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1
 }
 
 // evidenceOf is what is known of a target now.
@@ -77,20 +86,28 @@
 // allows it and another target has room. Otherwise it is tried again later: without that a
 // call stayed for all of its route's 4 s at a target that had gone silent.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
-	s := c.service
-	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() {
-		return
+	if c.mayHedge() && !r.tryHedge(id, c, e) {
+		r.hedgeLater(id, c)
 	}
+}
+
+// mayHedge tells whether the call waits for one answer and may be sent once more.
+func (c *call) mayHedge() bool {
+	return !c.held && !c.streaming && !c.probeRound.open && c.underWay() == 1 && !c.spentAttempts()
+}
+
+// tryHedge hedges a call now if it can be.
+func (r *Router) tryHedge(id CallID, c *call, e *Effects) bool {
+	s := c.service
 	if s.held.length > 0 || !r.leased() {
-		r.hedgeLater(id, c)
-		return
+		return false
 	}
 	t := r.choose(s, c)
 	if t == nil || !s.hedges.spend() {
-		r.hedgeLater(id, c)
-		return
+		return false
 	}
 	r.place(id, c, t, HedgeSend, e)
+	return true
 }
 
 // hedgeLater has a call that couldn't be hedged now looked at again.
@@ -151,6 +168,7 @@
 		}
 		// A loser that is overdue says something about its target.
 		a.target.latency.add(r.now.Sub(a.sent))
+		r.wentUnanswered(c, a, e)
 		r.cancel(id, c, a, e)
 	}
 }
@@ -169,7 +187,14 @@
 	if a.atPace && v.Result == Answered {
 		t.noteTime(r.now, c.route, took, a)
 	}
-	r.learn(t, v, took, e)
+	if v.Result == Broken && r.wentUnanswered(c, a, e) {
+		t.lastHeard = r.now
+	} else {
+		r.learn(t, v, took, e)
+	}
+	if v.Result == Answered || v.Result == Failed || v.Result == Shed {
+		t.noteAnswer(r.now, a)
+	}
 	r.release(c, a, e)
 	if c.streaming {
 		r.streamEnded(v, c)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -28,6 +30,15 @@
 	cold   bool
 	// typical is the route's typical time then.
 	typical float64
+	// patience is how long the answer may take before it is missed, longPatience how long
+	// before it counts that later calls were answered; ahead is how many calls seemed to be
+	// at the target before this one.
+	patience, longPatience time.Duration
+	ahead                  float64
+	// overtaken counts later calls that the target has answered since; missing is set when a
+	// report of its load left the call out, counted once it counts as unanswered.
+	overtaken        int
+	missing, counted bool
 }
 
 // call is a call that hasn't been answered yet.
@@ -148,6 +159,8 @@
 	probeTimer
 	// earlyTimer ends the wait for the box's first table.
 	earlyTimer
+	// silenceTimer is due when a call's answer is missed.
+	silenceTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -191,6 +204,8 @@
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
+	case silenceTimer:
+		r.checkSilence(t.call, c, e)
 	case earlyTimer:
 		r.refuseEarly(t.call, c, e)
 	case probeTimer:
@@ -201,9 +216,13 @@
 }
 
 func (r *Router) deadlinePassed(id CallID, c *call, e *Effects) {
-	// A target that lets calls run out of time isn't well.
+	// A target that lets calls run out of time isn't well, unless it serves others.
 	for i := range c.attempts {
-		if a := &c.attempts[i]; a.target != nil && a.target.health.failed(r.now) {
+		a := &c.attempts[i]
+		if a.target == nil || r.wentUnanswered(c, a, e) {
+			continue
+		}
+		if a.target.health.failed(r.now) {
 			r.healthTurned(a.target, e)
 		}
 	}
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -186,6 +186,9 @@
 	// TargetTurned tells that Endpoint has been taken out of the common path, or has
 	// come back; it is for the log.
 	TargetTurned
+	// ServiceHangs tells that targets of Endpoint's service are found not to answer calls that
+	// they can't queue; it is for the log.
+	ServiceHangs
 	// SendPeer sends Loan to the box Peer.
 	SendPeer
 )
@@ -209,7 +212,7 @@
 	// ProbePath is what a probe asks for; empty means the box's own setting.
 	ProbePath string
 	// Ejected is set for a TargetTurned that takes the target out; Failures is how many
-	// failures in a row there were.
+	// failures in a row there were, or how many unanswered calls for a ServiceHangs.
 	Ejected  bool
 	Failures int
 	// Purpose says what a Send is for, Evidence what was known of its target.
--- a/pkg/core/routing/expectation.go
+++ b/pkg/core/routing/expectation.go
@@ -188,18 +188,6 @@
 	return defaultSlots
 }
 
-// load is how many calls the target seems to have: what it said last, which counts less
-// as it ages, and what this box has sent it since.
-func (t *target) load(now units.Instant) float64 {
-	own := float64(t.inFlight)
-	if !t.reading.Known {
-		return own
-	}
-	left := remaining(now.Sub(t.reading.at), loadMemory)
-	said := t.reading.InFlight + float64(t.sentSince)
-	return max(own, said*left)
-}
-
 // expectedPace is how long work is expected to take there, over the usual.
 func (t *target) expectedPace(now units.Instant) float64 {
 	if !t.reading.Known || t.reading.Pace == 0 {
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -37,11 +37,15 @@
 	Subsetting Mechanism = "subsetting"
 	// EarlyCalls holds calls that come before a box's first table.
 	EarlyCalls Mechanism = "early-calls"
+	// UnansweredCalls closes calls that a target which serves others doesn't answer, and
+	// learns which services hang when full.
+	UnansweredCalls Mechanism = "unanswered-calls"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls,
+	UnansweredCalls,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -13,6 +13,9 @@
 const (
 	// probeLimit is how long a call waits for the answers to its probes at the most.
 	probeLimit = 12 * time.Millisecond
+	// hedgeProbeLimit is how long a hedge waits for them: its call is under way, so that
+	// nothing is lost by waiting, and given up too soon the probes are spent for nothing.
+	hedgeProbeLimit = 100 * time.Millisecond
 	// maxProbed bounds the targets that are probed for one send.
 	maxProbed = 4
 	// freshReading is the age up to which a reading is as good as a new one.
@@ -59,9 +62,10 @@
 		return
 	}
 	c.probeRound.purpose = why
+	c.probeRound.waiting = false
 	r.dropServed(c.service)
 	if len(c.service.waiting) >= maxProbing || !r.sendProbes(id, c, e) {
-		if !c.service.isBusy(r.now) && !best.isFresh(r.now) {
+		if !c.service.isBusy(r.now) && !best.isFresh(r.now) && !r.mustBeSure(c) {
 			r.send(id, c, best, why, e)
 			return
 		}
@@ -96,9 +100,7 @@
 // for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
 	probed := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
-	rate := r.probeAllowance(c.service)
-	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
-	if len(probed) < 1 || !c.service.probeBudget.takeMany(r.now, float64(len(probed)), rate, burst) {
+	if len(probed) < 1 || !r.spendProbes(c.service, len(probed)) {
 		return false
 	}
 	c.probeRound.open = true
@@ -106,18 +108,34 @@
 	c.probeRound.pending = len(probed)
 	c.probeRound.rounds++
 	for _, t := range probed {
-		t.probesSent++
-		t.probedAt = r.now
-		t.unanswered++
-		e.add(Effect{
-			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
-			Connections: t.connections, ProbePath: c.service.row.ProbePath,
-		})
+		r.probe(id, c, t, c.probeRound.number, e)
+	}
+	limit := probeLimit
+	if c.probeRound.purpose == HedgeSend {
+		limit = hedgeProbeLimit
 	}
-	r.timers.Push(timer{at: r.now.Add(probeLimit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+	r.timers.Push(timer{at: r.now.Add(limit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 	return true
 }
 
+// probe probes a target for a call.
+func (r *Router) probe(id CallID, c *call, t *target, number AttemptNumber, e *Effects) {
+	t.probesSent++
+	t.probedAt = r.now
+	t.unanswered++
+	e.add(Effect{
+		Kind: Probe, Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.notAfter(),
+		Connections: t.connections, ProbePath: c.service.row.ProbePath,
+	})
+}
+
+// spendProbes takes n probes of a service's targets off the budget, or none.
+func (r *Router) spendProbes(s *service, n int) bool {
+	rate := r.probeAllowance(s)
+	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
+	return s.probeBudget.takeMany(r.now, float64(n), rate, burst)
+}
+
 // probeAllowance is how many probes a second this box may send to a service's targets.
 func (r *Router) probeAllowance(s *service) float64 {
 	rate := 0.0
@@ -175,6 +193,9 @@
 	c := r.calls.Get(v.Call)
 	if c == nil || !c.probeRound.open || c.probeRound.number != v.Attempt {
 		r.shareAnswer(t)
+		if c != nil && v.Attempt == signProbe {
+			r.judgeSilence(v.Call, c, e)
+		}
 		return
 	}
 	c.probeRound.pending--
@@ -196,7 +217,7 @@
 		r.send(id, c, t, c.probeRound.purpose, e)
 		return
 	}
-	if !late {
+	if !late || r.missesAnswer(c) {
 		r.waitForTarget(id, c)
 		return
 	}
@@ -271,7 +292,10 @@
 // isSuitable tells whether a target would serve the call about as well as any could: work
 // goes at its usual pace there, and a slot is free.
 func (r *Router) isSuitable(c *call, t *target) bool {
-	return !c.service.probesTargets() || r.suits(t)
+	if !c.service.probesTargets() {
+		return true
+	}
+	return r.suits(t) && (t.isFresh(r.now) || !r.mustBeSure(c))
 }
 
 // suits tells the same of a target that is probed.
@@ -307,7 +331,7 @@
 // known of, calls met others there: without such sends the two worst seconds of a crowd of
 // twice the capacity kept 0.35 of their calls' value in place of 0.30 (mean of two days).
 func (r *Router) acceptsUnsuitable(c *call) bool {
-	if c.probeRound.purpose == HedgeSend {
+	if c.probeRound.purpose == HedgeSend || r.mustBeSure(c) {
 		return false
 	}
 	return c.mayHaveRun || c.probeRound.rounds == 0 && !c.service.isBusy(r.now)
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -75,6 +75,7 @@
 	}
 	t.unanswered = max(0, t.unanswered-1)
 	t.takeReading(r.now, v.Reading)
+	t.noteMissing(r.now, v.Reading, t.probedAt)
 	if v.Healthy {
 		t.service.noteReport(v.Reading)
 		r.noteWarmth(t, v.Reading.Cold)
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -116,6 +116,8 @@
 		return fmt.Sprintf("probe %s for %s", x.Endpoint.Target, name)
 	case TargetTurned:
 		return ""
+	case ServiceHangs:
+		return fmt.Sprintf("%s hangs, by %d unanswered calls", x.Endpoint.Service, x.Failures)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -19,6 +19,8 @@
 	// or cold.
 	whenFull learntSlowdown
 	whenCold learntSlowdown
+	// silence is what is known of calls that were never answered.
+	silence silence
 	// off are the mechanisms that aren't used.
 	off mechanismSet
 	// domain is the box's own failure domain.
--- /dev/null
+++ b/pkg/core/routing/silence_test.go
@@ -0,0 +1,247 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// crowd is some boxes at the same targets, which never answer what they can't queue.
+type crowd struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     units.Instant
+	routers []*Router
+	targets map[units.TargetID]*hangingTarget
+	due     *container.Heap[dueEvent]
+	started map[string]units.Instant
+	// delivered, late and lost count the calls by how they ended: lost at their deadline.
+	delivered, late, refused, lost int
+}
+
+// hangingTarget works on some calls at a time, queues some, and drops the others.
+type hangingTarget struct {
+	slots, queue int
+	present      map[string]bool
+	busyUntil    []units.Instant
+	// drops has it drop every call.
+	drops   bool
+	dropped int
+	sends   int
+}
+
+type dueEvent struct {
+	at     units.Instant
+	router *Router
+	event  Event
+	// ends is the attempt that the event ends at its target, if it is one.
+	ends   string
+	target *hangingTarget
+}
+
+const (
+	crowdWork     = 20 * time.Millisecond
+	crowdAim      = 200 * time.Millisecond
+	crowdDeadline = time.Second
+	crowdStep     = time.Millisecond
+	// crowdLag is how old the answer to a probe is when it comes.
+	crowdLag  = 4 * time.Millisecond
+	crowdSeed = 20261202
+)
+
+func newCrowd(t *testing.T, boxes, targets int) *crowd {
+	w := &crowd{
+		t: t, random: rand.New(rand.NewPCG(crowdSeed, 1)), now: units.Instant(time.Second), targets: map[units.TargetID]*hangingTarget{}, started: map[string]units.Instant{},
+		due: container.NewHeap(func(a, b dueEvent) bool { return a.at < b.at }),
+	}
+	service := table.Service{
+		Name: "shop", Work: table.Repeatable, Deadline: crowdDeadline, RetryBudget: 20, HedgeBudget: 20, MeasureBudget: 50, ProbeTargets: 2,
+	}
+	next := table.NewTable()
+	next.Revision, next.Document = 1, 1
+	entry := &table.Entry{Service: service, Version: 1}
+	for i := range targets {
+		id := units.TargetID(fmt.Sprintf("t%d", i))
+		entry.Rows = append(entry.Rows, table.Row{
+			Service: "shop", Target: id, Address: "127.0.0.1:1", Weight: 100, State: table.Active, Registered: true, Slots: 2,
+		})
+		w.targets[id] = &hangingTarget{slots: 2, queue: 1, present: map[string]bool{}, busyUntil: make([]units.Instant, 2)}
+	}
+	next.Services["shop"] = entry
+	route := &table.Route{
+		Name: "shop", Host: "shop", PathPrefix: "/", Work: table.Repeatable, Deadline: crowdDeadline, Aim: crowdAim,
+		Parts: []table.Part{{Service: "shop", Weight: 1}},
+	}
+	next.Routes = map[table.RouteKey]*table.Route{route.Key(): route}
+	for i := range boxes {
+		next.Boxes = append(next.Boxes, table.Box{ID: units.BoxID(fmt.Sprintf("b%d", i))})
+	}
+	for i, b := range next.Boxes {
+		r, err := NewRouter(Settings{Box: b.ID, Seed: uint64(i), ServeStale: true, ProbeCost: DefaultProbeCost, MaxDeadline: time.Minute}, w.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.routers = append(w.routers, r)
+		w.give(r, &TableChanged{Table: next})
+	}
+	return w
+}
+
+func (w *crowd) give(r *Router, event Event) {
+	var e Effects
+	r.Reduce(w.now, event, &e)
+	for i := range e.List {
+		w.carryOut(r, &e.List[i])
+	}
+}
+
+func (w *crowd) carryOut(r *Router, x *Effect) {
+	name, _ := x.Owner.(string)
+	switch x.Kind {
+	case Send:
+		w.targets[x.Endpoint.Target].take(w, r, x, name)
+	case Cancel:
+		delete(w.targets[x.Endpoint.Target].present, attemptName(name, x.Attempt))
+	case Probe:
+		w.due.Push(dueEvent{at: w.now.Add(crowdLag), router: r, event: &ProbeEnded{
+			Target: x.Endpoint, Healthy: true, Reading: w.targets[x.Endpoint.Target].reading(), Call: x.Call, Attempt: x.Attempt,
+		}})
+	case Deliver:
+		w.delivered++
+		if w.now.Sub(w.started[name]) > crowdAim {
+			w.late++
+		}
+	case Refuse:
+		w.refused++
+		if x.Refusal.Reason == DeadlinePassed {
+			w.lost++
+		}
+	}
+}
+
+func attemptName(call string, n AttemptNumber) string { return fmt.Sprintf("%s #%d", call, n) }
+
+func (x *hangingTarget) reading() Reading {
+	return Reading{Known: true, InFlight: float64(len(x.present)), Slots: float64(x.slots), Pace: 1}
+}
+
+// take works on a call, or drops it.
+func (x *hangingTarget) take(w *crowd, r *Router, s *Effect, call string) {
+	x.sends++
+	if x.drops || len(x.present) >= x.slots+x.queue {
+		x.dropped++
+		return
+	}
+	name := attemptName(call, s.Attempt)
+	x.present[name] = true
+	slot := 0
+	for i, until := range x.busyUntil {
+		if until < x.busyUntil[slot] {
+			slot = i
+		}
+	}
+	x.busyUntil[slot] = max(x.busyUntil[slot], w.now).Add(crowdWork)
+	w.due.Push(dueEvent{at: x.busyUntil[slot], router: r, ends: name, target: x, event: &AttemptEnded{Call: s.Call, Attempt: s.Attempt, Result: Answered}})
+}
+
+// run lets calls come to all boxes for a time, each some time after the last.
+func (w *crowd) run(length, gap time.Duration) {
+	end := w.now.Add(length)
+	for ; w.now < end; w.now = w.now.Add(crowdStep) {
+		w.step()
+		for i, r := range w.routers {
+			if w.random.Float64() < float64(crowdStep)/float64(gap) {
+				name := fmt.Sprintf("%d-%d", i, len(w.started))
+				w.started[name] = w.now
+				w.give(r, &CallArrived{Owner: name, Host: []byte("shop"), Path: []byte("/")})
+			}
+		}
+	}
+}
+
+func (w *crowd) step() {
+	for {
+		next, ok := w.due.Peek()
+		if !ok || next.at > w.now {
+			break
+		}
+		w.due.Pop()
+		if ended, isEnd := next.event.(*AttemptEnded); isEnd {
+			if !next.target.present[next.ends] {
+				continue
+			}
+			delete(next.target.present, next.ends)
+			ended.Reading = next.target.reading()
+		}
+		w.give(next.router, next.event)
+	}
+	for _, r := range w.routers {
+		if r.NextWake() <= w.now {
+			w.give(r, &Tick{})
+		}
+	}
+}
+
+// TestTenBoxesAtTargetsThatHang has calls come from ten boxes at what three targets just bear,
+// which drop what they can't queue. Of the calls that were dropped one in fifty may stay until
+// its deadline, both of its sends dropped; no target may be left out afterwards.
+func TestTenBoxesAtTargetsThatHang(t *testing.T) {
+	w := newCrowd(t, 10, 3)
+	w.run(2*time.Second, 100*time.Millisecond)
+	w.run(4*time.Second, 33*time.Millisecond)
+	w.run(3*time.Second, 100*time.Millisecond)
+	dropped := 0
+	for _, x := range w.targets {
+		dropped += x.dropped
+	}
+	t.Logf("delivered %d, %d late, refused %d, lost %d, dropped %d", w.delivered, w.late, w.refused, w.lost, dropped)
+	if dropped == 0 {
+		t.Fatal("no target dropped a call, so that nothing was tested")
+	}
+	if w.lost*50 > dropped {
+		t.Errorf("%d calls stayed until their deadline", w.lost)
+	}
+	w.expectAllInUse()
+}
+
+// TestHalfOfAServiceHangs has two of four targets drop every call for 5 s, while they answer
+// probes: the calls go to the others, and come back to these two.
+func TestHalfOfAServiceHangs(t *testing.T) {
+	w := newCrowd(t, 4, 4)
+	w.run(2*time.Second, 40*time.Millisecond)
+	w.drop(true, "t0", "t1")
+	before := w.lost
+	w.run(5*time.Second, 40*time.Millisecond)
+	t.Logf("delivered %d, %d late, refused %d, lost %d, dropped %d and %d", w.delivered, w.late, w.refused, w.lost, w.targets["t0"].dropped, w.targets["t1"].dropped)
+	if lost := w.lost - before; lost > 5 {
+		t.Errorf("%d calls stayed until their deadline", lost)
+	}
+	w.drop(false, "t0", "t1")
+	w.run(3*time.Second, 40*time.Millisecond)
+	w.expectAllInUse()
+}
+
+func (w *crowd) drop(on bool, ids ...units.TargetID) {
+	for _, id := range ids {
+		w.targets[id].drops = on
+	}
+}
+
+// expectAllInUse checks that calls go to every target again.
+func (w *crowd) expectAllInUse() {
+	before := map[units.TargetID]int{}
+	for id, x := range w.targets {
+		before[id] = x.sends
+	}
+	w.run(2*time.Second, 40*time.Millisecond)
+	for id, x := range w.targets {
+		if x.sends == before[id] {
+			w.t.Errorf("%s gets no calls any more", id)
+		}
+	}
+}
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -41,6 +41,12 @@
 	Latency    time.Duration     `json:"latency"`
 	Targets    []TargetStatus    `json:"targets"`
 	HedgeDelay time.Duration     `json:"hedgeDelay"`
+	// Unanswered counts the calls that targets didn't answer although they served others;
+	// Hangs is set while that tells that they hang when full, from HangsFrom calls on where
+	// that is known.
+	Unanswered uint64  `json:"unanswered"`
+	Hangs      bool    `json:"hangs"`
+	HangsFrom  float64 `json:"hangsFrom,omitempty"`
 }
 
 // TargetStatus is what a box knows of a target in a service.
@@ -61,7 +67,9 @@
 	Answers  uint64        `json:"answers"`
 	Failures uint64        `json:"failures"`
 	Sheds    uint64        `json:"sheds"`
-	Probes   uint64        `json:"probes"`
+	// Unanswered counts the calls that it didn't answer although it served others.
+	Unanswered uint64 `json:"unanswered"`
+	Probes     uint64 `json:"probes"`
 	// Measured is the slot time that this box's probes have cost the target.
 	Measured time.Duration `json:"measured"`
 	// ProbeRate is how many probes a second this box may send to the target.
@@ -96,6 +104,7 @@
 	status := ServiceStatus{
 		Service: s.row.Name, Version: s.entry.Version, Calls: s.calls, Refused: s.refused, Held: s.held.length,
 		Retries: s.retries.spent, Hedges: s.hedges.spent, Latency: s.latency.mean(), HedgeDelay: s.hedgeDelay(),
+		Unanswered: s.silence.calls, Hangs: s.silence.hangs(now), HangsFrom: s.silence.from,
 	}
 	for _, t := range s.targets {
 		status.Targets = append(status.Targets, r.targetStatus(t, now))
@@ -112,7 +121,7 @@
 		Target: t.row.Target, Address: t.row.Address, State: t.row.State.String(), Weight: t.row.Weight,
 		InFlight: t.inFlight, Share: share, Lent: t.lent, Borrowed: len(t.borrowed),
 		Ejected: t.health.ejected, Ramp: t.health.ramp(now), Latency: t.latency.mean(),
-		Sends: t.sends, Answers: t.answers, Failures: t.failures, Sheds: t.sheds, Probes: t.probesSent,
+		Sends: t.sends, Answers: t.answers, Failures: t.failures, Sheds: t.sheds, Unanswered: t.unansweredCalls, Probes: t.probesSent,
 		Measured: time.Duration(t.probesSent) * r.settings.ProbeCost, ProbeRate: r.probeRate(t.service, t), Bound: t.bound(now),
 	}
 }
@@ -130,6 +139,8 @@
 		return "health"
 	case now < t.notBefore:
 		return "shed"
+	case t.mayHang(now):
+		return "may-hang"
 	case !t.coldAdmits(now):
 		return "cold"
 	case t.share.value <= 0:
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -68,7 +68,7 @@
 	evacuated bool
 	cold      coldness
 
-	sends, answers, failures, sheds, probesSent uint64
+	sends, answers, failures, sheds, probesSent, unansweredCalls uint64
 }
 
 const (
@@ -173,7 +173,7 @@
 
 // takesWhenWarm tells whether a new call might go to the target now, were it warm.
 func (t *target) takesWhenWarm(now units.Instant, anyHealth bool) bool {
-	if !t.isActive() || now < t.notBefore {
+	if !t.isActive() || now < t.notBefore || t.mayHang(now) {
 		return false
 	}
 	if !anyHealth && !t.service.off[Ejection] && (!t.health.admits(now, t.inFlight) || t.health.ejected && t.row.Silent) {
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -61,12 +61,22 @@
 func (r *Router) waitForTarget(id CallID, c *call) {
 	c.probeRound.pending = 0
 	c.probeRound.number++
+	missed := r.missesAnswer(c)
 	if !c.probeRound.waiting {
-		c.service.noteFound(r.now, false)
 		c.probeRound.waiting = true
-		c.service.addWaiting(waitingCall{id: id, priority: c.route.priority})
+		w := waitingCall{id: id, priority: c.route.priority}
+		if missed {
+			w.priority += missedPriority
+		} else {
+			c.service.noteFound(r.now, false)
+		}
+		c.service.addWaiting(w)
+	}
+	pause := probePause
+	if missed {
+		pause = silencePause
 	}
-	r.timers.Push(timer{at: r.now.Add(probePause), call: id, kind: probeTimer, probeRound: c.probeRound.number})
+	r.timers.Push(timer{at: r.now.Add(pause), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 }
 
 // dropServed drops the calls at the front of the waiting ones that wait no more.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -210,6 +210,8 @@
 		e.startProbe(x)
 	case routing.TargetTurned:
 		e.logTurn(&x)
+	case routing.ServiceHangs:
+		e.logHangs(&x)
 	case routing.SendPeer:
 		e.peers.send(x.Peer, x.Loan)
 	}
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -117,6 +117,15 @@
 	}).Info("a target's health has turned")
 }
 
+// logHangs tells that a service's targets don't answer what they can't queue, and by what
+// call that was found.
+func (e *Entry) logHangs(x *routing.Effect) {
+	e.Log.WithFields(logrus.Fields{
+		"kind": "service-hangs", "service": x.Endpoint.Service, "target": x.Endpoint.Target, "unanswered": x.Failures,
+		"ahead": round(x.Evidence.Load), "overPatience": round(x.Evidence.Slowdown), "revision": x.Evidence.Revision,
+	}).Warning("targets of a service don't answer some calls although they serve others; they may hang when full")
+}
+
 // logTrace writes a call's steps to the log.
 func (e *Entry) logTrace(c *call, ordinary bool) {
 	if ordinary && e.traced.Add(1)%sampleEvery != 0 {
