A stand-in target that hangs when full; late calls take a known nearly full target

Cause: the soak and the package tests had no target that never answers what it can't queue.

Change: lab targets have the behavior hang; the soak's seeds from 20,000 on draw it as a fault, while those below draw what they did. A hedge or retry takes the best of the targets that suit where the cheapest doesn't.

Tests: pkg/lab and pkg/target, which pass before as well and guard that a silent connection is closed and never used again; two soak seeds from 20,000 pass.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
@@ -208,6 +209,9 @@
 // probes others a moment later, as long as the call can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
 	t := r.choose(c.service, c)
+	if c.probeRound.purpose != FirstSend && t != nil && !r.isSuitable(c, t) {
+		t = cmp.Or(r.bestSuitable(c), t)
+	}
 	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
@@ -232,6 +236,22 @@
 	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: r.busyRetryAfter(c.service)}, e)
 }
 
+// bestSuitable is the target of the least cost among those that suit a call, or nil. A call
+// that is late takes a nearly full target that is known rather than wait for a better one.
+func (r *Router) bestSuitable(c *call) *target {
+	set := candidates{service: c.service, now: r.now, call: c, anyHealth: c.service.mostlyEjected, fresh: true}
+	var best *target
+	for i, t := range c.service.targets {
+		if !set.Available(i) || !r.isSuitable(c, t) {
+			continue
+		}
+		if best == nil || t.cost(r.now) < best.cost(r.now) {
+			best = t
+		}
+	}
+	return best
+}
+
 // probeTimePassed goes on without the answers that haven't come, or probes again.
 func (r *Router) probeTimePassed(id CallID, c *call, e *Effects) {
 	r.dropServed(c.service)
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -49,6 +50,7 @@
 	runs     atomic.Int64
 	peak     atomic.Int64
 	probes   atomic.Int64
+	dropped  atomic.Int64
 	lock     sync.Mutex
 	behavior Behavior
 }
@@ -65,6 +67,9 @@
 	Sick bool
 	// Lie reports no load, whatever there is.
 	Lie bool
+	// Hang never answers a call that can't be queued, and then nothing more on its
+	// connection.
+	Hang bool
 }
 
 // StartTarget starts a stand-in target.
@@ -143,10 +148,12 @@
 	Runs int64 `json:"runs"`
 	// Probes is how often it was asked for its health.
 	Probes int64 `json:"probes"`
+	// Dropped counts the calls that it never answered.
+	Dropped int64 `json:"dropped"`
 }
 
 func (t *Target) stats(ctx *fasthttp.RequestCtx) {
-	data, err := json.Marshal(TargetStats{Peak: t.peak.Load(), Runs: t.runs.Load(), Probes: t.probes.Load()})
+	data, err := json.Marshal(TargetStats{Peak: t.peak.Load(), Runs: t.runs.Load(), Probes: t.probes.Load(), Dropped: t.dropped.Load()})
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
@@ -160,6 +167,7 @@
 	t.Behave(Behavior{
 		Slow: time.Duration(q.GetUintOrZero("slow_us")) * time.Microsecond,
 		Fail: q.GetBool("fail"), Shed: q.GetBool("shed"), Sick: q.GetBool("sick"), Lie: q.GetBool("lie"),
+		Hang: q.GetBool("hang"),
 	})
 }
 
@@ -178,6 +186,10 @@
 	}
 	t.reportLoad(ctx, b)
 	ctx.Response.Header.Set(RanByHeader, t.settings.Name)
+	if b.Hang && n > int64(t.settings.Slots+t.settings.Queue) {
+		t.drop(ctx)
+		return
+	}
 	if b.Shed || n > int64(t.settings.Slots+t.settings.Queue) {
 		ctx.Response.Header.Set("X-Shed", "1")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -188,6 +200,17 @@
 	t.run(ctx, b)
 }
 
+// drop leaves a call without an answer and its connection open, until the other side ends it.
+func (t *Target) drop(ctx *fasthttp.RequestCtx) {
+	t.dropped.Add(1)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			return
+		}
+	})
+}
+
 func (t *Target) run(ctx *fasthttp.RequestCtx, b Behavior) {
 	request := string(ctx.Request.Header.Peek(RequestHeader))
 	t.runs.Add(1)
--- /dev/null
+++ b/pkg/lab/target_test.go
@@ -0,0 +1,61 @@
+package lab
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TestATargetThatHangsAnswersNothingMoreOnThatConnection sends a target more than it can
+// queue.
+func TestATargetThatHangsAnswersNothingMoreOnThatConnection(t *testing.T) {
+	target, err := StartTarget(TargetSettings{Name: "t", Listen: "127.0.0.1:0", Slots: 1, Queue: 0, Work: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(target.Stop)
+	target.Behave(Behavior{Hang: true})
+	busy := ask(t, target, "/")
+	awaitLoad(t, target)
+	dropped := ask(t, target, "/")
+	if _, err := dropped.Write([]byte("GET /healthz HTTP/1.1\r\nHost: t\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	expectSilence(t, dropped)
+	// Others are still served.
+	if status, _, err := fasthttp.Get(nil, "http://"+target.Address()+"/healthz"); err != nil || status != fasthttp.StatusOK {
+		t.Errorf("its health: %d %v", status, err)
+	}
+	busy.Close()
+}
+
+func ask(t *testing.T, target *Target, path string) net.Conn {
+	conn, err := net.Dial("tcp", target.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: t\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func awaitLoad(t *testing.T, target *Target) {
+	for end := time.Now().Add(5 * time.Second); target.present.Load() == 0; {
+		if time.Now().After(end) {
+			t.Fatal("the call didn't come")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func expectSilence(t *testing.T, conn net.Conn) {
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	n, err := conn.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); n > 0 || !ok || !timeout.Timeout() {
+		t.Errorf("%d bytes, %v, on a connection that should be silent", n, err)
+	}
+}
--- /dev/null
+++ b/pkg/target/silent_test.go
@@ -0,0 +1,74 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+)
+
+// TestASilentConnectionIsNeverUsedAgain has a target answer one call on each connection and
+// then nothing more: the next call on it gets no answer, ends as broken when it is given up,
+// and the connection is closed. The call after that gets another one.
+func TestASilentConnectionIsNeverUsedAgain(t *testing.T) {
+	target := startAnswers(t, `HTTP/1.1 200 OK\nContent-Length: 0\n\n`+"\n")
+	pools := newTestPools()
+	address := target.listener.Addr().String()
+	if got := callOnce(pools, address, ""); got != `answered "", connections kept: 1` {
+		t.Fatalf("the first call: %s", got)
+	}
+
+	silent := newTestAttempt(pools, address)
+	ended := make(chan routing.AttemptResult, 1)
+	go func() {
+		result, _ := silent.Run()
+		ended <- result
+	}()
+	select {
+	case result := <-ended:
+		t.Fatalf("the second call ended as %s", result)
+	case <-time.After(50 * time.Millisecond):
+	}
+	silent.Cancel()
+	if result := <-ended; result != routing.Broken {
+		t.Errorf("a call that was sent and given up ended as %s", result)
+	}
+	silent.Release()
+	if open := pools.Status(); len(open) != 0 {
+		t.Errorf("connections are left: %+v", open)
+	}
+
+	if got := callOnce(pools, address, ""); got != `answered "", connections kept: 1` {
+		t.Errorf("the third call: %s", got)
+	}
+}
+
+// TestAProbeOfASilentConnectionEnds has the target fall silent on the connection that a probe
+// takes: the probe ends by itself, and isn't taken for one that reached nobody.
+func TestAProbeOfASilentConnectionEnds(t *testing.T) {
+	target := startAnswers(t, `HTTP/1.1 200 OK\nContent-Length: 0\n\n`+"\n")
+	pools := newTestPools()
+	pools.settings.ConnectTimeout = 100 * time.Millisecond
+	address := target.listener.Addr().String()
+	callOnce(pools, address, "")
+	ended := pools.Probe(&routing.Effect{
+		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true},
+		NotAfter: pools.clock.Now().Add(time.Minute),
+	})
+	if ended.Healthy || ended.Unreachable {
+		t.Errorf("the probe ended as %+v", ended)
+	}
+	if open := pools.Status(); len(open) != 0 {
+		t.Errorf("connections are left: %+v", open)
+	}
+}
+
+func newTestAttempt(pools *Pools, address string) *Attempt {
+	a := pools.NewAttempt(&routing.Effect{
+		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true},
+		Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
+	})
+	a.Request.SetRequestURI("/")
+	a.Request.Header.SetHost("s")
+	return a
+}
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -75,6 +75,7 @@
 	{"exchange a box's seeds", func(x *soak) bool { return x.exchangeSeeds(x.anyBox()) }},
 	{"silence a replica's open connections", func(x *soak) bool { x.anyProxy().SilenceOpen(); return true }},
 	{"silence a target's open connections", func(x *soak) bool { x.anyPath().SilenceOpen(); return true }},
+	{"have a target hang when full", (*soak).hangWhenFull},
 }
 
 const (
@@ -84,9 +85,12 @@
 	// secondFaults is how many the seeds from secondFaultsFrom on draw from.
 	secondFaults     = 18
 	secondFaultsFrom = 9000
-	// allFaultsFrom is the first seed that draws from all of them, and evacuates a failure
-	// domain meanwhile.
-	allFaultsFrom = 10_000
+	// thirdFaults is how many the seeds from evacuationsFrom on draw from, which evacuate a
+	// failure domain meanwhile.
+	thirdFaults     = 20
+	evacuationsFrom = 10_000
+	// allFaultsFrom is the first seed that draws from all of them.
+	allFaultsFrom = 20_000
 )
 
 // drawFault draws one of the faults that the soak's seed knows.
@@ -94,8 +98,10 @@
 	switch {
 	case x.seed < secondFaultsFrom:
 		return x.draw(firstFaults)
-	case x.seed < allFaultsFrom:
+	case x.seed < evacuationsFrom:
 		return x.draw(secondFaults)
+	case x.seed < allFaultsFrom:
+		return x.draw(thirdFaults)
 	}
 	return x.draw(len(soakFaults))
 }
@@ -172,6 +178,16 @@
 	}, t)
 }
 
+// hangWhenFull has a target never answer what it can't queue.
+func (x *soak) hangWhenFull() bool {
+	t := x.targets[x.draw(len(x.targets))]
+	return x.with(func() {
+		x.behave(t, "hang=1")
+		x.pause(500, 2000)
+		x.behave(t, "hang=0")
+	}, t)
+}
+
 func (x *soak) silence(p *lab.FaultProxy) bool {
 	return x.with(func() {
 		p.Silence(true)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -119,7 +119,7 @@
 	for range x.size.callers {
 		x.spawn(x.call)
 	}
-	if seed >= allFaultsFrom {
+	if seed >= evacuationsFrom {
 		x.spawn(x.evacuate)
 	}
 	for range 1 + seed%soakMostLanes {
