Test: calls of work once at targets that drop what they can't queue

Cause: no test had boxes with calls that may run once at targets that never answer some of them.

Change: TestOnceCallsAtTargetsThatHang checks over 6 s and ten boxes that none is sent twice or told not to have run after it was sent.

--- a/pkg/core/routing/silence_test.go
+++ b/pkg/core/routing/silence_test.go
@@ -20,6 +20,8 @@
 	targets map[units.TargetID]*hangingTarget
 	due     *container.Heap[dueEvent]
 	started map[string]units.Instant
+	// sent counts the sends of each call.
+	sent map[string]int
 	// delivered, late and lost count the calls by how they ended: lost at their deadline.
 	delivered, late, refused, lost int
 }
@@ -54,13 +56,13 @@
 	crowdSeed = 20261202
 )
 
-func newCrowd(t *testing.T, boxes, targets int) *crowd {
+func newCrowd(t *testing.T, work table.Work, boxes, targets int) *crowd {
 	w := &crowd{
-		t: t, random: rand.New(rand.NewPCG(crowdSeed, 1)), now: units.Instant(time.Second), targets: map[units.TargetID]*hangingTarget{}, started: map[string]units.Instant{},
+		t: t, random: rand.New(rand.NewPCG(crowdSeed, 1)), now: units.Instant(time.Second), targets: map[units.TargetID]*hangingTarget{}, started: map[string]units.Instant{}, sent: map[string]int{},
 		due: container.NewHeap(func(a, b dueEvent) bool { return a.at < b.at }),
 	}
 	service := table.Service{
-		Name: "shop", Work: table.Repeatable, Deadline: crowdDeadline, RetryBudget: 20, HedgeBudget: 20, MeasureBudget: 50, ProbeTargets: 2,
+		Name: "shop", Work: work, Deadline: crowdDeadline, RetryBudget: 20, HedgeBudget: 20, MeasureBudget: 50, ProbeTargets: 2,
 	}
 	next := table.NewTable()
 	next.Revision, next.Document = 1, 1
@@ -74,7 +76,7 @@
 	}
 	next.Services["shop"] = entry
 	route := &table.Route{
-		Name: "shop", Host: "shop", PathPrefix: "/", Work: table.Repeatable, Deadline: crowdDeadline, Aim: crowdAim,
+		Name: "shop", Host: "shop", PathPrefix: "/", Work: work, Deadline: crowdDeadline, Aim: crowdAim,
 		Parts: []table.Part{{Service: "shop", Weight: 1}},
 	}
 	next.Routes = map[table.RouteKey]*table.Route{route.Key(): route}
@@ -104,6 +106,7 @@
 	name, _ := x.Owner.(string)
 	switch x.Kind {
 	case Send:
+		w.sent[name]++
 		w.targets[x.Endpoint.Target].take(w, r, x, name)
 	case Cancel:
 		delete(w.targets[x.Endpoint.Target].present, attemptName(name, x.Attempt))
@@ -118,6 +121,9 @@
 		}
 	case Refuse:
 		w.refused++
+		if x.Refusal.Outcome == NotRun && w.sent[name] > 0 {
+			w.t.Errorf("%s was sent and is told not to have run: %s", name, x.Refusal.Reason)
+		}
 		if x.Refusal.Reason == DeadlinePassed {
 			w.lost++
 		}
@@ -191,7 +197,7 @@
 // which drop what they can't queue. Of the calls that were dropped one in fifty may stay until
 // its deadline, both of its sends dropped; no target may be left out afterwards.
 func TestTenBoxesAtTargetsThatHang(t *testing.T) {
-	w := newCrowd(t, 10, 3)
+	w := newCrowd(t, table.Repeatable, 10, 3)
 	w.run(2*time.Second, 100*time.Millisecond)
 	w.run(4*time.Second, 33*time.Millisecond)
 	w.run(3*time.Second, 100*time.Millisecond)
@@ -212,7 +218,7 @@
 // TestHalfOfAServiceHangs has two of four targets drop every call for 5 s, while they answer
 // probes: the calls go to the others, and come back to these two.
 func TestHalfOfAServiceHangs(t *testing.T) {
-	w := newCrowd(t, 4, 4)
+	w := newCrowd(t, table.Repeatable, 4, 4)
 	w.run(2*time.Second, 40*time.Millisecond)
 	w.drop(true, "t0", "t1")
 	before := w.lost
@@ -226,6 +232,26 @@
 	w.expectAllInUse()
 }
 
+// TestOnceCallsAtTargetsThatHang has calls that may run once come to the same targets: none is
+// sent twice, or told not to have run after it was sent.
+func TestOnceCallsAtTargetsThatHang(t *testing.T) {
+	w := newCrowd(t, table.Once, 10, 3)
+	w.run(6*time.Second, 33*time.Millisecond)
+	for name, n := range w.sent {
+		if n > 1 {
+			t.Errorf("%s was sent %d times", name, n)
+		}
+	}
+	dropped := 0
+	for _, x := range w.targets {
+		dropped += x.dropped
+	}
+	t.Logf("delivered %d, %d late, refused %d, lost %d, dropped %d", w.delivered, w.late, w.refused, w.lost, dropped)
+	if dropped == 0 {
+		t.Fatal("no target dropped a call, so that nothing was tested")
+	}
+}
+
 func (w *crowd) drop(on bool, ids ...units.TargetID) {
 	for _, id := range ids {
 		w.targets[id].drops = on
