Watch a call for its answer from its hedge on

Cause: every send set a timer for the moment at which its answer is missed, and each send of a call its own chain of looks; nearly all calls end long before.

Change: one chain of looks a call; a call that is hedged before its answer is missed is watched from its hedge's time on.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -41,11 +41,12 @@
 		Deadline: c.deadline, NotAfter: r.notAfter(), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence,
 	})
-	if !hedge && r.hedges(c) {
+	hedged := !hedge && r.hedges(c)
+	if hedged {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
-	if r.on(UnansweredCalls) && r.now.Add(a.patience) < c.deadline {
-		r.timers.Push(timer{at: r.now.Add(a.patience), call: id, kind: silenceTimer})
+	if !hedged || a.patience < c.hedgeDelay() {
+		r.watch(id, c, a)
 	}
 }
 
@@ -86,6 +87,9 @@
 // allows it and another target has room. Otherwise it is tried again later: without that a
 // call stayed for all of its route's 4 s at a target that had gone silent.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
+	for i := range c.attempts {
+		r.watch(id, c, &c.attempts[i])
+	}
 	if c.mayHedge() && !r.tryHedge(id, c, e) {
 		r.hedgeLater(id, c)
 	}
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -65,6 +65,8 @@
 	// early is set while the call is held for the box's first table.
 	early      bool
 	probeRound probeRound
+	// watched is set while a silenceTimer is due for the call.
+	watched bool
 	// kept is a failed answer that the caller gets when nothing better comes.
 	kept keptAnswer
 	// streaming is set once the head of an answer has been passed on.
--- a/pkg/core/routing/silence.go
+++ b/pkg/core/routing/silence.go
@@ -149,12 +149,28 @@
 	}
 }
 
+// watch has a call looked at once its answer is missed. Calls that are hedged before that are
+// watched from then on only: few take that long, and each timer costs the others.
+func (r *Router) watch(id CallID, c *call, a *attempt) {
+	if c.watched || a.target == nil || !r.on(UnansweredCalls) {
+		return
+	}
+	at := max(r.now, a.sent.Add(a.patience))
+	if at >= c.deadline {
+		return
+	}
+	c.watched = true
+	r.timers.Push(timer{at: at, call: id, kind: silenceTimer})
+}
+
 // checkSilence looks at a call whose answer is missed, and will look again. Without a sign
 // from its target it asks for one.
 func (r *Router) checkSilence(id CallID, c *call, e *Effects) {
+	c.watched = false
 	if c.held || c.streaming || c.underWay() == 0 {
 		return
 	}
+	c.watched = true
 	r.timers.Push(timer{at: r.now.Add(silencePause), call: id, kind: silenceTimer})
 	if r.judgeSilence(id, c, e) {
 		return
