--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -44,8 +44,7 @@
 	}
 	c.service = s
 	s.calls++
-	s.retries.earn(s.row.RetryBudget, s.burst)
-	s.hedges.earn(s.row.HedgeBudget, s.burst)
+	s.earnExtras()
 	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
 	if !s.isBusy(r.now) {
 		c.route.asked.learn(v.Deadline)
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -22,6 +22,7 @@
 		atPace: t.reading.Pace > 0 && t.expectedPace(r.now) < goodPace,
 		full:   t.load(r.now)+1 >= nearlyFull*t.slots(),
 		cold:   t.isCold(r.now),
+		ahead:  t.load(r.now), patience: c.patience(t, r.now), longPatience: c.longPatience(t, r.now),
 	}
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
@@ -43,9 +44,18 @@
 		Deadline: c.deadline, NotAfter: r.notAfterOf(t), Connections: t.connections, Once: c.route.work == table.Once,
 		Purpose: why, Evidence: evidence, Aim: c.route.aim, LargeAnswer: c.route.largeAnswers,
 	})
-	if !hedge && c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1 {
+	hedged := !hedge && r.hedges(c)
+	if hedged {
 		r.timers.Push(timer{at: r.now.Add(c.hedgeDelay()), call: id, kind: hedgeTimer})
 	}
+	if !hedged || a.patience < c.hedgeDelay() {
+		r.watch(id, c, a)
+	}
+}
+
+// hedges tells whether calls like this one are sent a second time when they are late.
+func (r *Router) hedges(c *call) bool {
+	return c.route.work == table.Repeatable && r.on(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1
 }
 
 // evidenceOf is what is known of a target now.
@@ -80,20 +90,31 @@
 // allows it and another target has room. Otherwise it is tried again later: without that a
 // call stayed for all of its route's 4 s at a target that had gone silent.
 func (r *Router) hedge(id CallID, c *call, e *Effects) {
-	s := c.service
-	if c.held || c.streaming || c.probeRound.open || c.underWay() != 1 || c.spentAttempts() {
-		return
+	for i := range c.attempts {
+		r.watch(id, c, &c.attempts[i])
 	}
-	if r.standsBehind(s, c) || !r.leased() {
+	if c.mayHedge() && !r.tryHedge(id, c, e) {
 		r.hedgeLater(id, c)
-		return
+	}
+}
+
+// mayHedge tells whether the call waits for one answer and may be sent once more.
+func (c *call) mayHedge() bool {
+	return !c.held && !c.streaming && !c.probeRound.open && c.underWay() == 1 && !c.spentAttempts()
+}
+
+// tryHedge hedges a call now if it can be.
+func (r *Router) tryHedge(id CallID, c *call, e *Effects) bool {
+	s := c.service
+	if r.standsBehind(s, c) || !r.leased() {
+		return false
 	}
 	t := r.choose(s, c)
 	if t == nil || !s.hedges.spend() {
-		r.hedgeLater(id, c)
-		return
+		return false
 	}
 	r.place(id, c, t, HedgeSend, e)
+	return true
 }
 
 // hedgeLater has a call that couldn't be hedged now looked at again.
@@ -162,7 +183,7 @@
 }
 
 func (r *Router) cancelOthers(id CallID, c *call, winner *attempt, e *Effects) {
-	r.noteOvertaken(c, winner)
+	r.noteVersionOvertaken(c, winner)
 	for i := range c.attempts {
 		a := &c.attempts[i]
 		if a == winner || a.target == nil {
@@ -170,6 +191,7 @@
 		}
 		// A loser that is overdue says something about its target.
 		a.target.latency.add(r.timeAtTarget(c, a))
+		r.wentUnanswered(c, a, e)
 		r.cancel(id, c, a, e)
 	}
 }
@@ -192,8 +214,15 @@
 		t.noteTime(r.now, c.route, took, a)
 	}
 	wasEjected := t.health.ejected
-	r.learn(t, v, took, e)
+	if v.Result == Broken && r.wentUnanswered(c, a, e) {
+		t.lastHeard = r.now
+	} else {
+		r.learn(t, v, took, e)
+	}
 	r.noteResult(c, t, v.Result, took, t.health.ejected && !wasEjected, e)
+	if v.Result == Answered || v.Result == Failed || v.Result == Shed {
+		t.noteAnswer(r.now, a)
+	}
 	r.release(c, a, e)
 	if c.streaming {
 		r.streamEnded(v, c)
@@ -274,7 +303,7 @@
 }
 
 func (r *Router) deliver(v *AttemptEnded, c *call, t *target, e *Effects) {
-	r.noteOvertaken(c, nil)
+	r.noteVersionOvertaken(c, nil)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: t.endpoint})
 	r.finish(v.Call, c, e)
 }
@@ -330,12 +359,6 @@
 	return true
 }
 
-// spendRetry takes what a retry costs. A call that failed is worth more than a hedge, so
-// the budget for hedges stands in when that for retries is spent.
-func (s *service) spendRetry() bool {
-	return s.retries.spend() || s.row.HedgeBudget > 0 && s.hedges.spend()
-}
-
 // resend deals with an attempt that the target certainly didn't run. Any kind
 // of work may be sent again then.
 func (r *Router) resend(id CallID, c *call, reason Reason, e *Effects) {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -40,6 +40,15 @@
 	answered time.Duration
 	// takes is for how long such an answer occupies the box's link.
 	takes time.Duration
+	// patience is how long the answer may take before it is missed, longPatience how long
+	// before it counts that later calls were answered; ahead is how many calls seemed to be
+	// at the target before this one.
+	patience, longPatience time.Duration
+	ahead                  float64
+	// overtaken counts later calls that the target has answered since; missing is set when a
+	// report of its load left the call out, counted once it counts as unanswered.
+	overtaken        int
+	missing, counted bool
 }
 
 // call is a call that hasn't been answered yet.
@@ -70,6 +79,8 @@
 	// early is set while the call is held for the box's first table.
 	early      bool
 	probeRound probeRound
+	// watched is set while a silenceTimer is due for the call.
+	watched bool
 	// kept is a failed answer that the caller gets when nothing better comes.
 	kept keptAnswer
 	// onTrial is set while the lot has the call go to a rollout's new version.
@@ -176,6 +187,8 @@
 	earlyTimer
 	// linkTimer ends a wait for large answers to come in.
 	linkTimer
+	// silenceTimer is due when a call's answer is missed.
+	silenceTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -221,6 +234,8 @@
 		r.hedge(t.call, c, e)
 	case linkTimer:
 		r.linkTimePassed(t.call, c, e)
+	case silenceTimer:
+		r.checkSilence(t.call, c, e)
 	case earlyTimer:
 		r.refuseEarly(t.call, c, e)
 	case probeTimer:
@@ -231,14 +246,17 @@
 }
 
 func (r *Router) deadlinePassed(id CallID, c *call, e *Effects) {
-	// A target that lets calls run out of time isn't well.
+	// A target that lets calls run out of time isn't well, unless it serves others.
 	for i := range c.attempts {
 		a := &c.attempts[i]
 		if a.target == nil {
 			continue
 		}
-		r.noteUnanswered(c, a, e)
-		if !r.saysNothing(a) && a.target.health.failed(r.now) {
+		r.noteVersionSilent(c, a, e)
+		if r.saysNothing(a) || r.wentUnanswered(c, a, e) {
+			continue
+		}
+		if a.target.health.failed(r.now) {
 			r.healthTurned(a.target, e)
 		}
 	}
--- a/pkg/core/routing/evidence.go
+++ b/pkg/core/routing/evidence.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// noteUnanswered takes as evidence that an attempt got no answer by its call's deadline, if
+// noteVersionSilent takes as evidence that an attempt got no answer by its call's deadline, if
 // it had at least half of the call's time: others came too late for any version.
-func (r *Router) noteUnanswered(c *call, a *attempt, e *Effects) {
+func (r *Router) noteVersionSilent(c *call, a *attempt, e *Effects) {
 	v := a.target.service.rollout
 	if v == nil || a.sent.Sub(c.arrived) > c.deadline.Sub(c.arrived)/2 {
 		return
@@ -96,10 +96,10 @@
 	r.noteBad(v, c, a.target, e)
 }
 
-// noteOvertaken takes as evidence that another target answered before the call's first one,
+// noteVersionOvertaken takes as evidence that another target answered before the call's first one,
 // which takes at least as long as it has taken. Without that a hedge would hide a slow
 // version. A hedge that is overtaken began late, so that its time would say too little.
-func (r *Router) noteOvertaken(c *call, winner *attempt) {
+func (r *Router) noteVersionOvertaken(c *call, winner *attempt) {
 	for i := range c.attempts {
 		a := &c.attempts[i]
 		if a == winner || a.target == nil || a.hedge {
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -44,11 +44,15 @@
 	FirstTries Mechanism = "first-tries"
 	// SharedLink has calls heed the large answers that are coming in on the box's link.
 	SharedLink Mechanism = "shared-link"
+	// UnansweredCalls closes calls that a target which serves others doesn't answer, and
+	// learns which services hang when full.
+	UnansweredCalls Mechanism = "unanswered-calls"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, Outlook, FirstTries, SharedLink,
+	UnansweredCalls,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
@@ -14,6 +15,9 @@
 	// probeLimit is how long a call waits for the answers to its probes at the most, besides
 	// the way to targets elsewhere and back.
 	probeLimit = 12 * time.Millisecond
+	// hedgeProbeLimit is how long a hedge waits for them: its call is under way, so that
+	// nothing is lost by waiting, and given up too soon the probes are spent for nothing.
+	hedgeProbeLimit = 100 * time.Millisecond
 	// maxProbed bounds the targets that are probed for one send.
 	maxProbed = 4
 	// freshReading is the age up to which a reading is as good as a new one.
@@ -60,9 +64,10 @@
 		return
 	}
 	c.probeRound.purpose = why
+	c.probeRound.waiting = false
 	r.dropServed(c.service)
 	if len(c.service.waiting) >= maxProbing || !r.sendProbes(id, c, e) {
-		if !c.service.isBusy(r.now) && !best.isFresh(r.now) {
+		if !c.service.isBusy(r.now) && !best.isFresh(r.now) && !r.mustBeSure(c) {
 			r.send(id, c, best, why, e)
 			return
 		}
@@ -97,9 +102,7 @@
 // for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
 	probed := r.bestTargets(c, min(c.service.row.ProbeTargets, maxProbed))
-	rate := r.probeAllowance(c.service)
-	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
-	if len(probed) < 1 || !c.service.probeBudget.takeMany(r.now, float64(len(probed)), rate, burst) {
+	if len(probed) < 1 || !r.spendProbes(c.service, len(probed)) {
 		return false
 	}
 	c.probeRound.open = true
@@ -109,16 +112,31 @@
 	limit := probeLimit
 	for _, t := range probed {
 		limit = max(limit, t.probeLimit())
-		t.noteProbeSent(r.now)
-		e.add(Effect{
-			Kind: Probe, Call: id, Owner: c.owner, Attempt: c.probeRound.number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
-			Connections: t.connections, ProbePath: c.service.row.ProbePath,
-		})
+		r.probe(id, c, t, c.probeRound.number, e)
+	}
+	if c.probeRound.purpose == HedgeSend {
+		limit = max(limit, hedgeProbeLimit)
 	}
 	r.timers.Push(timer{at: r.now.Add(limit), call: id, kind: probeTimer, probeRound: c.probeRound.number})
 	return true
 }
 
+// probe probes a target for a call.
+func (r *Router) probe(id CallID, c *call, t *target, number AttemptNumber, e *Effects) {
+	t.noteProbeSent(r.now)
+	e.add(Effect{
+		Kind: Probe, Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
+		Connections: t.connections, ProbePath: c.service.row.ProbePath,
+	})
+}
+
+// spendProbes takes n probes of a service's targets off the budget, or none.
+func (r *Router) spendProbes(s *service, n int) bool {
+	rate := r.probeAllowance(s)
+	burst := max(leastSavedUp, rate*saveUpTime.Seconds())
+	return s.probeBudget.takeMany(r.now, float64(n), rate, burst)
+}
+
 // probeAllowance is how many probes a second this box may send to a service's targets.
 func (r *Router) probeAllowance(s *service) float64 {
 	rate := 0.0
@@ -147,7 +165,10 @@
 	for k := range targets {
 		i := (start + k) % len(targets)
 		t := targets[i]
-		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.probedAt != 0 && r.now.Sub(t.probedAt) < t.probeLimit() {
+		if !set.Available(i) && !set.onlyInDoubt(i) || t.isFresh(r.now) || t.awaitsProbe(r.now) {
+			continue
+		}
+		if t.probedAt != 0 && r.now.Sub(t.probedAt) < t.probeLimit() {
 			continue
 		}
 		t.probeOrder = t.cost(r.now, c.route)
@@ -178,6 +199,10 @@
 func (r *Router) probeAnswered(v *ProbeEnded, t *target, e *Effects) {
 	c := r.calls.Get(v.Call)
 	if c == nil || !c.probeRound.open || c.probeRound.number != v.Attempt {
+		r.shareAnswer(t)
+		if c != nil && v.Attempt == signProbe {
+			r.judgeSilence(v.Call, c, e)
+		}
 		return
 	}
 	c.probeRound.pending--
@@ -199,6 +224,9 @@
 		r.refuseWaiting(c.service, id, e)
 		return
 	}
+	if c.probeRound.purpose != FirstSend && t != nil && !r.isSuitable(c, t) {
+		t = cmp.Or(r.bestSuitable(c), t)
+	}
 	late := c.aimSpent(r.now) >= c.service.waitLimit(r.now) || !r.on(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.open = false
@@ -208,7 +236,7 @@
 		r.send(id, c, t, c.probeRound.purpose, e)
 		return
 	}
-	if !late {
+	if !late || r.missesAnswer(c) {
 		r.waitForTarget(id, c)
 		return
 	}
@@ -232,6 +260,24 @@
 	}
 }
 
+// bestSuitable is the target of the least cost among those that suit a call, or nil. A call
+// that is late takes a nearly full target that is known rather than wait for a better one.
+func (r *Router) bestSuitable(c *call) *target {
+	set := candidates{
+		service: c.service, now: r.now, call: c, anyHealth: r.anyHealth(c.service, c), fresh: true, side: r.callSide(c.service, c),
+	}
+	var best *target
+	for i, t := range c.service.targets {
+		if !set.Available(i) || !r.isSuitable(c, t) {
+			continue
+		}
+		if best == nil || t.cost(r.now, c.route) < best.cost(r.now, c.route) {
+			best = t
+		}
+	}
+	return best
+}
+
 // probeTimePassed goes on without the answers that haven't come, or probes again.
 func (r *Router) probeTimePassed(id CallID, c *call, e *Effects) {
 	if r.sendUnprobed(id, c, e) {
@@ -298,6 +344,11 @@
 	if !c.service.probesTargets() {
 		return true
 	}
+	return r.suits(c, t) && (t.isFresh(r.now) || !r.mustBeSure(c))
+}
+
+// suits tells the same of a target that is probed.
+func (r *Router) suits(c *call, t *target) bool {
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(c, t) {
 		return false
 	}
@@ -329,7 +380,7 @@
 // known of, calls met others there: without such sends the two worst seconds of a crowd of
 // twice the capacity kept 0.35 of their calls' value in place of 0.30 (mean of two days).
 func (r *Router) acceptsUnsuitable(c *call) bool {
-	if c.probeRound.purpose == HedgeSend {
+	if c.probeRound.purpose == HedgeSend || r.mustBeSure(c) {
 		return false
 	}
 	return c.mayHaveRun || c.probeRound.rounds == 0 && !c.service.isBusy(r.now)
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -127,6 +127,8 @@
 		return describeTurn(x.Turn)
 	case RegionUnknown:
 		return "the region of " + string(x.Endpoint.Domain) + " isn't known"
+	case ServiceHangs:
+		return fmt.Sprintf("%s hangs, by %d unanswered calls", x.Endpoint.Service, x.Failures)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -19,6 +19,8 @@
 	// or cold.
 	whenFull learntSlowdown
 	whenCold learntSlowdown
+	// silence is what is known of calls that were never answered.
+	silence silence
 	// off are the mechanisms that aren't used.
 	off mechanismSet
 	// domain is the box's own failure domain.
@@ -33,8 +35,10 @@
 	// recent counts the last sends.
 	recent float64
 	held   heldQueue
-	// burst bounds what each of the budgets saves up.
+	// burst bounds what each of the budgets saves up, or the one for both where pooled is
+	// set.
 	burst   float64
+	pooled  bool
 	retries budget
 	hedges  budget
 	latency latencyEstimate
