A call that may have run never gets 503

Cause: a repeatable call that may have run and then found no target was refused as targets-busy with outcome unknown and status 503, which callers take as a promise that it hasn't run.

Change: such a refusal is a 502. Tests: for each reason; fourteen of them failed before.

--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -87,12 +87,15 @@
 // Status returns the HTTP status of a refusal for this reason.
 func (r Reason) Status() int { return reasonTable[r].status }
 
-// Status returns the HTTP status of the refusal. A call that hasn't run gets a status
-// that says so, whatever kept it from running.
+// Status returns the HTTP status of the refusal. A call that hasn't run gets a status that
+// says so, whatever kept it from running; one that may have run never does.
 func (r Refusal) Status() int {
 	status := r.Reason.Status()
-	if r.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+	switch {
+	case r.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout):
 		return http.StatusServiceUnavailable
+	case r.Outcome == Unknown && status == http.StatusServiceUnavailable:
+		return http.StatusBadGateway
 	}
 	return status
 }
