A new leader takes no service for one with few calls

Cause: the share of the calls on trial grows where a service has few calls, by the answers that the leader has heard of in the rollout's whole time. A new leader has heard of few boxes at first, so that after eight seconds 40 known answers gave 30 in 100 of the calls instead of 5, until the next window was judged.

Tests: TestANewLeaderTakesNoServiceForOneWithFewCalls failed before (30, want 5). Unmeasured: how many calls more a bad version got by it.

--- a/pkg/core/control/rollouts.go
+++ b/pkg/core/control/rollouts.go
@@ -145,7 +145,7 @@
 		if w.condemned || x.Stage == table.RolloutTrial && len(x.Targets) == 0 {
 			return
 		}
-		share := w.Share(r.elapsed(x), r.rolloutPlan(x))
+		share := w.Share(r.elapsed(x), r.now.Sub(r.ledSince), r.rolloutPlan(x))
 		list = append(list, wire.FromExposure(rollout.Exposure{Service: x.Service, Order: x.Order, Since: x.Since, Share: share}, exposureLease))
 	})
 	return list
--- a/pkg/core/rollout/decide_test.go
+++ b/pkg/core/rollout/decide_test.go
@@ -133,3 +133,15 @@
 		}
 	}
 }
+
+// A new leader has heard of a part of the boxes only, whose calls aren't all of the service's.
+func TestANewLeaderTakesNoServiceForOneWithFewCalls(t *testing.T) {
+	x := newScene(table.RolloutTrial)
+	x.watch.judge.total = Sample{Old: Counts{Good: 40}}
+	if got := x.watch.Share(8*time.Second, 500*time.Millisecond, x.facts.Plan); got != 5 {
+		t.Errorf("after half a second the share is %g, want 5", float64(got))
+	}
+	if got := x.watch.Share(8*time.Second, patience, x.facts.Plan); got <= 5 {
+		t.Errorf("of a service with few calls the share is %g", float64(got))
+	}
+}
--- a/pkg/core/rollout/watch.go
+++ b/pkg/core/rollout/watch.go
@@ -107,14 +107,17 @@
 // Total returns the answers that were judged.
 func (w *Watch) Total() Sample { return w.judge.Total() }
 
-// Share is the share of the service's calls that the new version is to get now.
-func (w *Watch) Share(elapsed time.Duration, p Plan) units.Percent {
+// Share is the share of the service's calls that the new version is to get now, by a leader
+// that has led for a time.
+func (w *Watch) Share(elapsed, inOffice time.Duration, p Plan) units.Percent {
 	if w.record.Stage == table.RolloutShifted {
 		return wholeShare
 	}
 	total := w.Total()
 	rate := 0.0
-	if elapsed > 0 {
+	// A new leader hasn't heard of all calls yet. A service with many would look like one with
+	// few, and have up to 30 in 100 of its calls on trial.
+	if elapsed > 0 && inOffice >= patience {
 		rate = float64(total.New.Answers()+total.Old.Answers()) / elapsed.Seconds()
 	}
 	return units.Percent(percent * w.limits.TrialShare(rate, p.ShiftAt))
