Nothing is completed on answers that nobody has judged

Cause: a leader that took over in the shift completed the rollout as soon as all boxes had shown the shift to be over, before its first window of answers was judged: its reason in TestTheLeaderIsKilledDuringTheShift read '0 of 0 answers bad against 0 of 0'. A version that turned bad in the shift would have been completed, whatever boxes had told of it. A leader that led all the time left out the last half second in the same way.

Change: the last step judges what boxes have told of up to then, and needs as many answers as the shift does.

--- a/pkg/core/rollout/decide.go
+++ b/pkg/core/rollout/decide.go
@@ -122,11 +122,20 @@
 	return !slices.ContainsFunc(f.Boxes, func(id units.BoxID) bool { return w.reports[id] == nil })
 }
 
-// complete ends the rollout once no box sends anything to the old version or waits for it.
+// complete ends the rollout once no box sends anything to the old version or waits for it, and
+// all answers that boxes have told of are judged. A leader that took over in the shift would
+// else complete a version of which it has judged no answer.
 func (w *Watch) complete(f *Facts) *table.RolloutStep {
 	if !w.drained(f) {
 		return nil
 	}
+	if w.toldOf() < w.answersNeeded() {
+		return nil
+	}
+	w.judgeWindow(f.Elapsed)
+	if v := w.judge.Verdict(); v.Bad {
+		return w.rollBack(f, "the new version is bad: "+v.Reason)
+	}
 	return w.step(f, table.RolloutCompleted, "no calls are under way at the old version: "+w.judge.all.describe())
 }
 
@@ -146,7 +155,10 @@
 // missing says what a rollout that ran out of time has waited for.
 func (w *Watch) missing(f *Facts) string {
 	if w.record.Stage == table.RolloutShifted {
-		return fmt.Sprintf("box %s may still have calls under way at the old version", w.undrained(f))
+		if box := w.undrained(f); box != "" {
+			return fmt.Sprintf("box %s may still have calls under way at the old version", box)
+		}
+		return fmt.Sprintf("%d answers of the new version are too few to judge it", w.toldOf())
 	}
 	if why := w.obstacle(f); why != "" {
 		return why
--- a/pkg/core/rollout/decide_test.go
+++ b/pkg/core/rollout/decide_test.go
@@ -145,3 +145,35 @@
 		t.Errorf("of a service with few calls the share is %g", float64(got))
 	}
 }
+
+// A leader that takes over in the shift has all that boxes have seen with the reports that show
+// it to be over, and completes nothing before that is judged.
+func TestNothingIsCompletedOnUnjudgedAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		bad  uint64
+		want table.RolloutStage
+	}{"good": {0, table.RolloutCompleted}, "bad": {60, table.RolloutRolledBack}} {
+		t.Run(name, func(t *testing.T) {
+			x := newScene(table.RolloutShifted)
+			x.watch = NewWatch(x.watch.record, x.watch.limits)
+			x.decide()
+			x.facts.Elapsed += time.Millisecond
+			x.reportAll()
+			fresh := Evidence{Service: "s", Order: 5, Software: "v2", Route: "h/", Good: 100, Bad: c.bad}
+			x.watch.Take(x.facts.Elapsed, Report{Box: "b2", Start: 1, Revision: 7, Evidence: []Evidence{fresh}})
+			if step := x.decide(); step == nil || step.Stage != c.want {
+				t.Fatalf("the step is %+v, want stage %s", step, c.want)
+			}
+		})
+	}
+	t.Run("no answers", func(t *testing.T) {
+		x := newScene(table.RolloutShifted)
+		x.watch = NewWatch(x.watch.record, x.watch.limits)
+		for _, id := range testBoxes {
+			x.watch.Take(x.facts.Elapsed, Report{Box: id, Start: 1, Revision: 7})
+		}
+		if step := x.decide(); step != nil {
+			t.Fatalf("the step is %+v", step)
+		}
+	})
+}
--- a/pkg/core/rollout/watch.go
+++ b/pkg/core/rollout/watch.go
@@ -96,14 +96,28 @@
 
 // closeWindow has the judge see a window that is over.
 func (w *Watch) closeWindow(elapsed time.Duration) {
-	if elapsed < w.windowEnds {
-		return
+	if elapsed >= w.windowEnds {
+		w.judgeWindow(elapsed)
 	}
+}
+
+// judgeWindow has the judge see the present window and begins the next.
+func (w *Watch) judgeWindow(elapsed time.Duration) {
 	w.windowEnds = elapsed + Period
 	w.judge.Observe(w.window)
 	w.window = Window{}
 }
 
+// toldOf is how many answers of the new version boxes have told of, judged or not.
+func (w *Watch) toldOf() uint64 {
+	total := w.Total()
+	answers := total.New.Answers()
+	for _, s := range w.window {
+		answers += s.New.Answers()
+	}
+	return answers
+}
+
 // Total returns the answers that were judged.
 func (w *Watch) Total() Sample { return w.judge.Total() }
 
