--- a/pkg/core/rollout/watch.go
+++ b/pkg/core/rollout/watch.go
@@ -96,25 +96,42 @@
 
 // closeWindow has the judge see a window that is over.
 func (w *Watch) closeWindow(elapsed time.Duration) {
-	if elapsed < w.windowEnds {
-		return
+	if elapsed >= w.windowEnds {
+		w.judgeWindow(elapsed)
 	}
+}
+
+// judgeWindow has the judge see the present window and begins the next.
+func (w *Watch) judgeWindow(elapsed time.Duration) {
 	w.windowEnds = elapsed + Period
 	w.judge.Observe(w.window)
 	w.window = Window{}
 }
 
+// toldOf is how many answers of the new version boxes have told of, judged or not.
+func (w *Watch) toldOf() uint64 {
+	total := w.Total()
+	answers := total.New.Answers()
+	for _, s := range w.window {
+		answers += s.New.Answers()
+	}
+	return answers
+}
+
 // Total returns the answers that were judged.
 func (w *Watch) Total() Sample { return w.judge.Total() }
 
-// Share is the share of the service's calls that the new version is to get now.
-func (w *Watch) Share(elapsed time.Duration, p Plan) units.Percent {
+// Share is the share of the service's calls that the new version is to get now, by a leader
+// that has led for a time.
+func (w *Watch) Share(elapsed, inOffice time.Duration, p Plan) units.Percent {
 	if w.record.Stage == table.RolloutShifted {
 		return wholeShare
 	}
 	total := w.Total()
 	rate := 0.0
-	if elapsed > 0 {
+	// A new leader hasn't heard of all calls yet. A service with many would look like one with
+	// few, and have up to 30 in 100 of its calls on trial.
+	if elapsed > 0 && inOffice >= patience {
 		rate = float64(total.New.Answers()+total.Old.Answers()) / elapsed.Seconds()
 	}
 	return units.Percent(percent * w.limits.TrialShare(rate, p.ShiftAt))
