--- a/pkg/core/control/evacuation_test.go
+++ b/pkg/core/control/evacuation_test.go
@@ -133,6 +133,7 @@
 // Under any faults that the cluster bears, the last acknowledged order holds everywhere in
 // the end, whatever becomes of those that were given up.
 func TestAcknowledgedEvacuationsHold(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newGrowingWorld(t, rapid.Uint64().Draw(t, "seed"), 5, 5, 2)
 		w.inDomain("d")
--- a/pkg/core/control/faults_test.go
+++ b/pkg/core/control/faults_test.go
@@ -119,6 +119,7 @@
 }
 
 func TestRandomFaultsNeverBreakAPromise(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprintf("%d replicas", size), func(t *testing.T) {
 			tried := 0
--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -191,6 +191,7 @@
 }
 
 func TestRandomFaultsOfAGrowingClusterBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	tried := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		tried++
--- a/pkg/core/control/rollout_test.go
+++ b/pkg/core/control/rollout_test.go
@@ -277,6 +277,7 @@
 // none that was rolled back goes on, and none completes while a box in touch waits for the
 // old version.
 func TestAcknowledgedRolloutsHold(t *testing.T) {
+	t.Parallel()
 	ends := map[table.RolloutStage]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		w := newGrowingWorld(t, rapid.Uint64().Draw(t, "seed"), 5, 5, 3)
