Rollouts: plain names, and a reason beside each limit

Cause: forgetOffice, tendRollouts, condemned and inOffice were images; the leader's patience had the name of routing's patience with another meaning; leastDoubts, leastWindows, manyEvents, percent, firstBucket and the two default limits told no reason or unit; unexported decisions had no comments. Change: forgetLeadership, advanceRollout(s), adjustTrial, rollingBack, led, reportWait; the comments give the reason in terms of callers. No value, condition or text of a log changes.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -199,7 +199,7 @@
 	return c.askAny(method, path, nil, &answer)
 }
 
-// Rollouts returns the last rollouts of services as the server knows them.
+// Rollouts returns the last rollouts of services as the control replica asked knows them.
 func (c *Client) Rollouts() ([]control.RolloutStatus, error) {
 	var list []control.RolloutStatus
 	return list, c.askAny("GET", "/v1/rollouts", nil, &list)
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -42,8 +42,10 @@
 	DefaultSilentAfter   = 6 * time.Second
 	DefaultSnapshotEvery = 1000
 	DefaultKeepEntries   = 500
-	DefaultRolloutShare  = 10
-	DefaultRolloutSlack  = 50
+	// DefaultRolloutShare is a percentage of a service's calls, DefaultRolloutSlack a number of
+	// calls beside it: what callers may lose to a bad version, and enough to judge a good one.
+	DefaultRolloutShare = 10
+	DefaultRolloutSlack = 50
 	// retryPeriod is how often a waiting edit is passed to the leader again.
 	retryPeriod = 300 * time.Millisecond
 	// readRetryPeriod is how often the leader is asked again for a read.
@@ -187,7 +189,7 @@
 		r.tellHeard(&log)
 		r.noteSilence(&log)
 		r.updateBoxes(&log)
-		r.tendRollouts(&log)
+		r.advanceRollouts(&log)
 	}
 	if r.hasWaiting() || r.rollouts.busy() {
 		r.tickAt = min(r.tickAt, r.now.Add(tickPeriod))
@@ -231,7 +233,7 @@
 	r.ledSince = r.now
 	r.leases = newLeaseBook()
 	r.hearing.proposing = false
-	r.rollouts.forgetOffice()
+	r.rollouts.forgetLeadership()
 	r.edits.forgetProposals()
 }
 
--- a/pkg/core/control/rollouts.go
+++ b/pkg/core/control/rollouts.go
@@ -30,6 +30,8 @@
 	// so that a loss of all replicas' processes makes the rollout at most so much longer.
 	elapsedPeriod = 2 * time.Second
 	// adoptPeriod is how often a leader looks for services without a version in force.
+	// Each look goes over all registered targets, and calls of a service whose version in force
+	// has no target left are refused until it is done.
 	adoptPeriod = 500 * time.Millisecond
 	// emptyLimit is how long no target of the version in force may be registered until the
 	// version of those that are there takes its place. Targets that are replaced one after
@@ -41,7 +43,7 @@
 type rolloutBook struct {
 	// started is when each last rollout was ordered, by this replica's steady clock.
 	started map[units.ServiceName]startedRollout
-	// watches are the leader's.
+	// watches are the leader's, of the rollouts under way.
 	watches map[units.ServiceName]*rolloutWatch
 	// adoptAt is when the leader next looks for services without a version in force, adopted
 	// the revision at which all had one; empty is since when no target of the one in force
@@ -61,19 +63,19 @@
 	*rollout.Watch
 	// proposedAt is when the last step was proposed, persistAt when the time is next noted.
 	proposedAt, persistAt units.Instant
-	// condemned is set once the leader has decided to roll back: from then on no box is
-	// exposed, however long the step takes to reach a quorum.
-	condemned bool
+	// rollingBack is set once the leader has decided to roll back: from then on it grants no
+	// exposure, however long the step takes to reach a quorum.
+	rollingBack bool
 }
 
 func newRolloutBook() rolloutBook {
 	b := rolloutBook{started: map[units.ServiceName]startedRollout{}}
-	b.forgetOffice()
+	b.forgetLeadership()
 	return b
 }
 
-// forgetOffice drops what only a leader knows.
-func (b *rolloutBook) forgetOffice() {
+// forgetLeadership drops what only a leader knows.
+func (b *rolloutBook) forgetLeadership() {
 	b.watches = map[units.ServiceName]*rolloutWatch{}
 	b.empty = map[units.ServiceName]units.Instant{}
 	b.adopted = 0
@@ -138,11 +140,11 @@
 	r.eachActive(func(x *table.Rollout, w *rolloutWatch) { w.Take(r.elapsed(x), report) })
 }
 
-// exposures are the rollouts that a box may send calls to the new version of.
+// exposures are what a grant says of each rollout under way whose new version takes calls.
 func (r *Replica) exposures() []*wire.Exposure {
 	var list []*wire.Exposure
 	r.eachActive(func(x *table.Rollout, w *rolloutWatch) {
-		if w.condemned || x.Stage == table.RolloutTrial && len(x.Targets) == 0 {
+		if w.rollingBack || x.Stage == table.RolloutTrial && len(x.Targets) == 0 {
 			return
 		}
 		share := w.Share(r.elapsed(x), r.now.Sub(r.ledSince), r.rolloutPlan(x))
@@ -151,8 +153,8 @@
 	return list
 }
 
-// tendRollouts takes the steps that are due.
-func (r *Replica) tendRollouts(log *replication.Effects) {
+// advanceRollouts proposes the steps of rollouts that are due, on the leader.
+func (r *Replica) advanceRollouts(log *replication.Effects) {
 	if !r.settings.Rollouts.Enabled || !r.node.HasLease(r.now) {
 		return
 	}
@@ -163,12 +165,13 @@
 	})
 	r.eachActive(func(x *table.Rollout, w *rolloutWatch) {
 		if r.now.Sub(w.proposedAt) >= retryPeriod {
-			r.tendRollout(x, w, log)
+			r.advanceRollout(x, w, log)
 		}
 	})
 }
 
-func (r *Replica) tendRollout(x *table.Rollout, w *rolloutWatch, log *replication.Effects) {
+// advanceRollout proposes a rollout's next step if one is due, or else notes how much of its time is over.
+func (r *Replica) advanceRollout(x *table.Rollout, w *rolloutWatch, log *replication.Effects) {
 	facts := &rollout.Facts{
 		Elapsed: r.elapsed(x), InOffice: r.now.Sub(r.ledSince), Plan: r.rolloutPlan(x), Boxes: boxIDs(r.liveBoxes()),
 		Old: r.side(x.Service, x.From), New: r.side(x.Service, x.To),
@@ -182,7 +185,7 @@
 	}
 	w.persistAt = r.now.Add(elapsedPeriod)
 	w.proposedAt = r.now
-	w.condemned = w.condemned || step.Stage == table.RolloutRolledBack
+	w.rollingBack = w.rollingBack || step.Stage == table.RolloutRolledBack
 	r.proposeCommand(&wire.Command{At: int64(r.wall), Kind: &wire.Command_RolloutStep{RolloutStep: wire.FromRolloutStep(step)}}, log)
 }
 
@@ -273,6 +276,7 @@
 	return counts
 }
 
+// commonest is the version that most targets run; of equals the first by name.
 func commonest(versions map[units.Software]int) units.Software {
 	return slices.MaxFunc(slices.Sorted(maps.Keys(versions)), func(a, b units.Software) int {
 		return cmp.Compare(versions[a], versions[b])
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -37,7 +37,8 @@
 // leader. What that saves wasn't measured by itself.
 func (r *Replica) keepWaiting(s *session, request *wire.RenewRequest, e *Effects) {
 	s.waiting = request
-	// When a leader hears of it, the box may have sent calls that it doesn't tell of.
+	// By the time a leader gets the request the box may have sent calls that its evidence leaves
+	// out. Without a revision it doesn't count as a box that has drained the old version.
 	request.Revision = 0
 	answer := r.boxEnvelope()
 	answer.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{Box: request.Box.Id, Nonce: request.Nonce, Start: request.Start}}
--- a/pkg/core/rollout/candidates.go
+++ b/pkg/core/rollout/candidates.go
@@ -22,13 +22,13 @@
 type Side []Candidate
 
 // trialTargets is how many targets take a share of the calls so that each has the load of
-// an old target: a fault that shows only under load would else stay hidden.
+// an old target: a fault that shows only under load would otherwise stay hidden.
 func trialTargets(share float64, old, fresh Side) int {
 	return min(len(fresh), max(1, int(math.Round(share*float64(len(old))))))
 }
 
-// pick chooses targets for the trial. Those of the present ones that still can stay; warm
-// ones come first, and failure domains by turns.
+// pick chooses targets for the trial: the present ones that can still take calls before others,
+// warm before cold, and each failure domain in turn.
 func (s Side) pick(count int, present []units.TargetID) []units.TargetID {
 	rank := map[units.TargetID]int{}
 	inDomain := map[units.Domain]int{}
--- a/pkg/core/rollout/decide.go
+++ b/pkg/core/rollout/decide.go
@@ -24,8 +24,10 @@
 	// reportAge is how old a box's report may be when all calls of the old version are said
 	// to be over: a box whose exposure has run out since would send calls there again.
 	reportAge = 700 * time.Millisecond
-	// patience is how long a new leader waits for a box that sends no report.
-	patience = 1500 * time.Millisecond
+	// reportWait is how long a new leader waits for the reports of all boxes: a box sends 2 to 3 a
+	// second, so one that sent none in that time has stopped or is cut off, and would hold up the
+	// rollout until its deadline.
+	reportWait = 1500 * time.Millisecond
 	// leastAnswers is how many answers a version must have given to get all calls. Of a
 	// version of which a tenth of the answers is bad, 20 show two.
 	leastAnswers = 20
@@ -48,7 +50,7 @@
 	case f.Elapsed >= f.Plan.ShiftAt:
 		return w.shift(f, v)
 	}
-	return w.tendTrial(f)
+	return w.adjustTrial(f)
 }
 
 func (w *Watch) step(f *Facts, stage table.RolloutStage, reason string) *table.RolloutStep {
@@ -62,8 +64,8 @@
 	return w.step(f, table.RolloutRolledBack, reason)
 }
 
-// tendTrial keeps as many targets in the trial as it takes.
-func (w *Watch) tendTrial(f *Facts) *table.RolloutStep {
+// adjustTrial keeps as many targets in the trial as it takes.
+func (w *Watch) adjustTrial(f *Facts) *table.RolloutStep {
 	share := trialPart * w.limits.Share
 	picked := f.New.pick(trialTargets(share, f.Old, f.New), w.record.Targets)
 	if len(picked) == 0 || len(picked) <= len(w.record.Targets) && f.New.holdsAll(w.record.Targets) {
@@ -74,8 +76,8 @@
 	return s
 }
 
-// shift gives the new version all calls if enough speaks for it. What is weighed: a good
-// version that isn't completed is ordered again, a bad one that is harms every caller.
+// shift gives the new version all calls if the evidence is for it. In doubt it rolls back: a
+// good version that isn't completed is ordered again, a bad one that is harms every caller.
 func (w *Watch) shift(f *Facts, v Verdict) *table.RolloutStep {
 	if v.Suspect {
 		return w.rollBack(f, "the new version is suspect: "+v.Reason)
@@ -115,16 +117,17 @@
 	return leastAnswers
 }
 
+// allReported tells whether every box has sent a report, or has had time enough for one.
 func (w *Watch) allReported(f *Facts) bool {
-	if f.InOffice >= patience {
+	if f.InOffice >= reportWait {
 		return true
 	}
 	return !slices.ContainsFunc(f.Boxes, func(id units.BoxID) bool { return w.reports[id] == nil })
 }
 
 // complete ends the rollout once no box sends anything to the old version or waits for it, and
-// all answers that boxes have told of are judged. A leader that took over in the shift would
-// else complete a version of which it has judged no answer.
+// all reported answers are judged. A leader that took over in the shift would otherwise complete
+// a version of which it has judged no answer.
 func (w *Watch) complete(f *Facts) *table.RolloutStep {
 	if !w.drained(f) {
 		return nil
--- a/pkg/core/rollout/decide_test.go
+++ b/pkg/core/rollout/decide_test.go
@@ -141,7 +141,7 @@
 	if got := x.watch.Share(8*time.Second, 500*time.Millisecond, x.facts.Plan); got != 5 {
 		t.Errorf("after half a second the share is %g, want 5", float64(got))
 	}
-	if got := x.watch.Share(8*time.Second, patience, x.facts.Plan); got <= 5 {
+	if got := x.watch.Share(8*time.Second, reportWait, x.facts.Plan); got <= 5 {
 		t.Errorf("of a service with few calls the share is %g", float64(got))
 	}
 }
--- a/pkg/core/rollout/evidence.go
+++ b/pkg/core/rollout/evidence.go
@@ -34,6 +34,8 @@
 // of two, which tells calls that take twice as long apart from others.
 const Buckets = 26
 
+// firstBucket is the upper end of the first bucket: answers that take less than that
+// aren't told apart, since a caller doesn't notice.
 const firstBucket = time.Millisecond
 
 // Histogram counts answers by how long they took.
--- a/pkg/core/rollout/judge.go
+++ b/pkg/core/rollout/judge.go
@@ -8,12 +8,12 @@
 
 // What the judge allows, assumes and asks for.
 const (
-	// falseAlarm bounds the probability that a good version is condemned in one rollout:
+	// falseAlarm bounds the probability that a good version is found bad in one rollout:
 	// each one is a rollout that an operator must order again.
 	falseAlarm = 0.02
 	// suspicion is the weaker bound at which a version isn't given all calls, since taking
 	// back a bad one then costs callers far more than ordering a good one again. It bounds
-	// the sums' mean only; replays stop at most 1 in 100 good versions by it.
+	// the sums' mean only; at most 1 in 100 good versions is stopped by it (TestErrorRates).
 	suspicion = 1
 	// allowedOdds is how much worse a version may look beside the other, since targets of
 	// one version differ among themselves; allowedSlowOdds is that for times, where the
@@ -28,20 +28,22 @@
 	// times.
 	roomBuckets = 1
 	roomLater   = 2
-	// leastEvents keeps single incidents from condemning a version: a target that crashes
-	// breaks as many calls at once as it has slots.
+	// leastEvents is how many bad or slow answers it takes to find a version bad: a target that
+	// crashes breaks as many calls at once as it has slots.
 	leastEvents = 6
-	// leastDoubts are enough to be suspect by the end of the trial.
+	// leastDoubts is how many bad or slow answers make a version suspect at the end of the trial.
+	// Fewer than leastEvents do, since a version that is suspect only isn't shifted.
 	leastDoubts = 3
-	// leastWindows is in how many windows there must have been events.
+	// leastWindows is in how many windows they must have come, for the same reason as leastEvents.
 	leastWindows = 2
-	// manyEvents are enough by themselves, whatever the time in which they came.
+	// manyEvents is how many do in a single window: more calls than a crashing target breaks,
+	// so that a version of which every answer is bad is found out at once.
 	manyEvents = 25
-	// carriedCalls is below which share of the other version's calls of one window a window
-	// is compared with the time before.
+	// carriedCalls is the part of the new version's answers below which a window's answers of
+	// the old one are too few to compare with, so that those of the windows before serve.
 	carriedCalls = 0.1
-	// carryDecay is what part of the other version's past counts stay for the next window,
-	// so that about ten windows count.
+	// carryDecay is the part of the old version's past counts that stays for the next window, so
+	// that about ten windows count: older ones tell little of the present load.
 	carryDecay = 0.9
 )
 
@@ -130,7 +132,7 @@
 	return sum, worst, place
 }
 
-// seen counts events of the new version.
+// seen counts events of the new version, bad or slow answers, and the windows with any.
 type seen struct{ events, windows uint64 }
 
 func (s *seen) add(events uint64) {
@@ -140,10 +142,12 @@
 	}
 }
 
+// enough tells whether the events suffice to find a version bad.
 func (s *seen) enough() bool {
 	return s.events >= manyEvents || s.events >= leastEvents && s.windows >= leastWindows
 }
 
+// doubtful tells whether they suffice to suspect it.
 func (s *seen) doubtful() bool { return s.events >= leastDoubts }
 
 // comparison compares the versions on one route, or on all.
--- a/pkg/core/rollout/watch.go
+++ b/pkg/core/rollout/watch.go
@@ -108,7 +108,7 @@
 	w.window = Window{}
 }
 
-// toldOf is how many answers of the new version boxes have told of, judged or not.
+// toldOf is how many answers of the new version boxes have reported, judged or not.
 func (w *Watch) toldOf() uint64 {
 	total := w.Total()
 	answers := total.New.Answers()
@@ -123,7 +123,7 @@
 
 // Share is the share of the service's calls that the new version is to get now, by a leader
 // that has led for a time.
-func (w *Watch) Share(elapsed, inOffice time.Duration, p Plan) units.Percent {
+func (w *Watch) Share(elapsed, led time.Duration, p Plan) units.Percent {
 	if w.record.Stage == table.RolloutShifted {
 		return wholeShare
 	}
@@ -131,13 +131,16 @@
 	rate := 0.0
 	// A new leader hasn't heard of all calls yet. A service with many would look like one with
 	// few, and have up to 30 in 100 of its calls on trial.
-	if elapsed > 0 && inOffice >= patience {
+	if elapsed > 0 && led >= reportWait {
 		rate = float64(total.New.Answers()+total.Old.Answers()) / elapsed.Seconds()
 	}
 	return units.Percent(percent * w.limits.TrialShare(rate, p.ShiftAt))
 }
 
 const (
-	percent    = 100
+	// percent is how many hundredths a whole has: limits are parts of one, the table's shares
+	// percentages.
+	percent = 100
+	// wholeShare is the share of a version that takes all calls.
 	wholeShare = units.Percent(percent)
 )
