Routing: comments in the field's terms, lines that fit

Cause: 'the way there and back', 'dark', 'share their fate', 'at it' and 'without a word' stood for round trip, unreachable, fail together, first tries and no answer; askForSign and signProbe hid that they probe a silent target; awayPart told a trial, the lot a deployment's size, shiftPause's figure had no measure beside it; lines went up to 197 columns. Change: extraRoundTrip, probeSilent, silenceProbe; comments reworded, lines wrapped. Behaviour stays.

--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -38,7 +38,7 @@
 	// begun is set once an answer passes through, answered is how long that took.
 	begun    bool
 	answered time.Duration
-	// takes is for how long such an answer occupies the box's link.
+	// takes is for how long an answer that passes through occupies the box's link.
 	takes time.Duration
 	// patience is how long the answer may take before it is missed, longPatience how long
 	// before it counts that later calls were answered; ahead is how many calls seemed to be
@@ -83,7 +83,7 @@
 	watched bool
 	// kept is a failed answer that the caller gets when nothing better comes.
 	kept keptAnswer
-	// onTrial is set while the lot has the call go to a rollout's new version.
+	// onTrial is set while the call is chosen to go to a rollout's new version.
 	onTrial bool
 	// streaming is set once the head of an answer has been passed on.
 	streaming bool
@@ -104,8 +104,8 @@
 	*c = call{host: host, path: path}
 }
 
-// maxKeptPath bounds the room for paths that outlasts calls: nearly all paths are shorter, so
-// that few calls need new room.
+// maxKeptPath is the most bytes of room for a path that are kept for later calls: nearly all
+// paths are shorter, so that few calls need new room, and a long one doesn't hold memory.
 const maxKeptPath = 1 << 10
 
 // outcome says what the caller may be told if the call ends now.
--- a/pkg/core/routing/distance.go
+++ b/pkg/core/routing/distance.go
@@ -6,30 +6,33 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// A target elsewhere takes longer by the way there and back. The way is measured for each
-// failure domain and counts as time beside the work. So a call goes to its own domain before
-// others of the region, to these before other regions, and far away only where that serves it
-// better all the same.
+// Calls to a target in another failure domain take longer by a round trip. What the round trip
+// takes beyond that to the box's own domain is measured for each domain and counts as time
+// beside the work. So a call goes to a target of the box's own domain before others of its
+// region, to these before other regions, and far away only where it is still answered sooner.
 
 const (
-	// leastWindow is for how long the least time of a probe counts, at the least: routes
-	// change seldom, and within some seconds an unhurried answer shows the way alone.
+	// leastWindow is for how long the least time of a probe counts, at the least: network paths
+	// change seldom, and within some seconds a probe meets no queue and shows the round trip
+	// alone.
 	leastWindow = 10 * time.Second
-	// assumedNear and assumedFar stand in for the way to a domain of the same region, and of
-	// another or an unknown one, until it has been measured.
+	// assumedNear and assumedFar stand in for the extra round trip to a domain of the same region,
+	// and to one of another or an unknown region, until it has been measured: within a region it
+	// takes 1 to 5 ms, between regions 10 ms and more.
 	assumedNear = 2 * time.Millisecond
 	assumedFar  = 15 * time.Millisecond
-	// awayPart is what leaving the box's domain costs besides the way, as a part of the work: a
-	// box has connections to the targets beside it and knows more of them, so that calls which
-	// leave meet full targets more often. 30 ms in its place, which is less for long calls, kept
-	// 0.47 in place of 0.64 of the calls' value in the two worst windows of a day with crowds, and
-	// sent 2.5 times the bytes between domains.
+	// awayPart is what leaving the box's domain costs besides the round trip, as a part of the
+	// work: a box has connections to the targets of its domain and knows more of them, so that
+	// calls which leave meet full targets more often. It grows with the work, since a full target
+	// delays long calls by more. While more calls come than targets can serve, a fixed 30 ms
+	// would keep 0.47 in place of 0.64 of their value and send 2.5 times the bytes between
+	// domains (the two worst windows of a day, all boxes).
 	awayPart = 0.6
 	// assumedWork stands in for a route's typical time until that is known.
 	assumedWork = 50 * time.Millisecond
 )
 
-// domainDistance is what a box knows of the way to a failure domain.
+// domainDistance is what a box knows of the round trip to a failure domain's targets.
 type domainDistance struct {
 	// own is the box's own domain; nil for itself.
 	own *domainDistance
@@ -41,7 +44,7 @@
 	since         units.Instant
 }
 
-// distanceTo returns what is known of the way to a domain.
+// distanceTo returns what is known of the round trip to a domain.
 func (r *Router) distanceTo(d units.Domain) *domainDistance {
 	x := r.distances[d]
 	if x != nil {
@@ -80,9 +83,9 @@
 	return x.least
 }
 
-// way is how much longer the way there and back is than to the box's own domain. Probes take
-// the same work everywhere, so their least times differ by the way.
-func (x *domainDistance) way() time.Duration {
+// extraRoundTrip is how much longer the round trip is than to the box's own domain. Probes take
+// the same work everywhere, so their least times differ by it.
+func (x *domainDistance) extraRoundTrip() time.Duration {
 	if x.own == nil {
 		return 0
 	}
@@ -124,7 +127,7 @@
 	if x != nil && x.sureTime() > 0 {
 		work = x.sureTime()
 	}
-	return float64(t.distance.way())/work + awayPart
+	return float64(t.distance.extraRoundTrip())/work + awayPart
 }
 
 // probeLimit is how long a call waits for the answer to a probe of the target.
@@ -132,5 +135,5 @@
 	if !t.remote || t.distance == nil {
 		return probeLimit
 	}
-	return probeLimit + t.distance.way()
+	return probeLimit + t.distance.extraRoundTrip()
 }
--- a/pkg/core/routing/distance_test.go
+++ b/pkg/core/routing/distance_test.go
@@ -31,7 +31,7 @@
 			there := &domainDistance{own: own, sameRegion: s.sameRegion}
 			noteAll(own, testNow, s.own)
 			noteAll(there, testNow, s.there)
-			if way := there.way(); way != s.want {
+			if way := there.extraRoundTrip(); way != s.want {
 				t.Errorf("the way is %s, want %s", way, s.want)
 			}
 			// Two windows later only what was measured since counts.
@@ -41,10 +41,10 @@
 					noteAll(there, now, []time.Duration{40 * ms})
 				}
 			}
-			if way := there.way(); way != s.wantLater {
+			if way := there.extraRoundTrip(); way != s.wantLater {
 				t.Errorf("later the way is %s, want %s", way, s.wantLater)
 			}
-			if way := own.way(); way != 0 {
+			if way := own.extraRoundTrip(); way != 0 {
 				t.Errorf("the way to the own domain is %s", way)
 			}
 		})
--- a/pkg/core/routing/exposure.go
+++ b/pkg/core/routing/exposure.go
@@ -31,13 +31,13 @@
 	ownStopTime = time.Second
 	// shiftPause is how long a box sends nothing to a new version that has taken over all
 	// calls, after bad answers, until it goes on with a grant that the leader gave knowing of
-	// them. Its calls are refused meanwhile, so the pause is short; without it a version that
-	// turned bad during the shift got 576 of 4,034 calls, more than a tenth and 50, although
-	// it was rolled back after 0.6 s.
+	// them. Its calls are refused meanwhile, so the pause is short. Without it a version that
+	// turned bad during the shift got 576 of 4,034 calls, where a tenth and 50 are allowed by
+	// default, although it was rolled back after 0.6 s.
 	shiftPause = 200 * time.Millisecond
 	// urgentPause is the time between two requests for a lease that bad answers bring about: a
 	// box with a hundred bad answers a second must not crowd the leader, which hears from it
-	// every 400 ms anyway.
+	// 2 to 3 times a second anyway.
 	urgentPause = 200 * time.Millisecond
 )
 
@@ -100,8 +100,8 @@
 }
 
 // lot chooses a part of the calls: one at random of each run of as many as the part allows.
-// Drawn for each call alone, 122 boxes might together choose some hundred calls too many in
-// a day; so each of them is off by one at the most.
+// Each box is off by one call at the most. Were each call drawn alone, many boxes would together
+// be off by the square root of the number of calls chosen.
 type lot struct {
 	// passed is how much of the present run has passed, chosen where in it the chosen call
 	// lies.
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -20,7 +20,8 @@
 	// waits at the most: enough for an average answer to come in, and most of the aim is left
 	// for its own.
 	inboundWait = 0.125
-	// leastInboundWait keeps waiting calls from looking too often.
+	// leastInboundWait is the least time between two looks of a waiting call at the link, so that
+	// many of them don't take the box's processor time.
 	leastInboundWait = 2 * time.Millisecond
 	// sizeGain is the weight of the newest answer in a route's expected size: sizes of one route
 	// may vary by several times, so that a call's wait must not depend on the newest alone.
@@ -57,8 +58,8 @@
 	return takes
 }
 
-// ends notes that an answer that takes so long has come in, or was given up. The link isn't
-// occupied for longer than by those that are left.
+// ends notes that an answer which occupies the link for takes has come in, or was given up. The
+// link isn't occupied for longer than the answers that are left take.
 func (x *inbound) ends(now units.Instant, takes time.Duration) {
 	x.passing -= takes
 	if excess := x.left(now) - x.passing; excess > 0 {
@@ -120,7 +121,8 @@
 	a.takes = 0
 }
 
-// expectNoMore ends that count: the answer has begun, or won't come.
+// expectNoMore no longer counts the bytes that an attempt may bring: the answer has begun, or
+// won't come.
 func (r *Router) expectNoMore(a *attempt) {
 	r.expected -= a.expected
 	a.expected = 0
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -51,8 +51,8 @@
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
-	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, Outlook, FirstTries, SharedLink,
-	UnansweredCalls,
+	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting,
+	EarlyCalls, Outlook, FirstTries, SharedLink, UnansweredCalls,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/outlook.go
+++ b/pkg/core/routing/outlook.go
@@ -7,15 +7,15 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// The targets of a failure domain often share their fate: its power fails, it is cut off, or
-// all of them have just started. A box that meets each of them once in many seconds would
-// find that out target by target, a probe for each, while its calls wait. So the last few of
-// a domain's targets that a box tried speak for those that it knows nothing recent of: with a
-// third of the targets dark, a call met 0.6 dark ones in place of 1.2 over 60 boxes.
+// The targets of a failure domain often fail together: its power fails, it is cut off, or all
+// of them have just started. A box that sends to each of them once in many seconds would find
+// that out target by target, a probe for each, while its calls wait. So a box judges the targets
+// that it knows nothing recent of by the last few that it tried in the same domain: with a third
+// of the targets unreachable, a call met 0.6 such targets in place of 1.2, over 60 boxes.
 
 const (
 	// outlookHalfLife is the age at which a trial counts for a half: a domain comes back
-	// within seconds, and callers beside it gain by its targets at once.
+	// within seconds, and its targets are the nearest for callers in it.
 	outlookHalfLife = 400 * time.Millisecond
 	// outlookPrior is how many usable targets a domain of which nothing is known is worth:
 	// one unreachable target says little, two in a row send the next call elsewhere.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -200,7 +200,7 @@
 	c := r.calls.Get(v.Call)
 	if c == nil || !c.probeRound.open || c.probeRound.number != v.Attempt {
 		r.shareAnswer(t)
-		if c != nil && v.Attempt == signProbe {
+		if c != nil && v.Attempt == silenceProbe {
 			r.judgeSilence(v.Call, c, e)
 		}
 		return
@@ -347,7 +347,7 @@
 	return r.suits(c, t) && (t.isFresh(r.now) || !r.mustBeSure(c))
 }
 
-// suits tells the same of a target that is probed.
+// suits tells whether a target that has just been probed suits a call.
 func (r *Router) suits(c *call, t *target) bool {
 	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(c, t) {
 		return false
@@ -359,7 +359,8 @@
 }
 
 // isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
-// at all targets of the service that the call may use, none is too slow: refusing calls would help nobody.
+// at all targets of the service that the call may use, none is too slow: refusing calls would
+// help nobody.
 func (r *Router) isTooSlow(c *call, t *target) bool {
 	slowdown := t.currentSlowdown(r.now)
 	if !r.on(SlowTargets) || slowdown < heavySlowdown {
--- a/pkg/core/routing/returning.go
+++ b/pkg/core/routing/returning.go
@@ -6,23 +6,25 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// While calls come faster than targets can serve them, callers who were refused come back, and
-// what they get then is late. Each place that they take is one that a caller who has just
-// come would have had in time. With 1.8 times the capacity over 60 boxes and callers who come
-// back once, 35 in 100 calls were answered in aim in place of 29. How long a caller has been
-// at it shows in the time that it has left, compared with what the route's callers begin with.
+// While calls come faster than targets can serve them, callers who were refused try again, and
+// the answer to a second try is late. Each slot that it takes is one in which a first try would
+// have been answered in time. With calls of 1.8 times the capacity over 60 boxes and callers who
+// try again once,
+// 35 in 100 calls were answered in aim in place of 29. How long ago a caller's first try was shows
+// in the deadline that it asks for, compared with those of the route's first tries.
 
 const (
 	// returnPart is the part of callers that ask for less than the usual deadline while there
-	// is room: those who come back after a failure, and a few odd ones.
+	// is room: those who come back after a failure, and a few whose deadlines are unlike the others'.
 	returnPart = 0.1
-	// deadlineStep is how far the usual deadline moves with each call, as a part of it: an odd
-	// call in ten leaves it where it is.
+	// deadlineStep is how far the usual deadline moves with each call, as a part of it: one
+	// call in ten with a shorter deadline leaves it where it is.
 	deadlineStep = 0.04
 	// sureDeadlines is how many calls must have come before anything is said; a box may get
 	// only a few calls of a route each second.
 	sureDeadlines = 4
-	// returnBelow is the part of the usual deadline below which a caller has come back.
+	// returnBelow is the part of the usual deadline below which a caller counts as having come
+	// back: the deadlines of first tries differ a little from caller to caller.
 	returnBelow = 0.9
 	// crowdedFrom is the part of calls that found no target at once from which on late returns
 	// are refused; crowdMemory is for how long that counts, since a box may get a call of a
@@ -63,8 +65,8 @@
 	}
 }
 
-// spent is how long at least the caller has been at it before this call; zero for one that
-// has just come, and where that can't be told.
+// spent is how long ago, at the least, the caller's first try was; zero for a first try, and
+// where that can't be told.
 func (u *usualDeadline) spent(asked time.Duration) time.Duration {
 	if asked <= 0 || u.calls < sureDeadlines || float64(asked) >= returnBelow*float64(u.least) {
 		return 0
@@ -72,14 +74,14 @@
 	return u.least - asked
 }
 
-// isCrowded tells whether calls have lately found no target at once, so that a place given to
+// isCrowded tells whether calls have lately found no target at once, so that a slot given to
 // one call is missing for another.
 func (s *service) isCrowded(now units.Instant) bool {
 	return s.busyPart >= crowdedFrom && now.Sub(s.busyAt) < crowdMemory
 }
 
 // comesTooLate tells whether a call had better be refused at once: its caller has come back so
-// late that the answer would miss the aim, and callers who have just come need the places.
+// late that the answer would miss the aim, and first tries need the slots.
 func (r *Router) comesTooLate(c *call, asked time.Duration) bool {
 	x := c.route
 	if !r.on(FirstTries) || x.aim == 0 || !c.service.isCrowded(r.now) {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -81,7 +81,7 @@
 	calls       *container.Slab[call]
 	timers      *container.Heap[timer]
 	loans       loanBook
-	// outlooks are what the box found in each failure domain lately.
+	// outlooks tell how many of each failure domain's targets could be used lately.
 	outlooks map[units.Domain]*outlook
 	// startedAt is when the router began; early are the calls that came before its first
 	// table.
@@ -99,7 +99,7 @@
 	// unknown are the failure domains whose region isn't known and that the log has been told
 	// of.
 	unknown map[units.Domain]bool
-	// distances are what is known of the ways to failure domains.
+	// distances are what is known of the round trips to failure domains.
 	distances map[units.Domain]*domainDistance
 	// changed is room for the services that a new table changes.
 	changed []*service
--- a/pkg/core/routing/silence.go
+++ b/pkg/core/routing/silence.go
@@ -7,16 +7,16 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// A target may drop a call that it can't queue without a word, and answer nothing more on
-// that connection. Such an unanswered call is told from a slow one by what the target does
+// A target may drop a call that it can't queue without an answer, and answer nothing more on
+// that connection. Such an unanswered call is told apart from a slow one by what the target does
 // meanwhile: it answers calls that came later, or reports fewer calls than this box has
 // there. The target counts as full then, not as dead. A call that may run twice goes
 // elsewhere; one that may not stays until its deadline, and nobody knows what became of it.
 
 const (
 	// silentPatience is how many times its route's typical time a call may be out before its
-	// answer is missed: neighbours slow work down fivefold for moments, but seldom for all of
-	// a call, and callers wait for about ten times the typical time.
+	// answer is missed: what else runs on a target's machine slows work down fivefold for moments, but
+	// seldom for all of a call, and callers wait for about ten times the typical time.
 	silentPatience = 4
 	// quantilePatience is how many times the time within which nearly all calls end one may be
 	// out: of work that lasts exponentially long one call in 160,000 takes longer. sureQuantile
@@ -163,8 +163,8 @@
 	r.timers.Push(timer{at: at, call: id, kind: silenceTimer})
 }
 
-// checkSilence looks at a call whose answer is missed, and will look again. Without a sign
-// from its target it asks for one.
+// checkSilence looks at a call whose answer is missed, and will look again. While it can't tell
+// whether the target will answer it probes that.
 func (r *Router) checkSilence(id CallID, c *call, e *Effects) {
 	c.watched = false
 	if c.held || c.streaming || c.underWay() == 0 {
@@ -177,7 +177,7 @@
 	}
 	for i := range c.attempts {
 		if a := &c.attempts[i]; a.target != nil && r.now.Sub(a.sent) >= a.patience {
-			r.askForSign(id, c, a, e)
+			r.probeSilent(id, c, a, e)
 		}
 	}
 	// A hedge may have gone unanswered too.
@@ -218,17 +218,18 @@
 	return false
 }
 
-// askForSign probes the target of a call whose answer is missed.
-func (r *Router) askForSign(id CallID, c *call, a *attempt, e *Effects) {
+// probeSilent probes the target of a call whose answer is missed, to learn whether the target
+// still serves others.
+func (r *Router) probeSilent(id CallID, c *call, a *attempt, e *Effects) {
 	t := a.target
 	if t.gone || !c.service.probesTargets() || t.awaitsProbe(r.now) || !r.spendProbes(c.service, 1) {
 		return
 	}
-	r.probe(id, c, t, signProbe, e)
+	r.probe(id, c, t, silenceProbe, e)
 }
 
-// signProbe is the number of a probe that asks for a sign; no round of probes has it.
-const signProbe AttemptNumber = 0
+// silenceProbe is the number of a probe that probeSilent sends; no round of probes has it.
+const silenceProbe AttemptNumber = 0
 
 // giveUp deals with an attempt that its target won't answer. Its connection is closed once
 // the call is under way elsewhere. Without another target or a budget the call stays where
@@ -276,7 +277,10 @@
 	if t.service.silence.note(r.now, n) {
 		e.add(Effect{
 			Kind: ServiceHangs, Endpoint: t.endpoint, Failures: int(t.service.silence.calls),
-			Evidence: Evidence{Load: a.ahead, Pace: t.expectedPace(r.now), Slowdown: float64(r.now.Sub(a.sent)) / float64(max(1, a.patience)), ReadingAge: -1, Revision: r.table.Revision},
+			Evidence: Evidence{
+				Load: a.ahead, Pace: t.expectedPace(r.now), Slowdown: float64(r.now.Sub(a.sent)) / float64(max(1, a.patience)),
+				ReadingAge: -1, Revision: r.table.Revision,
+			},
 		})
 	}
 }
--- a/pkg/core/routing/silence_test.go
+++ b/pkg/core/routing/silence_test.go
@@ -58,7 +58,8 @@
 
 func newHangFleet(t *testing.T, work table.Work, boxes, targets int) *hangFleet {
 	w := &hangFleet{
-		t: t, random: rand.New(rand.NewPCG(hangSeed, 1)), now: units.Instant(time.Second), targets: map[units.TargetID]*hangingTarget{}, started: map[string]units.Instant{}, sent: map[string]int{},
+		t: t, random: rand.New(rand.NewPCG(hangSeed, 1)), now: units.Instant(time.Second),
+		targets: map[units.TargetID]*hangingTarget{}, started: map[string]units.Instant{}, sent: map[string]int{},
 		due: container.NewHeap(func(a, b dueEvent) bool { return a.at < b.at }),
 	}
 	service := table.Service{
@@ -223,7 +224,8 @@
 	w.drop(true, "t0", "t1")
 	before := w.lost
 	w.run(5*time.Second, 40*time.Millisecond)
-	t.Logf("delivered %d, %d late, refused %d, lost %d, dropped %d and %d", w.delivered, w.late, w.refused, w.lost, w.targets["t0"].dropped, w.targets["t1"].dropped)
+	t.Logf("delivered %d, %d late, refused %d, lost %d, dropped %d and %d", w.delivered, w.late, w.refused, w.lost,
+		w.targets["t0"].dropped, w.targets["t1"].dropped)
 	if lost := w.lost - before; lost > 5 {
 		t.Errorf("%d calls stayed until their deadline", lost)
 	}
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -16,7 +16,7 @@
 	remote bool
 	// region is the one of the target's failure domain; empty where it isn't known.
 	region units.Region
-	// distance is what is known of the way to the target's failure domain.
+	// distance is what is known of the round trip to the target's failure domain.
 	distance *domainDistance
 	// probesOut counts the probes for calls that are under way, the first since probeOutSince.
 	probesOut     int
@@ -73,8 +73,8 @@
 	evacuated bool
 	side      side
 	cold      coldness
-	// outlook is what the box found in the target's failure domain lately; nil where that
-	// isn't looked at.
+	// outlook tells how many targets of the same failure domain could be used lately; nil where
+	// that isn't looked at.
 	outlook *outlook
 
 	sends, answers, failures, sheds, probesSent, unansweredCalls uint64
@@ -202,8 +202,8 @@
 // rateBurst is how many calls of a box may come at once under a rate limit.
 const rateBurst = 1
 
-// cost says how bad a choice the target would be for a call of a route: the queue that a call would
-// join, in units of the service's usual latency, and how far the target is above
+// cost says how bad a choice the target would be for a call of a route: the queue that a call
+// would join, in units of the service's usual latency, and how far the target is above
 // its part of the weights. The second keeps to the weights where targets are much
 // alike, the first leaves them where one of them isn't well.
 func (t *target) cost(now units.Instant, x *route) float64 {
