--- a/pkg/core/subscription/nearer.go
+++ b/pkg/core/subscription/nearer.go
@@ -6,7 +6,7 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// Every change goes to each box over its link. Between regions bytes are dear and slow, so a
+// Every change goes to each box over its link. Links between regions are slow and their bytes cost more, so a
 // box that is attached to a replica of another region looks for one of its own: then a change
 // crosses between regions once for each replica, not once for each box. How far a replica is
 // shows in the time that connecting to it takes.
@@ -16,8 +16,8 @@
 	// within a region the way there and back takes 1 to 5 ms.
 	farDial = 10 * time.Millisecond
 	// moveAfter and moveSpread say when a box looks for a nearer replica, so that boxes which
-	// started together don't move together. Each search in vain doubles the time, up to
-	// maxMoveDoublings times, since it interrupts a link that works.
+	// started together don't move together. Each search that finds none doubles the time, up
+	// to maxMoveDoublings times, since it interrupts a link that works.
 	moveAfter        = time.Second
 	moveSpread       = 3 * time.Second
 	maxMoveDoublings = 6
--- a/pkg/core/subscription/replicas.go
+++ b/pkg/core/subscription/replicas.go
@@ -74,8 +74,8 @@
 }
 
 // candidates returns up to n replicas to attach to, the best first and equals in a random
-// order: those that the leader named, then the other known ones, near ones before far ones. Those that were left
-// lately come last, and only when desperate is set or no other is known: a process that
+// order: those that the leader named, then the other known ones, near ones before far ones.
+// Those that were left lately come last, and only when desperate is set or no other is known: a process that
 // stands still is connected to as fast as one that works.
 func (l *replicaList) candidates(now units.Instant, n int, desperate bool) []units.ReplicaID {
 	list := slices.Clone(l.known)
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -131,8 +131,8 @@
 	// while there are some.
 	exposedBy uint64
 	exposed   bool
-	// moveAt is when a nearer replica is looked for, zero for never; moves counts the searches
-	// in vain.
+	// moveAt is when a nearer replica is looked for, zero for never; moves counts the
+	// searches that found none.
 	moveAt units.Instant
 	moves  int
 }
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -100,7 +100,9 @@
 		return
 	}
 	defer conn.Close()
-	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": replicas[conn.Index], "dialled": len(addresses), "tookMs": millis(conn.Took)}).Info("attached to a control replica")
+	c.entry.Log.WithFields(logrus.Fields{
+		"kind": "control-attach", "replica": replicas[conn.Index], "dialled": len(addresses), "tookMs": millis(conn.Took),
+	}).Info("attached to a control replica")
 	c.entry.reduce(subscription.Attached{Attachment: a.number, Replica: replicas[conn.Index], Took: conn.Took})
 	go c.receive(a, conn.Conn)
 	for {
--- a/pkg/transport/dial_first.go
+++ b/pkg/transport/dial_first.go
@@ -30,9 +30,8 @@
 }
 
 // DialFirst connects to one of several processes, the first addresses preferred, and
-// returns the connection. An address that fails or takes
-// long doesn't hold up the next one; all attempts go on until one succeeds, and the others
-// are ended then. Errors are of kind Unavailable.
+// returns the connection. An address that fails or takes long doesn't hold up the next one; all
+// attempts go on until one succeeds, and the others are ended then. Errors are of kind Unavailable.
 func DialFirst(ctx context.Context, addresses []string, security *Security, hello *wire.Hello) (*Dialled, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
