--- a/pkg/core/box/exposure_test.go
+++ b/pkg/core/box/exposure_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// A trial in peace: the new version gets its share, each box off by one call at the most.
+// A trial without faults: the new version gets its share, each box off by one call at the most.
 func TestExposureIsUsed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFleet(rt, 12, rapid.Uint64().Draw(rt, "seed"))
--- a/pkg/core/box/fleet_test.go
+++ b/pkg/core/box/fleet_test.go
@@ -243,7 +243,7 @@
 	})
 }
 
-// leader is the control side: it grants, and rolls back by its own lights.
+// leader is the control side: it grants exposures, and rolls back at 50 bad answers.
 type leader struct {
 	f     *fleet
 	table *table.Table
@@ -377,7 +377,7 @@
 	m.drainedAt = v.Since
 }
 
-// checkOldSend checks a send to the old version: none may come from a box in touch that was
+// checkOldSend checks a send to the old version: none may come from a box with a link that was
 // drained.
 func (l *leader) checkOldSend(m *member) {
 	if m.drainedAt != 0 && l.f.now < m.core.Subscription().LeaseUntil() {
--- a/pkg/core/rollout/decide_test.go
+++ b/pkg/core/rollout/decide_test.go
@@ -68,7 +68,9 @@
 	}{
 		{"the trial is over", table.RolloutTrial, func(*scene) {}, table.RolloutShifted, "as good as"},
 		{"the trial isn't over", table.RolloutTrial, func(x *scene) { x.facts.Elapsed -= time.Millisecond }, 0, ""},
-		{"a target on trial is gone", table.RolloutTrial, func(x *scene) { x.facts.Elapsed, x.facts.New = time.Second, x.facts.New[1:] }, table.RolloutTrial, "1 of 1 targets"},
+		{"a target on trial is gone", table.RolloutTrial, func(x *scene) {
+			x.facts.Elapsed, x.facts.New = time.Second, x.facts.New[1:]
+		}, table.RolloutTrial, "1 of 1 targets"},
 		{"a new leader waits for reports", table.RolloutTrial, func(x *scene) { x.facts.InOffice, x.facts.Boxes = 0, append(testBoxes, "b3") }, 0, ""},
 		{"no room", table.RolloutTrial, func(x *scene) { x.facts.New[0].Slots, x.facts.New = 1, x.facts.New[:1] }, 0, ""},
 		{"no room at the latest", table.RolloutTrial, func(x *scene) {
--- a/pkg/core/rollout/detector.go
+++ b/pkg/core/rollout/detector.go
@@ -1,7 +1,7 @@
 package rollout
 
-// detector looks for the moment from which an event befalls calls of the new version more
-// often than it should. It is a Shiryaev-Roberts sum: each window multiplies the sum by the
+// detector looks for the moment from which an event, a bad or a slow answer, is more frequent
+// among calls of the new version than it should be. It is a Shiryaev-Roberts sum: each window multiplies the sum by the
 // likelihood of its events under an assumed odds ratio against that under the allowed one,
 // so that a long good time doesn't hide a late fault. While the new version is no worse
 // than allowed, the sum's mean after n windows is at most n.
--- a/pkg/core/rollout/judge.go
+++ b/pkg/core/rollout/judge.go
@@ -96,7 +96,7 @@
 // Verdict is what the evidence says.
 type Verdict struct {
 	// Bad is set when the version is worse than the old one beyond doubt, Suspect when
-	// too much speaks for it.
+	// the evidence is too strong to give the version all calls.
 	Bad, Suspect bool
 	Reason       string
 }
--- a/pkg/core/rollout/judge_test.go
+++ b/pkg/core/rollout/judge_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// fault is what ails a new version, from a window on.
+// fault is what is wrong with a new version, from a window on.
 type fault struct {
 	name string
 	// bad is the share of its answers that fail, slower by what its answers take longer.
@@ -17,7 +17,7 @@
 	oneRoute bool
 }
 
-// background is what befalls both versions.
+// background is what both versions suffer alike.
 type background struct {
 	name string
 	// bad is the share of answers that fail, in stormy windows stormBad; slower is by how
--- a/pkg/core/rollout/likelihood.go
+++ b/pkg/core/rollout/likelihood.go
@@ -4,7 +4,7 @@
 
 // split is how the events of a window fell on two versions' calls. Given how many events
 // there were, their number on the new version's calls follows Fisher's noncentral
-// hypergeometric distribution, whatever befell both.
+// hypergeometric distribution, whatever made events more frequent at both.
 type split struct {
 	newCalls, oldCalls   uint64
 	newEvents, oldEvents uint64
--- a/pkg/core/routing/crowd_test.go
+++ b/pkg/core/routing/crowd_test.go
@@ -22,7 +22,7 @@
 	events  *container.Heap[crowdEvent]
 	inAim   int
 	asked   int
-	// wasted counts the probes and sends that met a dark target.
+	// wasted counts the probes and sends that met an unreachable target.
 	wasted int
 }
 
@@ -243,7 +243,7 @@
 
 func nothing() {}
 
-// In a crowd of 1.8 times the capacity, places go to callers who have just come.
+// With calls of 1.8 times the capacity, slots go to first tries.
 func TestFirstTriesGoBeforeLateReturns(t *testing.T) {
 	without := newCrowd(t, FirstTries).play(1.8, nothing)
 	with := newCrowd(t).play(1.8, nothing)
@@ -253,7 +253,7 @@
 	}
 }
 
-// With a third of the targets dark, boxes stop trying them one by one.
+// With a third of the targets unreachable, boxes stop trying them one by one.
 func TestADarkDomainIsLearntAsOne(t *testing.T) {
 	play := func(off ...Mechanism) *crowd {
 		f := newCrowd(t, off...)
--- a/pkg/core/routing/distance_test.go
+++ b/pkg/core/routing/distance_test.go
@@ -7,7 +7,8 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// The way is what the quickest probes of some seconds took longer than in the own domain.
+// The extra round trip is what the quickest probes of some seconds took longer than in the box's
+// own domain.
 func TestTheWayIsLearntFromTheQuickestProbes(t *testing.T) {
 	const ms = time.Millisecond
 	scenarios := []struct {
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -6,10 +6,10 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// A box can't slow down what targets send it: an answer that is long occupies the link on its
-// way in, and everything behind it comes late. What is on its way is known, though. So few
-// large answers are asked for at a time, and what comes late because of one isn't taken for a
-// target's fault.
+// A box can't slow down what targets send it: a large answer occupies the link while it comes
+// in, and every answer behind it is late. The box knows how much is coming in, though. So it has
+// few large answers on their way at a time, and doesn't count as a target's fault what is late
+// because of one.
 
 const (
 	// inboundPart is the part of its aim that a call with a large answer leaves to the answers
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -42,7 +42,8 @@
 	Outlook Mechanism = "outlook"
 	// FirstTries serves callers who have just come before those who come back too late.
 	FirstTries Mechanism = "first-tries"
-	// SharedLink has calls heed the large answers that are coming in on the box's link.
+	// SharedLink delays calls with large answers while others are coming in on the box's link, and
+	// doesn't put down to targets what comes late because of these.
 	SharedLink Mechanism = "shared-link"
 	// UnansweredCalls closes calls that a target which serves others doesn't answer, and
 	// learns which services hang when full.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -13,7 +13,7 @@
 
 const (
 	// probeLimit is how long a call waits for the answers to its probes at the most, besides
-	// the way to targets elsewhere and back.
+	// the extra round trip to targets in other failure domains.
 	probeLimit = 12 * time.Millisecond
 	// hedgeProbeLimit is how long a hedge waits for them: its call is under way, so that
 	// nothing is lost by waiting, and given up too soon the probes are spent for nothing.
--- a/pkg/core/routing/regions_test.go
+++ b/pkg/core/routing/regions_test.go
@@ -190,7 +190,7 @@
 	}
 }
 
-// With a failure domain dark its callers are served by the other domain of their region, which
+// With a failure domain unreachable its callers are served by the other domain of their region, which
 // has room.
 func TestCallsOfADarkDomainStayInTheirRegion(t *testing.T) {
 	f := newRegionFleet(t, "south-a")
@@ -201,7 +201,7 @@
 	}
 }
 
-// With all of a region dark its callers are served by the others: answers to probes take 19 ms
+// With all of a region unreachable its callers are served by the others: answers to probes take 19 ms
 // from there.
 func TestCallsOfADarkRegionAreServedElsewhere(t *testing.T) {
 	f := newRegionFleet(t, "south-a", "south-b")
--- a/pkg/core/routing/residency.go
+++ b/pkg/core/routing/residency.go
@@ -18,9 +18,10 @@
 const (
 	// regionRetry is when the caller of a call may come back whose regions have no target.
 	// Such a region gets targets again when they have started or a table allows more, which
-	// takes seconds; who comes back sooner is refused once more.
+	// takes seconds; a caller who comes back sooner is refused once more.
 	regionRetry = 2 * time.Second
-	// maxUnknown bounds the failure domains of unknown region that the log is told of.
+	// maxUnknown is how many failure domains of unknown region are logged at the most: a table may
+	// name any number, and a box keeps each.
 	maxUnknown = 64
 )
 
@@ -64,8 +65,7 @@
 	}
 }
 
-// tellUnknown tells the log of a failure domain whose region isn't known, where regions are
-// known at all.
+// tellUnknown logs a failure domain whose region isn't known, where regions are known at all.
 func (r *Router) tellUnknown(t *target, e *Effects) {
 	d := t.row.Domain
 	if len(r.settings.Regions) == 0 || r.unknown[d] || len(r.unknown) >= maxUnknown {
--- a/pkg/core/routing/rollout.go
+++ b/pkg/core/routing/rollout.go
@@ -11,7 +11,7 @@
 // A service's targets may run several versions of its software, of which the table names the
 // one in force. A rollout moves the calls to another version: first a part of them, chosen
 // by lot, to a few targets, then all of them. A box sends calls to the new version only
-// while it holds a fresh exposure, so that a box which lost touch stops by itself.
+// while it holds a fresh exposure, so that a box without a link to the leader stops by itself.
 
 // side says which calls a target takes, by the version of its software.
 type side uint8
@@ -121,7 +121,7 @@
 // Once a rollout has shifted them a box without a fresh exposure knows neither whether the
 // new version was rolled back nor whether the old targets still run: it sends to neither. A
 // box that serves without a lease, by its settings, takes the old ones: they were good when
-// it lost touch. One that has just started waits for its first grant.
+// its link failed. One that has just started waits for its first grant.
 func (r *Router) openSide(s *service) side {
 	v := s.rollout
 	if v == nil || v.record.Stage != table.RolloutShifted || v.exposed(r.now) {
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -58,7 +58,8 @@
 			probes: map[string]*Endpoint{}, lastProbe: map[string]Effect{},
 		}
 		router, err := NewRouter(Settings{
-			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ColdDoubt: DefaultColdDoubt, ProbeCost: 5 * time.Millisecond, Loans: true, MaxDeadline: time.Minute,
+			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, ColdDoubt: DefaultColdDoubt, ProbeCost: 5 * time.Millisecond,
+			Loans: true, MaxDeadline: time.Minute,
 			LinkRate: 875_000,
 		}, s.now)
 		if err != nil {
--- a/pkg/core/routing/silence.go
+++ b/pkg/core/routing/silence.go
@@ -11,7 +11,7 @@
 // that connection. Such an unanswered call is told apart from a slow one by what the target does
 // meanwhile: it answers calls that came later, or reports fewer calls than this box has
 // there. The target counts as full then, not as dead. A call that may run twice goes
-// elsewhere; one that may not stays until its deadline, and nobody knows what became of it.
+// elsewhere; one that may not stays until its deadline, and its caller is told that it may have run.
 
 const (
 	// silentPatience is how many times its route's typical time a call may be out before its
@@ -112,7 +112,7 @@
 	return max(leastPatience, quantilePatience*usual)
 }
 
-// isUnanswered tells whether the attempt's target is alive and won't answer it.
+// isUnanswered tells whether the attempt's target serves others and won't answer it.
 func (a *attempt) isUnanswered(now units.Instant) bool {
 	out := now.Sub(a.sent)
 	return a.missing && out >= a.patience || a.overtaken >= overtakenSure && out >= a.longPatience
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// settleCalls refuses the calls that wait for a service in vain, and sends those that a
-// target takes.
+// settleCalls refuses the calls that wait for a service without a target for them, and sends
+// those that a target takes.
 func (r *Router) settleCalls(s *service, e *Effects) {
 	r.refuseUnservable(s, e)
 	r.serveHeld(s, e)
--- a/pkg/core/subscription/nearer.go
+++ b/pkg/core/subscription/nearer.go
@@ -13,7 +13,7 @@
 
 const (
 	// farDial is the time of connecting from which on a replica counts as one of another region:
-	// within a region the way there and back takes 1 to 5 ms.
+	// within a region a round trip takes 1 to 5 ms.
 	farDial = 10 * time.Millisecond
 	// moveAfter and moveSpread say when a box looks for a nearer replica, so that boxes which
 	// started together don't move together. Each search that finds none doubles the time, up
--- a/pkg/entry/residency.go
+++ b/pkg/entry/residency.go
@@ -19,8 +19,8 @@
 	nextAt units.Instant
 }
 
-// noteRefusal tells the log, now and then, of calls that no target in an allowed region could
-// take.
+// noteRefusal logs, once in barredLogEvery at the most, the calls that no target in an allowed
+// region could take.
 func (e *Entry) noteRefusal(x *routing.Effect) {
 	if x.Refusal.Reason != routing.RegionBarred {
 		return
