--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -125,6 +125,7 @@
 	}
 }
 
+// cancelOthers cancels the attempts of a call that another one has won, and learns from them.
 func (r *Router) cancelOthers(id CallID, c *call, winner *attempt, e *Effects) {
 	r.noteVersionOvertaken(c, winner)
 	for i := range c.attempts {
--- /dev/null
+++ b/pkg/core/routing/suitability.go
@@ -0,0 +1,58 @@
+package routing
+
+import "github.com/madderpond/madderpond/pkg/units"
+
+// isSuitable tells whether a target would serve the call about as well as any could: work
+// goes at its usual pace there, and a slot is free.
+func (r *Router) isSuitable(c *call, t *target) bool {
+	if !c.service.probesTargets() {
+		return true
+	}
+	return r.suits(c, t) && (t.isFresh(r.now) || !r.mustBeSure(c))
+}
+
+// suits tells whether a target that has just been probed suits a call; nil stands for a call that
+// any target may take.
+func (r *Router) suits(c *call, t *target) bool {
+	if t.expectedPace(r.now) >= goodPace || r.isTooSlow(c, t) {
+		return false
+	}
+	if !r.on(Concurrency) {
+		return t.load(r.now)+1 <= t.slots()
+	}
+	return t.load(r.now)+1 <= t.bestConcurrency()
+}
+
+// isTooSlow tells whether calls take much longer at a target than elsewhere. Where they do
+// at all targets of the service that the call may use, none is too slow: refusing calls would
+// help nobody.
+func (r *Router) isTooSlow(c *call, t *target) bool {
+	slowdown := t.currentSlowdown(r.now)
+	if !r.on(SlowTargets) || slowdown < heavySlowdown {
+		return false
+	}
+	least := slowdown
+	for _, o := range t.service.targets {
+		if o.side == t.side && c.mayUse(o) && o.takesWork(r.now, t.service.mostlyEjected) {
+			least = min(least, o.currentSlowdown(r.now))
+		}
+	}
+	return slowdown > slowAlike*least
+}
+
+// acceptsUnsuitable tells whether a call that can't wait any longer may go to a target that
+// doesn't suit: when the call may have run already and so can't be refused for good, or no
+// target could be probed although the service isn't busy. While it is busy such a call would
+// meet others at a target that nothing is known of: without such sends calls of twice the
+// capacity kept 0.35 of their value in place of 0.30 (the two worst seconds, mean of two days).
+func (r *Router) acceptsUnsuitable(c *call) bool {
+	if c.probeRound.purpose == HedgeSend || r.mustBeSure(c) {
+		return false
+	}
+	return c.mayHaveRun || c.probeRound.rounds == 0 && !c.service.isBusy(r.now)
+}
+
+// isFresh tells whether the target's last reading is as good as a new one.
+func (t *target) isFresh(now units.Instant) bool {
+	return t.reading.Known && now.Sub(t.reading.at) <= freshReading
+}
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -28,6 +28,56 @@
 	busyGain = 0.2
 )
 
+const (
+	// probePause is the time between two rounds of probes of a call that found no target.
+	probePause = 15 * time.Millisecond
+	// calmPart is the part of its aim at which a call that waits is sent or refused; one that
+	// is sent then usually still ends within its aim. crowdedPart is that part while the
+	// service is busy: a target that comes free later serves a call better that has just come.
+	calmPart    = 0.45
+	crowdedPart = 0.25
+	// aimOfDeadline is the part of a call's deadline that stands in for the aim of a route that
+	// has none, so that such a call also leaves most of its time for the answer.
+	aimOfDeadline = 0.25
+	// leastBusyRetry and mostBusyRetry bound when the caller of a call that found all targets
+	// busy may come back. Few callers wait longer than the latter with most of their time left.
+	leastBusyRetry = 60 * time.Millisecond
+	mostBusyRetry  = 800 * time.Millisecond
+	// retryJitter is how far the time to come back may lie from its mean, as a part of it, so
+	// that callers who were refused together don't come back together.
+	retryJitter = 0.25
+)
+
+// waitLimit is the part of its aim at which a call that waits is sent or refused.
+func (s *service) waitLimit(now units.Instant) float64 {
+	if s.isBusy(now) {
+		return crowdedPart
+	}
+	return calmPart
+}
+
+// busyRetryAfter is when the caller of a call that found all targets busy may come back. A
+// busy time that has lasted is expected to last as long again. A caller who comes back before
+// its end adds to the load, and is answered late all the same.
+func (r *Router) busyRetryAfter(s *service) time.Duration {
+	lasted := r.now.Sub(s.busySince)
+	if !s.isBusy(r.now) {
+		lasted = 0
+	}
+	after := max(leastBusyRetry, min(lasted, mostBusyRetry))
+	jitter := 1 + retryJitter*(2*r.random.Float64()-1)
+	return time.Duration(jitter * float64(after)).Round(time.Millisecond)
+}
+
+// aimSpent is how much of its aim the call has spent so far.
+func (c *call) aimSpent(now units.Instant) float64 {
+	aim := float64(c.route.aim)
+	if aim == 0 {
+		aim = aimOfDeadline * float64(c.deadline.Sub(c.arrived))
+	}
+	return float64(now.Sub(c.arrived)) / aim
+}
+
 // isBusy tells whether calls have lately found no target that suits. Then one that
 // nothing recent is known of is likely to be full as well.
 func (s *service) isBusy(now units.Instant) bool {
