Comments where a decision of a rollout, the link or evidence had none

Cause: orders, evidence, exposure and pacing had functions whose rules had to be guessed; leastPiece and mostPiece told no unit, 'unused' named nobody clearly. Change: comments only.

--- a/pkg/core/control/rolloutorders.go
+++ b/pkg/core/control/rolloutorders.go
@@ -24,6 +24,7 @@
 	r.submitCommand(v.Request, c, fmt.Sprintf("order of a rollout of %s", v.Order.Service), log, e)
 }
 
+// checkRolloutOrder returns what is wrong with an order by itself, or nil.
 func (r *Replica) checkRolloutOrder(o *table.RolloutOrder) error {
 	if !r.settings.Rollouts.Enabled {
 		return fault.New(fault.Invalid, "set control.rollout.enabled on all control replicas", "rollouts aren't enabled")
@@ -38,12 +39,13 @@
 	return nil
 }
 
-// applyRolloutOrder carries out an order; the error is the answer to one that wasn't.
+// applyRolloutOrder applies an order of the log; the error is the answer to one that is refused.
 func (r *Replica) applyRolloutOrder(o *table.RolloutOrder, at units.WallTime) (*table.Delta, error) {
 	outcome, delta := r.state.ApplyRolloutOrder(o, at)
 	return delta, rolloutError(o, outcome)
 }
 
+// rolloutError is the answer to an order that was applied, by its outcome; nil where it is taken.
 func rolloutError(o *table.RolloutOrder, outcome table.RolloutOutcome) error {
 	switch outcome {
 	case table.RolloutConflicts:
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -96,6 +96,7 @@
 	r.release(c, a, e)
 }
 
+// attemptStarted passes on an answer whose first bytes have come, and ends the call's other attempts.
 func (r *Router) attemptStarted(v *AttemptStarted, e *Effects) {
 	c := r.calls.Get(v.Call)
 	if c == nil {
@@ -140,6 +141,7 @@
 	}
 }
 
+// attemptEnded learns from how an attempt ended, then delivers its answer or goes on with the call.
 func (r *Router) attemptEnded(v *AttemptEnded, e *Effects) {
 	c := r.calls.Get(v.Call)
 	if c == nil {
--- a/pkg/core/routing/evidence.go
+++ b/pkg/core/routing/evidence.go
@@ -8,8 +8,9 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// maxEvidenceRoutes bounds the routes that evidence of one version tells apart, so that a
-// request for a lease stays below some 4 KB. What others bring is summed up under no name.
+// maxEvidenceRoutes is how many routes evidence of one version tells apart at the most, so that a
+// request for a lease stays below some 4 KB. Answers on further routes are added up under an empty
+// host and prefix.
 const maxEvidenceRoutes = 16
 
 // evidence is what a box has seen of the two versions of a rollout.
@@ -53,6 +54,7 @@
 	return nil
 }
 
+// addGood counts an answer that isn't a failure.
 func (x *routeEvidence) addGood(took time.Duration) {
 	x.good++
 	x.times.Add(took)
@@ -79,6 +81,7 @@
 	}
 }
 
+// noteBad counts a failure of the target.
 func (r *Router) noteBad(v *rolloutState, c *call, t *target, e *Effects) {
 	v.evidence.of(v.isNew(t), c.route.host, c.route.prefix).bad++
 	if v.isNew(t) {
@@ -140,6 +143,7 @@
 	})
 }
 
+// appendEvidence appends what was seen of one version, an entry a route.
 func (v *rolloutState) appendEvidence(all []rollout.Evidence, list []routeEvidence, software units.Software) []rollout.Evidence {
 	for i := range list {
 		x := &list[i]
--- a/pkg/core/routing/exposure.go
+++ b/pkg/core/routing/exposure.go
@@ -55,6 +55,7 @@
 	}
 }
 
+// exposureFor returns what the newest grant says of a service; zero for nothing.
 func (r *Router) exposureFor(s units.ServiceName) rollout.Exposure {
 	for _, x := range r.exposures {
 		if x.Service == s {
@@ -110,6 +111,7 @@
 
 func newLot(random *rand.Rand) lot { return lot{chosen: random.Float64()} }
 
+// draw tells whether the next call is chosen, given the share of the calls that is.
 func (l *lot) draw(share float64, random *rand.Rand) bool {
 	before := l.passed
 	l.passed += share
@@ -168,6 +170,7 @@
 	Good, Bad   int
 }
 
+// turn describes for the log that the exposure begins or ends.
 func (v *rolloutState) turn(on, stopped bool) *ExposureTurn {
 	return &ExposureTurn{
 		Service: v.record.Service, Software: v.record.To, Order: v.record.Order, Share: v.exposure.Share,
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -68,6 +68,7 @@
 	}
 }
 
+// timeOf is for how long so many bytes occupy the link.
 func (x *inbound) timeOf(bytes float64) time.Duration {
 	if x.rate <= 0 {
 		return 0
--- a/pkg/core/routing/residency.go
+++ b/pkg/core/routing/residency.go
@@ -188,6 +188,7 @@
 	return all
 }
 
+// allowedTargets is how many targets may take the route's calls, but for their health and limits.
 func (x *route) allowedTargets() int {
 	c := &call{regions: x.regions}
 	n := 0
--- a/pkg/core/table/rolloutorder.go
+++ b/pkg/core/table/rolloutorder.go
@@ -95,11 +95,14 @@
 	return RolloutTaken, s.commit(delta)
 }
 
+// orderedJustBefore tells whether the rollout was ordered within rolloutRepeat of a time, whichever
+// replica's wall clock is ahead.
 func (r *Rollout) orderedJustBefore(at units.WallTime) bool {
 	since := at - r.At
 	return max(since, -since) < units.WallTime(rolloutRepeat.Milliseconds())
 }
 
+// abortRollout rolls back the rollout under way, unless it began after the order was taken.
 func (s *State) abortRollout(held *Rollout, o *RolloutOrder) (RolloutOutcome, *Delta) {
 	switch {
 	case held == nil:
@@ -120,6 +123,7 @@
 	return RolloutTaken, s.commit(delta)
 }
 
+// rolledBack returns the record as of a roll back at a revision.
 func (r *Rollout) rolledBack(since units.Revision, reason string) Rollout {
 	next := *r
 	next.Stage, next.Since, next.Reason, next.Share = RolloutRolledBack, since, reason, 0
--- a/pkg/pacing/link.go
+++ b/pkg/pacing/link.go
@@ -20,21 +20,21 @@
 
 const (
 	// pacedPart is the part of the link that answers may take together. The rest is for what
-	// isn't counted here: requests to targets, probes, messages of the control state, and the
-	// heads of packets; a small call must not queue behind a large answer because of them.
+	// isn't counted here: requests to targets, probes, messages of the control state, and
+	// packet headers; a small call must not queue behind a large answer because of them.
 	pacedPart = 0.75
 	// pieceTime is how long a piece occupies the link: as long as a small answer may have to
 	// wait behind it, a small part of the closest aims that callers of small answers have, which
 	// are tenths of a second.
 	pieceTime = 5 * time.Millisecond
-	// leastPiece keeps a slow link from being used in packets that are mostly heads, mostPiece
-	// a fast one from copying buffers that cost memory for each answer.
+	// leastPiece and mostPiece bound a piece, in bytes: smaller ones would fill a slow link with
+	// packet headers, larger ones take a copying buffer of that size for each answer.
 	leastPiece = 4 << 10
 	mostPiece  = 64 << 10
 	// smallPieces is how many pieces an answer may have to count as small: waiting for its
 	// turn twice would delay it more than it delays others.
 	smallPieces = 2
-	// lateness is how much of the link's time may be made up for after a piece was granted
+	// lateness is how much of the link's time may be caught up on after a piece was granted
 	// later than it could have been, since timers come late by a millisecond or two.
 	lateness = 5 * time.Millisecond
 	// starvedAfter is how long a piece waits before it goes ahead of closer aims: a caller
--- a/pkg/pacing/pacer.go
+++ b/pkg/pacing/pacer.go
@@ -126,7 +126,7 @@
 	p.counts.Bytes += uint64(bytes)
 }
 
-// unused gives the time of a piece to the others, whose writer has nobody to write to.
+// unused gives the link's time for a piece to other writers, when its caller has hung up.
 func (p *Pacer) unused(bytes int) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
