--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -67,6 +67,9 @@
 	Call    CallID
 	Attempt AttemptNumber
 	Reading Reading
+	// Coming is how many bytes of the body are still to come; negative when the answer
+	// doesn't say how long it is.
+	Coming int
 }
 
 // ProbeEnded says how a probe ended.
@@ -206,6 +209,10 @@
 	Connections int
 	// Once is set for a Send of work that must not run twice.
 	Once bool
+	// Aim is the aim of the call's route, zero for none; LargeAnswer is set where the route's
+	// answers are large. Both are set for a Send.
+	Aim         time.Duration
+	LargeAnswer bool
 	// ProbePath is what a probe asks for; empty means the box's own setting.
 	ProbePath string
 	// Ejected is set for a TargetTurned that takes the target out; Failures is how many
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -42,11 +42,13 @@
 	Outlook Mechanism = "outlook"
 	// FirstTries serves callers who have just come before those who come back too late.
 	FirstTries Mechanism = "first-tries"
+	// SharedLink has calls heed the large answers that are coming in on the box's link.
+	SharedLink Mechanism = "shared-link"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
-	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, Outlook, FirstTries,
+	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting, EarlyCalls, Outlook, FirstTries, SharedLink,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
