--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -31,18 +31,6 @@
 	Regions map[units.Domain]units.Region `json:"regions" validate:"max=1024,dive,keys,name,endkeys,name" doc:"The regions of the failure domains, as in {\"north-a\": \"north\"}, the same on every box. A target whose domain isn't listed has no region: routes that allow some regions only don't use it."`
 }
 
-// SeveralRegions tells whether the failure domains lie in more than one region.
-func (s *Settings) SeveralRegions() bool {
-	first := units.Region("")
-	for _, r := range s.Regions {
-		if first != "" && r != first {
-			return true
-		}
-		first = r
-	}
-	return false
-}
-
 // Role is something that a process does.
 type Role string
 
--- a/pkg/core/subscription/replicas.go
+++ b/pkg/core/subscription/replicas.go
@@ -1,7 +1,6 @@
 package subscription
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,8 +23,6 @@
 	// checksum sums up those, as they came.
 	checksum uint64
 	leftAt   map[units.ReplicaID]units.Instant
-	// took is how long connecting to each replica took last.
-	took map[units.ReplicaID]time.Duration
 	// current is the replica that the box is attached to, or was last.
 	current units.ReplicaID
 }
@@ -33,7 +30,6 @@
 func newReplicaList(settings []units.ReplicaID, random *rand.Rand) replicaList {
 	return replicaList{
 		random: random, known: slices.Clone(settings), leftAt: map[units.ReplicaID]units.Instant{},
-		took: map[units.ReplicaID]time.Duration{},
 	}
 }
 
@@ -74,15 +70,13 @@
 }
 
 // candidates returns up to n replicas to attach to, the best first and equals in a random
-// order: those that the leader named, then the other known ones, near ones before far ones. Those that were left
+// order: those that the leader named, then the other known ones. Those that were left
 // lately come last, and only when desperate is set or no other is known: a process that
 // stands still is connected to as fast as one that works.
 func (l *replicaList) candidates(now units.Instant, n int, desperate bool) []units.ReplicaID {
 	list := slices.Clone(l.known)
 	l.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b units.ReplicaID) int {
-		return cmp.Or(l.rank(a, now)-l.rank(b, now), l.distance(a)-l.distance(b))
-	})
+	slices.SortStableFunc(list, func(a, b units.ReplicaID) int { return l.rank(a, now) - l.rank(b, now) })
 	if i := slices.IndexFunc(list, func(id units.ReplicaID) bool { return l.rank(id, now) == rankLeft }); i > 0 && !desperate {
 		list = list[:i]
 	}
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -32,8 +32,6 @@
 	// Start names this run of the box, so that grants for an earlier one don't
 	// count.
 	Start uint64
-	// SeveralRegions is set where the boxes and replicas may stand in several regions.
-	SeveralRegions bool
 	// Seed feeds the order of the replicas and the jitter of pauses.
 	Seed uint64
 }
@@ -54,8 +52,6 @@
 type Attached struct {
 	Attachment Attachment
 	Replica    units.ReplicaID
-	// Took is how long connecting took; zero where that isn't known.
-	Took time.Duration
 }
 
 // Detached says that the connection to the replica has ended, or that none of the
@@ -123,10 +119,6 @@
 	// leaseTime is how long the last grant was for.
 	leaseTime time.Duration
 	leaving   bool
-	// moveAt is when a nearer replica is looked for, zero for never; moves counts the searches
-	// in vain.
-	moveAt units.Instant
-	moves  int
 }
 
 // NewSubscription returns a subscription that has no table yet.
@@ -155,7 +147,6 @@
 		}
 	case Attached:
 		if v.Attachment == s.attachment {
-			s.noteAttached(v.Replica, v.Took)
 			s.connected(now, v.Replica, e)
 		}
 	case Detached:
@@ -175,9 +166,6 @@
 	if s.link.state == linkUp && now.Sub(max(s.link.since, s.grantedAt)) >= s.patience() {
 		s.disconnected(now)
 	}
-	if s.link.state == linkUp {
-		s.moveNearer(now, e)
-	}
 	if s.link.state != linkUp && now >= s.link.nextAt {
 		s.attach(now, e)
 	}
@@ -275,7 +263,6 @@
 	delete(s.sentAt, r.Nonce)
 	s.replicas.learn(r.Replicas)
 	s.noteNews(now)
-	s.planMove(now)
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
 	s.grants = append(s.grants, grant{
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -93,16 +93,16 @@
 		case <-ctx.Done():
 		}
 	}()
-	conn, err := transport.DialFirst(ctx, addresses, c.entry.Security, &wire.Hello{Box: c.entry.Settings.Box})
+	conn, i, err := transport.DialFirst(ctx, addresses, c.entry.Security, &wire.Hello{Box: c.entry.Settings.Box})
 	cancel()
 	if err != nil {
 		c.lost(a, err)
 		return
 	}
 	defer conn.Close()
-	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": replicas[conn.Index], "dialled": len(addresses), "tookMs": millis(conn.Took)}).Info("attached to a control replica")
-	c.entry.reduce(subscription.Attached{Attachment: a.number, Replica: replicas[conn.Index], Took: conn.Took})
-	go c.receive(a, conn.Conn)
+	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": replicas[i], "dialled": len(addresses)}).Info("attached to a control replica")
+	c.entry.reduce(subscription.Attached{Attachment: a.number, Replica: replicas[i]})
+	go c.receive(a, conn)
 	for {
 		select {
 		case <-a.done:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -98,8 +98,6 @@
 		Silence:    subscription.DefaultSilence,
 		Start:      rand.Uint64(),
 		Seed:       rand.Uint64(),
-
-		SeveralRegions: s.SeveralRegions(),
 	}, routing.Settings{
 		Box:         id,
 		Domain:      units.Domain(s.Domain),
--- a/pkg/lab/subscriber.go
+++ b/pkg/lab/subscriber.go
@@ -108,7 +108,7 @@
 	for _, id := range replicas {
 		addresses = append(addresses, s.addresses[id])
 	}
-	conn, err := transport.DialFirst(ctx, addresses, nil, &wire.Hello{Box: "lab"})
+	conn, i, err := transport.DialFirst(ctx, addresses, nil, &wire.Hello{Box: "lab"})
 	if err != nil {
 		s.reduce(subscription.Detached{Attachment: n})
 		return
@@ -119,10 +119,10 @@
 		conn.Close()
 		return
 	}
-	s.conn = conn.Conn
+	s.conn = conn
 	s.lock.Unlock()
-	go s.receive(conn.Conn, n)
-	s.reduce(subscription.Attached{Attachment: n, Replica: replicas[conn.Index]})
+	go s.receive(conn, n)
+	s.reduce(subscription.Attached{Attachment: n, Replica: replicas[i]})
 }
 
 func (s *Subscriber) receive(conn *transport.Conn, n subscription.Attachment) {
--- a/pkg/transport/dial_first.go
+++ b/pkg/transport/dial_first.go
@@ -18,22 +18,13 @@
 	conn  *Conn
 	index int
 	err   error
-	took  time.Duration
-}
-
-// Dialled is a connection to one of several addresses.
-type Dialled struct {
-	*Conn
-	// Index is that of the address, Took how long connecting to it took.
-	Index int
-	Took  time.Duration
 }
 
 // DialFirst connects to one of several processes, the first addresses preferred, and
-// returns the connection. An address that fails or takes
+// returns the connection with the index of its address. An address that fails or takes
 // long doesn't hold up the next one; all attempts go on until one succeeds, and the others
 // are ended then. Errors are of kind Unavailable.
-func DialFirst(ctx context.Context, addresses []string, security *Security, hello *wire.Hello) (*Dialled, error) {
+func DialFirst(ctx context.Context, addresses []string, security *Security, hello *wire.Hello) (*Conn, int, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan dialResult, len(addresses))
@@ -51,21 +42,20 @@
 			ended++
 			if d.err == nil {
 				go closeLate(results, started-ended)
-				return &Dialled{Conn: d.conn, Index: d.index, Took: d.took}, nil
+				return d.conn, d.index, nil
 			}
 			lastError = d.err
 		case <-next:
 		}
 	}
-	return nil, lastError
+	return nil, 0, lastError
 }
 
 func dialOne(ctx context.Context, index int, address string, security *Security, hello *wire.Hello, results chan<- dialResult) {
 	// The message is written to while it is sent, so each attempt has its own.
 	own := &wire.Hello{Box: hello.Box, Replica: hello.Replica}
-	started := time.Now()
 	conn, err := DialContext(ctx, address, security, own)
-	results <- dialResult{conn: conn, index: index, err: err, took: time.Since(started)}
+	results <- dialResult{conn: conn, index: index, err: err}
 }
 
 // closeLate ends connections that are made after another one was chosen.
--- a/pkg/transport/dial_first_test.go
+++ b/pkg/transport/dial_first_test.go
@@ -73,13 +73,13 @@
 		t.Run(s.testName, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			conn, err := DialFirst(ctx, s.addresses, nil, &wire.Hello{Box: "b"})
+			conn, i, err := DialFirst(ctx, s.addresses, nil, &wire.Hello{Box: "b"})
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			if conn.Index != s.want {
-				t.Errorf("address %d was taken, not %d", conn.Index, s.want)
+			if i != s.want {
+				t.Errorf("address %d was taken, not %d", i, s.want)
 			}
 		})
 	}
@@ -88,7 +88,7 @@
 func TestNoAddressAnswers(t *testing.T) {
 	refusing := listenSilently(t, false)
 	for _, addresses := range [][]string{{refusing}, {refusing, refusing}, nil} {
-		_, err := DialFirst(context.Background(), addresses, nil, &wire.Hello{Box: "b"})
+		_, _, err := DialFirst(context.Background(), addresses, nil, &wire.Hello{Box: "b"})
 		if fault.KindOf(err) != fault.Unavailable {
 			t.Errorf("%d addresses: %v", len(addresses), err)
 		}
