--- a/pkg/core/routing/distance.go
+++ b/pkg/core/routing/distance.go
@@ -17,8 +17,8 @@
 	// alone.
 	leastWindow = 10 * time.Second
 	// assumedNear and assumedFar stand in for the extra round trip to a domain of the same region,
-	// and to one of another or an unknown region, until it has been measured: within a region it
-	// takes 1 to 5 ms, between regions 10 ms and more.
+	// and to one of another or an unknown region, until it has been measured: nearer ones are tried
+	// first, and a far one still is when the near ones are full.
 	assumedNear = 2 * time.Millisecond
 	assumedFar  = 15 * time.Millisecond
 	// awayPart is what leaving the box's domain costs besides the round trip, as a part of the
