--- a/pkg/core/routing/distance.go
+++ b/pkg/core/routing/distance.go
@@ -24,9 +24,9 @@
 	// awayPart is what leaving the box's domain costs besides the round trip, as a part of the
 	// work: a box has connections to the targets of its domain and knows more of them, so that
 	// calls which leave meet full targets more often. It grows with the work, since a full target
-	// delays long calls by more. While more calls come than targets can serve, a fixed 30 ms
-	// would keep 0.47 in place of 0.64 of their value and send 2.5 times the bytes between
-	// domains (the two worst windows of a day, all boxes).
+	// delays long calls by more. With a fixed 30 ms the two worst windows of a day with more
+	// calls than targets could serve kept 0.47 in place of 0.64 of the calls' value, and 2.5 times
+	// the bytes went between domains.
 	awayPart = 0.6
 	// assumedWork stands in for a route's typical time until that is known.
 	assumedWork = 50 * time.Millisecond
