--- a/pkg/core/rollout/judge.go
+++ b/pkg/core/rollout/judge.go
@@ -13,7 +13,8 @@
 	falseAlarm = 0.02
 	// suspicion is the weaker bound at which a version isn't given all calls, since taking
 	// back a bad one then costs callers far more than ordering a good one again. It bounds
-	// the sums' mean only; replayed rollouts stop at most 1 in 100 good versions by it.
+	// the sums' mean only; the replays of TestErrorRates allow 2 in 100 good versions to be
+	// stopped in all.
 	suspicion = 1
 	// allowedOdds is how much worse a version may look beside the other, since targets of
 	// one version differ among themselves; allowedSlowOdds is that for times, where the
