--- a/pkg/core/routing/returning.go
+++ b/pkg/core/routing/returning.go
@@ -9,9 +9,9 @@
 // While calls come faster than targets can serve them, callers who were refused try again, and
 // the answer to a second try is late. Each slot that it takes is one in which a first try would
 // have been answered in time. With calls of 1.8 times the capacity over 60 boxes and callers who
-// try again once,
-// 35 in 100 calls were answered in aim in place of 29. How long ago a caller's first try was shows
-// in the deadline that it asks for, compared with those of the route's first tries.
+// try again once, 35 in 100 calls were answered in aim in place of 29. How long ago a caller's
+// first try was shows in the deadline that it asks for, compared with those of the route's first
+// tries.
 
 const (
 	// returnPart is the part of callers that ask for less than the usual deadline while there
