--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 TOOLS := $(CURDIR)/bin/tools
 
-.PHONY: build run demo test race lint generate docs replay bench bench-control fuzz clean
+.PHONY: build run demo test race race-packages race-stories lint generate docs replay bench bench-control fuzz clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,8 +20,12 @@
 test: build
 	$(GO) test -count=1 ./...
 
-race:
+race: race-packages race-stories
+
+race-packages:
 	$(GO) test -race ./pkg/...
+
+race-stories:
 	$(GO) test -count=1 ./test -race-programs -run 'EveryCaller|CutShort|LimitHolds|HangsUp|LostDisk'
 
 $(TOOLS)/staticcheck:
