Log and count the crashes of targets, with the calls that were under way

Cause: nothing in logs or metrics told whether the same request was under way each time a target ended, nor that a target had ended at all: a box saw broken attempts and, later, refused connections, and put neither together.

Change: a target whose calls break off is checked by a probe, out of the measuring budget. Where its host refuses the connection the process has ended, and the calls that broke off there within half a second are its suspects. They are named by a fingerprint: digests of method, host, path and caller, and of the body, worked out only for calls that break off. The log gets a line target-crashed with the suspects, an attempt that broke off its fingerprint, the metrics a count for each service. callerHeader names the caller where a proxy stands in front.

A targets' planned end and one that answers the check are left out (script crash-seen).

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -14,6 +14,7 @@
 	id, c := r.calls.Acquire()
 	c.reset()
 	c.owner = v.Owner
+	c.identity = v.Identity
 	c.arrived = r.now
 	if r.tableIsEmpty() && r.holdEarly(id, c, v, e) {
 		return
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -107,6 +107,8 @@
 		return
 	}
 	c.streaming = true
+	// The shell may no longer hold the request once its answer is passed on.
+	c.identity = nil
 	r.answerBegins(c, a, v.Coming)
 	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
@@ -166,6 +168,12 @@
 		r.learn(t, v, took, e)
 	}
 	r.noteResult(c, t, v.Result, took, t.health.ejected && !wasEjected, e)
+	switch {
+	case v.Result == Broken:
+		r.noteBroken(c, a, e)
+	case v.Refused:
+		r.noteConnectionRefused(t, e)
+	}
 	if v.Result == Answered || v.Result == Failed || v.Result == Shed {
 		t.noteAnswer(r.now, a)
 	}
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -59,6 +60,8 @@
 	// a new table binds the call anew.
 	host, path []byte
 	regions    *table.AllowedRegions
+	// identity tells the call apart by its content; nil where that isn't known.
+	identity crash.Identity
 	// service is the one of the route's services that the call goes to.
 	service  *service
 	arrived  units.Instant
@@ -189,6 +192,8 @@
 	linkTimer
 	// silenceTimer is due when a call's answer is missed.
 	silenceTimer
+	// crashTimer is due when a target whose calls broke off is to be checked again.
+	crashTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -196,7 +201,7 @@
 	at   units.Instant
 	call CallID
 	kind timerKind
-	// target is set for a coolTimer only.
+	// target is set for a coolTimer and a crashTimer only.
 	target *target
 	// probeRound is set for a probeTimer only.
 	probeRound AttemptNumber
@@ -211,10 +216,14 @@
 			return
 		}
 		r.timers.Pop()
-		if t.kind == coolTimer {
+		switch t.kind {
+		case coolTimer:
 			t.target.cooling--
 			r.freed = append(r.freed, t.target.service)
 			continue
+		case crashTimer:
+			r.crashTimePassed(t.target, e)
+			continue
 		}
 		if c := r.calls.Get(t.call); c != nil {
 			r.fire(t, c, e)
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -47,6 +48,9 @@
 	Path  []byte
 	// Deadline is how long the caller will wait; zero means it didn't say.
 	Deadline time.Duration
+	// Identity tells the call apart from others by its content, as long as the call lives.
+	// A call without one is never held responsible for a crash.
+	Identity crash.Identity
 }
 
 // CallerGone says that the caller has hung up.
@@ -62,6 +66,8 @@
 	Reading Reading
 	// RetryAfter is what a target that shed the call asked for.
 	RetryAfter time.Duration
+	// Refused is set when the target's host refused the connection: nobody listens there.
+	Refused bool
 }
 
 // AttemptStarted says that the head of an answer has come whose body will be
@@ -86,6 +92,10 @@
 	Attempt AttemptNumber
 	// Unreachable is set when no connection could be made.
 	Unreachable bool
+	// Refused is set when the target's host refused it: nobody listens there.
+	Refused bool
+	// Answered is set when a whole answer came, whatever it says.
+	Answered bool
 	// Misdirected is set when another target answered at the address.
 	Misdirected bool
 }
@@ -196,6 +206,9 @@
 	// ServiceHangs tells that targets of Endpoint's service are found not to answer calls that
 	// they can't queue; it is for the log.
 	ServiceHangs
+	// TargetCrashed tells that the process at Endpoint has ended under the calls that Crash
+	// names; it is for the log.
+	TargetCrashed
 	// SendPeer sends Loan to the box Peer.
 	SendPeer
 	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
@@ -239,6 +252,7 @@
 	Peer     units.BoxID
 	Loan     LoanMessage
 	Turn     *ExposureTurn
+	Crash    *crash.Report
 }
 
 // Effects collects what the shell is to do; it may be used again after Reset.
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -48,12 +48,14 @@
 	// UnansweredCalls closes calls that a target which serves others doesn't answer, and
 	// learns which services hang when full.
 	UnansweredCalls Mechanism = "unanswered-calls"
+	// CrashSuspects finds the calls under which targets crash, and keeps them from targets.
+	CrashSuspects Mechanism = "crash-suspects"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting,
-	EarlyCalls, Outlook, FirstTries, SharedLink, UnansweredCalls,
+	EarlyCalls, Outlook, FirstTries, SharedLink, UnansweredCalls, CrashSuspects,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -43,6 +43,13 @@
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
 	t := r.findTarget(v.Target)
+	if t != nil && v.Refused {
+		r.noteConnectionRefused(t, e)
+	}
+	if v.Call == 0 && v.Attempt == crashCheck {
+		r.crashChecked(t, v)
+		return
+	}
 	if v.Call != 0 {
 		r.learnFromProbe(t, v, e)
 		r.probeAnswered(v, t, e)
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/sheet"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -40,6 +41,7 @@
 	"lease":     (*script).lease,
 	"peer":      (*script).peer,
 	"probed":    (*script).probed,
+	"checked":   (*script).checked,
 	"repeat":    (*script).repeat,
 	"answer":    (*script).probeAnswer,
 	"end-probe": (*script).endProbe,
@@ -116,6 +118,9 @@
 		return fmt.Sprintf("cancel %s #%d at %s", name, x.Attempt, x.Endpoint.Target)
 	case Probe:
 		s.probes[string(x.Endpoint.Target)] = x.Endpoint
+		if x.Attempt == crashCheck && x.Call == 0 {
+			return "check " + string(x.Endpoint.Target)
+		}
 		if x.Call == 0 {
 			return "probe " + string(x.Endpoint.Target)
 		}
@@ -130,6 +135,8 @@
 		return "the region of " + string(x.Endpoint.Domain) + " isn't known"
 	case ServiceHangs:
 		return fmt.Sprintf("%s hangs, by %d unanswered calls", x.Endpoint.Service, x.Failures)
+	case TargetCrashed:
+		return fmt.Sprintf("%s crashed under %s", x.Endpoint.Target, describeSuspects(x.Crash))
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
@@ -298,13 +305,33 @@
 	return text
 }
 
-// call NAME service=S [path=P] [deadline=D]
+// call NAME service=S [path=P] [deadline=D] [like=X]: calls that are like the same X have the
+// same content.
 func (s *script) call(d *datadriven.TestData) {
 	path := "/"
 	d.MaybeScanArgs(s.t, "path", &path)
-	s.give(&CallArrived{
+	v := &CallArrived{
 		Owner: d.CmdArgs[0].Key, Host: []byte(s.word(d, "service")), Path: []byte(path), Deadline: s.duration(d, "deadline"),
-	})
+	}
+	if d.HasArg("like") {
+		v.Identity = likeness(s.word(d, "like"))
+	}
+	s.give(v)
+}
+
+// likeness identifies a call by a word.
+type likeness string
+
+func (l likeness) Head() uint64 { return crash.Digest([]byte(l)) }
+func (l likeness) Body() uint64 { return 0 }
+
+// describeSuspects names the calls that a crash is put down to.
+func describeSuspects(x *crash.Report) string {
+	var text []string
+	for _, u := range x.Suspects {
+		text = append(text, fmt.Sprintf("%.8s sent %s before", u.Fingerprint, u.Sent))
+	}
+	return strings.Join(text, ", ")
 }
 
 // answer CALL TARGET load=N pace=P [cold=TIME] gives the answer to a call's probe.
@@ -354,7 +381,7 @@
 	"answered": Answered, "failed": Failed, "shed": Shed, "misdirected": Misdirected, "not-sent": NotSent, "broken": Broken,
 }
 
-// end NAME attempt=N result=R [load=N]: with a load the answer tells it, at a usual pace.
+// end NAME attempt=N result=R [load=N] [refused]: with a load the answer tells it, at a usual pace.
 func (s *script) end(d *datadriven.TestData) {
 	var n int
 	d.ScanArgs(s.t, "attempt", &n)
@@ -364,9 +391,19 @@
 		d.ScanArgs(s.t, "load", &load)
 		v.Reading = Reading{Known: true, InFlight: float64(load), Slots: 3, Pace: 1}
 	}
+	v.Refused = d.HasArg("refused")
 	s.give(v)
 }
 
+// checked TARGET how=refused|answered|silent ends a check whether a target has crashed.
+func (s *script) checked(d *datadriven.TestData) {
+	how := s.word(d, "how")
+	s.give(&ProbeEnded{
+		Target: s.probes[d.CmdArgs[0].Key], Attempt: crashCheck, Refused: how == "refused", Answered: how == "answered",
+		Unreachable: how != "answered",
+	})
+}
+
 // start NAME attempt=N
 func (s *script) start(d *datadriven.TestData) {
 	var n, coming int
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -60,6 +60,8 @@
 	sweepAt units.Instant
 	calls   uint64
 	refused uint64
+	// crashes counts the crashes of targets under calls of this box.
+	crashes uint64
 	// rollout is the one that is under way, or nil.
 	rollout *rolloutState
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -66,6 +66,8 @@
 	Latency    time.Duration     `json:"latency"`
 	Targets    []TargetStatus    `json:"targets"`
 	HedgeDelay time.Duration     `json:"hedgeDelay"`
+	// Crashes counts the crashes of targets under calls of this box.
+	Crashes uint64 `json:"crashes"`
 	// Unanswered counts the calls that targets didn't answer although they served others;
 	// Hangs is set while that tells that they hang when full, from HangsFrom calls on where
 	// that is known.
@@ -155,7 +157,7 @@
 	status := ServiceStatus{
 		Service: s.row.Name, Version: s.entry.Version, Calls: s.calls, Refused: s.refused, Held: s.held.length,
 		Retries: s.retries.spent, Hedges: s.hedges.spent, Latency: s.latency.mean(), HedgeDelay: s.hedgeDelay(),
-		Unanswered: s.silence.calls, Hangs: s.silence.hangs(now), HangsFrom: s.silence.from,
+		Crashes: s.crashes, Unanswered: s.silence.calls, Hangs: s.silence.hangs(now), HangsFrom: s.silence.from,
 	}
 	if s.rollout != nil {
 		status.Rollout = s.rollout.status(now)
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -73,6 +73,7 @@
 	evacuated bool
 	side      side
 	cold      coldness
+	crash     crashWatch
 	// outlook tells how many targets of the same failure domain could be used lately; nil where
 	// that isn't looked at.
 	outlook *outlook
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -34,7 +34,8 @@
 	kept      *target.Attempt
 	sends     []send
 	// steps are the decisions on the call so far, for the log.
-	steps []step
+	steps    []step
+	identity identity
 }
 
 // send is one attempt of a call.
@@ -130,13 +131,13 @@
 	result, streaming := a.Run()
 	e.running.Add(-1)
 	e.lock.Lock()
-	c.note(step{at: e.Clock.Now(), what: stepEnded, attempt: number, result: result})
+	c.note(c.endStep(e.Clock.Now(), number, result))
 	e.lock.Unlock()
 	if streaming {
 		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Reading: a.Reading, Coming: a.Coming()})
 	} else {
 		e.reduce(&routing.AttemptEnded{
-			Call: id, Attempt: number, Result: result, Reading: a.Reading, RetryAfter: a.RetryAfter,
+			Call: id, Attempt: number, Result: result, Reading: a.Reading, RetryAfter: a.RetryAfter, Refused: a.Refused,
 		})
 	}
 	if e.settle(c, number, a) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -223,6 +223,8 @@
 		e.logExposure(x.Turn)
 	case routing.ServiceHangs:
 		e.logHangs(&x)
+	case routing.TargetCrashed:
+		e.logCrash(&x)
 	case routing.SendPeer:
 		e.peers.send(x.Peer, x.Loan)
 	case routing.RegionUnknown:
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -119,11 +119,12 @@
 // decide gives the core the call and waits for its one answer.
 func (e *Entry) decide(ctx *fasthttp.RequestCtx) (answer, *call) {
 	c := newCall(ctx, e.Clock.Now())
+	c.identity = identity{ctx: ctx, callerHeader: e.Settings.Entry.CallerHeader}
 	e.lock.Lock()
 	e.waiting[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Deadline: e.askedDeadline(ctx),
+		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Deadline: e.askedDeadline(ctx), Identity: &c.identity,
 	})
 	c.inline = false
 	first, id := c.first, c.id
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -33,6 +34,8 @@
 	result   routing.AttemptResult
 	refusal  routing.Refusal
 	probed   routing.ProbeEnded
+	// fingerprint is set for an attempt that broke off.
+	fingerprint string
 }
 
 // The words for the steps of a call.
@@ -56,6 +59,16 @@
 	}
 }
 
+// endStep is the step of an attempt's end. It is called under the entry's lock: until the call is
+// answered its request is there.
+func (c *call) endStep(now units.Instant, n routing.AttemptNumber, result routing.AttemptResult) step {
+	s := step{at: now, what: stepEnded, attempt: n, result: result}
+	if result == routing.Broken && !c.answered {
+		s.fingerprint = crash.FingerprintOf(&c.identity).String()
+	}
+	return s
+}
+
 // noteEffect keeps what an effect decides about its call.
 func (e *Entry) noteEffect(x *routing.Effect) {
 	c, ok := x.Owner.(*call)
@@ -117,6 +130,17 @@
 	}).Info("a target's health has turned")
 }
 
+// logCrash tells that a target has ended under calls of this box, and under which.
+func (e *Entry) logCrash(x *routing.Effect) {
+	suspects := make([]string, 0, len(x.Crash.Suspects))
+	for _, s := range x.Crash.Suspects {
+		suspects = append(suspects, s.Fingerprint.String())
+	}
+	e.Log.WithFields(logrus.Fields{
+		"kind": "target-crashed", "service": x.Endpoint.Service, "target": x.Endpoint.Target, "suspects": suspects,
+	}).Warning("a target's process has ended under calls of this box")
+}
+
 // logExposure logs that this box begins to send calls to a new version, or ends it.
 func (e *Entry) logExposure(x *routing.ExposureTurn) {
 	kind, text := "exposure-ended", "calls may no longer be sent to the new version"
@@ -175,6 +199,9 @@
 		f["coldMs"] = millis(s.probed.Reading.Cold)
 	case stepEnded:
 		f["result"] = s.result.String()
+		if s.fingerprint != "" {
+			f["fingerprint"] = s.fingerprint
+		}
 	case stepRefused:
 		f["reason"], f["outcome"], f["retryAfterMs"] = s.refusal.Reason.String(), s.refusal.Outcome.String(), millis(s.refusal.RetryAfter)
 	}
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +35,8 @@
 	// Reading is what the target said of its load.
 	Reading    routing.Reading
 	RetryAfter time.Duration
+	// Refused is set when the target's host refused the connection.
+	Refused bool
 
 	lock     sync.Mutex
 	conn     *conn
@@ -149,6 +153,7 @@
 	}
 	c, err := a.pools.open(ctx, a.endpoint.Address)
 	if err != nil {
+		a.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		return nil
 	}
 	return c
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -20,7 +20,8 @@
 	result, streaming := a.Run()
 	ended := routing.ProbeEnded{
 		Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, Reading: a.Reading,
-		Unreachable: result == routing.NotSent, Misdirected: a.fromAnother(),
+		Unreachable: result == routing.NotSent, Refused: a.Refused, Misdirected: a.fromAnother(),
+		Answered: result == routing.Answered || result == routing.Failed || result == routing.Shed || result == routing.Misdirected,
 	}
 	if streaming {
 		a.end()
