--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -93,12 +93,13 @@
 	Queue   int           `long:"queue" default:"8" description:"calls that may wait"`
 	Work    time.Duration `long:"work" default:"1ms" description:"how long a call takes"`
 	Journal string        `long:"journal" description:"the file of calls that were run"`
+	Crash   string        `long:"crash-body" description:"the body of calls that end the process"`
 }
 
 // Execute runs a stand-in target until a signal comes.
 func (c *runTarget) Execute([]string) error {
 	t, err := lab.StartTarget(lab.TargetSettings{
-		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Journal: c.Journal,
+		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Journal: c.Journal, CrashBody: c.Crash,
 	})
 	if err != nil {
 		return err
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,8 @@
 	Work time.Duration
 	// Journal is the file of calls that were run; empty for none.
 	Journal string
+	// CrashBody is the body of calls that end the process which runs them; empty for none.
+	CrashBody string
 }
 
 // Target is a stand-in target: a few slots, a queue, shedding, faults on demand.
@@ -223,6 +226,9 @@
 	t.run(ctx, b)
 }
 
+// crashCode is the exit code of a target that a call has ended.
+const crashCode = 3
+
 // drop leaves a call without an answer and its connection open, until the other side ends it.
 func (t *Target) drop(ctx *fasthttp.RequestCtx) {
 	t.dropped.Add(1)
@@ -252,6 +258,9 @@
 	if work := t.workOf(ctx) + b.Slow; work > 0 {
 		time.Sleep(work)
 	}
+	if t.settings.CrashBody != "" && string(ctx.Request.Body()) == t.settings.CrashBody {
+		os.Exit(crashCode)
+	}
 	body := AnswerBody(request, numberOf(ctx, SizeHeader))
 	ctx.Response.Header.Set(ChecksumHeader, Checksum(body))
 	ctx.Response.Header.Set(RequestHeader, request)
