Keep calls from targets that crash when they run them

Cause: nothing kept what had become of a target under a call. A box sent a call whose attempt broke off to the next target; its caller came again at another box, which knew nothing; so one request ended all targets of a service, again and again. What was missing is state over all boxes: which call was under way each time a target crashed.

Change: boxes note the crash of a target with the calls that were under way there, and send their notes with their requests for a lease, at once. The leader puts the notes of all boxes together (pkg/core/crash): a call under which three targets crashed, one after the other, is to blame, unless another call was there each time as well; an answer to it clears it, and so does another call that is to blame. The verdict is a step of the log, so that it is on a quorum's disks and in the table of each box, also of one that starts later. Boxes refuse such a call at once as not run, end its wait, and send it neither as a retry nor as a hedge. A verdict that waits for a disk goes out with the grants; a box out of touch judges by its own notes, for a minute. A call that may be to blame isn't sent a second time by its box. A quarantine ends when a target answers the call after all, when it hasn't come for an hour, or by an operator; after 2 and 22 minutes one call is let through to see.

--- a/pkg/core/box/box.go
+++ b/pkg/core/box/box.go
@@ -74,18 +74,25 @@
 		e.Subscription.ExposuresChanged = false
 		e.Subscription.Exposures = nil
 	}
+	if x := e.Subscription.Watched; x != nil {
+		b.router.Reduce(now, &routing.WatchedChanged{Term: x.Term, Noted: x.Noted, Calls: x.Calls}, &e.Routing)
+		e.Subscription.Watched = nil
+	}
 	if e.Subscription.LeaseChanged {
 		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil()}, &e.Routing)
 		e.Subscription.LeaseChanged = false
 	}
-	b.addEvidence(e.Subscription.Sends[before:])
+	b.addEvidence(now, e.Subscription.Sends[before:])
 }
 
-// addEvidence has requests for a lease carry what the router has seen of new versions.
-func (b *Box) addEvidence(sends []*wire.Envelope) {
+// addEvidence has requests for a lease carry what the router has seen of new versions and of
+// crashes.
+func (b *Box) addEvidence(now units.Instant, sends []*wire.Envelope) {
 	for _, m := range sends {
 		if x := m.GetRenewRequest(); x != nil {
 			x.Evidence = wire.FromEvidence(b.router.TakeEvidence())
+			x.CrashNotes = wire.FromCrashNotes(b.router.CrashNotes(), now)
+			x.Refused = wire.FromFingerprints(b.router.TakeRefused())
 		}
 	}
 }
--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -80,6 +80,8 @@
 		delta, refused = r.applyRolloutOrder(wire.ToRolloutOrder(k.Rollout), units.WallTime(c.At))
 	case *wire.Command_RolloutStep:
 		delta = r.state.ApplyRolloutStep(wire.ToRolloutStep(k.RolloutStep))
+	case *wire.Command_Quarantine:
+		delta, refused = r.applyQuarantine(wire.ToQuarantineStep(k.Quarantine), units.WallTime(c.At), e)
 	default:
 		delta = r.applyRequest(c, e)
 	}
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -75,6 +76,13 @@
 	Order   table.RolloutOrder
 }
 
+// ReleaseOrdered is an operator's order to end the quarantine of a call.
+type ReleaseOrdered struct {
+	Request  RequestID
+	Call     crash.Fingerprint
+	Operator string
+}
+
 // ReadRequested asks for the newest state; the answer comes once this replica is
 // sure to have it.
 type ReadRequested struct{ Request RequestID }
@@ -105,6 +113,7 @@
 func (TargetDeparted) controlEvent()    {}
 func (EvacuationOrdered) controlEvent() {}
 func (RolloutOrdered) controlEvent()    {}
+func (ReleaseOrdered) controlEvent()    {}
 func (ReadRequested) controlEvent()     {}
 func (BoxMessage) controlEvent()        {}
 func (BoxDetached) controlEvent()       {}
@@ -163,6 +172,9 @@
 	DomainRestored  ChangeKind = "domain-restored"
 	RolloutChanged  ChangeKind = "rollout"
 	SoftwareInForce ChangeKind = "software-in-force"
+	CallQuarantined ChangeKind = "call-quarantined"
+	CallTried       ChangeKind = "call-tried"
+	CallReleased    ChangeKind = "call-released"
 )
 
 // Change is something that a replica has come to believe.
@@ -182,6 +194,11 @@
 	Rollout *table.Rollout
 	// Software is the version of a service's software that is in force.
 	Software table.SoftwareInForce
+	// Call is the call that a quarantine is of, Targets are those that crashed under it, Trial
+	// numbers a trial.
+	Call    crash.Fingerprint
+	Targets []units.TargetID
+	Trial   int
 	// Entries is how many entries of the log were read again since the start.
 	Entries int
 }
--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -46,6 +46,7 @@
 	}
 	r.leases.leases[box.ID] = &lease{box: box, renewed: r.now, revision: units.Revision(request.Revision)}
 	r.takeEvidence(request)
+	r.takeCrashNotes(request)
 	m := r.envelope()
 	m.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{
 		Box:      request.Box.Id,
@@ -54,6 +55,7 @@
 		Revision: uint64(r.state.Table().Revision),
 		Duration: int64(r.settings.Lease),
 		Replicas: r.replicasUnknownTo(request), Exposures: r.exposures(),
+		Term: uint64(r.node.Term()), Noted: lastNote(request), Watched: r.watchedBy(box.ID),
 	}}
 	send(m)
 }
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -80,6 +80,8 @@
 	requests requestBook
 	hearing  hearingBook
 	rollouts rolloutBook
+	// quarantines is filled on the leader only.
+	quarantines quarantineBook
 	// knownLeader and knownMembership are what was last told of in the log.
 	knownLeader     units.ReplicaID
 	knownMembership units.Index
@@ -115,6 +117,8 @@
 		rollouts: newRolloutBook(),
 		now:      now,
 
+		quarantines: newQuarantineBook(),
+
 		startedAt: now,
 		replaying: d.Snapshot != nil,
 	}
@@ -158,6 +162,8 @@
 		r.orderEvacuation(v, &log, e)
 	case RolloutOrdered:
 		r.orderRollout(v, &log, e)
+	case ReleaseOrdered:
+		r.releaseCall(v, &log, e)
 	case ReadRequested:
 		r.read(v, &log, e)
 	case BoxMessage:
@@ -190,8 +196,9 @@
 		r.noteSilence(&log)
 		r.updateBoxes(&log)
 		r.advanceRollouts(&log)
+		r.advanceQuarantines(&log)
 	}
-	if r.hasWaiting() || r.rollouts.busy() {
+	if r.hasWaiting() || r.rollouts.busy() || r.quarantines.busy() {
 		r.tickAt = min(r.tickAt, r.now.Add(tickPeriod))
 	}
 	r.compact(&log, e)
@@ -234,6 +241,7 @@
 	r.leases = newLeaseBook()
 	r.hearing.proposing = false
 	r.rollouts.forgetLeadership()
+	r.quarantines = newQuarantineBook()
 	r.edits.forgetProposals()
 }
 
@@ -323,6 +331,8 @@
 	Evacuated []units.Domain `json:"evacuated,omitempty"`
 	// Rollouts are the last rollouts of services.
 	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
+	// Quarantines are the calls that no target gets.
+	Quarantines []QuarantineStatus `json:"quarantines,omitempty"`
 }
 
 // Status returns the replica's state at a time.
@@ -338,5 +348,6 @@
 		KnownResults: r.state.ResultCount(),
 		Evacuated:    r.state.Table().EvacuatedDomains(),
 		Rollouts:     r.rolloutStatuses(now),
+		Quarantines:  r.QuarantineStatuses(now),
 	}
 }
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -40,6 +40,8 @@
 	// By the time a leader gets the request the box may have sent calls that its evidence leaves
 	// out. Without a revision it doesn't count as a box that has drained the old version.
 	request.Revision = 0
+	// The notes' ages would no longer be true; the box sends them again.
+	request.CrashNotes = nil
 	answer := r.boxEnvelope()
 	answer.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{Box: request.Box.Id, Nonce: request.Nonce, Start: request.Start}}
 	e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: answer})
--- /dev/null
+++ b/pkg/core/crash/ledger.go
@@ -0,0 +1,321 @@
+package crash
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Enough is after how many crashes in a row a call is to blame. A target may end once or twice
+// while a call is under way there by chance.
+const Enough = 3
+
+const (
+	// mergeTime is how far apart boxes may place the same crash: their notes travel for
+	// some milliseconds, and a target that starts again takes longer.
+	mergeTime = time.Second
+	// settleTime is how long after a crash notes of other boxes may still come. Until then it
+	// isn't known which calls were under way there.
+	settleTime = 150 * time.Millisecond
+	// memory is for how long a crash counts. A call that comes once in some minutes is found
+	// as well as one that comes ten times a second.
+	memory = time.Hour
+	// maxEvents bounds the crashes that are kept: with the suspects of each, 256 KB.
+	maxEvents = 256
+	// maxSuspects bounds the calls that one crash is put down to, over all boxes.
+	maxSuspects = 32
+	// tieLimit is after how many crashes calls are blamed that were all under way at each of
+	// them, so that nothing tells which is to blame. Each further crash costs the other calls
+	// at the target; a call that comes along by chance hardly does so five times.
+	tieLimit = 5
+)
+
+// event is one crash of a target, as far as boxes have told of it.
+type event struct {
+	service  units.ServiceName
+	target   units.TargetID
+	at       units.Instant
+	suspects []suspect
+	// explained is set once a call that was there is known to be to blame.
+	explained bool
+	// notes are those that it was put together from. Crashes without suspects are kept too, so
+	// that a note which comes again changes nothing.
+	notes []noteName
+}
+
+// suspect is a call that was under way at a crash.
+type suspect struct {
+	fingerprint Fingerprint
+	sent        units.Instant
+}
+
+type noteName struct{ box, number uint64 }
+
+// Ledger holds the crashes that nobody is blamed for yet, and finds the calls that are to
+// blame. A call is, if targets crashed under it several times in a row: it was sent,
+// the target crashed, it was sent again. Targets that crash together under the same call say
+// no more than one. An answer to it clears it of all earlier crashes, and so does
+// another call that is to blame and was there too.
+type Ledger struct {
+	// enough is how many crashes in a row it takes.
+	enough int
+	// events are in the order of their times.
+	events []event
+	// answered is when a call was last answered, whoever sent it.
+	answered map[Fingerprint]units.Instant
+}
+
+// NewLedger returns a ledger that blames a call after so many crashes in a row; zero never does.
+func NewLedger(enough int) *Ledger {
+	return &Ledger{enough: enough, answered: map[Fingerprint]units.Instant{}}
+}
+
+// Take takes a note. One that was taken before changes nothing.
+func (l *Ledger) Take(n Note) {
+	if n.IsAnswer() {
+		l.clear(n)
+		return
+	}
+	name := noteName{box: n.Box, number: n.Number}
+	e := l.eventFor(n, name)
+	if e == nil {
+		return
+	}
+	e.notes = append(e.notes, name)
+	for _, s := range n.Suspects {
+		e.add(suspect{fingerprint: s.Fingerprint, sent: n.At.Add(-s.Sent)})
+	}
+}
+
+// eventFor returns the crash that a note tells of, a new one where it is the first; nil where
+// the note is known.
+func (l *Ledger) eventFor(n Note, name noteName) *event {
+	if slices.ContainsFunc(l.events, func(e event) bool { return slices.Contains(e.notes, name) }) {
+		return nil
+	}
+	for i := range l.events {
+		if e := &l.events[i]; e.target == n.Target && max(e.at.Sub(n.At), n.At.Sub(e.at)) < mergeTime {
+			return e
+		}
+	}
+	if len(l.events) >= maxEvents {
+		l.events = slices.Delete(l.events, 0, 1)
+	}
+	i, _ := slices.BinarySearchFunc(l.events, n.At, func(e event, at units.Instant) int { return cmp.Compare(e.at, at) })
+	l.events = slices.Insert(l.events, i, event{service: n.Service, target: n.Target, at: n.At})
+	return &l.events[i]
+}
+
+func (e *event) add(s suspect) {
+	i := slices.IndexFunc(e.suspects, func(x suspect) bool { return x.fingerprint == s.fingerprint })
+	switch {
+	case e.explained:
+	case i >= 0:
+		// Of several sends the last one tells whether the call came after an earlier crash.
+		e.suspects[i].sent = max(e.suspects[i].sent, s.sent)
+	case len(e.suspects) < maxSuspects:
+		e.suspects = append(e.suspects, s)
+	}
+}
+
+// clear clears a call of the crashes before an answer to it. The same call of other callers may
+// still crash targets, but not by its content alone.
+func (l *Ledger) clear(n Note) {
+	for _, s := range n.Suspects {
+		l.noteAnswered(s.Fingerprint.AnyCaller(), n.At)
+		for i := range l.events {
+			if e := &l.events[i]; e.at <= n.At {
+				e.suspects = slices.DeleteFunc(e.suspects, func(x suspect) bool { return x.fingerprint == s.Fingerprint })
+			}
+		}
+	}
+}
+
+// noteAnswered keeps when a call was answered, whoever sent it, if crashes count against it.
+func (l *Ledger) noteAnswered(f Fingerprint, at units.Instant) {
+	if slices.ContainsFunc(l.events, func(e event) bool { return e.has(f) }) {
+		l.answered[f] = max(l.answered[f], at)
+	}
+}
+
+// Explain puts crashes down to a call that is known to be to blame and was under way there; they
+// no longer count against others.
+func (l *Ledger) Explain(f Fingerprint) {
+	for i := range l.events {
+		if e := &l.events[i]; e.has(f) {
+			e.explained = true
+			e.suspects = nil
+		}
+	}
+}
+
+func (e *event) has(f Fingerprint) bool { return e.lastSent(f) != never }
+
+// never is when a call was sent that wasn't.
+const never units.Instant = -1 << 62
+
+// lastSent is when a call was last sent to the target that crashed.
+func (e *event) lastSent(f Fingerprint) units.Instant {
+	last := never
+	for _, s := range e.suspects {
+		if f.Covers(s.fingerprint) {
+			last = max(last, s.sent)
+		}
+	}
+	return last
+}
+
+// record is what stands against a call.
+type record struct {
+	fingerprint Fingerprint
+	// events are the crashes under it, chain those of them that came one after the other.
+	events, chain []*event
+}
+
+// recordOf collects what stands against a call.
+func (l *Ledger) recordOf(f Fingerprint) record {
+	r := record{fingerprint: f}
+	last := never
+	for i := range l.events {
+		e := &l.events[i]
+		sent := e.lastSent(f)
+		if sent == never || e.at <= l.answered[f] {
+			continue
+		}
+		r.events = append(r.events, e)
+		if sent > last {
+			r.chain = append(r.chain, e)
+			last = e.at
+		}
+	}
+	return r
+}
+
+// records collects what stands against each call under which more than one target crashed:
+// most crashes first, and of equals one caller's calls before the same calls of all callers.
+func (l *Ledger) records() []record {
+	crashes := map[Fingerprint]int{}
+	for i := range l.events {
+		for f := range l.events[i].fingerprints() {
+			crashes[f]++
+		}
+	}
+	var list []record
+	for f, n := range crashes {
+		if n > 1 {
+			list = append(list, l.recordOf(f))
+		}
+	}
+	slices.SortFunc(list, func(a, b record) int {
+		return cmp.Or(cmp.Compare(len(b.events), len(a.events)), b.fingerprint.Compare(a.fingerprint))
+	})
+	return withoutWider(list)
+}
+
+// withoutWider drops the records of any caller that say no more than those of one.
+func withoutWider(list []record) []record {
+	var kept []record
+	for _, r := range list {
+		says := func(x record) bool {
+			return r.fingerprint.Covers(x.fingerprint) && len(x.events) == len(r.events)
+		}
+		if !slices.ContainsFunc(kept, says) {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// fingerprints are those of the suspects, by themselves and for any caller.
+func (e *event) fingerprints() map[Fingerprint]bool {
+	set := map[Fingerprint]bool{}
+	for _, s := range e.suspects {
+		set[s.fingerprint] = true
+		set[s.fingerprint.AnyCaller()] = true
+	}
+	return set
+}
+
+// Judge returns the calls that are to blame by now, and drops what they explain.
+func (l *Ledger) Judge(now units.Instant) []Verdict {
+	l.events = slices.DeleteFunc(l.events, func(e event) bool { return now.Sub(e.at) > memory })
+	maps.DeleteFunc(l.answered, func(_ Fingerprint, at units.Instant) bool { return now.Sub(at) > memory })
+	var verdicts []Verdict
+	for l.enough > 0 {
+		list := l.records()
+		i := slices.IndexFunc(list, func(r record) bool { return l.isToBlame(r, list, now) })
+		if i < 0 {
+			break
+		}
+		verdicts = append(verdicts, list[i].verdict())
+		l.Explain(list[i].fingerprint)
+	}
+	return verdicts
+}
+
+// isToBlame tells whether a call is to blame: targets crashed under it often enough, and no
+// other call was there each time.
+func (l *Ledger) isToBlame(r record, all []record, now units.Instant) bool {
+	if len(r.chain) < l.enough || !r.isSettled(now) {
+		return false
+	}
+	return len(r.chain) >= tieLimit || !slices.ContainsFunc(all, r.isRivalledBy)
+}
+
+// isSettled tells whether all boxes have had time to tell of the crashes but for the last: a
+// call that is to blame as likely was there each time.
+func (r *record) isSettled(now units.Instant) bool {
+	return len(r.chain) < 2 || now.Sub(r.chain[len(r.chain)-2].at) >= settleTime
+}
+
+// isRivalledBy tells whether another call was under way at all the crashes that count against
+// this one, and at no fewer in all.
+func (r *record) isRivalledBy(x record) bool {
+	f, g := r.fingerprint, x.fingerprint
+	if f.Covers(g) || len(x.events) < len(r.events) {
+		return false
+	}
+	return !slices.ContainsFunc(r.chain, func(e *event) bool { return !e.has(g) })
+}
+
+func (r *record) verdict() Verdict {
+	v := Verdict{Fingerprint: r.fingerprint, Service: r.chain[0].service}
+	for _, e := range r.chain {
+		v.Targets = append(v.Targets, e.target)
+	}
+	return v
+}
+
+// Suspects returns the calls under which targets have crashed more than once in a row, the most
+// likely first: answers to them are worth noting.
+func (l *Ledger) Suspects(most int) []Fingerprint {
+	var list []Fingerprint
+	for _, r := range l.records() {
+		if len(r.chain) > 1 && len(list) < most {
+			list = append(list, r.fingerprint)
+		}
+	}
+	return list
+}
+
+// Undecided tells whether crashes under a call are enough that time alone may bring a verdict.
+func (l *Ledger) Undecided() bool {
+	return l.enough > 0 && slices.ContainsFunc(l.records(), func(r record) bool { return len(r.chain) >= l.enough })
+}
+
+// SuspectsSince returns the calls under which targets have crashed since a time.
+func (l *Ledger) SuspectsSince(at units.Instant) []Fingerprint {
+	var list []Fingerprint
+	for i := range l.events {
+		if l.events[i].at < at {
+			continue
+		}
+		for _, s := range l.events[i].suspects {
+			list = append(list, s.fingerprint)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/core/crash/ledger_test.go
@@ -0,0 +1,165 @@
+package crash
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// script drives a ledger that blames a call after three crashes in a row.
+type script struct {
+	t       *testing.T
+	ledger  *Ledger
+	words   map[Fingerprint]string
+	numbers uint64
+}
+
+var commands = map[string]func(s *script, d *datadriven.TestData) string{
+	"crash":    (*script).crash,
+	"answer":   (*script).answer,
+	"judge":    (*script).judge,
+	"suspects": (*script).suspects,
+	"blamed":   (*script).blamed,
+	"kept":     (*script).kept,
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		s := &script{t: t, ledger: NewLedger(3), words: map[Fingerprint]string{}}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			f := commands[d.Cmd]
+			if f == nil {
+				d.Fatalf(t, "there is no command %s", d.Cmd)
+			}
+			return f(s, d) + "\n"
+		})
+	})
+}
+
+// crash TARGET at=TIME [box=N] [note=N] with lines "CALL[/CALLER] SENT-BEFORE": a box tells of a
+// crash. A note of a number that came before is the same note again.
+func (s *script) crash(d *datadriven.TestData) string {
+	n := s.note(d)
+	n.Service, n.Target = "s", units.TargetID(d.CmdArgs[0].Key)
+	for _, line := range strings.Split(d.Input, "\n") {
+		words := strings.Fields(line)
+		before, err := time.ParseDuration(words[1])
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+		n.Suspects = append(n.Suspects, Suspect{Fingerprint: s.fingerprint(words[0]), Sent: before})
+	}
+	s.ledger.Take(n)
+	return "taken"
+}
+
+// answer CALL[/CALLER] at=TIME
+func (s *script) answer(d *datadriven.TestData) string {
+	n := s.note(d)
+	n.Suspects = []Suspect{{Fingerprint: s.fingerprint(d.CmdArgs[0].Key)}}
+	s.ledger.Take(n)
+	return "taken"
+}
+
+func (s *script) note(d *datadriven.TestData) Note {
+	s.numbers++
+	n := Note{Box: 1, Number: s.numbers, At: s.at(d)}
+	d.MaybeScanArgs(s.t, "box", &n.Box)
+	d.MaybeScanArgs(s.t, "note", &n.Number)
+	return n
+}
+
+func (s *script) at(d *datadriven.TestData) units.Instant {
+	var text string
+	d.ScanArgs(s.t, "at", &text)
+	at, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	return units.Instant(time.Hour).Add(at)
+}
+
+func (s *script) fingerprint(word string) Fingerprint {
+	content, caller, _ := strings.Cut(word, "/")
+	f := Fingerprint{Head: Digest([]byte(content)), Body: 1, Caller: Digest([]byte(caller))}
+	s.words[f] = word
+	s.words[f.AnyCaller()] = content + " of any caller"
+	return f
+}
+
+// judge at=TIME
+func (s *script) judge(d *datadriven.TestData) string {
+	var lines []string
+	for _, v := range s.ledger.Judge(s.at(d)) {
+		lines = append(lines, fmt.Sprintf("%s is to blame for %v", s.words[v.Fingerprint], v.Targets))
+	}
+	if len(lines) == 0 {
+		return fmt.Sprintf("nobody, undecided: %v", s.ledger.Undecided())
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (s *script) suspects(*datadriven.TestData) string {
+	var words []string
+	for _, f := range s.ledger.Suspects(2) {
+		words = append(words, s.words[f])
+	}
+	return strings.Join(words, ", ")
+}
+
+// blamed CALL[/CALLER] tells the ledger that a call is known to be to blame.
+func (s *script) blamed(d *datadriven.TestData) string {
+	s.ledger.Explain(s.fingerprint(d.CmdArgs[0].Key))
+	return "known"
+}
+
+// kept counts the crashes that are kept.
+func (s *script) kept(*datadriven.TestData) string { return fmt.Sprint(len(s.ledger.events)) }
+
+func TestFingerprintsAreReadAsTheyAreWritten(t *testing.T) {
+	f := Fingerprint{Head: 1, Body: Digest([]byte("body")), Caller: Digest()}
+	if got, ok := ParseFingerprint(f.String()); !ok || got != f {
+		t.Errorf("%s was read as %s", f, got)
+	}
+	for _, text := range []string{"", "1-2-3", f.String() + "0", strings.ToUpper(f.String())} {
+		if got, ok := ParseFingerprint(text); ok {
+			t.Errorf("%q was read as %s", text, got)
+		}
+	}
+}
+
+// A part that ends elsewhere is another call, even if the bytes are the same.
+func TestPartsOfADigestDontRunTogether(t *testing.T) {
+	if Digest([]byte("ab"), []byte("c")) == Digest([]byte("a"), []byte("bc")) {
+		t.Error("two calls have one digest")
+	}
+}
+
+// What a call costs whose head is compared with calls that are kept from targets.
+func BenchmarkDigest(b *testing.B) {
+	method, host, path := []byte("GET"), []byte("shop.example"), []byte("/orders/2026/10045?page=3&sort=new")
+	for b.Loop() {
+		Digest(method, host, path)
+	}
+}
+
+// What it costs the leader to judge after each of 64 crashes with three suspects each.
+func BenchmarkJudge(b *testing.B) {
+	l := NewLedger(3)
+	for i := range uint64(64) {
+		at := units.Instant(i) * units.Instant(time.Second)
+		l.Take(Note{Box: 1, Number: i, At: at, Target: units.TargetID(fmt.Sprint(i)), Suspects: []Suspect{
+			{Fingerprint: Fingerprint{Head: i, Caller: 1}}, {Fingerprint: Fingerprint{Head: i / 2, Caller: 2}}, {Fingerprint: Fingerprint{Head: 1 << 32, Caller: i}},
+		}})
+	}
+	now := units.Instant(64 * time.Second)
+	l.enough = 1 << 20
+	for b.Loop() {
+		l.Judge(now)
+	}
+}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -173,9 +173,12 @@
 		r.noteBroken(c, a, e)
 	case v.Refused:
 		r.noteConnectionRefused(t, e)
+	case v.Result == Answered || v.Result == Failed:
+		r.noteAnswered(c, e)
 	}
 	if v.Result == Answered || v.Result == Failed || v.Result == Shed {
 		t.noteAnswer(r.now, a)
+		t.noteAlive(r.now)
 	}
 	r.release(c, a, e)
 	if c.streaming {
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -39,6 +39,8 @@
 	broken []brokenCall
 	// checking is set while a probe is under way that checks the target, or one is due.
 	checking bool
+	// refusedAt is when the target's host first refused a connection since; zero for not yet.
+	refusedAt units.Instant
 }
 
 // noteBroken takes a call that broke off. Targets that are about to end as planned, or are gone,
@@ -61,6 +63,9 @@
 // dropOld forgets the calls that broke off too long ago to belong to a crash that shows now.
 func (w *crashWatch) dropOld(now units.Instant) {
 	w.broken = slices.DeleteFunc(w.broken, func(b brokenCall) bool { return now.Sub(b.at) > crashWindow })
+	if len(w.broken) == 0 {
+		w.refusedAt = 0
+	}
 }
 
 // checkCrash probes a target whose calls broke off. The probe draws on the measuring budget
@@ -94,27 +99,53 @@
 // crashChecked takes the end of a check. A target that answers, whatever it says, hasn't crashed.
 func (r *Router) crashChecked(t *target, v *ProbeEnded) {
 	switch {
-	case t == nil || len(t.crash.broken) == 0:
-	case v.Answered:
+	case t == nil:
+	case v.Answered || len(t.crash.broken) == 0:
 		t.crash = crashWatch{}
 	default:
 		r.checkCrashLater(t)
 	}
 }
 
-// noteConnectionRefused takes a host's refusal of a connection: the target crashed if calls have
-// just broken off there.
+// noteConnectionRefused takes a host's refusal of a connection. One alone may come from a target
+// that is full; after a second one, a moment later and with no answer between, the target crashed.
 func (r *Router) noteConnectionRefused(t *target, e *Effects) {
-	t.crash.dropOld(r.now)
+	w := &t.crash
+	w.dropOld(r.now)
+	switch {
+	case len(w.broken) == 0:
+	case w.refusedAt == 0:
+		w.refusedAt = r.now
+	case r.now.Sub(w.refusedAt) >= crashCheckPause:
+		r.noteCrash(t, e)
+	}
+}
+
+// noteCrash notes that a target has crashed under the calls that broke off there.
+func (r *Router) noteCrash(t *target, e *Effects) {
 	broken := t.crash.broken
 	t.crash = crashWatch{}
-	if len(broken) == 0 || !t.inTable() {
+	if !t.inTable() {
 		return
 	}
-	report := &crash.Report{Target: t.row.Target, At: broken[0].at}
+	n := crash.Note{Service: t.row.Service, Target: t.row.Target, At: broken[0].at}
 	for _, b := range broken {
-		report.Suspects = append(report.Suspects, crash.Suspect{Fingerprint: b.fingerprint, Sent: report.At.Sub(b.sent)})
+		n.Suspects = append(n.Suspects, crash.Suspect{Fingerprint: b.fingerprint, Sent: n.At.Sub(b.sent)})
 	}
+	n = r.crashes.notes.add(n)
+	r.crashes.ledger.Take(n)
 	t.service.crashes++
-	e.add(Effect{Kind: TargetCrashed, Endpoint: t.endpoint, Crash: report})
+	e.add(Effect{Kind: TargetCrashed, Endpoint: t.endpoint, Crash: &n})
+	r.judgeAlone(e)
+	r.watchOwnSuspects()
+	r.sendNotesSoon()
+}
+
+// noteAlive takes an answer of a target, whatever it says. One that was on its way when the
+// target crashed says nothing.
+func (t *target) noteAlive(now units.Instant) {
+	w := &t.crash
+	if n := len(w.broken); n > 0 && now.Sub(w.broken[n-1].at) >= crashCheckPause {
+		*w = crashWatch{}
+	}
 }
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -209,6 +209,9 @@
 	// TargetCrashed tells that the process at Endpoint has ended under the calls that Crash
 	// names; it is for the log.
 	TargetCrashed
+	// CallBlamed tells that the box keeps a call from targets by its own verdict; it is for the
+	// log.
+	CallBlamed
 	// SendPeer sends Loan to the box Peer.
 	SendPeer
 	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
@@ -252,7 +255,8 @@
 	Peer     units.BoxID
 	Loan     LoanMessage
 	Turn     *ExposureTurn
-	Crash    *crash.Report
+	Crash    *crash.Note
+	Verdict  *crash.Verdict
 }
 
 // Effects collects what the shell is to do; it may be used again after Reset.
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -48,6 +48,7 @@
 	OtherVersions
 	RolloutUnsure
 	RegionBarred
+	Quarantined
 	reasonCount
 )
 
@@ -78,6 +79,7 @@
 	OtherVersions:  {"other-versions", 503, "come back later; no target of this service runs the version of its software that takes calls"},
 	RolloutUnsure:  {"rollout-unsure", 503, "try another box; this one can't tell now which version of the service's software takes calls"},
 	RegionBarred:   {"region-not-allowed", 503, "come back later, or allow more regions; no target of this service is in a region that the route allows"},
+	Quarantined:    {"quarantined", 503, "change the request or find out why targets crash when they run it; it goes to none until an operator releases it or it stays away"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -111,6 +111,7 @@
 	exposures []rollout.Exposure
 	// evidenceDue is set when evidence is to be sent at once.
 	evidenceDue bool
+	crashes     crashBook
 }
 
 // sweepPeriod is how often shares, ejections and probes are looked at.
@@ -149,6 +150,7 @@
 		startedAt: now,
 		off:       off,
 		sweepAt:   now,
+		crashes:   newCrashBook(),
 	}, nil
 }
 
@@ -179,6 +181,8 @@
 		r.leaseUntil = v.Until
 	case *ExposuresChanged:
 		r.takeExposures(v.Exposures, e)
+	case *WatchedChanged:
+		r.takeWatched(v, e)
 	case *ProbeEnded:
 		r.probeEnded(v, e)
 	case *PeerMessage:
@@ -216,6 +220,7 @@
 		r.sweepAt = min(r.sweepAt, s.sweepAt)
 	}
 	r.sweepLoans(e)
+	r.ageQuarantines(e)
 	if r.loans.any() {
 		r.sweepAt = min(r.sweepAt, r.now.Add(sweepPeriod))
 	}
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/sheet"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -42,6 +41,8 @@
 	"peer":      (*script).peer,
 	"probed":    (*script).probed,
 	"checked":   (*script).checked,
+	"watched":   (*script).watched,
+	"notes":     (*script).notes,
 	"repeat":    (*script).repeat,
 	"answer":    (*script).probeAnswer,
 	"end-probe": (*script).endProbe,
@@ -91,6 +92,9 @@
 	if d.Cmd == "evidence" {
 		return s.listEvidence()
 	}
+	if d.Cmd == "notes" {
+		return s.listNotes()
+	}
 	if len(lines) == 0 {
 		return "nothing\n"
 	}
@@ -137,6 +141,8 @@
 		return fmt.Sprintf("%s hangs, by %d unanswered calls", x.Endpoint.Service, x.Failures)
 	case TargetCrashed:
 		return fmt.Sprintf("%s crashed under %s", x.Endpoint.Target, describeSuspects(x.Crash))
+	case CallBlamed:
+		return fmt.Sprintf("%.8s is to blame for %v", x.Verdict.Fingerprint, x.Verdict.Targets)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	}
@@ -191,6 +197,7 @@
 	"route":      (*script).addRoute,
 	"in-force":   (*script).addInForce,
 	"rollout":    (*script).addRollout,
+	"quarantine": (*script).addQuarantine,
 }
 
 func (s *script) addBoxes(t *table.Table, words []string) {
@@ -319,21 +326,6 @@
 	s.give(v)
 }
 
-// likeness identifies a call by a word.
-type likeness string
-
-func (l likeness) Head() uint64 { return crash.Digest([]byte(l)) }
-func (l likeness) Body() uint64 { return 0 }
-
-// describeSuspects names the calls that a crash is put down to.
-func describeSuspects(x *crash.Report) string {
-	var text []string
-	for _, u := range x.Suspects {
-		text = append(text, fmt.Sprintf("%.8s sent %s before", u.Fingerprint, u.Sent))
-	}
-	return strings.Join(text, ", ")
-}
-
 // answer CALL TARGET load=N pace=P [cold=TIME] gives the answer to a call's probe.
 func (s *script) probeAnswer(d *datadriven.TestData) {
 	var load int
@@ -395,15 +387,6 @@
 	s.give(v)
 }
 
-// checked TARGET how=refused|answered|silent ends a check whether a target has crashed.
-func (s *script) checked(d *datadriven.TestData) {
-	how := s.word(d, "how")
-	s.give(&ProbeEnded{
-		Target: s.probes[d.CmdArgs[0].Key], Attempt: crashCheck, Refused: how == "refused", Answered: how == "answered",
-		Unreachable: how != "answered",
-	})
-}
-
 // start NAME attempt=N
 func (s *script) start(d *datadriven.TestData) {
 	var n, coming int
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -12,6 +12,7 @@
 	tableRoutesChanged := t.Document != r.table.Document
 	evacuationsChanged := r.changeEvacuations(r.table.Evacuations, t.Evacuations)
 	rolloutsChanged := versionsChanged(r.table, t)
+	quarantinesChanged := !sameQuarantines(r.table.Quarantines, t.Quarantines)
 	r.table = t
 	boxesChanged := r.changeBoxes(t.Boxes)
 	routesChanged := r.dropMissing(t, e) || tableRoutesChanged
@@ -34,11 +35,19 @@
 			r.changed = append(r.changed[:0], r.order...)
 		}
 	}
+	if quarantinesChanged {
+		r.applyQuarantines(e)
+	}
 	for _, s := range r.changed {
 		r.settleCalls(s, e)
 	}
 }
 
+// sameQuarantines tells whether two lists keep the same calls from targets.
+func sameQuarantines(a, b []table.Quarantine) bool {
+	return slices.EqualFunc(a, b, func(x, y table.Quarantine) bool { return x.Call == y.Call })
+}
+
 // settleCalls refuses the calls that wait for a service without a target for them, and sends
 // those that a target takes.
 func (r *Router) settleCalls(s *service, e *Effects) {
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -92,6 +92,8 @@
 	// ExposuresChanged is set when Exposures replace those there were.
 	ExposuresChanged bool
 	Exposures        []rollout.Exposure
+	// Watched is set when a grant says something of calls under which targets crash.
+	Watched *Watched
 }
 
 // grant is a lease that waits for the revision it was given for.
@@ -127,6 +129,11 @@
 	// while there are some.
 	exposedBy uint64
 	exposed   bool
+	// watchedBy names the request whose answer last said which calls are watched, watchedTerm the
+	// leader that said so; watching is set while there are some.
+	watchedBy   uint64
+	watchedTerm units.Term
+	watching    bool
 }
 
 // NewSubscription returns a subscription that has no table yet.
@@ -276,6 +283,7 @@
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
 	s.takeExposures(sent, r, e)
+	s.takeWatched(r, e)
 	s.grants = append(s.grants, grant{
 		revision: units.Revision(r.Revision),
 		until:    sent.Add(time.Duration(r.Duration)),
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -27,6 +28,8 @@
 	// InForce are the versions of software that take calls, sorted by service. Targets of a
 	// service that isn't listed take calls whatever their version.
 	InForce []SoftwareInForce `json:"inForce,omitempty"`
+	// Quarantines are the calls that no target gets, sorted by fingerprint.
+	Quarantines []Quarantine `json:"quarantines,omitempty"`
 }
 
 // Delta carries a table from one revision to the next.
@@ -46,6 +49,9 @@
 	// Rollouts and InForce are the records of services that change.
 	Rollouts []Rollout         `json:"rollouts,omitempty"`
 	InForce  []SoftwareInForce `json:"inForce,omitempty"`
+	// Quarantines are those that begin or change, Released those that end.
+	Quarantines []Quarantine        `json:"quarantines,omitempty"`
+	Released    []crash.Fingerprint `json:"released,omitempty"`
 }
 
 // BoxChange is a change of the list of boxes. It holds what differs only, since
@@ -124,6 +130,7 @@
 		Evacuations: patchEvacuations(t.Evacuations, d.Evacuations),
 		Rollouts:    patchByService(t.Rollouts, d.Rollouts, serviceOfRollout),
 		InForce:     patchByService(t.InForce, d.InForce, serviceInForce),
+		Quarantines: patchQuarantines(t.Quarantines, d),
 	}
 	if len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 {
 		return next, true
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -225,6 +225,8 @@
 		e.logHangs(&x)
 	case routing.TargetCrashed:
 		e.logCrash(&x)
+	case routing.CallBlamed:
+		e.logBlamed(&x)
 	case routing.SendPeer:
 		e.peers.send(x.Peer, x.Loan)
 	case routing.RegionUnknown:
--- a/pkg/entry/identity.go
+++ b/pkg/entry/identity.go
@@ -13,30 +13,35 @@
 	ctx *fasthttp.RequestCtx
 	// callerHeader names the caller; empty goes by the caller's IP number.
 	callerHeader string
-	head, body   uint64
-	hasHead      bool
-	hasBody      bool
+	// head, body and caller are zero until they are worked out.
+	head, body, caller uint64
 }
 
-// Head is a digest of everything but the body that makes two calls the same.
+// Head is a digest of the method, the host and the path with its query.
 func (i *identity) Head() uint64 {
-	if !i.hasHead {
-		i.head = crash.Digest(i.ctx.Method(), i.ctx.Host(), i.ctx.RequestURI(), i.caller())
-		i.hasHead = true
+	if i.head == 0 {
+		i.head = crash.Digest(i.ctx.Method(), i.ctx.Host(), i.ctx.RequestURI())
 	}
 	return i.head
 }
 
 // Body is a digest of the call's body.
 func (i *identity) Body() uint64 {
-	if !i.hasBody {
+	if i.body == 0 {
 		i.body = crash.Digest(i.ctx.Request.Body())
-		i.hasBody = true
 	}
 	return i.body
 }
 
-func (i *identity) caller() []byte {
+// Caller is a digest of who calls.
+func (i *identity) Caller() uint64 {
+	if i.caller == 0 {
+		i.caller = crash.Digest(i.callerName())
+	}
+	return i.caller
+}
+
+func (i *identity) callerName() []byte {
 	if i.callerHeader != "" {
 		return i.ctx.Request.Header.Peek(i.callerHeader)
 	}
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -115,7 +115,7 @@
 	e.shown = t.Revision
 	e.Log.WithFields(logrus.Fields{
 		"kind": "table-in-force", "revision": t.Revision, "document": t.Document, "services": len(t.Services),
-		"routes": len(t.Routes), "boxes": len(t.Boxes), "evacuated": t.EvacuatedDomains(),
+		"routes": len(t.Routes), "boxes": len(t.Boxes), "evacuated": t.EvacuatedDomains(), "quarantines": len(t.Quarantines),
 	}).Info("another table is in force")
 }
 
@@ -141,6 +141,14 @@
 	}).Warning("a target's process has ended under calls of this box")
 }
 
+// logBlamed tells that this box keeps a call from targets by its own notes, since it is out of
+// touch with the leader.
+func (e *Entry) logBlamed(x *routing.Effect) {
+	e.Log.WithFields(logrus.Fields{
+		"kind": "call-blamed", "service": x.Verdict.Service, "call": x.Verdict.Fingerprint.String(), "targets": x.Verdict.Targets,
+	}).Warning("this box keeps a call from targets by itself, because targets crashed under it")
+}
+
 // logExposure logs that this box begins to send calls to a new version, or ends it.
 func (e *Entry) logExposure(x *routing.ExposureTurn) {
 	kind, text := "exposure-ended", "calls may no longer be sent to the new version"
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/madderpond/madderpond/pkg/core/control"
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -62,6 +63,22 @@
 	}).Err
 }
 
+// ReleaseCall ends the quarantine of a call. Without an error that is on enough disks, or the call
+// isn't in quarantine. The error is of kind Unavailable where the quarantine has begun anew, or
+// Unknown.
+func (r *Replica) ReleaseCall(f crash.Fingerprint, operator string) error {
+	return r.ask(func(id control.RequestID) control.Event {
+		return control.ReleaseOrdered{Request: id, Call: f, Operator: operator}
+	}).Err
+}
+
+// Quarantines returns the calls in quarantine as this replica knows them.
+func (r *Replica) Quarantines() []control.QuarantineStatus {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.core.QuarantineStatuses(r.Clock.Now())
+}
+
 // Rollout returns the newest record of a service's last rollout, or nil when it had none. The
 // error is an Unavailable fault when this replica can't be sure of it.
 func (r *Replica) Rollout(service units.ServiceName) (*table.Rollout, error) {
@@ -132,6 +149,8 @@
 		fields["targets"], fields["elapsed"], fields["operator"], fields["reason"] = x.Targets, x.Elapsed.String(), x.Operator, x.Reason
 	case control.SoftwareInForce:
 		fields["service"], fields["software"] = c.Software.Service, c.Software.Software
+	case control.CallQuarantined, control.CallTried, control.CallReleased:
+		fields["call"], fields["targets"], fields["trial"], fields["operator"] = c.Call.String(), c.Targets, c.Trial, c.Operator
 	case control.LogReplayed:
 		fields["entries"], fields["term"] = c.Entries, c.Term
 	default:
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -213,6 +213,7 @@
 		Boxes: mapSlice(t.Boxes, FromBox), DocumentVersion: uint64(t.Document), Routes: fromRoutes(t.Routes),
 		Evacuations: mapSlice(t.Evacuations, fromEvacuation),
 		Rollouts:    mapSlice(t.Rollouts, fromRollout), InForce: mapSlice(t.InForce, fromInForce),
+		Quarantines: mapSlice(t.Quarantines, fromQuarantine),
 	}
 }
 
@@ -229,6 +230,7 @@
 	out.Evacuations = mapSlice(t.Evacuations, toEvacuation)
 	out.Rollouts = mapSlice(t.Rollouts, toRollout)
 	out.InForce = mapSlice(t.InForce, toInForce)
+	out.Quarantines = mapSlice(t.Quarantines, toQuarantine)
 	return out
 }
 
@@ -243,6 +245,7 @@
 		RemovedRoutes: mapSlice(d.Routes.Removed, fromRouteKey), Patched: mapSlice(d.Patched, fromPatch),
 		Evacuations: mapSlice(d.Evacuations, fromEvacuation),
 		Rollouts:    mapSlice(d.Rollouts, fromRollout), InForce: mapSlice(d.InForce, fromInForce),
+		Quarantines: mapSlice(d.Quarantines, fromQuarantine), Released: FromFingerprints(d.Released),
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -261,6 +264,7 @@
 		Patched:     mapSlice(d.Patched, toPatch),
 		Evacuations: mapSlice(d.Evacuations, toEvacuation),
 		Rollouts:    mapSlice(d.Rollouts, toRollout), InForce: mapSlice(d.InForce, toInForce),
+		Quarantines: mapSlice(d.Quarantines, toQuarantine), Released: ToFingerprints(d.Released),
 		Routes: table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
 	}
 	if d.Boxes != nil {
--- /dev/null
+++ b/pkg/wire/convert_crash.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/crash"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// FromFingerprint converts a call's fingerprint.
+func FromFingerprint(f crash.Fingerprint) *CallFingerprint {
+	return &CallFingerprint{Head: f.Head, Body: f.Body, Caller: f.Caller}
+}
+
+// ToFingerprint converts a call's fingerprint back.
+func ToFingerprint(f *CallFingerprint) crash.Fingerprint {
+	return crash.Fingerprint{Head: f.GetHead(), Body: f.GetBody(), Caller: f.GetCaller()}
+}
+
+// FromFingerprints converts fingerprints of calls.
+func FromFingerprints(list []crash.Fingerprint) []*CallFingerprint {
+	return mapSlice(list, FromFingerprint)
+}
+
+// ToFingerprints converts fingerprints of calls back.
+func ToFingerprints(list []*CallFingerprint) []crash.Fingerprint {
+	return mapSlice(list, ToFingerprint)
+}
+
+func fromQuarantine(q table.Quarantine) *Quarantine {
+	return &Quarantine{
+		Call: FromFingerprint(q.Call), Service: string(q.Service), Targets: fromTargets(q.Targets), Since: uint64(q.Since),
+		At: int64(q.At), Trials: int32(q.Trials),
+	}
+}
+
+func toQuarantine(q *Quarantine) table.Quarantine {
+	return table.Quarantine{
+		Call: ToFingerprint(q.Call), Service: units.ServiceName(q.Service), Targets: toTargets(q.Targets),
+		Since: units.Revision(q.Since), At: units.WallTime(q.At), Trials: int(q.Trials),
+	}
+}
+
+// FromQuarantineStep converts a step of a quarantine.
+func FromQuarantineStep(x *table.QuarantineStep) *QuarantineStep {
+	return &QuarantineStep{
+		Call: FromFingerprint(x.Call), Action: int32(x.Action), Service: string(x.Service), Targets: fromTargets(x.Targets),
+		Trial: int32(x.Trial), Base: uint64(x.Base), Operator: x.Operator,
+	}
+}
+
+// ToQuarantineStep converts a step of a quarantine back.
+func ToQuarantineStep(x *QuarantineStep) *table.QuarantineStep {
+	return &table.QuarantineStep{
+		Call: ToFingerprint(x.Call), Action: table.QuarantineAction(x.Action), Service: units.ServiceName(x.Service),
+		Targets: toTargets(x.Targets), Trial: int(x.Trial), Base: units.Revision(x.Base), Operator: x.Operator,
+	}
+}
+
+// FromCrashNotes converts a box's notes as of now, by the box's clock.
+func FromCrashNotes(list []crash.Note, now units.Instant) []*CrashNote {
+	return mapSlice(list, func(n crash.Note) *CrashNote {
+		return &CrashNote{
+			Number: n.Number, Age: int64(now.Sub(n.At)), Service: string(n.Service), Target: string(n.Target),
+			Suspects: mapSlice(n.Suspects, func(s crash.Suspect) *CrashSuspect {
+				return &CrashSuspect{Call: FromFingerprint(s.Fingerprint), Sent: int64(s.Sent)}
+			}),
+		}
+	})
+}
+
+// ToCrashNotes converts the notes of a start of a box that come now, by the clock of whoever
+// takes them.
+func ToCrashNotes(list []*CrashNote, box uint64, now units.Instant) []crash.Note {
+	return mapSlice(list, func(n *CrashNote) crash.Note {
+		return crash.Note{
+			Box: box, Number: n.Number, At: now.Add(-time.Duration(n.Age)), Service: units.ServiceName(n.Service),
+			Target: units.TargetID(n.Target),
+			Suspects: mapSlice(n.Suspects, func(s *CrashSuspect) crash.Suspect {
+				return crash.Suspect{Fingerprint: ToFingerprint(s.Call), Sent: time.Duration(s.Sent)}
+			}),
+		}
+	})
+}
+
+// FromWatched converts the calls that boxes watch.
+func FromWatched(list []crash.Watched) []*WatchedCall {
+	return mapSlice(list, func(x crash.Watched) *WatchedCall {
+		return &WatchedCall{Call: FromFingerprint(x.Call), Quarantined: x.Quarantined, Trial: int32(x.Trial)}
+	})
+}
+
+// ToWatched converts the calls that boxes watch back.
+func ToWatched(list []*WatchedCall) []crash.Watched {
+	return mapSlice(list, func(x *WatchedCall) crash.Watched {
+		return crash.Watched{Call: ToFingerprint(x.Call), Quarantined: x.Quarantined, Trial: int(x.Trial)}
+	})
+}
