Crashes are checked whatever is left of the budget, and sends at once count

And a call that was sent again at the moment at which it broke off didn't count as sent after the crash, since the two instants were equal, or a millisecond the other way by the leader's clock.

Change: a check doesn't wait for the budget, which makes up for it later; a check that the host refuses costs no target anything and is given back. A call counts as sent after a crash up to 15 ms before it, and two crashes less than 15 ms apart count as one.

--- a/pkg/core/crash/ledger.go
+++ b/pkg/core/crash/ledger.go
@@ -20,6 +20,10 @@
 	// settleTime is how long after a crash notes of other boxes may still come. Until then it
 	// isn't known which calls were under way there.
 	settleTime = 150 * time.Millisecond
+	// chainSlack is how far notes of different boxes may place two moments apart that follow
+	// one another: a call is sent again at once when it breaks off. Crashes that are less apart
+	// count as one.
+	chainSlack = 15 * time.Millisecond
 	// memory is for how long a crash counts. A call that comes once in some minutes is found
 	// as well as one that comes ten times a second.
 	memory = time.Hour
@@ -186,7 +190,7 @@
 			continue
 		}
 		r.events = append(r.events, e)
-		if sent > last {
+		if sent.Add(chainSlack) >= last && e.at.Sub(last) > chainSlack {
 			r.chain = append(r.chain, e)
 			last = e.at
 		}
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -113,6 +113,9 @@
 	return true
 }
 
+// owe takes tokens that may not be there yet; what comes next pays for them.
+func (l *rateLimit) owe(n float64) { l.tokens -= n }
+
 func (l *rateLimit) refill(now units.Instant, rate, burst float64) {
 	passed := now.Sub(l.at).Seconds()
 	l.at = now
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -68,14 +68,19 @@
 	}
 }
 
-// checkCrash probes a target whose calls broke off. The probe draws on the measuring budget
-// like any other; without budget it comes a little later, or another call's connection tells.
+// checkCrash probes a target whose calls broke off. The probe draws on the measuring budget, but
+// doesn't wait for it: while many targets are down it is spent, and a crash that isn't seen
+// leaves its cause at large.
 func (r *Router) checkCrash(t *target, e *Effects) {
+	if r.probeAllowance(t.service) <= 0 {
+		return
+	}
 	t.crash.checking = true
-	if !r.leased() || !r.spendProbes(t.service, 1) {
+	if !r.leased() {
 		r.checkCrashLater(t)
 		return
 	}
+	t.service.probeBudget.owe(1)
 	e.add(Effect{
 		Kind: Probe, Attempt: crashCheck, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t), Connections: t.connections,
 		ProbePath: t.service.row.ProbePath,
@@ -98,6 +103,10 @@
 
 // crashChecked takes the end of a check. A target that answers, whatever it says, hasn't crashed.
 func (r *Router) crashChecked(t *target, v *ProbeEnded) {
+	if t != nil && v.Refused {
+		// No process was there that the probe could have cost anything.
+		t.service.probeBudget.owe(-1)
+	}
 	switch {
 	case t == nil:
 	case v.Answered || len(t.crash.broken) == 0:
