Calls that nothing tells apart are kept from targets in doubt, and tried soon

Cause: of two calls that were under way at the same crashes neither was blamed before five crashes, then one of them by chance. And a service whose targets crash by themselves would have had the calls blamed that many send.

Change: after three crashes all of those that nothing tells apart are blamed, in doubt, and so is a call beside which as many other targets of the service crashed without it. The first trial of a doubtful quarantine comes after 3 s: an answer ends it everywhere, a crash leaves two further trials, after minutes.

Kept for the callers of the popular call: it waits for 3 s instead of 2 minutes where it is blamed.

--- a/pkg/core/control/quarantines.go
+++ b/pkg/core/control/quarantines.go
@@ -28,10 +28,20 @@
 	trialTime = 5 * time.Second
 )
 
-// trialPauses are the times from the beginning of a quarantine, and from the first trial, until
-// one call is let through: if a target answers it, the verdict was wrong or the target's
-// software is mended. There are no more, since a call that is to blame costs a target each time.
-var trialPauses = []time.Duration{2 * time.Minute, 20 * time.Minute}
+// trialPauses are the times from the beginning of a quarantine, and from each trial, until one
+// call is let through: if a target answers it, the verdict was wrong or the targets' software is
+// mended. There are no more, since a call that is to blame costs a target each time. The first
+// is for doubtful verdicts only: it is long enough for targets to start again, and a call
+// that many send and that isn't to blame waits for no longer.
+var trialPauses = []time.Duration{3 * time.Second, 2 * time.Minute, 20 * time.Minute}
+
+// nextTrial returns which of the pauses comes next.
+func nextTrial(q *table.Quarantine) int {
+	if q.Doubtful {
+		return q.Trials
+	}
+	return q.Trials + 1
+}
 
 // quarantineBook is what a leader knows of crashes and quarantines beside the table.
 type quarantineBook struct {
@@ -158,6 +168,7 @@
 		v.proposedAt = r.now
 		r.proposeQuarantine(table.QuarantineStep{
 			Call: v.Fingerprint, Action: table.BeginQuarantine, Service: v.Service, Targets: v.Targets,
+			Doubtful: v.Doubtful,
 		}, log)
 	}
 }
@@ -184,7 +195,8 @@
 
 // trialIsDue tells whether a call may be let through at the box that has just refused it.
 func (s *sighting) trialIsDue(q *table.Quarantine, now units.Instant) bool {
-	return q.Trials < len(trialPauses) && now.Sub(s.since) >= trialPauses[q.Trials] && now.Sub(s.refusedAt) < trialTime && s.refusedBy != ""
+	n := nextTrial(q)
+	return n < len(trialPauses) && now.Sub(s.since) >= trialPauses[n] && now.Sub(s.refusedAt) < trialTime && s.refusedBy != ""
 }
 
 func (r *Replica) proposeQuarantine(x table.QuarantineStep, log *replication.Effects) {
--- a/pkg/core/crash/ledger.go
+++ b/pkg/core/crash/ledger.go
@@ -31,10 +31,6 @@
 	maxEvents = 256
 	// maxSuspects bounds the calls that one crash is put down to, over all boxes.
 	maxSuspects = 32
-	// tieLimit is after how many crashes calls are blamed that were all under way at each of
-	// them, so that nothing tells which is to blame. Each further crash costs the other calls
-	// at the target; a call that comes along by chance hardly does so five times.
-	tieLimit = 5
 )
 
 // event is one crash of a target, as far as boxes have told of it.
@@ -243,30 +239,58 @@
 	return set
 }
 
-// Judge returns the calls that are to blame by now, and drops what they explain.
+// Judge returns the calls that are to blame by now, and drops what they explain. Where nothing
+// tells several calls apart all of them are blamed, in doubt.
 func (l *Ledger) Judge(now units.Instant) []Verdict {
 	l.events = slices.DeleteFunc(l.events, func(e event) bool { return now.Sub(e.at) > memory })
 	maps.DeleteFunc(l.answered, func(_ Fingerprint, at units.Instant) bool { return now.Sub(at) > memory })
 	var verdicts []Verdict
 	for l.enough > 0 {
-		list := l.records()
-		i := slices.IndexFunc(list, func(r record) bool { return l.isToBlame(r, list, now) })
-		if i < 0 {
+		blamed := l.blame(now)
+		if len(blamed) == 0 {
 			break
 		}
-		verdicts = append(verdicts, list[i].verdict())
-		l.Explain(list[i].fingerprint)
+		for _, r := range blamed {
+			v := r.verdict()
+			v.Doubtful = len(blamed) > 1 || l.isCommon(r)
+			verdicts = append(verdicts, v)
+		}
+		for _, v := range verdicts {
+			l.Explain(v.Fingerprint)
+		}
 	}
 	return verdicts
 }
 
-// isToBlame tells whether a call is to blame: targets crashed under it often enough, and no
-// other call was there each time.
-func (l *Ledger) isToBlame(r record, all []record, now units.Instant) bool {
-	if len(r.chain) < l.enough || !r.isSettled(now) {
-		return false
+// blame returns a call that is to blame, or several that nothing tells apart; none where
+// nobody is to blame yet.
+func (l *Ledger) blame(now units.Instant) []record {
+	all := l.records()
+	enough := slices.DeleteFunc(slices.Clone(all), func(r record) bool { return len(r.chain) < l.enough || !r.isSettled(now) })
+	for _, r := range enough {
+		if !slices.ContainsFunc(all, r.isRivalledBy) {
+			return []record{r}
+		}
+	}
+	if len(enough) == 0 {
+		return nil
+	}
+	r := enough[0]
+	return append([]record{r}, slices.DeleteFunc(all, func(x record) bool { return !r.isRivalledBy(x) })...)
+}
+
+// isCommon tells whether as many targets of the service crashed without the call meanwhile: a
+// service whose targets crash by themselves has calls under way at most of the crashes.
+func (l *Ledger) isCommon(r record) bool {
+	first, last := r.chain[0], r.chain[len(r.chain)-1]
+	without := 0
+	for i := range l.events {
+		e := &l.events[i]
+		if e.service == first.service && e.at >= first.at && e.at <= last.at && !e.explained && !e.has(r.fingerprint) {
+			without++
+		}
 	}
-	return len(r.chain) >= tieLimit || !slices.ContainsFunc(all, r.isRivalledBy)
+	return without >= len(r.chain)
 }
 
 // isSettled tells whether all boxes have had time to tell of the crashes but for the last: a
--- a/pkg/core/crash/ledger_test.go
+++ b/pkg/core/crash/ledger_test.go
@@ -96,7 +96,11 @@
 func (s *script) judge(d *datadriven.TestData) string {
 	var lines []string
 	for _, v := range s.ledger.Judge(s.at(d)) {
-		lines = append(lines, fmt.Sprintf("%s is to blame for %v", s.words[v.Fingerprint], v.Targets))
+		doubt := ""
+		if v.Doubtful {
+			doubt = ", in doubt"
+		}
+		lines = append(lines, fmt.Sprintf("%s is to blame for %v%s", s.words[v.Fingerprint], v.Targets, doubt))
 	}
 	if len(lines) == 0 {
 		return fmt.Sprintf("nobody, undecided: %v", s.ledger.Undecided())
--- a/pkg/core/crash/note.go
+++ b/pkg/core/crash/note.go
@@ -39,6 +39,9 @@
 	Service     units.ServiceName
 	// Targets are those that crashed under it, one after the other.
 	Targets []units.TargetID
+	// Doubtful is set where another call may be to blame as well, or none: one call should soon
+	// be let through to see.
+	Doubtful bool
 }
 
 // Watched is a call that the leader has boxes watch.
--- a/pkg/core/table/quarantine.go
+++ b/pkg/core/table/quarantine.go
@@ -24,6 +24,8 @@
 	// Since is the revision at which it began.
 	Since units.Revision `json:"since"`
 	At    units.WallTime `json:"at"`
+	// Doubtful is set where the call may not be the one that is to blame.
+	Doubtful bool `json:"doubtful,omitempty"`
 	// Trials counts the calls that were let through since.
 	Trials int `json:"trials"`
 }
@@ -47,6 +49,8 @@
 	Action  QuarantineAction
 	Service units.ServiceName
 	Targets []units.TargetID
+	// Doubtful is set for a beginning where the call may not be to blame.
+	Doubtful bool
 	// Trial numbers a trial from 1.
 	Trial int
 	// Base is the revision that the replica held which decided. A step that was delayed, while
@@ -79,6 +83,7 @@
 		s.makeRoom(delta)
 		delta.Quarantines = []Quarantine{{
 			Call: x.Call, Service: x.Service, Targets: x.Targets[:min(len(x.Targets), maxNamedTargets)], Since: delta.Revision, At: at,
+			Doubtful: x.Doubtful,
 		}}
 	case x.Action == TryQuarantined && held != nil && x.Trial == held.Trials+1:
 		next := *held
--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -93,7 +93,7 @@
 	Queue   int           `long:"queue" default:"8" description:"calls that may wait"`
 	Work    time.Duration `long:"work" default:"1ms" description:"how long a call takes"`
 	Journal string        `long:"journal" description:"the file of calls that were run"`
-	Crash   string        `long:"crash-body" description:"the body of calls that end the process"`
+	Crash   string        `long:"crash-body" description:"what the bodies of calls begin with that end the process"`
 }
 
 // Execute runs a stand-in target until a signal comes.
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,7 +40,8 @@
 	Work time.Duration
 	// Journal is the file of calls that were run; empty for none.
 	Journal string
-	// CrashBody is the body of calls that end the process which runs them; empty for none.
+	// CrashBody is what the bodies of calls begin with that end the process which runs them;
+	// empty for none.
 	CrashBody string
 }
 
@@ -258,7 +260,7 @@
 	if work := t.workOf(ctx) + b.Slow; work > 0 {
 		time.Sleep(work)
 	}
-	if t.settings.CrashBody != "" && string(ctx.Request.Body()) == t.settings.CrashBody {
+	if t.settings.CrashBody != "" && bytes.HasPrefix(ctx.Request.Body(), []byte(t.settings.CrashBody)) {
 		os.Exit(crashCode)
 	}
 	body := AnswerBody(request, numberOf(ctx, SizeHeader))
--- a/pkg/wire/convert_crash.go
+++ b/pkg/wire/convert_crash.go
@@ -31,14 +31,14 @@
 func fromQuarantine(q table.Quarantine) *Quarantine {
 	return &Quarantine{
 		Call: FromFingerprint(q.Call), Service: string(q.Service), Targets: fromTargets(q.Targets), Since: uint64(q.Since),
-		At: int64(q.At), Trials: int32(q.Trials),
+		At: int64(q.At), Trials: int32(q.Trials), Doubtful: q.Doubtful,
 	}
 }
 
 func toQuarantine(q *Quarantine) table.Quarantine {
 	return table.Quarantine{
 		Call: ToFingerprint(q.Call), Service: units.ServiceName(q.Service), Targets: toTargets(q.Targets),
-		Since: units.Revision(q.Since), At: units.WallTime(q.At), Trials: int(q.Trials),
+		Since: units.Revision(q.Since), At: units.WallTime(q.At), Trials: int(q.Trials), Doubtful: q.Doubtful,
 	}
 }
 
@@ -46,7 +46,7 @@
 func FromQuarantineStep(x *table.QuarantineStep) *QuarantineStep {
 	return &QuarantineStep{
 		Call: FromFingerprint(x.Call), Action: int32(x.Action), Service: string(x.Service), Targets: fromTargets(x.Targets),
-		Trial: int32(x.Trial), Base: uint64(x.Base), Operator: x.Operator,
+		Trial: int32(x.Trial), Base: uint64(x.Base), Operator: x.Operator, Doubtful: x.Doubtful,
 	}
 }
 
@@ -55,6 +55,7 @@
 	return &table.QuarantineStep{
 		Call: ToFingerprint(x.Call), Action: table.QuarantineAction(x.Action), Service: units.ServiceName(x.Service),
 		Targets: toTargets(x.Targets), Trial: int(x.Trial), Base: units.Revision(x.Base), Operator: x.Operator,
+		Doubtful: x.Doubtful,
 	}
 }
 
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -48,18 +48,20 @@
 // crashCall is one call with the request that ends its target.
 type crashCall struct {
 	lab.Call
-	at time.Time
+	at   time.Time
+	body string
 }
 
-func beginCrashes(t *testing.T) *crashStory {
+func beginCrashes(t *testing.T, boxes, targets int) *crashStory {
 	x := &crashStory{done: make(chan struct{})}
 	x.story = begin(t, setting{
-		replicas: 3, boxes: 3, targets: 6, adjust: quickLeases,
+		replicas: 3, boxes: boxes, targets: targets, adjust: quickLeases,
 		targetArguments: crashArguments,
 	})
 	t.Cleanup(x.stop)
 	x.fillTable(func(s *table.Service, rows []table.Row) {
-		s.Deadline, s.HoldLimit, s.HoldCount, s.RetryBudget, s.MeasureBudget = 2*time.Second, 500*time.Millisecond, 100, 20, 20
+		s.Deadline, s.HoldLimit, s.HoldCount, s.RetryBudget, s.HedgeBudget = 2*time.Second, 500*time.Millisecond, 100, 20, 10
+		s.MeasureBudget, s.ProbeTargets, s.ProbePath = 5, 2, "/healthz"
 	})
 	for _, target := range x.targets {
 		x.spawn(func() { x.keepRunning(target) })
@@ -116,13 +118,13 @@
 	}
 }
 
-// keepSending sends the request that ends targets again and again.
-func (x *crashStory) keepSending() {
+// keepSending sends a request that ends targets again and again.
+func (x *crashStory) keepSending(body string) {
 	for x.pause(crashEvery) && !x.quiet.Load() {
 		at := time.Now()
-		c := x.caller.Do(lab.Plan{Host: "repeatable.test", Body: []byte(crashBody)})
+		c := x.caller.Do(lab.Plan{Host: "repeatable.test", Body: []byte(body)})
 		x.lock.Lock()
-		x.sent = append(x.sent, crashCall{Call: c, at: at})
+		x.sent = append(x.sent, crashCall{Call: c, at: at, body: body})
 		x.lock.Unlock()
 	}
 }
@@ -201,8 +203,8 @@
 }
 
 func TestACallThatCrashesTargetsIsKeptFromThem(t *testing.T) {
-	x := beginCrashes(t)
-	x.spawn(x.keepSending)
+	x := beginCrashes(t, 3, 6)
+	x.spawn(func() { x.keepSending(crashBody) })
 	for range 4 {
 		x.spawn(x.keepServing)
 	}
