Operators see and release calls in quarantine; a test for each failure

Notes are named by box, start and number: two boxes whose starts had the same number had one's notes taken for the other's in the tests' world.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -138,6 +138,8 @@
 	{"GET", "/v1/rollouts/", false, (*Server).getRollout},
 	{"PUT", "/v1/rollouts/", false, (*Server).putRollout},
 	{"DELETE", "/v1/rollouts/", false, (*Server).deleteRollout},
+	{"GET", "/v1/quarantines", false, (*Server).getQuarantines},
+	{"DELETE", "/v1/quarantines/", false, (*Server).deleteQuarantine},
 	{"GET", "/v1/dump", false, (*Server).dump},
 	{"GET", "/v1/settings", false, (*Server).getSettings},
 	{"GET", "/debug/vars", false, (*Server).vars},
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -217,6 +217,20 @@
 	return c.askAny(method, path, o, &answer)
 }
 
+// Quarantines returns the calls that no target gets, as the control replica asked knows them.
+func (c *Client) Quarantines() ([]control.QuarantineStatus, error) {
+	var list []control.QuarantineStatus
+	return list, c.askAny("GET", "/v1/quarantines", nil, &list)
+}
+
+// ReleaseCall gives a call in quarantine to targets again; an order may be sent again without
+// harm.
+func (c *Client) ReleaseCall(name, operator string) error {
+	var answer json.RawMessage
+	path := "/v1/quarantines/" + url.PathEscape(name) + "?operator=" + url.QueryEscape(operator)
+	return c.askAny("DELETE", path, nil, &answer)
+}
+
 // Dump returns a server's whole state as JSON.
 func (c *Client) Dump() (json.RawMessage, error) {
 	var raw json.RawMessage
--- /dev/null
+++ b/pkg/core/control/crash_test.go
@@ -0,0 +1,351 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/madderpond/madderpond/pkg/core/crash"
+	"github.com/madderpond/madderpond/pkg/core/subscription"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// witnessBook holds what each start of a box has noted of crashes.
+type witnessBook map[*boxFake]*witness
+
+// witness is one start of a box, which keeps its notes for the next leader.
+type witness struct {
+	life    int
+	notes   []crash.Note
+	refused []crash.Fingerprint
+	term    units.Term
+	noted   uint64
+	// watched is what the last grant said, trials are those that the box was given.
+	watched []crash.Watched
+	trials  map[int]bool
+}
+
+func (x witnessBook) of(b *boxFake) *witness {
+	v := x[b]
+	if v == nil || v.life != b.life {
+		v = &witness{life: b.life, trials: map[int]bool{}}
+		x[b] = v
+	}
+	return v
+}
+
+// take takes what a grant says.
+func (x witnessBook) take(b *boxFake, said *subscription.Watched) {
+	if x == nil || said == nil {
+		return
+	}
+	v := x.of(b)
+	if said.Term != v.term {
+		v.term, v.noted = said.Term, 0
+	}
+	v.noted = max(v.noted, said.Noted)
+	v.watched = said.Calls
+	for _, c := range said.Calls {
+		if c.Trial > 0 {
+			v.trials[c.Trial] = true
+		}
+	}
+}
+
+// tell adds the notes that the leader may lack to a box's request.
+func (x witnessBook) tell(b *boxFake, m *wire.Envelope, now units.Instant) {
+	request := m.GetRenewRequest()
+	if x == nil || request == nil {
+		return
+	}
+	v := x.of(b)
+	for _, n := range v.notes {
+		if n.Number > v.noted {
+			request.CrashNotes = append(request.CrashNotes, wire.FromCrashNotes([]crash.Note{n}, now)...)
+		}
+	}
+	request.Refused = wire.FromFingerprints(v.refused)
+	v.refused = nil
+}
+
+func (x witnessBook) add(b *boxFake, n crash.Note) {
+	v := x.of(b)
+	n.Number = uint64(len(v.notes) + 1)
+	v.notes = append(v.notes, n)
+}
+
+// badCall is a call that is to blame.
+var badCall = crash.Fingerprint{Head: 7, Body: 8, Caller: 9}
+
+// newCrashWorld returns a world whose boxes note crashes.
+func newCrashWorld(t fataler, seed uint64, boxes int) *world {
+	w := newWorld(t, seed, 3, boxes)
+	w.witnesses = witnessBook{}
+	return w
+}
+
+// crashTarget has a target crash under calls of a box.
+func (w *world) crashTarget(b *boxFake, target units.TargetID, calls ...crash.Fingerprint) {
+	n := crash.Note{At: w.now, Service: "s", Target: target}
+	for _, f := range calls {
+		n.Suspects = append(n.Suspects, crash.Suspect{Fingerprint: f, Sent: 20 * time.Millisecond})
+	}
+	w.witnesses.add(b, n)
+}
+
+// crashThree has three targets crash under the bad call, at one box after the other.
+func (w *world) crashThree(beside ...crash.Fingerprint) {
+	for i := range 3 {
+		w.crashTarget(w.boxes[i%len(w.boxes)], units.TargetID(fmt.Sprintf("t%d", i)), append(beside, badCall)...)
+		w.run(300 * time.Millisecond)
+	}
+}
+
+// answer has a target answer a call at a box.
+func (w *world) answer(b *boxFake, f crash.Fingerprint) {
+	w.witnesses.add(b, crash.Note{At: w.now, Suspects: []crash.Suspect{{Fingerprint: f}}})
+}
+
+// refuse has a box refuse the bad call for a while.
+func (w *world) refuse(b *boxFake, d time.Duration) {
+	for end := w.now.Add(d); w.now < end; w.run(100 * time.Millisecond) {
+		w.witnesses.of(b).refused = []crash.Fingerprint{badCall}
+	}
+}
+
+// wantEverywhere fails unless the bad call is in quarantine on every replica and box, or on none.
+func (w *world) wantEverywhere(want bool) {
+	for _, r := range w.replicas {
+		if got := r.core.Table().Quarantine(badCall) != nil; got != want {
+			w.t.Fatalf("%s has the call in quarantine: %t", r.id, got)
+		}
+	}
+	for _, b := range w.boxes {
+		if got := b.core.Table().Quarantine(badCall) != nil; b.up && got != want {
+			w.t.Fatalf("box %s has the call in quarantine: %t", b.id, got)
+		}
+	}
+}
+
+func TestNotesOfSeveralBoxesMakeOneVerdict(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newCrashWorld(t, seed, 3)
+		w.crashThree()
+		w.run(time.Second)
+		w.wantEverywhere(true)
+		w.checkEnd()
+	}
+}
+
+// The leader that heard of the first crashes is lost; the boxes tell its successor.
+func TestNotesOutliveTheLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newCrashWorld(t, seed, 3)
+		w.crashTarget(w.boxes[0], "t1", badCall)
+		w.run(300 * time.Millisecond)
+		w.crashTarget(w.boxes[1], "t2", badCall)
+		w.run(300 * time.Millisecond)
+		old := w.leader()
+		w.crash(old)
+		w.run(time.Second)
+		w.crashTarget(w.boxes[2], "t3", badCall)
+		w.run(time.Second)
+		w.startReplica(old)
+		w.run(time.Second)
+		w.wantEverywhere(true)
+		w.checkEnd()
+	}
+}
+
+// A verdict is on the disks: it holds after all replicas and boxes have started anew.
+func TestAQuarantineOutlivesALossOfPower(t *testing.T) {
+	w := newCrashWorld(t, 1, 3)
+	w.crashThree()
+	w.run(time.Second)
+	for _, r := range w.replicas {
+		w.crash(r)
+	}
+	for _, r := range w.replicas {
+		w.startReplica(r)
+	}
+	for _, b := range w.boxes {
+		w.startBox(b)
+	}
+	w.run(2 * time.Second)
+	w.wantEverywhere(true)
+}
+
+// While no disk answers nothing can be committed, and the verdict goes out with the grants.
+func TestAVerdictDoesNotWaitForADisk(t *testing.T) {
+	w := newCrashWorld(t, 2, 3)
+	w.run(time.Second)
+	for _, r := range w.replicas {
+		r.stalled = true
+	}
+	w.crashThree()
+	w.run(500 * time.Millisecond)
+	w.wantEverywhere(false)
+	for _, b := range w.boxes {
+		list := w.witnesses.of(b).watched
+		if len(list) != 1 || list[0] != (crash.Watched{Call: badCall, Quarantined: true}) {
+			t.Errorf("box %s was told %+v", b.id, list)
+		}
+	}
+}
+
+// Boxes that were cut off from the leader when the targets crashed tell it afterwards.
+func TestNotesOfACutOffBoxAreTakenLater(t *testing.T) {
+	w := newCrashWorld(t, 3, 3)
+	cut := w.boxes[2]
+	cut.side = 1
+	for i := range 3 {
+		w.crashTarget(cut, units.TargetID(fmt.Sprintf("t%d", i)), badCall)
+		w.run(300 * time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	w.wantEverywhere(false)
+	cut.side = 0
+	w.run(3 * time.Second)
+	w.wantEverywhere(true)
+}
+
+// A target that answers the call shows that the verdict was wrong.
+func TestAnAnswerEndsAQuarantine(t *testing.T) {
+	w := newCrashWorld(t, 4, 3)
+	w.crashThree()
+	w.run(time.Second)
+	w.wantEverywhere(true)
+	w.answer(w.boxes[0], badCall)
+	w.run(time.Second)
+	w.wantEverywhere(false)
+}
+
+// Of a doubtful verdict one call is let through after some seconds, at one box only.
+func TestADoubtfulVerdictIsTriedOnce(t *testing.T) {
+	popular := crash.Fingerprint{Head: 1, Body: 2, Caller: 3}
+	w := newCrashWorld(t, 5, 3)
+	w.crashThree(popular)
+	w.run(time.Second)
+	w.wantEverywhere(true)
+	if w.leader().core.Table().Quarantine(popular) == nil {
+		t.Fatal("the other call isn't in quarantine")
+	}
+	for _, b := range w.boxes {
+		w.witnesses.of(b).refused = []crash.Fingerprint{badCall}
+	}
+	w.refuse(w.boxes[1], 10*time.Second)
+	trials := 0
+	for _, b := range w.boxes {
+		trials += len(w.witnesses.of(b).trials)
+	}
+	if trials != 1 {
+		t.Fatalf("%d trials were given", trials)
+	}
+	// The next one comes minutes later, whoever leads.
+	w.crash(w.leader())
+	w.refuse(w.boxes[1], 20*time.Second)
+	if n := len(w.witnesses.of(w.boxes[1]).trials); n != 1 {
+		t.Fatalf("%d trials were given", n)
+	}
+}
+
+func TestACallThatStaysAwayIsReleased(t *testing.T) {
+	w := newCrashWorld(t, 6, 3)
+	w.crashThree()
+	w.run(time.Second)
+	w.leader().core.quarantines.sightings[badCall].refusedAt = w.now.Add(-quietLimit)
+	w.run(time.Second)
+	w.wantEverywhere(false)
+}
+
+// An order to release a call that waits at a replica behind a cut must not end a quarantine
+// that begins meanwhile.
+func TestADelayedReleaseEndsNoLaterQuarantine(t *testing.T) {
+	release := func(id RequestID) Event { return ReleaseOrdered{Request: id, Call: badCall, Operator: "test"} }
+	for seed := range uint64(10) {
+		w := newCrashWorld(t, seed, 3)
+		w.crashThree()
+		w.run(time.Second)
+		cut := w.followers()[0]
+		cut.side = 1
+		var late Answer
+		w.order(cut, release, func(a Answer) { late = a })
+		done := fault.New(fault.Unknown, "", "no answer")
+		w.order(w.leader(), release, func(a Answer) { done = a.Err })
+		w.run(300 * time.Millisecond)
+		if done != nil || w.leader().core.Table().Quarantine(badCall) != nil {
+			t.Fatalf("seed %d: the call isn't released: %v", seed, done)
+		}
+		w.crashThree()
+		w.run(time.Second)
+		cut.side = 0
+		w.run(3 * time.Second)
+		w.wantEverywhere(true)
+		if kind := fault.KindOf(late.Err); late.Err != nil && kind != fault.Unavailable && kind != fault.Unknown {
+			t.Fatalf("seed %d: the late order was answered %v", seed, late.Err)
+		}
+	}
+}
+
+// Under any faults that the cluster bears, a call that is shown in quarantine stays there, and
+// the verdict is the same everywhere in the end.
+func TestQuarantinesHold(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		w := newGrowingWorld(t, rapid.Uint64().Draw(t, "seed"), 5, 5, 3)
+		w.witnesses = witnessBook{}
+		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 1, 30).Draw(t, "faults")
+		shown := false
+		for i, s := range steps {
+			w.crashTarget(w.boxes[s%len(w.boxes)], units.TargetID(fmt.Sprintf("t%d", i)), badCall)
+			growthFaults[s%len(growthFaults)].do(w, s/len(growthFaults))
+			w.run(pause(s))
+			shown = shown || w.isShown()
+		}
+		w.checkEnd()
+		if len(steps) < 20 && !shown {
+			return
+		}
+		w.run(3 * time.Second)
+		w.wantEverywhere(true)
+	})
+}
+
+// isShown tells whether a box that may serve calls has the bad call in quarantine.
+func (w *world) isShown() bool {
+	for _, b := range w.boxes {
+		if b.up && b.core.Table().Quarantine(badCall) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// The oldest makes room where as many calls are in quarantine as may be.
+func TestQuarantinesAreBounded(t *testing.T) {
+	s := table.NewState()
+	for i := range uint64(table.MaxQuarantines + 5) {
+		x := &table.QuarantineStep{Call: crash.Fingerprint{Head: i, Body: 1, Caller: 1}, Action: table.BeginQuarantine, Service: "s"}
+		if _, delta := s.ApplyQuarantine(x, 1); delta == nil {
+			t.Fatalf("call %d isn't in quarantine", i)
+		}
+	}
+	list := s.Table().Quarantines
+	if len(list) != table.MaxQuarantines || list[0].Call.Head != 5 {
+		t.Errorf("%d calls are in quarantine, the oldest is %d", len(list), list[0].Call.Head)
+	}
+	data, err := wire.EncodeState(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := wire.DecodeState(data)
+	if err != nil || len(again.Table().Quarantines) != len(list) || again.Table().QuarantineOf(list[3].Call) == nil {
+		t.Errorf("read again there are %d: %v", len(again.Table().Quarantines), err)
+	}
+	t.Logf("%d calls in quarantine take %d bytes of a snapshot", len(list), len(data))
+}
--- a/pkg/core/control/quarantines.go
+++ b/pkg/core/control/quarantines.go
@@ -103,7 +103,7 @@
 		return
 	}
 	r.tickAt = r.now
-	for _, n := range wire.ToCrashNotes(request.CrashNotes, request.Start, r.now) {
+	for _, n := range wire.ToCrashNotes(request, r.now) {
 		r.quarantines.ledger.Take(n)
 		if n.IsAnswer() {
 			r.noteAnswered(n)
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -53,6 +53,8 @@
 	orders orderBook
 	// traffic is set where boxes send calls.
 	traffic *traffic
+	// witnesses are what boxes have noted of crashes.
+	witnesses witnessBook
 }
 
 type fataler interface {
@@ -82,7 +84,9 @@
 	life        int
 	up          bool
 	frozen      bool
-	held        []func()
+	// stalled is set while the disk answers nothing.
+	stalled bool
+	held    []func()
 	// side is the part of a cut network that this process is in.
 	side   int
 	halted error
@@ -258,7 +262,7 @@
 	life := r.life
 	last := r.pending[len(r.pending)-1].Sequence
 	w.after(w.syncTime(), func() {
-		if r.life != life || !r.up {
+		if r.life != life || !r.up || r.stalled {
 			return
 		}
 		for len(r.pending) > 0 && r.pending[0].Sequence <= last {
@@ -424,6 +428,7 @@
 	}
 	var effects subscription.Effects
 	b.core.Reduce(w.now, e, &effects)
+	w.witnesses.take(b, effects.Watched)
 	if effects.Attach {
 		b.linkFree = 0
 		b.attachment = effects.Attachment
@@ -459,6 +464,7 @@
 	if w.traffic != nil {
 		w.traffic.tell(b, m)
 	}
+	w.witnesses.tell(b, m, w.now)
 	r := w.replica(b.replica)
 	c := connectionOf(w.boxIndex(b), b.life, b.attachment)
 	w.after(w.latency(), func() {
--- a/pkg/core/crash/ledger.go
+++ b/pkg/core/crash/ledger.go
@@ -52,7 +52,11 @@
 	sent        units.Instant
 }
 
-type noteName struct{ box, number uint64 }
+// noteName tells notes apart.
+type noteName struct {
+	box           units.BoxID
+	start, number uint64
+}
 
 // Ledger holds the crashes that nobody is blamed for yet, and finds the calls that are to
 // blame. A call is, if targets crashed under it several times in a row: it was sent,
@@ -79,7 +83,7 @@
 		l.clear(n)
 		return
 	}
-	name := noteName{box: n.Box, number: n.Number}
+	name := noteName{box: n.Box, start: n.Start, number: n.Number}
 	e := l.eventFor(n, name)
 	if e == nil {
 		return
--- a/pkg/core/crash/ledger_test.go
+++ b/pkg/core/crash/ledger_test.go
@@ -68,8 +68,9 @@
 
 func (s *script) note(d *datadriven.TestData) Note {
 	s.numbers++
-	n := Note{Box: 1, Number: s.numbers, At: s.at(d)}
-	d.MaybeScanArgs(s.t, "box", &n.Box)
+	box := 1
+	d.MaybeScanArgs(s.t, "box", &box)
+	n := Note{Box: units.BoxID(fmt.Sprint(box)), Number: s.numbers, At: s.at(d)}
 	d.MaybeScanArgs(s.t, "note", &n.Number)
 	return n
 }
@@ -157,7 +158,7 @@
 	l := NewLedger(3)
 	for i := range uint64(64) {
 		at := units.Instant(i) * units.Instant(time.Second)
-		l.Take(Note{Box: 1, Number: i, At: at, Target: units.TargetID(fmt.Sprint(i)), Suspects: []Suspect{
+		l.Take(Note{Box: "b", Number: i, At: at, Target: units.TargetID(fmt.Sprint(i)), Suspects: []Suspect{
 			{Fingerprint: Fingerprint{Head: i, Caller: 1}}, {Fingerprint: Fingerprint{Head: i / 2, Caller: 2}}, {Fingerprint: Fingerprint{Head: 1 << 32, Caller: i}},
 		}})
 	}
--- a/pkg/core/crash/note.go
+++ b/pkg/core/crash/note.go
@@ -17,8 +17,9 @@
 // suspect. Boxes that note the same crash name the calls that each of them had at the
 // target.
 type Note struct {
-	// Box and Number name the note: a box's start and its own count from 1.
-	Box    uint64
+	// Box, Start and Number name the note: a box, one of its starts, and that one's count from 1.
+	Box    units.BoxID
+	Start  uint64
 	Number uint64
 	// At is when it happened, by the clock of whoever holds the note.
 	At units.Instant
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -89,6 +89,10 @@
 			{"show", "list the last rollouts of services", "Shows stage, share, time and answers of both versions; ask the leader for the answers.", &showRollouts{tool: t}, nil},
 			{"abort", "roll back the rollout under way", "madderctl rollout abort SERVICE. The new version takes no calls any more; those under way there end by themselves.", &abortRollout{tool: t}, nil},
 		}},
+		{name: "quarantine", short: "see and release calls that crash the targets which run them", data: &struct{}{}, subcommands: []command{
+			{"list", "list the calls that no target gets", "Shows since when, which targets crashed, and how long ago a box refused the call; ask the leader for the latter.", &listQuarantines{tool: t}, nil},
+			{"release", "give a call to targets again", "madderctl quarantine release CALL, with a name as the list shows it. Targets that still crash under it bring it back.", &releaseCall{tool: t}, nil},
+		}},
 		{name: "document", short: "read and put whole tables under a version", data: &struct{}{}, subcommands: []command{
 			{"get", "print the document in force", "Prints the newest document as it was put, or fails when no replica can be sure of it.", &documentGet{tool: t}, nil},
 			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
--- /dev/null
+++ b/pkg/ctl/quarantine.go
@@ -0,0 +1,67 @@
+package ctl
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+)
+
+type listQuarantines struct{ tool *Tool }
+
+// Execute lists the calls that no target gets.
+func (c *listQuarantines) Execute([]string) error {
+	api, err := c.tool.connect()
+	if err != nil {
+		return err
+	}
+	list, err := api.Quarantines()
+	if err != nil {
+		return err
+	}
+	if c.tool.options.JSON {
+		return c.tool.printJSON(list)
+	}
+	var rows [][]string
+	for _, q := range list {
+		refused := "unknown"
+		if q.RefusedBefore >= 0 {
+			refused = q.RefusedBefore.Round(time.Second).String() + " ago"
+		}
+		rows = append(rows, []string{
+			q.Name, string(q.Service), namesOf(&q.Quarantine), time.UnixMilli(int64(q.At)).UTC().Format(time.RFC3339),
+			strconv.FormatBool(q.Doubtful), strconv.Itoa(q.Trials), refused,
+		})
+	}
+	return c.tool.printTable([]string{"call", "service", "crashed targets", "since", "doubtful", "trials", "last refused"}, rows)
+}
+
+func namesOf(q *table.Quarantine) string {
+	names := make([]string, 0, len(q.Targets))
+	for _, t := range q.Targets {
+		names = append(names, string(t))
+	}
+	return strings.Join(names, ",")
+}
+
+// releaseCall is the command that ends the quarantine of a call.
+type releaseCall struct {
+	Args struct {
+		Call string `positional-arg-name:"CALL" required:"true"`
+	} `positional-args:"true"`
+	tool *Tool
+}
+
+// Execute has the order carried out.
+func (c *releaseCall) Execute([]string) error {
+	api, err := c.tool.connect()
+	if err != nil {
+		return err
+	}
+	if err := api.ReleaseCall(c.Args.Call, c.tool.options.Operator); err != nil {
+		return err
+	}
+	c.tool.print("targets get the call %s again\n", c.Args.Call)
+	return nil
+}
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -34,8 +35,9 @@
 	result   routing.AttemptResult
 	refusal  routing.Refusal
 	probed   routing.ProbeEnded
-	// fingerprint is set for an attempt that broke off.
-	fingerprint string
+	// fingerprint is set for an attempt that broke off and for a call in quarantine; request and
+	// caller, which operators need to find whoever sends it, for the latter only.
+	fingerprint, request, caller string
 }
 
 // The words for the steps of a call.
@@ -81,6 +83,9 @@
 		s.what, s.purpose, s.evidence = stepSent, x.Purpose, x.Evidence
 	case routing.Refuse:
 		s.what, s.refusal = stepRefused, x.Refusal
+		if x.Refusal.Reason == routing.Quarantined {
+			c.identify(&s)
+		}
 	case routing.Deliver:
 		s.what = stepDelivered
 	case routing.Cancel:
@@ -93,6 +98,17 @@
 	c.note(s)
 }
 
+// identify has a step say which request the call is. It is called before the call is answered.
+func (c *call) identify(s *step) {
+	i := &c.identity
+	s.fingerprint = crash.FingerprintOf(i).String()
+	s.request = fmt.Sprintf("%s %s%.*s", i.ctx.Method(), i.ctx.Host(), maxLoggedPath, i.ctx.RequestURI())
+	s.caller = i.ctx.RemoteIP().String()
+}
+
+// maxLoggedPath bounds the bytes of a path that a log line carries.
+const maxLoggedPath = 200
+
 // noteProbe keeps what a target said when a call asked for its load.
 func (e *Entry) noteProbe(x *routing.Effect, ended *routing.ProbeEnded) {
 	c, ok := x.Owner.(*call)
@@ -212,6 +228,9 @@
 		}
 	case stepRefused:
 		f["reason"], f["outcome"], f["retryAfterMs"] = s.refusal.Reason.String(), s.refusal.Outcome.String(), millis(s.refusal.RetryAfter)
+		if s.fingerprint != "" {
+			f["fingerprint"], f["request"], f["caller"] = s.fingerprint, s.request, s.caller
+		}
 	}
 	return f
 }
--- a/pkg/wire/convert_crash.go
+++ b/pkg/wire/convert_crash.go
@@ -71,12 +71,12 @@
 	})
 }
 
-// ToCrashNotes converts the notes of a start of a box that come now, by the clock of whoever
-// takes them.
-func ToCrashNotes(list []*CrashNote, box uint64, now units.Instant) []crash.Note {
-	return mapSlice(list, func(n *CrashNote) crash.Note {
+// ToCrashNotes converts the notes of a box's request that come now, by the clock of whoever takes
+// them.
+func ToCrashNotes(r *RenewRequest, now units.Instant) []crash.Note {
+	return mapSlice(r.CrashNotes, func(n *CrashNote) crash.Note {
 		return crash.Note{
-			Box: box, Number: n.Number, At: now.Add(-time.Duration(n.Age)), Service: units.ServiceName(n.Service),
+			Box: units.BoxID(r.Box.GetId()), Start: r.Start, Number: n.Number, At: now.Add(-time.Duration(n.Age)), Service: units.ServiceName(n.Service),
 			Target: units.TargetID(n.Target),
 			Suspects: mapSlice(n.Suspects, func(s *CrashSuspect) crash.Suspect {
 				return crash.Suspect{Fingerprint: ToFingerprint(s.Call), Sent: time.Duration(s.Sent)}
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/lab"
 )
@@ -39,7 +40,9 @@
 	work sync.WaitGroup
 	// quiet is set once no more calls are to be made; targets are kept running.
 	quiet atomic.Bool
-	lock  sync.Mutex
+	// mended is set once targets are started with software that bears the request.
+	mended atomic.Bool
+	lock   sync.Mutex
 	// crashes are the ends of targets, in order.
 	crashes []time.Time
 	sent    []crashCall
@@ -55,7 +58,10 @@
 func beginCrashes(t *testing.T, boxes, targets int) *crashStory {
 	x := &crashStory{done: make(chan struct{})}
 	x.story = begin(t, setting{
-		replicas: 3, boxes: boxes, targets: targets, adjust: quickLeases,
+		replicas: 3, boxes: boxes, targets: targets, adjust: func(s *config.Settings) {
+			quickLeases(s)
+			s.Entry.ServeStale = true
+		},
 		targetArguments: crashArguments,
 	})
 	t.Cleanup(x.stop)
@@ -69,7 +75,10 @@
 	return x
 }
 
-var crashArguments = []string{"--slots", "4", "--queue", "8", "--work", "20ms", "--crash-body", crashBody}
+var (
+	sturdyArguments = []string{"--slots", "4", "--queue", "8", "--work", "20ms"}
+	crashArguments  = append(sturdyArguments[:len(sturdyArguments):len(sturdyArguments)], "--crash-body", crashBody)
+)
 
 func (x *crashStory) spawn(f func()) {
 	x.work.Add(1)
@@ -101,7 +110,11 @@
 		if !x.pause(restartPause) {
 			return
 		}
-		if err := target.Start(programs.lab, crashArguments...); err != nil {
+		arguments := crashArguments
+		if x.mended.Load() {
+			arguments = sturdyArguments
+		}
+		if err := target.Start(programs.lab, arguments...); err != nil {
 			x.Error(err)
 			return
 		}
@@ -141,6 +154,12 @@
 	}
 }
 
+func (x *crashStory) countCrashes() int {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	return len(x.crashes)
+}
+
 // crashedAt returns when the n-th target ended; zero while fewer have.
 func (x *crashStory) crashedAt(n int) time.Time {
 	x.lock.Lock()
@@ -183,7 +202,7 @@
 		x.Fatalf("only %d calls were made", calls)
 	}
 	if reached > retriesLeft {
-		x.Errorf("the request reached targets %d times in %d calls after it was known to end them; %d ended in all", reached, calls, len(x.crashes))
+		x.Errorf("the request reached targets %d times in %d calls after it was known to end them; %d ended in all", reached, calls, x.countCrashes())
 	}
 }
 
@@ -216,3 +235,116 @@
 	time.Sleep(2 * restartPause)
 	x.mustServe(200)
 }
+
+// awaitQuarantine waits until every box has the request in quarantine.
+func (x *crashStory) awaitQuarantine() string {
+	x.Helper()
+	var name string
+	x.must(lab.Eventually(patience, func() error {
+		list, err := x.api().Quarantines()
+		if err != nil || len(list) == 0 {
+			return fmt.Errorf("no call is in quarantine: %v", err)
+		}
+		name = list[0].Name
+		for _, b := range x.cluster.Boxes {
+			if err := x.cluster.AwaitInForce(b, list[0].Since, patience); err != nil {
+				return err
+			}
+		}
+		return nil
+	}))
+	return name
+}
+
+// callBad makes one call with the request that ends targets, at any box.
+func (x *crashStory) callBad() lab.Call {
+	return x.caller.Do(lab.Plan{Host: "repeatable.test", Body: []byte(crashBody)})
+}
+
+// Replicas and boxes all start anew, some from the log and some from a snapshot; the call comes
+// again at once.
+func TestAQuarantineOutlivesAllProcesses(t *testing.T) {
+	x := beginCrashes(t, 3, 6)
+	x.spawn(func() { x.keepSending(crashBody) })
+	x.awaitQuarantine()
+	x.quiet.Store(true)
+	time.Sleep(2 * restartPause)
+	crashes := x.countCrashes()
+	nodes := append(append([]*lab.Node{}, x.cluster.Replicas...), x.cluster.Boxes...)
+	for _, n := range nodes {
+		n.Process.Kill()
+	}
+	for _, n := range nodes {
+		x.must(x.cluster.StartAgain(n))
+	}
+	var entries []string
+	for _, b := range x.cluster.Boxes {
+		x.must(x.cluster.AwaitServing(b, patience))
+		entries = append(entries, b.Entry)
+	}
+	x.caller.SetAddresses(entries...)
+	for range 9 {
+		if c := x.callBad(); c.Verdict != lab.NotRun || c.Reason != "quarantined" {
+			t.Errorf("the call was answered %+v", c)
+		}
+	}
+	x.mustServe(20)
+	if n := x.countCrashes(); n != crashes {
+		t.Errorf("%d targets ended after the restart", n-crashes)
+	}
+}
+
+// The leader that has heard of the first crashes is killed; the boxes tell the next one.
+func TestACrashingCallIsFoundByTheNextLeader(t *testing.T) {
+	x := beginCrashes(t, 3, 6)
+	x.callBad()
+	x.awaitCrashes(1)
+	old := x.leader()
+	old.Process.Kill()
+	x.spawn(func() { x.keepSending(crashBody) })
+	x.awaitCrashes(crashesKnown)
+	known := x.crashedAt(crashesKnown).Add(knownAfter)
+	time.Sleep(time.Until(known) + 3*time.Second)
+	x.quiet.Store(true)
+	x.mustBeKnown(known)
+}
+
+// A box that reaches no replica stops the call by itself.
+func TestABoxAloneStopsACrashingCall(t *testing.T) {
+	x := beginCrashes(t, 1, 6)
+	for _, r := range x.cluster.Replicas {
+		r.Process.Kill()
+	}
+	time.Sleep(2 * time.Second)
+	x.spawn(func() { x.keepSending(crashBody) })
+	x.awaitCrashes(crashesKnown)
+	known := x.crashedAt(crashesKnown).Add(knownAfter)
+	time.Sleep(time.Until(known) + 3*time.Second)
+	x.quiet.Store(true)
+	x.mustBeKnown(known)
+	x.mustServe(20)
+}
+
+// An operator releases the call once the targets' software is mended.
+func TestAReleasedCallIsServed(t *testing.T) {
+	x := beginCrashes(t, 3, 6)
+	x.spawn(func() { x.keepSending(crashBody) })
+	name := x.awaitQuarantine()
+	x.quiet.Store(true)
+	x.mended.Store(true)
+	for _, target := range x.targets {
+		target.Process.Terminate()
+	}
+	time.Sleep(2 * restartPause)
+	x.must(x.api().ReleaseCall(name, "test"))
+	x.must(lab.Eventually(patience, func() error {
+		if c := x.callBad(); c.Verdict != lab.Whole {
+			return fmt.Errorf("the call was answered %+v", c)
+		}
+		return nil
+	}))
+	list, err := x.api().Quarantines()
+	if err != nil || len(list) != 0 {
+		t.Errorf("in quarantine are %v: %v", list, err)
+	}
+}
