--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -67,6 +68,30 @@
 	}
 }
 
+// BenchmarkCallBesideQuarantines is a call that isn't in quarantine, at a box that keeps many from
+// targets. BenchmarkCall at 5 targets is the same without any.
+func BenchmarkCallBesideQuarantines(b *testing.B) {
+	r, now := newBenchRouter(b, 1, 5, 0)
+	var e Effects
+	next := *r.table
+	next.Revision++
+	for i := range uint64(table.MaxQuarantines) {
+		next.Quarantines = append(next.Quarantines, table.Quarantine{Call: crash.Fingerprint{Head: i, Body: 1, Caller: 1}})
+	}
+	r.Reduce(now, &TableChanged{Table: &next}, &e)
+	arrived := &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/"), Identity: likeness("GET shop.example /orders/2026/10045?page=3&sort=new")}
+	ended := &AttemptEnded{Result: Answered}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		e.Reset()
+		r.Reduce(now, arrived, &e)
+		ended.Call, ended.Attempt = e.List[0].Call, e.List[0].Attempt
+		r.Reduce(now, ended, &e)
+		r.Reduce(now, &Tick{}, &e)
+	}
+}
+
 // BenchmarkTick is what a box spends on time alone, ten milliseconds of it.
 func BenchmarkTick(b *testing.B) {
 	for _, services := range []int{10, 270, 2700} {
