--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -111,7 +111,7 @@
 		}
 	case *wire.Command_Departure:
 		id := units.TargetID(k.Departure.Target)
-		delta = r.state.ApplyDeparture(id)
+		delta = r.state.ApplyDeparture(id, units.WallTime(k.Departure.Born))
 		delete(r.hearing.last, id)
 		change = Change{Kind: TargetGone, Target: id}
 	case *wire.Command_Silence:
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -71,7 +71,9 @@
 		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
 		return
 	}
-	r.hear(v.Registration.Target)
+	if !r.state.Outdated(v.Registration) {
+		r.hear(v.Registration.Target)
+	}
 	if !r.state.Fresh(v.Registration) {
 		e.Answers = append(e.Answers, Answer{Request: v.Request})
 		return
@@ -85,7 +87,12 @@
 		e.Answers = append(e.Answers, Answer{Request: v.Request})
 		return
 	}
-	c := &wire.Command{Kind: &wire.Command_Departure{Departure: &wire.Departure{Target: string(v.Target)}}}
+	departure := &wire.Departure{Target: string(v.Target)}
+	if held := r.state.Registration(v.Target); held != nil {
+		// A start that begins while the command is on its way stays.
+		departure.Born = int64(held.Born)
+	}
+	c := &wire.Command{Kind: &wire.Command_Departure{Departure: departure}}
 	r.submitCommand(v.Request, c, fmt.Sprintf("departure of target %s", v.Target), log, e)
 }
 
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -270,6 +270,14 @@
 		r.Cold = cold
 		return
 	}
+	if v, told := strings.CutPrefix(word, "born="); told {
+		born, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		r.Born = units.WallTime(born)
+		return
+	}
 	if v, named := strings.CutPrefix(word, "software="); named {
 		r.Software = units.Software(v)
 		return
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// startedAgain tells whether a row is of a later start of the target, which knows nothing of the
+// calls, connections and faults of the one before.
+func (t *target) startedAgain(row table.Row) bool {
+	return t.row.Born != 0 && row.Born != 0 && t.row.Born != row.Born
+}
+
 func (t *target) update(row table.Row) {
 	if t.row.Silent && !row.Silent {
 		// A target that reports again may be tried at once.
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -7,10 +7,12 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// Registration is what a target that registers by itself says of itself. Every
-// start of a target has an id of its own.
+// Registration is what a target that registers by itself says of itself. A target may
+// start again under the id that it had; Born tells its starts apart.
 type Registration struct {
-	Target  units.TargetID    `json:"target"`
+	Target units.TargetID `json:"target"`
+	// Born is when this start of the target began, by its own clock; zero where it isn't told.
+	Born    units.WallTime    `json:"born,omitempty"`
 	Service units.ServiceName `json:"service"`
 	// Address is an IP number and a port.
 	Address string       `json:"address"`
@@ -19,7 +21,7 @@
 	Software units.Software `json:"software,omitempty"`
 	Slots    int            `json:"slots,omitempty"`
 	State    RowState       `json:"state"`
-	// Sequence rises with each report, so that a late one can be recognized.
+	// Sequence rises with each report of a start, so that a late one can be recognized.
 	Sequence uint64 `json:"sequence"`
 	// Cold is for how long the target stays cold, as it said when that last changed; zero
 	// for a warm one.
@@ -28,8 +30,8 @@
 	Silent bool `json:"silent,omitempty"`
 }
 
-// MaxDeparted bounds the ids of departed targets that are remembered, so that a
-// late report doesn't bring one of them back.
+// MaxDeparted bounds the departed targets that are remembered, so that a late report
+// doesn't bring one of them back.
 const MaxDeparted = 4096
 
 // registeredWeight is the weight of every registered target.
@@ -50,7 +52,7 @@
 	return Row{
 		Service: r.Service, Target: r.Target, Address: r.Address, Domain: r.Domain, Weight: registeredWeight,
 		MaxConnections: s.TargetConnections, State: r.State, Registered: true, Slots: r.Slots, Cold: r.Cold, Silent: r.Silent,
-		Software: r.Software,
+		Software: r.Software, Born: r.Born,
 	}
 }
 
@@ -64,6 +66,9 @@
 		b.Cold = a.Cold
 	}
 	a.Silent, b.Silent = false, false
+	if b.Born == 0 {
+		b.Born = a.Born
+	}
 	return a == b
 }
 
@@ -80,20 +85,31 @@
 	}
 }
 
-// Departed tells whether a target has left for good.
-func (s *State) Departed(id units.TargetID) bool { return s.departed[id] }
+// Departed tells whether a target has left and hasn't started again.
+func (s *State) Departed(id units.TargetID) bool {
+	_, left := s.departed[id]
+	return left && s.targets[id] == nil
+}
 
 // Fresh tells whether a report says anything that the state doesn't hold. A report
 // that is older than what is held says nothing.
 func (s *State) Fresh(r *Registration) bool {
-	if s.departed[r.Target] {
+	if s.Outdated(r) {
 		return false
 	}
 	held := s.targets[r.Target]
-	if held == nil {
-		return true
-	}
-	return r.Sequence > held.Sequence && !held.sameFacts(r)
+	return held == nil || r.Sequence > held.Sequence && !held.sameFacts(r)
+}
+
+// Outdated tells whether a report is of a target that has left.
+func (s *State) Outdated(r *Registration) bool {
+	_, left := s.departed[r.Target]
+	return left
+}
+
+// isOtherStart tells whether two reports are known to be of different starts of a target.
+func (r *Registration) isOtherStart(o *Registration) bool {
+	return r.Born != 0 && o.Born != 0 && r.Born != o.Born
 }
 
 // ApplyRegistration takes a target's report. A target that registers at another
@@ -108,11 +124,16 @@
 		if held.Service != r.Service {
 			s.dropRow(held, delta)
 		}
+		if r.Born == 0 {
+			next := *r
+			next.Born = held.Born
+			r = &next
+		}
 	}
 	if o := s.targets[s.byAddress[r.Address]]; o != nil && o.Target != r.Target {
 		s.dropRow(o, delta)
 		s.release(o)
-		s.rememberDeparted(o.Target)
+		s.rememberDeparted(o.Target, o.Born)
 	}
 	s.hold(r)
 	s.putRow(r, delta)
@@ -136,13 +157,15 @@
 	}
 }
 
-// ApplyDeparture takes a target out for good.
-func (s *State) ApplyDeparture(id units.TargetID) *Delta {
-	s.rememberDeparted(id)
+// ApplyDeparture takes a start of a target out for good, the present one where born is zero. A
+// start that has begun since stays.
+func (s *State) ApplyDeparture(id units.TargetID, born units.WallTime) *Delta {
 	r := s.targets[id]
-	if r == nil {
+	if r == nil || born != 0 && r.Born > born {
+		s.rememberDeparted(id, born)
 		return nil
 	}
+	s.rememberDeparted(id, max(born, r.Born))
 	s.release(r)
 	delta := s.newDelta()
 	s.dropRow(r, delta)
@@ -208,14 +231,17 @@
 	}
 }
 
-func (s *State) rememberDeparted(id units.TargetID) {
-	if s.departed[id] {
+// rememberDeparted remembers that the starts of a target up to one have left; without a time
+// all have, as far as nothing else is known.
+func (s *State) rememberDeparted(id units.TargetID, born units.WallTime) {
+	if gone, left := s.departed[id]; left {
+		s.departed[id] = max(gone, born)
 		return
 	}
 	if len(s.departedOrder) >= MaxDeparted {
 		delete(s.departed, s.departedOrder[0])
 		s.departedOrder = slices.Delete(s.departedOrder, 0, 1)
 	}
-	s.departed[id] = true
+	s.departed[id] = born
 	s.departedOrder = append(s.departedOrder, id)
 }
--- a/pkg/core/table/rollout_test.go
+++ b/pkg/core/table/rollout_test.go
@@ -62,7 +62,7 @@
 func moveTarget(t *testing.T, state *State, d *datadriven.TestData) string {
 	id := units.TargetID(d.CmdArgs[0].Key)
 	if d.Cmd == "depart" {
-		state.ApplyDeparture(id)
+		state.ApplyDeparture(id, 0)
 		return fmt.Sprintf("revision %d\n", state.Table().Revision)
 	}
 	var version string
--- a/pkg/core/table/row.go
+++ b/pkg/core/table/row.go
@@ -46,6 +46,8 @@
 	Silent bool `json:"silent,omitempty"`
 	// Software is the version of its software that a registered target named.
 	Software units.Software `json:"software,omitempty"`
+	// Born tells the starts of a registered target apart; zero where it isn't told.
+	Born units.WallTime `json:"born,omitempty"`
 }
 
 func (e *Entry) find(target units.TargetID) (int, bool) {
--- /dev/null
+++ b/pkg/core/table/starts_test.go
@@ -0,0 +1,65 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// startCommands drive the registered targets of one service.
+var startCommands = map[string]func(t *testing.T, s *State, d *datadriven.TestData) string{
+	// report TARGET born=N sequence=N [address=A] [leaving]
+	"report": func(t *testing.T, s *State, d *datadriven.TestData) string {
+		r := &Registration{Target: units.TargetID(d.CmdArgs[0].Key), Service: "s", State: Active}
+		address := "1"
+		d.ScanArgs(t, "born", (*int64)(&r.Born))
+		d.ScanArgs(t, "sequence", &r.Sequence)
+		d.MaybeScanArgs(t, "address", &address)
+		r.Address = "10.0.0." + address + ":80"
+		if d.HasArg("leaving") {
+			r.State = Leaving
+		}
+		news := s.Fresh(r)
+		s.ApplyRegistration(r)
+		return fmt.Sprintf("news=%t, %s", news, describeTargets(s))
+	},
+	// depart TARGET [born=N]
+	"depart": func(t *testing.T, s *State, d *datadriven.TestData) string {
+		var born units.WallTime
+		d.MaybeScanArgs(t, "born", (*int64)(&born))
+		s.ApplyDeparture(units.TargetID(d.CmdArgs[0].Key), born)
+		return describeTargets(s)
+	},
+	"silent": func(_ *testing.T, s *State, d *datadriven.TestData) string {
+		s.ApplySilence([]units.TargetID{units.TargetID(d.CmdArgs[0].Key)}, nil)
+		return describeTargets(s)
+	},
+}
+
+func describeTargets(s *State) string {
+	var rows []string
+	for _, r := range s.Table().Services["s"].Rows {
+		rows = append(rows, fmt.Sprintf("%s born=%d %s %s", r.Target, r.Born, r.Address, r.State))
+	}
+	if len(rows) == 0 {
+		return "no targets\n"
+	}
+	return strings.Join(rows, ", ") + "\n"
+}
+
+func TestStarts(t *testing.T) {
+	datadriven.Walk(t, "testdata/starts", func(t *testing.T, path string) {
+		s := newRegistrations()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			f := startCommands[d.Cmd]
+			if f == nil {
+				d.Fatalf(t, "there is no command %s", d.Cmd)
+			}
+			return f(t, s, d)
+		})
+	})
+}
--- a/pkg/core/table/state.go
+++ b/pkg/core/table/state.go
@@ -36,8 +36,9 @@
 	targets map[units.TargetID]*Registration
 	// byAddress are the targets of those by their addresses, of which each has one.
 	byAddress map[string]units.TargetID
-	// departed are targets that left for good, oldest first in departedOrder.
-	departed      map[units.TargetID]bool
+	// departed are targets that left for good, with when the last start of each that left began
+	// (zero where that isn't known), oldest first in departedOrder.
+	departed      map[units.TargetID]units.WallTime
 	departedOrder []units.TargetID
 }
 
@@ -50,24 +51,37 @@
 
 		targets:   map[units.TargetID]*Registration{},
 		byAddress: map[string]units.TargetID{},
-		departed:  map[units.TargetID]bool{},
+		departed:  map[units.TargetID]units.WallTime{},
 	}
 }
 
 // RestoreDocument gives a restored state its document, the registered targets and
 // those that departed, oldest first.
-func (s *State) RestoreDocument(d *Document, targets []*Registration, departed []units.TargetID) {
+func (s *State) RestoreDocument(d *Document, targets []*Registration, departed []Departure) {
 	s.document = d
 	for _, r := range targets {
 		s.hold(r)
 	}
-	for _, id := range departed {
-		s.rememberDeparted(id)
+	for _, x := range departed {
+		s.rememberDeparted(x.Target, x.Born)
 	}
 }
 
+// Departure is a target that left for good.
+type Departure struct {
+	Target units.TargetID
+	// Born is when its last start that left began; zero where that isn't known.
+	Born units.WallTime
+}
+
 // DepartedTargets returns the targets that left for good, oldest first.
-func (s *State) DepartedTargets() []units.TargetID { return s.departedOrder }
+func (s *State) DepartedTargets() []Departure {
+	list := make([]Departure, 0, len(s.departedOrder))
+	for _, id := range s.departedOrder {
+		list = append(list, Departure{Target: id, Born: s.departed[id]})
+	}
+	return list
+}
 
 // RestoreState returns a state with the given content. Results must be in the
 // order in which they were given.
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -59,7 +59,7 @@
 		Weight: int32(r.Weight), MaxInFlight: int32(r.MaxInFlight), MaxConnections: int32(r.MaxConnections),
 		MaxRate: r.MaxRate, State: int32(r.State),
 		Registered: r.Registered, Slots: int32(r.Slots), Cold: int64(r.Cold), Silent: r.Silent,
-		Software: string(r.Software),
+		Software: string(r.Software), Born: int64(r.Born),
 	}
 }
 
@@ -73,7 +73,7 @@
 		Domain: units.Domain(r.Domain), Weight: int(r.Weight), MaxInFlight: int(r.MaxInFlight),
 		MaxConnections: int(r.MaxConnections), MaxRate: r.MaxRate, State: table.RowState(r.State),
 		Registered: r.Registered, Slots: int(r.Slots), Cold: time.Duration(r.Cold), Silent: r.Silent,
-		Software: units.Software(r.Software),
+		Software: units.Software(r.Software), Born: units.WallTime(r.Born),
 	}
 }
 
@@ -281,7 +281,10 @@
 	t.Document = FromDocument(s.Document())
 	s.EachRegistration(func(r *table.Registration) { t.Registrations = append(t.Registrations, FromRegistration(r)) })
 	slices.SortFunc(t.Registrations, func(a, b *Registration) int { return strings.Compare(a.Target, b.Target) })
-	t.Departed = mapSlice(s.DepartedTargets(), func(id units.TargetID) string { return string(id) })
+	for _, x := range s.DepartedTargets() {
+		t.Departed = append(t.Departed, string(x.Target))
+		t.DepartedBorn = append(t.DepartedBorn, int64(x.Born))
+	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(t)
 }
 
@@ -293,7 +296,19 @@
 		return nil, fault.Wrap(err, fault.Damaged, "start with an empty data folder", "the snapshot's state can't be decoded")
 	}
 	s := table.RestoreState(ToTable(t), mapSlice(t.Results, toResult), mapSlice(t.History, toResult))
-	s.RestoreDocument(ToDocument(t.Document), mapSlice(t.Registrations, ToRegistration),
-		mapSlice(t.Departed, func(id string) units.TargetID { return units.TargetID(id) }))
+	s.RestoreDocument(ToDocument(t.Document), mapSlice(t.Registrations, ToRegistration), toDepartures(t))
 	return s, nil
 }
+
+// toDepartures returns the departed targets of a snapshot.
+func toDepartures(t *Table) []table.Departure {
+	list := make([]table.Departure, 0, len(t.Departed))
+	for i, id := range t.Departed {
+		x := table.Departure{Target: units.TargetID(id)}
+		if i < len(t.DepartedBorn) {
+			x.Born = units.WallTime(t.DepartedBorn[i])
+		}
+		list = append(list, x)
+	}
+	return list
+}
