A target may start again under the id that it had

Cause: reports were ordered by their sequence alone, which starts anew, and an id that had left never came back. Boxes kept health, readings and learnt limits by id and address.

Change: a start is an id and the time of its birth. A later birth is a later start, whatever its sequence; reports of earlier starts change nothing and don't count as heard; a departure ends the starts up to one, so that one which was taken before the present start began ends the earlier. A birth that lies before that of a start which has fallen silent is a later start whose clock is behind. Boxes begin anew with a start.

--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -95,7 +95,7 @@
 	targets := make([]*target, 0, len(entry.Rows))
 	for _, row := range entry.Rows {
 		t := known[row.Target]
-		if t == nil || t.row.Address != row.Address {
+		if t == nil || t.row.Address != row.Address || t.startedAgain(row) {
 			t = newTarget(s, row)
 			if !isNew {
 				// A target that joins a running service may be cold.
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -94,17 +94,29 @@
 // Fresh tells whether a report says anything that the state doesn't hold. A report
 // that is older than what is held says nothing.
 func (s *State) Fresh(r *Registration) bool {
-	if s.Outdated(r) {
+	held := s.targets[r.Target]
+	switch {
+	case s.Outdated(r):
 		return false
+	case held == nil || r.isOtherStart(held):
+		return true
 	}
-	held := s.targets[r.Target]
-	return held == nil || r.Sequence > held.Sequence && !held.sameFacts(r)
+	return r.Sequence > held.Sequence && !held.sameFacts(r)
 }
 
-// Outdated tells whether a report is of a target that has left.
+// Outdated tells whether a report is of an earlier start of its target than the one that is held
+// or has left, or of an earlier target at its address. A start that seems earlier than one which
+// has fallen silent is a later one, whose clock is behind: reports that a cut held up come
+// before their target is silent.
 func (s *State) Outdated(r *Registration) bool {
-	_, left := s.departed[r.Target]
-	return left
+	if gone, left := s.departed[r.Target]; left && (gone == 0 || r.Born <= gone) {
+		return true
+	}
+	held := s.targets[r.Target]
+	if held == nil {
+		held = s.targets[s.byAddress[r.Address]]
+	}
+	return held != nil && r.isOtherStart(held) && r.Born < held.Born && !held.Silent
 }
 
 // isOtherStart tells whether two reports are known to be of different starts of a target.
