Reports and list entries of other writers take nothing from those that are well

Cause: a report with negative or huge figures was taken as it was; one that named a service which isn't in the table moved a good target there, out of use, or took its address; an unknown state reached the check as an empty one, so that the log couldn't say what was sent; one entry of another type made the whole list of boxes unreadable, and the last one was kept.

Change: figures have bounds; a report that names no service of the table, or lacks the birth that its target told before, is refused where it would replace a target that is well; the refusal names the field or the state sent, the status counts such reports (foreignReports); entries of the list that are no names are passed over.

--- a/pkg/boxlist/boxlist.go
+++ b/pkg/boxlist/boxlist.go
@@ -65,12 +65,28 @@
 	return parse(data)
 }
 
+// parse reads a list. An entry that isn't a name is another writer's and names no box; the others
+// hold.
 func parse(data []byte) (*List, error) {
-	l := &List{}
-	if err := json.Unmarshal(data, l); err != nil {
+	var l struct {
+		Live    []json.RawMessage `json:"live"`
+		Leaving []json.RawMessage `json:"leaving"`
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, `publish {"live": [...], "leaving": [...]}`, "the platform's list can't be understood")
 	}
-	return l, nil
+	return &List{Live: namesIn(l.Live), Leaving: namesIn(l.Leaving)}, nil
+}
+
+func namesIn(entries []json.RawMessage) []units.BoxID {
+	var names []units.BoxID
+	for _, entry := range entries {
+		var name units.BoxID
+		if json.Unmarshal(entry, &name) == nil && name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Watcher reads the list again and again and keeps the last one.
--- a/pkg/boxlist/boxlist_test.go
+++ b/pkg/boxlist/boxlist_test.go
@@ -6,9 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 func TestABoxHearsThatItIsLeaving(t *testing.T) {
@@ -53,3 +56,15 @@
 		t.Fatalf("unexpected error: %v", err)
 	}
 }
+
+// An entry of another writer names no box; the others hold.
+func TestEntriesOfOtherWritersNameNoBox(t *testing.T) {
+	l, err := parse([]byte(`{"live": ["b1", 5, null, {"name": "b2"}, "b3"], "leaving": [["b4"], "b5"], "resting": 7}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &List{Live: []units.BoxID{"b1", "b3"}, Leaving: []units.BoxID{"b5"}}
+	if diff := cmp.Diff(want, l); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -82,6 +82,8 @@
 	rollouts rolloutBook
 	// quarantines is filled on the leader only.
 	quarantines quarantineBook
+	// foreignReports counts the reports that no target of the table can have sent.
+	foreignReports uint64
 	// knownLeader and knownMembership are what was last told of in the log.
 	knownLeader     units.ReplicaID
 	knownMembership units.Index
@@ -333,6 +335,8 @@
 	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 	// Quarantines are the calls that no target gets.
 	Quarantines []QuarantineStatus `json:"quarantines,omitempty"`
+	// ForeignReports counts the reports of targets that were refused here.
+	ForeignReports uint64 `json:"foreignReports"`
 }
 
 // Status returns the replica's state at a time.
@@ -349,5 +353,7 @@
 		Evacuated:    r.state.Table().EvacuatedDomains(),
 		Rollouts:     r.rolloutStatuses(now),
 		Quarantines:  r.QuarantineStatuses(now),
+
+		ForeignReports: r.foreignReports,
 	}
 }
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -67,10 +67,18 @@
 // the committed state.
 func (r *Replica) reportTarget(v TargetReported, log *replication.Effects, e *Effects) {
 	if problems := table.CheckRegistration(v.Registration); len(problems) > 0 {
+		r.foreignReports++
 		err := fault.New(fault.Invalid, problems[0].Remedy, "the report of target %s has a bad %s", v.Registration.Target, problems[0].Column)
 		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
 		return
 	}
+	if r.state.Foreign(v.Registration) {
+		r.foreignReports++
+		err := fault.New(fault.Invalid, "name a service of the table, and when the target started",
+			"the report of target %s for the service %q would replace a target that is well", v.Registration.Target, v.Registration.Service)
+		e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
+		return
+	}
 	if !r.state.Outdated(v.Registration) {
 		r.hear(v.Registration.Target)
 	}
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -42,8 +42,20 @@
 	{"service", func(r *Registration) bool { return validName(string(r.Service)) }, "use 1 to 64 of a-z, 0-9, '-', '.' and '_'"},
 	{"address", func(r *Registration) bool { return validAddress(r.Address) }, "write an IP number and a port, such as 10.0.0.7:8080"},
 	{"state", func(r *Registration) bool { return r.State == Active || r.State == Leaving }, "write active or leaving"},
+	{"born", func(r *Registration) bool { return r.Born >= 0 }, "give the time of the start in milliseconds since 1970"},
+	{"domain", func(r *Registration) bool { return len(r.Domain) <= MaxNameLength }, "use at most 64 characters"},
+	{"software", func(r *Registration) bool { return len(r.Software) <= MaxNameLength }, "use at most 64 characters"},
+	{"slots", func(r *Registration) bool { return r.Slots >= 0 && r.Slots <= maxSlots }, "give 0 for unknown, or a number up to 1000000"},
+	{"cold", func(r *Registration) bool { return r.Cold >= 0 && r.Cold <= maxCold }, "give the time left, up to 24h"},
 }
 
+const (
+	// maxSlots is far above what any target works on at once; more is a mistake.
+	maxSlots = 1_000_000
+	// maxCold is far above the time in which any target gets warm.
+	maxCold = 24 * time.Hour
+)
+
 // CheckRegistration returns what is wrong with a registration, or nothing.
 func CheckRegistration(r *Registration) []Problem { return check(registrationRules, r) }
 
@@ -66,9 +78,6 @@
 		b.Cold = a.Cold
 	}
 	a.Silent, b.Silent = false, false
-	if b.Born == 0 {
-		b.Born = a.Born
-	}
 	return a == b
 }
 
@@ -96,7 +105,7 @@
 func (s *State) Fresh(r *Registration) bool {
 	held := s.targets[r.Target]
 	switch {
-	case s.Outdated(r):
+	case s.Outdated(r) || s.Foreign(r):
 		return false
 	case held == nil || r.isOtherStart(held):
 		return true
@@ -119,6 +128,19 @@
 	return held != nil && r.isOtherStart(held) && r.Born < held.Born && !held.Silent
 }
 
+// Foreign tells whether a report is one that would take away a target which is well: it names no
+// service of the table, or doesn't say when a start began that did before.
+func (s *State) Foreign(r *Registration) bool {
+	held := s.targets[r.Target]
+	if held != nil && held.Born != 0 && r.Born == 0 {
+		return true
+	}
+	if held == nil {
+		held = s.targets[s.byAddress[r.Address]]
+	}
+	return held != nil && s.table.Services[r.Service] == nil && s.table.Services[held.Service] != nil
+}
+
 // isOtherStart tells whether two reports are known to be of different starts of a target.
 func (r *Registration) isOtherStart(o *Registration) bool {
 	return r.Born != 0 && o.Born != 0 && r.Born != o.Born
@@ -136,11 +158,6 @@
 		if held.Service != r.Service {
 			s.dropRow(held, delta)
 		}
-		if r.Born == 0 {
-			next := *r
-			next.Born = held.Born
-			r = &next
-		}
 	}
 	if o := s.targets[s.byAddress[r.Address]]; o != nil && o.Target != r.Target {
 		s.dropRow(o, delta)
--- a/pkg/core/table/starts_test.go
+++ b/pkg/core/table/starts_test.go
@@ -12,13 +12,15 @@
 
 // startCommands drive the registered targets of one service.
 var startCommands = map[string]func(t *testing.T, s *State, d *datadriven.TestData) string{
-	// report TARGET born=N sequence=N [address=A] [leaving]
+	// report TARGET born=N sequence=N [address=A] [service=S] [leaving]
 	"report": func(t *testing.T, s *State, d *datadriven.TestData) string {
 		r := &Registration{Target: units.TargetID(d.CmdArgs[0].Key), Service: "s", State: Active}
-		address := "1"
+		address, service := "1", "s"
 		d.ScanArgs(t, "born", (*int64)(&r.Born))
 		d.ScanArgs(t, "sequence", &r.Sequence)
 		d.MaybeScanArgs(t, "address", &address)
+		d.MaybeScanArgs(t, "service", &service)
+		r.Service = units.ServiceName(service)
 		r.Address = "10.0.0." + address + ":80"
 		if d.HasArg("leaving") {
 			r.State = Leaving
