Instants count the time for which a machine was suspended

Cause: instants came from the steady clock, which leaves a suspension out: after it a lease, a leader's own lease, an exposure or a loan looked as young as before, although whoever granted it had waited it out.

Change: an instant is the steady clock and the time slept. That is read from the kernel only when the wall clock has moved by 10 ms against the steady one, so a step of the wall clock costs two calls of the kernel and moves nothing.

Before: TestInstantsCountSuspensions can't be written for the old clock, which has no other source; by its code 1 s of a lease would have been left instead of -2 s. After: passes.

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -3,22 +3,70 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// Clock reads a process's monotonic clock and the wall clock.
-type Clock struct{ start time.Time }
+// Clock reads a process's steady clock and the wall clock. Instants count the time for which
+// the machine was suspended, which the steady clock leaves out: what another process granted, a
+// lease above all, runs out meanwhile.
+type Clock struct {
+	source source
+	// steady, wall and suspended are what the source read at the start.
+	steady, wall, suspended time.Duration
+	// apart is how much further than the steady clock the wall clock had moved when
+	// suspensions were last looked for, slept how long they were.
+	apart, slept atomic.Int64
+}
+
+// source is where a clock reads from.
+type source interface {
+	// now reads the steady clock and the wall clock.
+	now() (steady, wall time.Duration)
+	// suspended is for how long the machine has been suspended so far.
+	suspended() time.Duration
+}
 
-// firstInstant keeps the zero instant free to stand for "never".
-const firstInstant = units.Instant(time.Second)
+const (
+	// firstInstant keeps the zero instant free to stand for "never".
+	firstInstant = units.Instant(time.Second)
+	// apartSlack is by how much the wall clock moves against the steady one before the
+	// suspended time is read, which takes two calls of the kernel: a shorter suspension harms no
+	// lease, and a clock that is off by a thousandth is read so every ten seconds.
+	apartSlack = 10 * time.Millisecond
+)
 
 // NewClock returns a clock that starts now.
-func NewClock() *Clock { return &Clock{start: time.Now()} }
+func NewClock() *Clock { return newClock(machine{start: time.Now()}) }
+
+func newClock(s source) *Clock {
+	c := &Clock{source: s, suspended: s.suspended()}
+	c.steady, c.wall = s.now()
+	return c
+}
 
 // Now returns the present instant.
-func (c *Clock) Now() units.Instant { return firstInstant.Add(time.Since(c.start)) }
+func (c *Clock) Now() units.Instant {
+	steady, wall := c.source.now()
+	passed := steady - c.steady
+	apart := int64(wall - c.wall - passed)
+	if moved := apart - c.apart.Load(); moved >= int64(apartSlack) || -moved >= int64(apartSlack) {
+		c.apart.Store(apart)
+		c.noteSuspension()
+	}
+	return firstInstant.Add(passed + time.Duration(c.slept.Load()))
+}
+
+// noteSuspension reads how long the machine was suspended. Instants never go back.
+func (c *Clock) noteSuspension() {
+	slept := int64(c.source.suspended() - c.suspended)
+	for held := c.slept.Load(); slept > held && !c.slept.CompareAndSwap(held, slept); held = c.slept.Load() {
+	}
+}
 
 // Wall returns the wall-clock time.
 func (c *Clock) Wall() units.WallTime { return units.WallTime(time.Now().UnixMilli()) }
@@ -28,3 +76,21 @@
 
 // Time returns the time of an instant, for deadlines of connections.
 func (c *Clock) Time(i units.Instant) time.Time { return time.Now().Add(c.Until(i)) }
+
+// machine reads the clocks of the machine.
+type machine struct{ start time.Time }
+
+func (m machine) now() (steady, wall time.Duration) {
+	t := time.Now()
+	return t.Sub(m.start), time.Duration(t.UnixNano())
+}
+
+// suspended is the difference of the two clocks that only differ in that; zero where the kernel
+// doesn't have them.
+func (m machine) suspended() time.Duration {
+	var counting, steady unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &counting) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
+		return 0
+	}
+	return time.Duration(counting.Nano() - steady.Nano())
+}
