--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -107,6 +107,8 @@
 	called atomic.Int64
 	// paths are the proxies before the targets, in their order.
 	paths []*lab.FaultProxy
+	// born is when each target last started, where that is told.
+	born []units.WallTime
 }
 
 func playSoak(t *testing.T, seed uint64) {
@@ -132,6 +134,10 @@
 	if x.rollsOut() {
 		x.spawn(x.rollOut)
 	}
+	if x.crashes() {
+		x.spawn(x.keepTargets)
+		x.spawn(x.sendCrashing)
+	}
 	for range 1 + seed%soakMostLanes {
 		x.spawn(x.oneFault)
 	}
@@ -140,6 +146,9 @@
 	x.work.Wait()
 	x.heal()
 	x.checkDocument()
+	if x.crashes() {
+		x.checkCrashes()
+	}
 	if x.rollsOut() {
 		x.checkRollout()
 	}
@@ -149,8 +158,9 @@
 }
 
 func (x *soak) begin() {
+	x.born = make([]units.WallTime, x.size.targets)
 	for i := range x.size.targets {
-		target, err := lab.StartTargetProcess(programs.lab, fmt.Sprintf("target-%d", i+1), x.folder)
+		target, err := lab.StartTargetProcess(programs.lab, fmt.Sprintf("target-%d", i+1), x.folder, x.targetArguments()...)
 		x.must(err)
 		x.targets = append(x.targets, target)
 		path, err := lab.StartFaultProxy(target.Address)
@@ -293,11 +303,11 @@
 func (x *soak) registration(service string, t int, state table.RowState) *table.Registration {
 	x.lock.Lock()
 	x.sequence++
-	sequence := x.sequence
+	sequence, born := x.sequence, x.born[t]
 	x.lock.Unlock()
 	return &table.Registration{
-		Target: targetID(service, x.targets[t]), Service: units.ServiceName(service), Address: x.paths[t].Address(), Slots: 3, State: state, Sequence: sequence,
-		Domain: x.domainOf(t), Software: x.softwareOf(service, t),
+		Target: targetID(service, x.targets[t]), Service: units.ServiceName(service), Address: x.addressOf(t), Slots: 3, State: state, Sequence: sequence,
+		Domain: x.domainOf(t), Software: x.softwareOf(service, t), Born: born,
 	}
 }
 
