Lists of the table are changed in one way; trials cost grants nothing

Five lists of the table were patched by three pieces of code; patchSorted serves them all. The leader keeps the trials under way in a list of its own: each grant went over all quarantines before, 256 for each of 18,000 boxes a few times a second at the target's size. Crashes are judged when something is new or undecided only. A box that has crash-suspects switched off refuses no call in quarantine (TestQuarantinesCanBeSwitchedOff).

--- a/pkg/core/control/quarantines.go
+++ b/pkg/core/control/quarantines.go
@@ -50,10 +50,21 @@
 	verdicts []openVerdict
 	// sightings tell of each quarantine how the call has come since.
 	sightings map[crash.Fingerprint]*sighting
+	// trials are those under way.
+	trials []openTrial
 	// watched are the calls that each grant names.
 	watched []crash.Watched
-	// undecided is set while time alone may bring a verdict.
-	undecided bool
+	// changed is set when there is something new to judge, undecided while time alone may bring
+	// a verdict.
+	changed, undecided bool
+}
+
+// openTrial lets one box send a call in quarantine once.
+type openTrial struct {
+	call   crash.Fingerprint
+	number int
+	box    units.BoxID
+	until  units.Instant
 }
 
 // openVerdict is a verdict that was proposed.
@@ -73,15 +84,12 @@
 	refusedBy units.BoxID
 	// answered is set once a target has answered the call.
 	answered bool
-	// trial is the last one that was proposed, for the box tried.
-	trial int
-	tried units.BoxID
 	// proposedAt is when a step was last proposed.
 	proposedAt units.Instant
 }
 
 func newQuarantineBook() quarantineBook {
-	return quarantineBook{ledger: crash.NewLedger(crash.Enough), sightings: map[crash.Fingerprint]*sighting{}}
+	return quarantineBook{ledger: crash.NewLedger(crash.Enough), sightings: map[crash.Fingerprint]*sighting{}, changed: true}
 }
 
 // busy tells whether the leader has something to decide soon.
@@ -91,7 +99,7 @@
 func (r *Replica) sightingOf(q *table.Quarantine) *sighting {
 	s := r.quarantines.sightings[q.Call]
 	if s == nil || s.record != q.Since {
-		s = &sighting{record: q.Since, since: r.now, refusedAt: r.now, trial: q.Trials}
+		s = &sighting{record: q.Since, since: r.now, refusedAt: r.now}
 		r.quarantines.sightings[q.Call] = s
 	}
 	return s
@@ -103,6 +111,7 @@
 		return
 	}
 	r.tickAt = r.now
+	r.quarantines.changed = r.quarantines.changed || len(request.CrashNotes) > 0
 	for _, n := range wire.ToCrashNotes(request, r.now) {
 		r.quarantines.ledger.Take(n)
 		if n.IsAnswer() {
@@ -134,15 +143,19 @@
 	if !r.node.HasLease(r.now) {
 		return
 	}
-	r.judgeCalls(log)
+	b := &r.quarantines
+	if b.changed || b.busy() {
+		b.changed = false
+		r.judgeCalls(log)
+		b.undecided = b.ledger.Undecided()
+		b.watched = b.listWatched()
+	}
 	list := r.state.Table().Quarantines
 	for i := range list {
 		r.advanceQuarantine(&list[i], log)
 	}
-	b := &r.quarantines
 	maps.DeleteFunc(b.sightings, func(f crash.Fingerprint, _ *sighting) bool { return r.state.Table().Quarantine(f) == nil })
-	b.undecided = b.ledger.Undecided()
-	b.watched = b.listWatched()
+	b.trials = slices.DeleteFunc(b.trials, func(x openTrial) bool { return r.now >= x.until })
 }
 
 // judgeCalls finds calls that are to blame, and proposes their quarantines until they stand in
@@ -185,7 +198,10 @@
 		step.Action = table.EndQuarantine
 	case s.trialIsDue(q, r.now):
 		step.Action, step.Trial = table.TryQuarantined, q.Trials+1
-		s.trial, s.tried, s.since = step.Trial, s.refusedBy, r.now
+		s.since = r.now
+		r.quarantines.trials = append(r.quarantines.trials, openTrial{
+			call: q.Call, number: step.Trial, box: s.refusedBy, until: r.now.Add(trialTime),
+		})
 	default:
 		return
 	}
@@ -217,13 +233,13 @@
 	return list
 }
 
-// watchedBy lists the calls that a grant to a box names.
+// watchedBy lists the calls that a grant to a box names. A trial is named once it is committed.
 func (r *Replica) watchedBy(box units.BoxID) []*wire.WatchedCall {
 	list := r.quarantines.watched
-	for f, s := range r.quarantines.sightings {
-		q := r.state.Table().Quarantine(f)
-		if s.tried == box && s.tried != "" && q != nil && q.Trials == s.trial && r.now.Sub(s.since) < trialTime {
-			list = append(slices.Clip(list), crash.Watched{Call: f, Quarantined: true, Trial: s.trial})
+	for _, x := range r.quarantines.trials {
+		q := r.state.Table().Quarantine(x.call)
+		if x.box == box && r.now < x.until && q != nil && q.Trials == x.number {
+			list = append(slices.Clip(list), crash.Watched{Call: x.call, Quarantined: true, Trial: x.number})
 		}
 	}
 	return wire.FromWatched(list)
@@ -261,6 +277,7 @@
 		Kind: kinds[x.Action], Call: x.Call, Targets: x.Targets, Trial: x.Trial, Operator: x.Operator, Revision: delta.Revision,
 	})
 	r.tickAt = r.now
+	r.quarantines.changed = true
 	return delta, nil
 }
 
--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -13,10 +13,10 @@
 
 // newBenchRouter returns a router with services of targets each, in force and
 // settled, on a box among others.
-func newBenchRouter(b *testing.B, services, targets, limit int) (*Router, units.Instant) {
+func newBenchRouter(b testing.TB, services, targets, limit int, off ...Mechanism) (*Router, units.Instant) {
 	b.Helper()
 	now := units.Instant(time.Second)
-	r, err := NewRouter(Settings{Box: "box-00", ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, MaxDeadline: time.Hour}, now)
+	r, err := NewRouter(Settings{Box: "box-00", ShareDelay: time.Second, ProbeCost: 5 * time.Millisecond, MaxDeadline: time.Hour, Disable: off}, now)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/pkg/core/routing/mechanism_test.go
+++ b/pkg/core/routing/mechanism_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -17,3 +19,20 @@
 		t.Errorf("an unknown one: %v", err)
 	}
 }
+
+// A box that does without looking for calls which crash targets keeps none from them either.
+func TestQuarantinesCanBeSwitchedOff(t *testing.T) {
+	for _, off := range [][]Mechanism{nil, {CrashSuspects}} {
+		r, now := newBenchRouter(t, 1, 2, 0, off...)
+		var e Effects
+		next := *r.table
+		next.Revision++
+		next.Quarantines = []table.Quarantine{{Call: crash.FingerprintOf(likeness("red"))}}
+		r.Reduce(now, &TableChanged{Table: &next}, &e)
+		e.Reset()
+		r.Reduce(now, &CallArrived{Host: []byte("s0"), Path: []byte("/"), Identity: likeness("red")}, &e)
+		if refused := e.List[0].Kind == Refuse; refused == (len(off) > 0) {
+			t.Errorf("without %v the call is refused: %t", off, refused)
+		}
+	}
+}
--- a/pkg/core/routing/quarantine.go
+++ b/pkg/core/routing/quarantine.go
@@ -167,6 +167,9 @@
 	b.suspects.clear()
 	b.watched.clear()
 	clear(b.answered)
+	if !r.on(CrashSuspects) {
+		return
+	}
 	for i := range r.table.Quarantines {
 		f := r.table.Quarantines[i].Call
 		b.ledger.Explain(f)
--- a/pkg/core/table/evacuation.go
+++ b/pkg/core/table/evacuation.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -126,17 +127,5 @@
 
 // patchEvacuations returns the list, sorted by domain, after a change.
 func patchEvacuations(list, changed []Evacuation) []Evacuation {
-	if len(changed) == 0 {
-		return list
-	}
-	next := slices.Clone(list)
-	for _, x := range changed {
-		i, found := findEvacuation(next, x.Domain)
-		if found {
-			next[i] = x
-			continue
-		}
-		next = slices.Insert(next, i, x)
-	}
-	return next
+	return patchSorted(list, nil, changed, func(x Evacuation) units.Domain { return x.Domain }, cmp.Compare)
 }
--- a/pkg/core/table/patch.go
+++ b/pkg/core/table/patch.go
@@ -64,3 +64,32 @@
 	}
 	return p
 }
+
+// patchSorted returns a list that is sorted by a key after entries have been taken out and others
+// put in; the list itself isn't changed. An empty list is nil, as one that was never filled.
+func patchSorted[T, K any](list []T, removed []K, put []T, keyOf func(T) K, compare func(a, b K) int) []T {
+	if len(removed)+len(put) == 0 {
+		return list
+	}
+	next := slices.Clone(list)
+	find := func(k K) (int, bool) {
+		return slices.BinarySearchFunc(next, k, func(x T, k K) int { return compare(keyOf(x), k) })
+	}
+	for _, k := range removed {
+		if i, found := find(k); found {
+			next = slices.Delete(next, i, i+1)
+		}
+	}
+	for _, x := range put {
+		i, found := find(keyOf(x))
+		if found {
+			next[i] = x
+		} else {
+			next = slices.Insert(next, i, x)
+		}
+	}
+	if len(next) == 0 {
+		return nil
+	}
+	return next
+}
--- a/pkg/core/table/quarantine.go
+++ b/pkg/core/table/quarantine.go
@@ -130,25 +130,5 @@
 
 // patchQuarantines returns the list, sorted by fingerprint, after a change.
 func patchQuarantines(list []Quarantine, d *Delta) []Quarantine {
-	if len(d.Quarantines)+len(d.Released) == 0 {
-		return list
-	}
-	next := slices.Clone(list)
-	for _, f := range d.Released {
-		if i, found := findQuarantine(next, f); found {
-			next = slices.Delete(next, i, i+1)
-		}
-	}
-	for _, q := range d.Quarantines {
-		i, found := findQuarantine(next, q.Call)
-		if found {
-			next[i] = q
-		} else {
-			next = slices.Insert(next, i, q)
-		}
-	}
-	if len(next) == 0 {
-		return nil
-	}
-	return next
+	return patchSorted(list, d.Released, d.Quarantines, func(q Quarantine) crash.Fingerprint { return q.Call }, crash.Fingerprint.Compare)
 }
--- a/pkg/core/table/rollout.go
+++ b/pkg/core/table/rollout.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -98,17 +99,5 @@
 
 // patchByService returns a list sorted by service after a change of some of its entries.
 func patchByService[T any](list, changed []T, name func(T) units.ServiceName) []T {
-	if len(changed) == 0 {
-		return list
-	}
-	next := slices.Clone(list)
-	for _, x := range changed {
-		i, found := findByService(next, name(x), name)
-		if found {
-			next[i] = x
-			continue
-		}
-		next = slices.Insert(next, i, x)
-	}
-	return next
+	return patchSorted(list, nil, changed, name, cmp.Compare)
 }
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -90,27 +91,7 @@
 
 // patchBoxes returns the list after a change.
 func patchBoxes(boxes []Box, c BoxChange) []Box {
-	if c.Empty() {
-		return boxes
-	}
-	next := slices.Clone(boxes)
-	for _, id := range c.Removed {
-		if i, found := findBox(next, id); found {
-			next = slices.Delete(next, i, i+1)
-		}
-	}
-	for _, b := range c.Put {
-		i, found := findBox(next, b.ID)
-		if found {
-			next[i] = b
-		} else {
-			next = slices.Insert(next, i, b)
-		}
-	}
-	if len(next) == 0 {
-		return nil
-	}
-	return next
+	return patchSorted(boxes, c.Removed, c.Put, func(b Box) units.BoxID { return b.ID }, cmp.Compare)
 }
 
 // NewTable returns an empty table at revision zero.
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -83,7 +83,7 @@
 		s.what, s.purpose, s.evidence = stepSent, x.Purpose, x.Evidence
 	case routing.Refuse:
 		s.what, s.refusal = stepRefused, x.Refusal
-		if x.Refusal.Reason == routing.Quarantined {
+		if x.Refusal.Reason == routing.Quarantined && !c.answered {
 			c.identify(&s)
 		}
 	case routing.Deliver:
