--- /dev/null
+++ b/test/starts_test.go
@@ -0,0 +1,54 @@
+package test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A target that registers by itself is killed and starts again under the id that it had, at
+// another address, while a report of the start before comes late.
+func TestATargetStartsAgainUnderItsID(t *testing.T) {
+	x := begin(t, setting{replicas: 3, boxes: 1, targets: 2, adjust: quickLeases})
+	x.must(lab.Eventually(patience, func() error { return x.api().PutDocument(rolloutDocument()) }))
+	report := func(target *lab.TargetProcess, born units.WallTime, sequence uint64, state table.RowState) {
+		t.Helper()
+		x.must(lab.Eventually(patience, func() error {
+			return x.api().Report(&table.Registration{
+				Target: "pool-1", Service: rolloutService, Address: target.Address, Slots: 4, State: state, Sequence: sequence, Born: born,
+			})
+		}))
+	}
+	x.must(x.cluster.AwaitServing(x.cluster.Boxes[0], patience))
+	x.caller = lab.NewCaller(x.cluster.Boxes[0].Entry)
+	served := func() {
+		t.Helper()
+		x.must(lab.Eventually(patience, func() error {
+			if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
+				return fmt.Errorf("the call was answered %+v", c)
+			}
+			return nil
+		}))
+	}
+	report(x.targets[0], 1000, 57, table.Active)
+	served()
+	x.targets[0].Process.Kill()
+	report(x.targets[1], 2000, 1, table.Active)
+	served()
+	report(x.targets[0], 1000, 58, table.Leaving)
+	for range 20 {
+		if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
+			t.Errorf("after the late report a call was answered %+v", c)
+		}
+	}
+	x.must(x.api().Depart("pool-1"))
+	report(x.targets[1], 2000, 2, table.Active)
+	known, err := x.api().Targets()
+	x.must(err)
+	if len(known) != 0 {
+		t.Errorf("the target that has left is registered again: %+v", known)
+	}
+}
