One step in three stories of calls that crash targets

The wait until all boxes ought to know the request, and what is checked then, stood in three stories; mustBecomeKnown does it for all, with the same bounds.

--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// mustBecomeKnown waits until all boxes ought to know the request, and a while longer, then ends
+// the calls and fails if the request still reached targets meanwhile.
+func (x *crashStory) mustBecomeKnown(watched time.Duration) {
+	x.Helper()
+	x.awaitCrashes(crashesKnown)
+	known := x.crashedAt(crashesKnown).Add(knownAfter)
+	time.Sleep(time.Until(known) + watched)
+	x.quiet.Store(true)
+	x.mustBeKnown(known)
+}
+
 // mustServe fails if calls that are well aren't served.
 func (x *crashStory) mustServe(calls int) {
 	x.Helper()
@@ -227,11 +238,7 @@
 	for range 4 {
 		x.spawn(x.keepServing)
 	}
-	x.awaitCrashes(crashesKnown)
-	known := x.crashedAt(crashesKnown).Add(knownAfter)
-	time.Sleep(time.Until(known) + 5*time.Second)
-	x.quiet.Store(true)
-	x.mustBeKnown(known)
+	x.mustBecomeKnown(5 * time.Second)
 	time.Sleep(2 * restartPause)
 	x.mustServe(200)
 }
@@ -261,8 +268,7 @@
 	return x.caller.Do(lab.Plan{Host: "repeatable.test", Body: []byte(crashBody)})
 }
 
-// Replicas and boxes all start anew, some from the log and some from a snapshot; the call comes
-// again at once.
+// Replicas and boxes all start anew, the replicas from their logs; the call comes again at once.
 func TestAQuarantineOutlivesAllProcesses(t *testing.T) {
 	x := beginCrashes(t, 3, 6)
 	x.spawn(func() { x.keepSending(crashBody) })
@@ -302,11 +308,7 @@
 	old := x.leader()
 	old.Process.Kill()
 	x.spawn(func() { x.keepSending(crashBody) })
-	x.awaitCrashes(crashesKnown)
-	known := x.crashedAt(crashesKnown).Add(knownAfter)
-	time.Sleep(time.Until(known) + 3*time.Second)
-	x.quiet.Store(true)
-	x.mustBeKnown(known)
+	x.mustBecomeKnown(3 * time.Second)
 }
 
 // A box that reaches no replica stops the call by itself.
@@ -317,11 +319,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	x.spawn(func() { x.keepSending(crashBody) })
-	x.awaitCrashes(crashesKnown)
-	known := x.crashedAt(crashesKnown).Add(knownAfter)
-	time.Sleep(time.Until(known) + 3*time.Second)
-	x.quiet.Store(true)
-	x.mustBeKnown(known)
+	x.mustBecomeKnown(3 * time.Second)
 	x.mustServe(20)
 }
 
