Logs tell what a target asked of the box: rest, and that it leaves

Cause: lines of attempts say that a target shed a call, not what it asked for, so that a rest that is dropped can't be told from one that is never read. Change: answers of calls and probes are read for both, also those to earlier calls on the connection; attempt-ended and probe-answered show restMs, leaving and, where it can't be read, unreadRest. The setting entry.leavingHeader names the header. Stand-in targets can ask for rest and leave by their answers, and count what reaches them in spite of it.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -240,7 +240,7 @@
 		}
 		t.reading.contradicted()
 		t.shrink()
-		t.notBefore = r.now.Add(max(v.RetryAfter, t.latency.mean()/2))
+		t.notBefore = r.now.Add(max(v.Reading.Rest, t.latency.mean()/2))
 	}
 	if turned {
 		r.healthTurned(t, e)
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -64,8 +64,6 @@
 	Result  AttemptResult
 	// Reading is what the target said of its load, if it said anything.
 	Reading Reading
-	// RetryAfter is what a target that shed the call asked for.
-	RetryAfter time.Duration
 	// Refused is set when the target's host refused the connection: nobody listens there.
 	Refused bool
 }
@@ -147,8 +145,9 @@
 // String returns the word that logs show.
 func (r AttemptResult) String() string { return resultNames[r] }
 
-// Reading is a target's load report.
+// Reading is what a target says of itself in an answer.
 type Reading struct {
+	// Known is set where the answer reports the target's load: InFlight, Slots and Pace.
 	Known bool
 	// InFlight is the number of calls that the target said it had.
 	InFlight float64
@@ -158,6 +157,10 @@
 	Pace float64
 	// Cold is for how long the target stays cold; zero when it didn't say, or is warm.
 	Cold time.Duration
+	// Rest is for how long the target wants nothing more from this box; zero when it didn't ask.
+	Rest time.Duration
+	// Leaving is set when the target says that it is about to end.
+	Leaving bool
 }
 
 // Endpoint is a target of a service as the shell needs to know it. It is never
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -131,13 +131,13 @@
 	result, streaming := a.Run()
 	e.running.Add(-1)
 	e.lock.Lock()
-	c.note(c.endStep(e.Clock.Now(), number, result))
+	c.note(c.endStep(e.Clock.Now(), s, result))
 	e.lock.Unlock()
 	if streaming {
 		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Reading: a.Reading, Coming: a.Coming()})
 	} else {
 		e.reduce(&routing.AttemptEnded{
-			Call: id, Attempt: number, Result: result, Reading: a.Reading, RetryAfter: a.RetryAfter, Refused: a.Refused,
+			Call: id, Attempt: number, Result: result, Reading: a.Reading, Refused: a.Refused,
 		})
 	}
 	if e.settle(c, number, a) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -339,6 +339,7 @@
 		ConnectTimeout: s.ConnectTimeout.Std(), IdleLimit: s.IdleTarget.Std(), OnceIdle: s.OnceIdle.Std(), BufferBody: s.BufferBody,
 		ShedStatus: s.ShedStatus, ShedHeader: s.ShedHeader, LoadHeader: s.LoadHeader,
 		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath, CallIDHeader: s.CallIDHeader,
-		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, PromiseStatus: s.PromiseStatus, Unframed: s.Unframed,
+		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
+		PromiseStatus: s.PromiseStatus, Unframed: s.Unframed,
 	}
 }
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -35,6 +35,11 @@
 	result   routing.AttemptResult
 	refusal  routing.Refusal
 	probed   routing.ProbeEnded
+	// rest and leaving are what a target said of itself in an answer, unreadRest what it wrote in
+	// place of a time to rest.
+	rest       time.Duration
+	leaving    bool
+	unreadRest string
 	// fingerprint is set for an attempt that broke off and for a call in quarantine; request and
 	// caller, which operators need to find whoever sends it, for the latter only.
 	fingerprint, request, caller string
@@ -63,8 +68,12 @@
 
 // endStep is the step of an attempt's end. It is called under the entry's lock: until the call is
 // answered its request is there.
-func (c *call) endStep(now units.Instant, n routing.AttemptNumber, result routing.AttemptResult) step {
-	s := step{at: now, what: stepEnded, attempt: n, result: result}
+func (c *call) endStep(now units.Instant, ended send, result routing.AttemptResult) step {
+	a := ended.attempt
+	s := step{
+		at: now, what: stepEnded, attempt: ended.number, result: result,
+		rest: a.Reading.Rest, leaving: a.Reading.Leaving, unreadRest: a.UnreadRest,
+	}
 	if result == routing.Broken && !c.answered {
 		s.fingerprint = crash.FingerprintOf(&c.identity).String()
 	}
@@ -221,8 +230,13 @@
 		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
 		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
 		f["coldMs"] = millis(s.probed.Reading.Cold)
+		noteWords(f, s.probed.Reading.Rest, s.probed.Reading.Leaving)
 	case stepEnded:
 		f["result"] = s.result.String()
+		noteWords(f, s.rest, s.leaving)
+		if s.unreadRest != "" {
+			f["unreadRest"] = s.unreadRest
+		}
 		if s.fingerprint != "" {
 			f["fingerprint"] = s.fingerprint
 		}
@@ -235,6 +249,16 @@
 	return f
 }
 
+// noteWords adds what a target said of itself to a line, where it said anything.
+func noteWords(f logrus.Fields, rest time.Duration, leaving bool) {
+	if rest > 0 {
+		f["restMs"] = millis(rest)
+	}
+	if leaving {
+		f["leaving"] = true
+	}
+}
+
 func millis(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
 
 // round keeps lines short: two digits behind the point say enough.
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -26,6 +26,7 @@
 	SizeHeader     = "X-Answer-Bytes"
 	ChecksumHeader = "X-Checksum"
 	CutHeader      = "X-Cut"
+	LeavingHeader  = "X-Leaving"
 	RanByHeader    = "X-Ran-By"
 )
 
@@ -59,6 +60,7 @@
 	dropped  atomic.Int64
 	lock     sync.Mutex
 	behavior Behavior
+	rest     restCount
 }
 
 // Behavior is what a target does for the time being.
@@ -69,6 +71,10 @@
 	Fail bool
 	// Shed refuses every call unrun.
 	Shed bool
+	// Rest is for how long a target that sheds wants nothing more; zero when it doesn't say.
+	Rest time.Duration
+	// Leaving says in every answer that the target is about to end.
+	Leaving bool
 	// Sick answers probes with 503.
 	Sick bool
 	// Lie reports no load, whatever there is.
@@ -143,6 +149,9 @@
 
 func (t *Target) handle(ctx *fasthttp.RequestCtx) {
 	b := t.currentBehavior()
+	if b.Leaving {
+		ctx.Response.Header.Set(LeavingHeader, "1")
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		t.health(ctx, b)
@@ -157,6 +166,7 @@
 
 func (t *Target) health(ctx *fasthttp.RequestCtx, b Behavior) {
 	t.probes.Add(1)
+	t.rest.noteProbe(time.Now())
 	t.reportLoad(ctx, b)
 	if b.Sick || b.Fail {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -174,10 +184,16 @@
 	Probes int64 `json:"probes"`
 	// Dropped counts the calls that it never answered.
 	Dropped int64 `json:"dropped"`
+	// Unrested and UnrestedProbes are how many calls and probes came while the target rested,
+	// more than half a second after it had asked for it.
+	Unrested       int64 `json:"unrested"`
+	UnrestedProbes int64 `json:"unrestedProbes"`
 }
 
 func (t *Target) stats(ctx *fasthttp.RequestCtx) {
-	data, err := json.Marshal(TargetStats{Peak: t.peak.Load(), Runs: t.runs.Load(), Probes: t.probes.Load(), Dropped: t.dropped.Load()})
+	s := TargetStats{Peak: t.peak.Load(), Runs: t.runs.Load(), Probes: t.probes.Load(), Dropped: t.dropped.Load()}
+	s.Unrested, s.UnrestedProbes = t.rest.counts()
+	data, err := json.Marshal(s)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
@@ -196,6 +212,7 @@
 			After: int64(q.GetUintOrZero("version_after")), Host: string(q.Peek("version_host")),
 		},
 		Hang: q.GetBool("hang"),
+		Rest: time.Duration(q.GetUintOrZero("rest_ms")) * time.Millisecond, Leaving: q.GetBool("leaving"),
 	})
 }
 
@@ -212,6 +229,7 @@
 	defer t.present.Add(-1)
 	for old := t.peak.Load(); n > old && !t.peak.CompareAndSwap(old, n); old = t.peak.Load() {
 	}
+	t.rest.noteCall(time.Now())
 	t.reportLoad(ctx, b)
 	ctx.Response.Header.Set(RanByHeader, t.settings.Name)
 	if b.Hang && n > int64(t.settings.Slots+t.settings.Queue) {
@@ -220,6 +238,10 @@
 	}
 	if b.Shed || n > int64(t.settings.Slots+t.settings.Queue) {
 		ctx.Response.Header.Set("X-Shed", "1")
+		if b.Rest > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(b.Rest.Seconds(), 'f', -1, 64))
+			t.rest.ask(time.Now(), b.Rest)
+		}
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,7 +16,6 @@
 		return routing.Broken, false
 	}
 	r := a.Response
-	a.readLoad()
 	if r.Header.ContentLength() < -1 && !a.bodiless() {
 		// An answer without a length can't be told from one that was cut short, unless
 		// targets are known to reset what they cut.
@@ -47,7 +45,9 @@
 		if err := r.ReadLimitBody(c.reader, 0); err != nil {
 			return false
 		}
+		a.readWords()
 		if a.isOwn() {
+			a.readLoad()
 			return true
 		}
 		a.surplus = true
@@ -167,11 +167,27 @@
 
 func (a *Attempt) readLoad() {
 	h := &a.Response.Header
+	words := a.Reading
 	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
+	a.Reading.Rest, a.Reading.Leaving = words.Rest, words.Leaving
 	if header := a.pools.settings.ColdHeader; header != "" {
 		a.Reading.Cold = parseCold(string(h.Peek(header)))
 	}
-	if seconds, err := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64); err == nil && seconds >= 0 {
-		a.RetryAfter = time.Duration(seconds * float64(time.Second))
+}
+
+// readWords reads whether the target asks for rest or leaves. The answer to another call tells it
+// as well: what comes on a connection comes from one start of a target.
+func (a *Attempt) readWords() {
+	h := &a.Response.Header
+	if header := a.pools.settings.LeavingHeader; header != "" && parseLeaving(h.Peek(header)) {
+		a.Reading.Leaving = true
+	}
+	if a.Response.StatusCode() != fasthttp.StatusServiceUnavailable && a.classify() != routing.Shed {
+		return
+	}
+	rest, unread := restOf(h, time.Now())
+	a.Reading.Rest = max(a.Reading.Rest, rest)
+	if unread != "" {
+		a.UnreadRest = unread
 	}
 }
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -32,9 +32,10 @@
 	// Request is the attempt's own copy.
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
-	// Reading is what the target said of its load.
-	Reading    routing.Reading
-	RetryAfter time.Duration
+	// Reading is what the target said of itself.
+	Reading routing.Reading
+	// UnreadRest is what the target wrote where it may ask for rest, if that can't be read.
+	UnreadRest string
 	// Refused is set when the target's host refused the connection.
 	Refused bool
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -31,6 +31,8 @@
 	// ColdHeader is where a target says for how many milliseconds it stays cold; empty reads
 	// none.
 	ColdHeader string
+	// LeavingHeader is where a target says that it is about to end; empty reads none.
+	LeavingHeader string
 	// PromiseStatus is set where some statuses promise that a call hasn't run.
 	PromiseStatus bool
 	// Unframed lets answers count that end with their connection.
