A send looks at its lease and at rests right before its first byte is written

Cause: the look came before the request was put together and written, so that a process that stood still in between wrote what it had decided before. Change: the connection asks once more right before the write; what isn't sent leaves nothing in the connection's buffer.

--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -167,24 +167,39 @@
 func (a *Attempt) exchange(c *conn) (routing.AttemptResult, bool) {
 	c.raw.SetDeadline(a.pools.clock.Time(a.deadline))
 	a.before = c.raw.written
-	// The table that the choice rests on may have run out while a connection was
-	// made, or while the whole process stood still.
-	if a.pools.clock.Now() >= a.notAfter {
-		return routing.NotSent, false
-	}
-	if a.withheld() {
-		return routing.Withheld, false
-	}
 	a.setHeaders()
 	if err := a.write(c); err != nil {
-		if c.raw.written == a.before {
-			return routing.NotSent, false
+		if c.raw.written > a.before {
+			return routing.Broken, false
+		}
+		// Nothing of it is left in the buffer for the connection's next user.
+		c.writer.Reset(c.raw)
+		if errors.Is(err, errWithheld) {
+			return routing.Withheld, false
 		}
-		return routing.Broken, false
+		return routing.NotSent, false
 	}
 	return a.read(c)
 }
 
+var (
+	errOutdated = errors.New("the choice of the target is out of date")
+	errWithheld = errors.New("the target wants nothing now")
+)
+
+// mayBegin looks once more whether the attempt's first byte may be written: the table that the
+// choice rests on may have run out, or the target may have asked for rest, while a connection
+// was made or while the whole process stood still.
+func (a *Attempt) mayBegin() error {
+	if a.pools.clock.Now() >= a.notAfter {
+		return errOutdated
+	}
+	if a.withheld() {
+		return errWithheld
+	}
+	return nil
+}
+
 // setHeaders adds what the target has to know. A probe goes without: it is as small as
 // it can be, and its answer says who answered.
 func (a *Attempt) setHeaders() {
@@ -205,6 +220,7 @@
 }
 
 func (a *Attempt) write(c *conn) error {
+	c.raw.look = a.mayBegin
 	if err := a.Request.Write(c.writer); err != nil {
 		return err
 	}
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -17,10 +17,20 @@
 type countingConn struct {
 	net.Conn
 	written int64
+	// look is asked once, right before the next byte, whether that may still be written; nil asks
+	// nobody. A process may stand still at any moment: the less time there is between the look and
+	// the write, the seldomer it writes what was decided long ago.
+	look func() error
 }
 
 // Write counts what the network took; a failed write reports that too.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if look := c.look; look != nil {
+		c.look = nil
+		if err := look(); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	return n, err
--- a/pkg/target/rest_test.go
+++ b/pkg/target/rest_test.go
@@ -84,6 +84,26 @@
 	}
 }
 
+// A choice that is out of date isn't sent, and leaves nothing on its connection for the next call.
+func TestNothingIsSentOnAnOldChoice(t *testing.T) {
+	target := startAnswers(t, `HTTP/1.1 200 OK\nX-Call: call-2\nContent-Length: 0\n\n`+"\n")
+	pools := newTestPools()
+	address := target.listener.Addr().String()
+	now := pools.clock.Now()
+	a := pools.NewAttempt(&routing.Effect{
+		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address}, Deadline: now.Add(10 * time.Second), NotAfter: now,
+	})
+	a.Request.SetRequestURI("/")
+	a.Request.Header.SetHost("s")
+	if result, _ := a.Run(); result != routing.NotSent || pools.kept() != 1 {
+		t.Errorf("the call was %s, and %d connections were kept", result, pools.kept())
+	}
+	a.Release()
+	if got := callOnce(pools, address, "call-2", false); got != `answered "", connections kept: 1` {
+		t.Errorf("the next call: %s", got)
+	}
+}
+
 // newTestPoolsLike returns pools without connections that keep the same from targets.
 func newTestPoolsLike(p *Pools) *Pools {
 	fresh := newTestPools()
