--- a/pkg/core/crash/ledger.go
+++ b/pkg/core/crash/ledger.go
@@ -70,6 +70,10 @@
 	events []event
 	// answered is when a call was last answered, whoever sent it.
 	answered map[Fingerprint]units.Instant
+	// known are the records as they were last worked out; stale is set when that no longer holds.
+	// A leader asks for them three times for each note, and each time takes 256 crashes together.
+	known []record
+	stale bool
 }
 
 // NewLedger returns a ledger that blames a call after so many crashes in a row; zero never does.
@@ -88,6 +92,7 @@
 	if e == nil {
 		return
 	}
+	l.stale = true
 	e.notes = append(e.notes, name)
 	for _, s := range n.Suspects {
 		e.add(suspect{fingerprint: s.Fingerprint, sent: n.At.Add(-s.Sent)})
@@ -128,6 +133,7 @@
 // clear clears a call of the crashes before an answer to it. The same call of other callers may
 // still crash targets, but not by its content alone.
 func (l *Ledger) clear(n Note) {
+	l.stale = true
 	for _, s := range n.Suspects {
 		l.noteAnswered(s.Fingerprint.AnyCaller(), n.At)
 		for i := range l.events {
@@ -152,6 +158,7 @@
 		if e := &l.events[i]; e.has(f) {
 			e.explained = true
 			e.suspects = nil
+			l.stale = true
 		}
 	}
 }
@@ -199,8 +206,17 @@
 }
 
 // records collects what stands against each call under which more than one target crashed:
-// most crashes first, and of equals one caller's calls before the same calls of all callers.
+// most crashes first, and of equals one caller's calls before the same calls of all callers. The
+// list is the ledger's own.
 func (l *Ledger) records() []record {
+	if l.stale {
+		l.known = l.collect()
+		l.stale = false
+	}
+	return l.known
+}
+
+func (l *Ledger) collect() []record {
 	crashes := map[Fingerprint]int{}
 	for i := range l.events {
 		for f := range l.events[i].fingerprints() {
@@ -246,8 +262,7 @@
 // Judge returns the calls that are to blame by now, and drops what they explain. Where nothing
 // tells several calls apart all of them are blamed, in doubt.
 func (l *Ledger) Judge(now units.Instant) []Verdict {
-	l.events = slices.DeleteFunc(l.events, func(e event) bool { return now.Sub(e.at) > memory })
-	maps.DeleteFunc(l.answered, func(_ Fingerprint, at units.Instant) bool { return now.Sub(at) > memory })
+	l.forget(now)
 	var verdicts []Verdict
 	for l.enough > 0 {
 		blamed := l.blame(now)
@@ -266,6 +281,14 @@
 	return verdicts
 }
 
+// forget drops what is too old to count.
+func (l *Ledger) forget(now units.Instant) {
+	events, answers := len(l.events), len(l.answered)
+	l.events = slices.DeleteFunc(l.events, func(e event) bool { return now.Sub(e.at) > memory })
+	maps.DeleteFunc(l.answered, func(_ Fingerprint, at units.Instant) bool { return now.Sub(at) > memory })
+	l.stale = l.stale || len(l.events) < events || len(l.answered) < answers
+}
+
 // blame returns a call that is to blame, or several that nothing tells apart; none where
 // nobody is to blame yet.
 func (l *Ledger) blame(now units.Instant) []record {
@@ -280,7 +303,7 @@
 		return nil
 	}
 	r := enough[0]
-	return append([]record{r}, slices.DeleteFunc(all, func(x record) bool { return !r.isRivalledBy(x) })...)
+	return append([]record{r}, slices.DeleteFunc(slices.Clone(all), func(x record) bool { return !r.isRivalledBy(x) })...)
 }
 
 // isCommon tells whether as many targets of the service crashed without the call meanwhile: a
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -149,7 +149,7 @@
 	c.onTrial = false
 	until := min(c.deadline, r.now.Add(s.row.HoldLimit))
 	if reason := r.refusesToHold(s, c, until); reason != 0 {
-		r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason)}, e)
+		r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason, r.now)}, e)
 		return
 	}
 	c.held = true
@@ -177,7 +177,7 @@
 	if s.restsTooLong(c, r.now) {
 		return TargetsRest
 	}
-	wait := s.expectedWait(c)
+	wait := s.expectedWait(c, r.now)
 	if r.standsBehind(s, c) {
 		wait = max(wait, r.frontAge(s))
 	}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -308,5 +308,5 @@
 	if c.route.work == table.Repeatable && r.retry(id, c, false, e) {
 		return
 	}
-	r.refuse(id, c, Refusal{Reason: AttemptBroken, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
+	r.refuse(id, c, Refusal{Reason: AttemptBroken, Outcome: c.outcome(), RetryAfter: c.service.retryAfter(r.now)}, e)
 }
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -239,7 +239,7 @@
 		r.deadlinePassed(t.call, c, e)
 	case holdTimer:
 		if c.held {
-			r.refuse(t.call, c, Refusal{Reason: HoldExpired, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
+			r.refuse(t.call, c, Refusal{Reason: HoldExpired, Outcome: c.outcome(), RetryAfter: c.service.retryAfter(r.now)}, e)
 		}
 	case hedgeTimer:
 		r.hedge(t.call, c, e)
@@ -271,7 +271,7 @@
 			r.healthTurned(a.target, e)
 		}
 	}
-	r.refuse(id, c, Refusal{Reason: DeadlinePassed, Outcome: c.outcome(), RetryAfter: c.service.retryAfter()}, e)
+	r.refuse(id, c, Refusal{Reason: DeadlinePassed, Outcome: c.outcome(), RetryAfter: c.service.retryAfter(r.now)}, e)
 }
 
 func (r *Router) callerGone(id CallID, e *Effects) {
--- a/pkg/core/routing/evacuation.go
+++ b/pkg/core/routing/evacuation.go
@@ -107,5 +107,5 @@
 		s.held.pushBack(id)
 		return
 	}
-	r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason)}, e)
+	r.refuse(id, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: s.retryAfterOf(reason, r.now)}, e)
 }
--- a/pkg/core/routing/residency.go
+++ b/pkg/core/routing/residency.go
@@ -127,11 +127,11 @@
 }
 
 // retryAfterOf is when a caller may come back that was refused for a reason.
-func (s *service) retryAfterOf(reason Reason) time.Duration {
+func (s *service) retryAfterOf(reason Reason, now units.Instant) time.Duration {
 	if reason == RegionBarred {
 		return regionRetry
 	}
-	return s.retryAfter()
+	return s.retryAfter(now)
 }
 
 // anyHealth tells whether so many of the targets that a call may use are out of the common
--- a/pkg/core/routing/retrying.go
+++ b/pkg/core/routing/retrying.go
@@ -46,7 +46,7 @@
 	if reason == TargetShed && !s.isCrowded(r.now) && s.held.length == 0 {
 		return shedRetry
 	}
-	return s.retryAfter()
+	return s.retryAfter(r.now)
 }
 
 // holdAgain puts a patient call back at the front of those held, as long as it
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -139,8 +139,8 @@
 
 // retryAfter is when a refused caller may come back: the time in which the
 // calls that wait now should be through.
-func (s *service) retryAfter() time.Duration {
-	wait := s.expectedWait(nil)
+func (s *service) retryAfter(now units.Instant) time.Duration {
+	wait := s.expectedWait(nil, now)
 	return max(minRetryAfter, min(wait, maxRetryAfter))
 }
 
@@ -151,11 +151,11 @@
 
 // expectedWait estimates how long a call that is held now will wait; nil stands for one
 // that any target may take.
-func (s *service) expectedWait(c *call) time.Duration {
+func (s *service) expectedWait(c *call, now units.Instant) time.Duration {
 	capacity := 0
 	for _, t := range s.targets {
 		if c.mayUse(t) {
-			capacity += t.capacity()
+			capacity += t.capacity(now)
 		}
 	}
 	if capacity == 0 {
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -137,9 +137,9 @@
 	return int(min(t.share.value, t.window))
 }
 
-// capacity is how many calls this box can count on at the target.
-func (t *target) capacity() int {
-	if !t.isActive() {
+// capacity is how many calls this box can count on at the target now.
+func (t *target) capacity(now units.Instant) int {
+	if !t.isActive() || t.notice.rests(now) {
 		return 0
 	}
 	return max(0, t.limit()-t.lent) + len(t.borrowed)
