The soak's targets ask for rest and leave by their answers

Targets know by which box a call came and keep each breach of what they said on disk; boxes and targets that stood still or were down meanwhile are excused.

--- a/pkg/lab/caller.go
+++ b/pkg/lab/caller.go
@@ -109,6 +109,8 @@
 	request.Header.SetHost(p.Host)
 	request.UseHostHeader = true
 	request.Header.Set(RequestHeader, x.Request)
+	request.Header.Set(EntryHeader, address)
+	request.Header.Set(MadeHeader, strconv.FormatInt(time.Now().UnixMicro(), 10))
 	if p.Work > 0 {
 		request.Header.Set(WorkHeader, strconv.FormatInt(p.Work.Microseconds(), 10))
 	}
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -27,6 +27,8 @@
 	ChecksumHeader = "X-Checksum"
 	CutHeader      = "X-Cut"
 	LeavingHeader  = "X-Leaving"
+	EntryHeader    = "X-Entry"
+	MadeHeader     = "X-Made-Us"
 	RanByHeader    = "X-Ran-By"
 )
 
@@ -60,7 +62,7 @@
 	dropped  atomic.Int64
 	lock     sync.Mutex
 	behavior Behavior
-	rest     restCount
+	words    *words
 }
 
 // Behavior is what a target does for the time being.
@@ -108,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{settings: s, listener: listener, slots: make(chan struct{}, s.Slots)}
+	t := &Target{settings: s, listener: listener, slots: make(chan struct{}, s.Slots), words: newWords(breachesOf(s.Journal))}
 	if s.Journal != "" {
 		if t.journal, err = OpenJournal(s.Journal); err != nil {
 			return nil, err
@@ -151,6 +153,9 @@
 	b := t.currentBehavior()
 	if b.Leaving {
 		ctx.Response.Header.Set(LeavingHeader, "1")
+		if box := string(ctx.Request.Header.Peek(EntryHeader)); box != "" {
+			t.words.leave(box, time.Now())
+		}
 	}
 	switch string(ctx.Path()) {
 	case "/healthz":
@@ -166,7 +171,7 @@
 
 func (t *Target) health(ctx *fasthttp.RequestCtx, b Behavior) {
 	t.probes.Add(1)
-	t.rest.noteProbe(time.Now())
+	t.words.noteProbe(time.Now())
 	t.reportLoad(ctx, b)
 	if b.Sick || b.Fail {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -193,7 +198,7 @@
 
 func (t *Target) stats(ctx *fasthttp.RequestCtx) {
 	s := TargetStats{Peak: t.peak.Load(), Runs: t.runs.Load(), Probes: t.probes.Load(), Dropped: t.dropped.Load()}
-	t.rest.addTo(&s)
+	t.words.addTo(&s)
 	data, err := json.Marshal(s)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
@@ -230,7 +235,11 @@
 	defer t.present.Add(-1)
 	for old := t.peak.Load(); n > old && !t.peak.CompareAndSwap(old, n); old = t.peak.Load() {
 	}
-	t.rest.noteCall(time.Now())
+	box := string(ctx.Request.Header.Peek(EntryHeader))
+	if err := t.words.noteCall(box, madeAt(ctx), time.Now()); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
 	t.reportLoad(ctx, b)
 	ctx.Response.Header.Set(RanByHeader, t.settings.Name)
 	if b.Hang && n > int64(t.settings.Slots+t.settings.Queue) {
@@ -241,7 +250,7 @@
 		ctx.Response.Header.Set("X-Shed", "1")
 		if b.Rest > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(b.Rest.Seconds(), 'f', -1, 64))
-			t.rest.ask(time.Now(), b.Rest)
+			t.words.ask(box, time.Now(), b.Rest)
 		}
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -303,6 +312,11 @@
 	return t.settings.Work
 }
 
+// madeAt is when a call's caller made it.
+func madeAt(ctx *fasthttp.RequestCtx) time.Time {
+	return time.UnixMicro(int64(numberOf(ctx, MadeHeader)))
+}
+
 func numberOf(ctx *fasthttp.RequestCtx, header string) int {
 	n, _ := strconv.Atoi(string(ctx.Request.Header.Peek(header)))
 	return n
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -76,6 +76,9 @@
 	{"silence a replica's open connections", func(x *soak) bool { x.anyProxy().SilenceOpen(); return true }},
 	{"silence a target's open connections", func(x *soak) bool { x.anyPath().SilenceOpen(); return true }},
 	{"have a target hang when full", (*soak).hangWhenFull},
+	{"have a target ask for rest", (*soak).askForRest},
+	{"have targets ask for rest together", (*soak).askForRestTogether},
+	{"have a target leave by its answers", (*soak).leaveByAnswers},
 }
 
 const (
@@ -89,8 +92,9 @@
 	// failure domain meanwhile.
 	thirdFaults     = 20
 	evacuationsFrom = 10_000
-	// allFaultsFrom is the first seed that draws from all of them.
-	allFaultsFrom = 20_000
+	// fourthFaults is how many the seeds from fourthFaultsFrom on draw from.
+	fourthFaults     = 21
+	fourthFaultsFrom = 20_000
 )
 
 // drawFault draws one of the faults that the soak's seed knows.
@@ -100,8 +104,10 @@
 		return x.draw(firstFaults)
 	case x.seed < evacuationsFrom:
 		return x.draw(secondFaults)
-	case x.seed < allFaultsFrom:
+	case x.seed < fourthFaultsFrom:
 		return x.draw(thirdFaults)
+	case x.seed < wordsFrom:
+		return x.draw(fourthFaults)
 	}
 	return x.draw(len(soakFaults))
 }
@@ -136,6 +142,7 @@
 
 func (x *soak) restart(n *lab.Node) bool {
 	return x.with(func() {
+		defer x.disturb(n)()
 		n.Process.Kill()
 		x.pause(1, 300)
 		x.must(x.cluster.StartAgain(n))
@@ -163,6 +170,7 @@
 
 func (x *soak) freeze(n *lab.Node) bool {
 	return x.with(func() {
+		defer x.disturb(n)()
 		n.Process.Freeze()
 		x.pause(100, 1500)
 		n.Process.Thaw()
@@ -172,6 +180,7 @@
 func (x *soak) freezeTarget() bool {
 	t := x.targets[x.draw(len(x.targets))]
 	return x.with(func() {
+		defer x.disturb(t)()
 		t.Process.Freeze()
 		x.pause(100, 800)
 		t.Process.Thaw()
@@ -224,6 +233,7 @@
 // stopBox is a planned stop, during which no call may be cut.
 func (x *soak) stopBox(n *lab.Node) bool {
 	return x.with(func() {
+		defer x.disturb(n)()
 		n.Process.Terminate()
 		if _, err := n.Process.AwaitEnd(patience); err != nil {
 			x.Errorf("a planned stop didn't end: %v", err)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -109,6 +109,8 @@
 	paths []*lab.FaultProxy
 	// born is when each target last started, where that is told.
 	born []units.WallTime
+	// disturbed are the times at which processes stood still or were down.
+	disturbed []disturbance
 }
 
 func playSoak(t *testing.T, seed uint64) {
@@ -152,6 +154,9 @@
 	if x.rollsOut() {
 		x.checkRollout()
 	}
+	if x.words() {
+		x.checkWords()
+	}
 	x.checkLeaving()
 	x.checkEvacuation()
 	x.checkCalls()
@@ -178,6 +183,7 @@
 			s.Control.EditTimeout = config.Duration(2 * time.Second)
 			s.Control.Rollout.Enabled = x.rollsOut()
 			s.Regions = soakRegions
+			s.Entry.LeavingHeader = lab.LeavingHeader
 		},
 	})
 	x.must(err)
--- /dev/null
+++ b/test/soak_words_test.go
@@ -0,0 +1,109 @@
+package test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/lab"
+)
+
+const (
+	// wordsFrom is the first seed whose targets ask for rest and leave by their answers.
+	wordsFrom = 50_000
+	// soakLeastRest and soakMostRest bound the rests that targets ask for, in milliseconds.
+	soakLeastRest = 500
+	soakMostRest  = 3000
+)
+
+// words tells whether the seed's targets ask for rest and leave by their answers.
+func (x *soak) words() bool { return x.seed >= wordsFrom }
+
+// disturbance is a time at which a process stood still or was down. It may have been told
+// something meanwhile that it never read.
+type disturbance struct {
+	thing       any
+	since, till time.Time
+}
+
+// disturb notes that a process is disturbed until the function that it returns is called.
+func (x *soak) disturb(thing any) func() {
+	since := time.Now()
+	return func() {
+		x.lock.Lock()
+		defer x.lock.Unlock()
+		x.disturbed = append(x.disturbed, disturbance{thing: thing, since: since, till: time.Now()})
+	}
+}
+
+func (x *soak) wasDisturbed(thing any, since, till time.Time) bool {
+	x.lock.Lock()
+	defer x.lock.Unlock()
+	for _, d := range x.disturbed {
+		if d.thing == thing && !d.since.After(till) && !d.till.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// askForRest has a target turn calls away and ask for rest.
+func (x *soak) askForRest() bool {
+	t := x.targets[x.draw(len(x.targets))]
+	return x.with(func() { x.rest(t) }, t)
+}
+
+// askForRestTogether has most targets of both services ask for rest at the same time.
+func (x *soak) askForRestTogether() bool {
+	var some []*lab.TargetProcess
+	var things []any
+	for _, t := range x.targets[1:] {
+		some, things = append(some, t), append(things, t)
+	}
+	return x.with(func() { x.rest(some...) }, things...)
+}
+
+func (x *soak) rest(some ...*lab.TargetProcess) {
+	for _, t := range some {
+		x.tell(t, fmt.Sprintf("shed=1&rest_ms=%d", soakLeastRest+x.draw(soakMostRest-soakLeastRest)))
+	}
+	x.pause(200, 1500)
+	for _, t := range some {
+		x.tell(t, "shed=0")
+	}
+}
+
+// leaveByAnswers has a target say that it leaves, which its reports don't, and end some seconds
+// later. It starts again under its id.
+func (x *soak) leaveByAnswers() bool {
+	t := x.targets[x.draw(len(x.targets))]
+	return x.with(func() {
+		x.tell(t, "leaving=1")
+		x.pause(2500, 4000)
+		t.Process.Kill()
+	}, t)
+}
+
+// boxAt is the box whose entry is at an address.
+func (x *soak) boxAt(entry string) *lab.Node {
+	for _, b := range x.cluster.Boxes {
+		if b.Entry == entry {
+			return b
+		}
+	}
+	return nil
+}
+
+// checkWords makes sure that boxes sent no more to targets that had asked for rest, or had said that
+// they leave, but for boxes that were disturbed since and targets that stood still.
+func (x *soak) checkWords() {
+	for _, t := range x.targets {
+		all, err := lab.ReadBreaches(t.Journal)
+		x.must(err)
+		for _, b := range all {
+			if x.wasDisturbed(x.boxAt(b.Box), b.Said, b.At) || x.wasDisturbed(t, b.Said, b.At) {
+				continue
+			}
+			x.Errorf("%s got a call from %s %s after it had said to it that it wants none: %+v", t.Name, b.Box, b.At.Sub(b.Said), b)
+		}
+	}
+}
