--- a/test/rest_test.go
+++ b/test/rest_test.go
@@ -131,3 +131,35 @@
 		t.Errorf("%d of %d calls were served by the others", whole, calls)
 	}
 }
+
+// A box stands still in the middle of a rest: the rest runs on meanwhile, and neither is forgotten nor
+// begins anew.
+func TestARestRunsOnWhileTheBoxStandsStill(t *testing.T) {
+	x := beginWords(t, 2)
+	resting, box := x.targets[1], x.cluster.Boxes[0]
+	x.behave(resting, fmt.Sprintf("shed=1&rest_ms=%d", restAsked.Milliseconds()))
+	x.must(lab.Eventually(patience, func() error {
+		if x.callFor(100 * time.Millisecond); x.statsOf(resting).Rests == 0 {
+			return fmt.Errorf("%s hasn't asked for rest", resting.Name)
+		}
+		return nil
+	}))
+	asked := time.Now()
+	x.behave(resting, "shed=0")
+	box.Process.Freeze()
+	time.Sleep(restAsked / 2)
+	box.Process.Thaw()
+	x.must(x.cluster.AwaitServing(box, patience))
+	x.callFor(restAsked/4 + time.Until(asked.Add(restAsked/2)))
+	before := x.statsOf(resting)
+	if before.Unrested > leftInRest || before.UnrestedProbes > leftInRest {
+		t.Errorf("%s got %d calls and %d probes while it rested", resting.Name, before.Unrested, before.UnrestedProbes)
+	}
+	time.Sleep(time.Until(asked.Add(restAsked)))
+	x.must(lab.Eventually(restAsked/2, func() error {
+		if x.callFor(200 * time.Millisecond); x.statsOf(resting).Runs == before.Runs {
+			return fmt.Errorf("%s gets no calls though its rest is over", resting.Name)
+		}
+		return nil
+	}))
+}
