--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -46,24 +46,29 @@
 	return r, now
 }
 
+// benchCalls measures a call from its arrival to its answer.
+func benchCalls(b *testing.B, r *Router, now units.Instant, arrived *CallArrived) {
+	b.Helper()
+	var e Effects
+	ended := &AttemptEnded{Result: Answered}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(10 * time.Microsecond)
+		e.Reset()
+		r.Reduce(now, arrived, &e)
+		ended.Call, ended.Attempt = e.List[0].Call, e.List[0].Attempt
+		r.Reduce(now, ended, &e)
+		r.Reduce(now, &Tick{}, &e)
+	}
+}
+
 // BenchmarkCall is one call from its arrival to its answer.
 func BenchmarkCall(b *testing.B) {
 	for _, targets := range []int{5, 20, 100, 500, 2000} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			r, now := newBenchRouter(b, 1, targets, 0)
-			var e Effects
-			arrived := &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")}
-			ended := &AttemptEnded{Result: Answered}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				now = now.Add(10 * time.Microsecond)
-				e.Reset()
-				r.Reduce(now, arrived, &e)
-				ended.Call, ended.Attempt = e.List[0].Call, e.List[0].Attempt
-				r.Reduce(now, ended, &e)
-				r.Reduce(now, &Tick{}, &e)
-			}
+			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
 		})
 	}
 }
@@ -80,16 +85,7 @@
 	}
 	r.Reduce(now, &TableChanged{Table: &next}, &e)
 	arrived := &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/"), Identity: likeness("GET shop.example /orders/2026/10045?page=3&sort=new")}
-	ended := &AttemptEnded{Result: Answered}
-	b.ReportAllocs()
-	for b.Loop() {
-		now = now.Add(10 * time.Microsecond)
-		e.Reset()
-		r.Reduce(now, arrived, &e)
-		ended.Call, ended.Attempt = e.List[0].Call, e.List[0].Attempt
-		r.Reduce(now, ended, &e)
-		r.Reduce(now, &Tick{}, &e)
-	}
+	benchCalls(b, r, now, arrived)
 }
 
 // BenchmarkTick is what a box spends on time alone, ten milliseconds of it.
@@ -215,18 +211,7 @@
 					r.hear(t.endpoint, Reading{Rest: time.Hour}, &e)
 				}
 			}
-			arrived := &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")}
-			ended := &AttemptEnded{Result: Answered}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for range b.N {
-				now = now.Add(10 * time.Microsecond)
-				e.Reset()
-				r.Reduce(now, arrived, &e)
-				ended.Call, ended.Attempt = e.List[0].Call, e.List[0].Attempt
-				r.Reduce(now, ended, &e)
-				r.Reduce(now, &Tick{}, &e)
-			}
+			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
 		})
 	}
 }
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -36,8 +36,7 @@
 // crashStory is a story whose targets end under one request and are started again.
 type crashStory struct {
 	*story
-	done chan struct{}
-	work sync.WaitGroup
+	workers
 	// quiet is set once no more calls are to be made; targets are kept running.
 	quiet atomic.Bool
 	// mended is set once targets are started with software that bears the request.
@@ -56,7 +55,7 @@
 }
 
 func beginCrashes(t *testing.T, boxes, targets int) *crashStory {
-	x := &crashStory{done: make(chan struct{})}
+	x := &crashStory{workers: newWorkers()}
 	x.story = begin(t, setting{
 		replicas: 3, boxes: boxes, targets: targets, adjust: func(s *config.Settings) {
 			quickLeases(s)
@@ -70,7 +69,7 @@
 		s.MeasureBudget, s.ProbeTargets, s.ProbePath = 5, 2, "/healthz"
 	})
 	for _, target := range x.targets {
-		x.spawn(func() { x.keepRunning(target) })
+		x.once(func() { x.keepRunning(target) })
 	}
 	return x
 }
@@ -80,24 +79,6 @@
 	crashArguments  = append(sturdyArguments[:len(sturdyArguments):len(sturdyArguments)], "--crash-body", crashBody)
 )
 
-func (x *crashStory) spawn(f func()) {
-	x.work.Add(1)
-	go func() {
-		defer x.work.Done()
-		f()
-	}()
-}
-
-// stop ends what the story keeps doing; it may be called twice.
-func (x *crashStory) stop() {
-	select {
-	case <-x.done:
-	default:
-		close(x.done)
-	}
-	x.work.Wait()
-}
-
 // keepRunning starts a target again a while after it has ended.
 func (x *crashStory) keepRunning(target *lab.TargetProcess) {
 	for x.pause(10 * time.Millisecond) {
@@ -234,9 +215,9 @@
 
 func TestACallThatCrashesTargetsIsKeptFromThem(t *testing.T) {
 	x := beginCrashes(t, 3, 6)
-	x.spawn(func() { x.keepSending(crashBody) })
+	x.once(func() { x.keepSending(crashBody) })
 	for range 4 {
-		x.spawn(x.keepServing)
+		x.once(x.keepServing)
 	}
 	x.mustBecomeKnown(5 * time.Second)
 	time.Sleep(2 * restartPause)
@@ -271,7 +252,7 @@
 // Replicas and boxes all start anew, the replicas from their logs; the call comes again at once.
 func TestAQuarantineOutlivesAllProcesses(t *testing.T) {
 	x := beginCrashes(t, 3, 6)
-	x.spawn(func() { x.keepSending(crashBody) })
+	x.once(func() { x.keepSending(crashBody) })
 	x.awaitQuarantine()
 	x.quiet.Store(true)
 	time.Sleep(2 * restartPause)
@@ -307,7 +288,7 @@
 	x.awaitCrashes(1)
 	old := x.leader()
 	old.Process.Kill()
-	x.spawn(func() { x.keepSending(crashBody) })
+	x.once(func() { x.keepSending(crashBody) })
 	x.mustBecomeKnown(3 * time.Second)
 }
 
@@ -318,7 +299,7 @@
 		r.Process.Kill()
 	}
 	time.Sleep(2 * time.Second)
-	x.spawn(func() { x.keepSending(crashBody) })
+	x.once(func() { x.keepSending(crashBody) })
 	x.mustBecomeKnown(3 * time.Second)
 	x.mustServe(20)
 }
@@ -326,7 +307,7 @@
 // An operator releases the call once the targets' software is mended.
 func TestAReleasedCallIsServed(t *testing.T) {
 	x := beginCrashes(t, 3, 6)
-	x.spawn(func() { x.keepSending(crashBody) })
+	x.once(func() { x.keepSending(crashBody) })
 	name := x.awaitQuarantine()
 	x.quiet.Store(true)
 	x.mended.Store(true)
--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -30,14 +29,13 @@
 type rolloutStory struct {
 	*story
 	old, fresh []*lab.TargetProcess
-	done       chan struct{}
-	work       sync.WaitGroup
+	workers
 	// ordered is how many calls had been made at the order.
 	ordered int
 }
 
 func beginRollout(t *testing.T) *rolloutStory {
-	x := &rolloutStory{done: make(chan struct{})}
+	x := &rolloutStory{workers: newWorkers()}
 	x.story = begin(t, setting{
 		replicas: 3, boxes: 3, targets: 8, targetArguments: []string{"--slots", "8", "--queue", "32", "--work", "5ms"},
 		adjust: func(s *config.Settings) {
@@ -60,7 +58,7 @@
 	}
 	x.caller = lab.NewCaller(entries...)
 	for k := range 8 {
-		x.spawn(func() { x.call(k) })
+		x.repeat(func() { x.call(k) })
 	}
 	x.keepReporting(x.fresh, newSoftware)
 	return x
@@ -82,32 +80,6 @@
 	return data
 }
 
-// spawn does something again and again until the story's calls end.
-func (x *rolloutStory) spawn(f func()) {
-	x.work.Add(1)
-	go func() {
-		defer x.work.Done()
-		for {
-			select {
-			case <-x.done:
-				return
-			default:
-				f()
-			}
-		}
-	}()
-}
-
-// stop ends the calls and reports.
-func (x *rolloutStory) stop() {
-	select {
-	case <-x.done:
-	default:
-		close(x.done)
-	}
-	x.work.Wait()
-}
-
 func (x *rolloutStory) call(k int) {
 	host := "shop.test"
 	if k%4 == 0 {
@@ -121,7 +93,7 @@
 func (x *rolloutStory) keepReporting(targets []*lab.TargetProcess, v units.Software) {
 	sequence := uint64(0)
 	api := x.api()
-	x.spawn(func() {
+	x.repeat(func() {
 		sequence++
 		for _, t := range targets {
 			if t.Process.Ended() {
@@ -317,7 +289,7 @@
 	x.order()
 	// Calls that the old version works on for long hold the shift up.
 	for k := range 3 {
-		x.spawn(func() {
+		x.repeat(func() {
 			x.caller.Do(lab.Plan{Host: "shop.test", Work: 1500 * time.Millisecond})
 			time.Sleep(time.Duration(k) * 100 * time.Millisecond)
 		})
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -36,6 +36,7 @@
 	cause string
 }{
 	{3002, "all targets of a service had been slow; they counted as too slow for 15 s and every call was refused"},
+	{50_002, "two boxes sent calls to a target that had asked them for rest 1.7 and 1.8 s before, since it seemed to have room"},
 }
 
 const (
@@ -88,8 +89,7 @@
 	seed   uint64
 	size   soakSize
 	random *rand.Rand
-	done   chan struct{}
-	work   sync.WaitGroup
+	workers
 
 	lock sync.Mutex
 	// version is the highest document sent, acknowledged the highest that was told to be
@@ -115,7 +115,7 @@
 
 func playSoak(t *testing.T, seed uint64) {
 	size := soakSizeOf(seed)
-	x := &soak{seed: seed, size: size, story: &story{T: t, folder: t.TempDir()}, random: rand.New(rand.NewPCG(seed, 3)), done: make(chan struct{})}
+	x := &soak{seed: seed, size: size, story: &story{T: t, folder: t.TempDir()}, random: rand.New(rand.NewPCG(seed, 3)), workers: newWorkers()}
 	t.Cleanup(x.end)
 	defer func() {
 		if t.Failed() {
@@ -124,28 +124,27 @@
 		}
 	}()
 	x.begin()
-	x.spawn(x.putDocuments)
-	x.spawn(x.readDocuments)
-	x.spawn(x.report)
+	x.repeat(x.putDocuments)
+	x.repeat(x.readDocuments)
+	x.repeat(x.report)
 	for range x.size.callers {
-		x.spawn(x.call)
+		x.repeat(x.call)
 	}
 	if seed >= evacuationsFrom {
-		x.spawn(x.evacuate)
+		x.repeat(x.evacuate)
 	}
 	if x.rollsOut() {
-		x.spawn(x.rollOut)
+		x.repeat(x.rollOut)
 	}
 	if x.crashes() {
-		x.spawn(x.keepTargets)
-		x.spawn(x.sendCrashing)
+		x.repeat(x.keepTargets)
+		x.repeat(x.sendCrashing)
 	}
 	for range 1 + seed%soakMostLanes {
-		x.spawn(x.oneFault)
+		x.repeat(x.oneFault)
 	}
 	time.Sleep(*soakTime)
-	close(x.done)
-	x.work.Wait()
+	x.stop()
 	x.heal()
 	x.checkDocument()
 	if x.crashes() {
@@ -201,21 +200,6 @@
 	x.caller = lab.NewCaller(entries...)
 }
 
-func (x *soak) spawn(f func()) {
-	x.work.Add(1)
-	go func() {
-		defer x.work.Done()
-		for {
-			select {
-			case <-x.done:
-				return
-			default:
-				f()
-			}
-		}
-	}()
-}
-
 // pause waits for a random time; it is how the schedule's steps are spread.
 func (x *soak) pause(least, most int) {
 	x.lock.Lock()
