--- a/pkg/core/routing/notice.go
+++ b/pkg/core/routing/notice.go
@@ -315,13 +315,12 @@
 	return min(maxRetryAfter, drawn+time.Duration(random.Float64()*spread)).Round(time.Millisecond)
 }
 
-// awaitsTargets are the reasons that come to the same as targets which rest, where all of them
-// do.
+// awaitsTargets are the refusals that are due to the targets' rests where all of them rest.
 var awaitsTargets = map[Reason]bool{
 	TooManyHeld: true, WaitTooLong: true, HoldExpired: true, TargetShed: true, RetriesSpent: true, TargetsBusy: true,
 }
 
-// explainRest has a refusal say that all targets rest, and until when, if that is so.
+// explainRest has such a refusal say that all targets rest, and when their caller may come back.
 func (r *Router) explainRest(c *call, x *Refusal) {
 	if c.service == nil || len(r.notices) == 0 || !awaitsTargets[x.Reason] && x.Reason != TargetsRest {
 		return
--- a/pkg/core/routing/script_notice_test.go
+++ b/pkg/core/routing/script_notice_test.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// setWords sets what an answer says of its target by "rest=D" and "leaving".
-func (s *script) setWords(d *datadriven.TestData, x *Reading) {
+// setNotice sets what an answer says of its target by "rest=D" and "leaving".
+func (s *script) setNotice(d *datadriven.TestData, x *Reading) {
 	x.Rest = s.duration(d, "rest")
 	x.Leaving = d.HasArg("leaving")
 }
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -364,7 +364,7 @@
 
 func (s *script) giveProbeEnded(d *datadriven.TestData, v ProbeEnded) {
 	probe := s.lastProbe[d.CmdArgs[0].Key]
-	s.setWords(d, &v.Reading)
+	s.setNotice(d, &v.Reading)
 	v.Target, v.Call, v.Attempt = s.probes[d.CmdArgs[1].Key], probe.Call, probe.Attempt
 	s.give(&v)
 }
@@ -404,7 +404,7 @@
 	}
 	v.Refused = d.HasArg("refused")
 	v.Endpoint = s.sent[d.CmdArgs[0].Key][v.Attempt]
-	s.setWords(d, &v.Reading)
+	s.setNotice(d, &v.Reading)
 	s.give(v)
 }
 
@@ -415,7 +415,7 @@
 	d.MaybeScanArgs(s.t, "coming", &coming)
 	v := &AttemptStarted{Call: s.calls[d.CmdArgs[0].Key], Attempt: AttemptNumber(n), Coming: coming}
 	v.Endpoint = s.sent[d.CmdArgs[0].Key][v.Attempt]
-	s.setWords(d, &v.Reading)
+	s.setNotice(d, &v.Reading)
 	s.give(v)
 }
 
@@ -463,7 +463,7 @@
 	v := &ProbeEnded{Target: s.probes[d.CmdArgs[0].Key], Healthy: s.word(d, "healthy") == "true"}
 	v.Answered, v.Refused = d.HasArg("answered"), d.HasArg("refused")
 	v.Unreachable = v.Refused
-	s.setWords(d, &v.Reading)
+	s.setNotice(d, &v.Reading)
 	s.give(v)
 }
 
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -250,10 +250,10 @@
 		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
 		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
 		f["coldMs"] = millis(s.probed.Reading.Cold)
-		noteWords(f, s.probed.Reading.Rest, s.probed.Reading.Leaving)
+		addNotice(f, s.probed.Reading.Rest, s.probed.Reading.Leaving)
 	case stepEnded:
 		f["result"] = s.result.String()
-		noteWords(f, s.rest, s.leaving)
+		addNotice(f, s.rest, s.leaving)
 		if s.unreadRest != "" {
 			f["unreadRest"] = s.unreadRest
 		}
@@ -269,8 +269,8 @@
 	return f
 }
 
-// noteWords adds what a target said of itself to a line, where it said anything.
-func noteWords(f logrus.Fields, rest time.Duration, leaving bool) {
+// addNotice adds what a target said of itself to a line, where it said anything.
+func addNotice(f logrus.Fields, rest time.Duration, leaving bool) {
 	if rest > 0 {
 		f["restMs"] = millis(rest)
 	}
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -45,7 +45,7 @@
 		if err := r.ReadLimitBody(c.reader, 0); err != nil {
 			return false
 		}
-		a.readWords()
+		a.readNotice()
 		if a.isOwn() {
 			a.readLoad()
 			return true
@@ -167,17 +167,17 @@
 
 func (a *Attempt) readLoad() {
 	h := &a.Response.Header
-	words := a.Reading
+	said := a.Reading
 	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
-	a.Reading.Rest, a.Reading.Leaving = words.Rest, words.Leaving
+	a.Reading.Rest, a.Reading.Leaving = said.Rest, said.Leaving
 	if header := a.pools.settings.ColdHeader; header != "" {
 		a.Reading.Cold = parseCold(string(h.Peek(header)))
 	}
 }
 
-// readWords reads whether the target asks for rest or leaves. The answer to another call tells it
+// readNotice reads whether the target asks for rest or leaves. The answer to another call tells it
 // as well: what comes on a connection comes from one start of a target.
-func (a *Attempt) readWords() {
+func (a *Attempt) readNotice() {
 	h := &a.Response.Header
 	if header := a.pools.settings.LeavingHeader; header != "" && parseLeaving(h.Peek(header)) {
 		a.Reading.Leaving = true
--- a/pkg/target/rest_test.go
+++ b/pkg/target/rest_test.go
@@ -10,10 +10,10 @@
 	"github.com/madderpond/madderpond/pkg/core/routing"
 )
 
-// TestWords sends calls to a stand-in that answers as the file says, and prints what its answers
+// TestNotices sends calls to a stand-in that answers as the file says, and prints what its answers
 // said of itself: for how long it wants rest, whether it leaves, and what couldn't be read.
-func TestWords(t *testing.T) {
-	datadriven.RunTest(t, "testdata/words", func(t *testing.T, d *datadriven.TestData) string {
+func TestNotices(t *testing.T) {
+	datadriven.RunTest(t, "testdata/notices", func(t *testing.T, d *datadriven.TestData) string {
 		target := startAnswers(t, d.Input+"\n")
 		pools := newTestPools()
 		pools.settings.LeavingHeader = "X-Leaving"
