Read-through: one piece of code for what stood twice

Cause: reading the whole change once more. Routing: the aim that stands in for a missing one was worked out in two places (now call.aim); calls' and probes' ends both chose between two ways to hear a target (now one, which knows misdirected answers); whether a target out of the common path is probed took two conditions that overlapped (now wantsProbe); whether a call can be served at all was asked in two places (now canServe). Tests: waiting until all boxes serve stood five times (servingEntries), until a call is served three times (awaitWhole), killing processes and starting them, some without disks, four times (killAndStart). The power story waited for voters by a soak made up for it; it uses awaitVoter and awaitAcknowledged, which now name a replica that has seeds as well: that story failed until they did. Its wait before each loss is for every replica and what it has acknowledged.

--- a/pkg/core/control/quarantines.go
+++ b/pkg/core/control/quarantines.go
@@ -24,7 +24,7 @@
 	// maxSuspected bounds the suspects that grants name: some 30 bytes each, a few times a
 	// second to each box.
 	maxSuspected = 16
-	// trialTime is for how long the box that a trial is for is told of it.
+	// trialTime is how long grants name a trial to the box that may use it.
 	trialTime = 5 * time.Second
 )
 
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -98,7 +98,7 @@
 
 // attemptStarted passes on an answer whose first bytes have come, and ends the call's other attempts.
 func (r *Router) attemptStarted(v *AttemptStarted, e *Effects) {
-	r.hear(v.Endpoint, v.Reading, e)
+	r.hear(v.Endpoint, v.Reading, false, e)
 	c := r.calls.Get(v.Call)
 	if c == nil {
 		return
@@ -146,11 +146,7 @@
 
 // attemptEnded learns from how an attempt ended, then delivers its answer or goes on with the call.
 func (r *Router) attemptEnded(v *AttemptEnded, e *Effects) {
-	if v.Result == Misdirected {
-		r.hearStranger(v.Endpoint, v.Reading, e)
-	} else {
-		r.hear(v.Endpoint, v.Reading, e)
-	}
+	r.hear(v.Endpoint, v.Reading, v.Result == Misdirected, e)
 	c := r.calls.Get(v.Call)
 	if c == nil {
 		return
--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -208,7 +208,7 @@
 				t.row.Address = fmt.Sprintf("10.0.0.1:%d", i)
 				t.endpoint.Address = t.row.Address
 				if i%2 == 0 {
-					r.hear(t.endpoint, Reading{Rest: time.Hour}, &e)
+					r.hear(t.endpoint, Reading{Rest: time.Hour}, false, &e)
 				}
 			}
 			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
--- a/pkg/core/routing/evacuation.go
+++ b/pkg/core/routing/evacuation.go
@@ -85,7 +85,13 @@
 // isServable tells whether the service has a target for a call that waits.
 func (r *Router) isServable(s *service, id CallID) bool {
 	c := r.calls.Get(id)
-	return c != nil && s.hasActiveTarget(c) && !s.restsTooLong(c, r.now)
+	return c != nil && s.canServe(c, r.now)
+}
+
+// canServe tells whether a target may take a call, but for its health and limits, before the call
+// can wait no longer.
+func (s *service) canServe(c *call, now units.Instant) bool {
+	return s.hasActiveTarget(c) && !s.restsTooLong(c, now)
 }
 
 // hasOpenTarget tells whether a target may take calls, but for its health and limits, and doesn't
--- a/pkg/core/routing/notice.go
+++ b/pkg/core/routing/notice.go
@@ -16,7 +16,7 @@
 // a report, nor a later answer ends it: only its time does, or a new start. Whether a target
 // seems to have room doesn't matter: where that decided, targets that reported free slots and turned
 // calls away were sent 10 to 15 calls and 110 probes each within two rests of 3 s (one box, four
-// targets, some 86 calls a second), and now none.
+// targets, some 86 calls a second); with notices none.
 
 const (
 	// noticeMemory is for how long a notice is kept of a start that no row names: a late report
@@ -87,25 +87,29 @@
 	return n != nil && (n.leaving || now < n.restUntil)
 }
 
-// hear takes what a target said of itself in an answer, whatever became of the call or probe.
-func (r *Router) hear(x *Endpoint, said Reading, e *Effects) {
+// hear takes what a target said of itself in an answer, whatever became of the call or probe. A
+// misdirected answer comes from another target at the address.
+func (r *Router) hear(x *Endpoint, said Reading, misdirected bool, e *Effects) {
 	if x == nil || said.Rest <= 0 && !said.Leaving {
 		return
 	}
 	o := x.origin()
-	if t := r.findTarget(x); t != nil {
+	if misdirected {
+		other := r.onlyOther(x)
+		if other == nil {
+			return
+		}
+		o, x = originOfRow(&other.row), other.endpoint
+	} else if t := r.findTarget(x); t != nil {
 		// Its birth may have become known since the endpoint was made.
 		o = originOfRow(&t.row)
 	}
 	r.takeNotice(o, x, said, e)
 }
 
-// hearStranger takes what another target said that answered at a target's address. It is put down
-// to the only other target that is listed there, if there is one.
-func (r *Router) hearStranger(x *Endpoint, said Reading, e *Effects) {
-	if x == nil || said.Rest <= 0 && !said.Leaving {
-		return
-	}
+// onlyOther returns the only other target that is listed at an endpoint's address; nil for none,
+// and for several.
+func (r *Router) onlyOther(x *Endpoint) *target {
 	var other *target
 	for _, s := range r.order {
 		for _, t := range s.targets {
@@ -113,14 +117,12 @@
 				continue
 			}
 			if other != nil && other.row.Target != t.row.Target {
-				return
+				return nil
 			}
 			other = t
 		}
 	}
-	if other != nil {
-		r.takeNotice(originOfRow(&other.row), other.endpoint, said, e)
-	}
+	return other
 }
 
 // takeNotice keeps what a start of a target said, and has it bind all targets that are this start.
@@ -238,14 +240,22 @@
 // again: its rows tell no birth.
 func (t *target) startUnknown() bool { return t.row.Born == 0 }
 
-// needsCheck tells whether a target that said it leaves is to be probed, since that alone shows
-// whether a new start has taken its place.
-func (t *target) needsCheck() bool { return t.notice.isLeaving() && t.startUnknown() }
+// wantsProbe tells whether a target that gets no calls is worth a probe: one that is ejected, and one
+// that said it leaves where a probe alone shows whether a new start has taken its place.
+func (t *target) wantsProbe(now units.Instant) bool {
+	switch {
+	case t.notice.rests(now):
+		return false
+	case t.notice.isLeaving():
+		return t.startUnknown()
+	}
+	return t.health.ejected
+}
 
-// noteSuccessor takes the end of such a probe. A target that leaves says so in all its answers; one
-// that answers without, or no longer listens, isn't the one that left.
+// noteSuccessor takes the end of a probe of a target that said it leaves. One that leaves says so in all
+// its answers; one that answers without, or no longer listens, isn't the one that left.
 func (r *Router) noteSuccessor(t *target, v *ProbeEnded, e *Effects) {
-	if !t.needsCheck() || v.Reading.Leaving || !v.Refused && (!v.Answered || v.Misdirected) {
+	if !t.notice.isLeaving() || !t.startUnknown() || v.Reading.Leaving || !v.Refused && (!v.Answered || v.Misdirected) {
 		return
 	}
 	r.dropNotice(t.notice)
@@ -285,11 +295,7 @@
 	if c.route.work == table.Patient {
 		return held
 	}
-	aim := c.route.aim
-	if aim == 0 {
-		aim = time.Duration(aimOfDeadline * float64(c.deadline.Sub(c.arrived)))
-	}
-	return min(held, c.arrived.Add(time.Duration(calmPart*float64(aim))))
+	return min(held, c.arrived.Add(time.Duration(calmPart*c.aim())))
 }
 
 // restRetry is when the caller of a call may come back whose targets all rest. Each caller is
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -218,7 +218,7 @@
 		r.leaveTrial(id, c, e)
 		return
 	}
-	if t == nil && c.underWay() == 0 && (!c.service.hasActiveTarget(c) || c.service.restsTooLong(c, r.now)) {
+	if t == nil && c.underWay() == 0 && !c.service.canServe(c, r.now) {
 		r.refuseWaiting(c.service, id, e)
 		return
 	}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -30,10 +30,7 @@
 // probeIfDue probes a target that is out of the common path. Calls are the
 // first measurement; a target that has them needs no probe.
 func (r *Router) probeIfDue(s *service, t *target, e *Effects) {
-	if !t.health.ejected && !t.needsCheck() || t.evacuated || t.side > onTrial || t.probing || r.now.Sub(t.lastHeard) < probeAfter || !r.leased() {
-		return
-	}
-	if t.notice.forbids(r.now) && (t.notice.rests(r.now) || !t.startUnknown()) {
+	if !t.wantsProbe(r.now) || t.evacuated || t.side > onTrial || t.probing || r.now.Sub(t.lastHeard) < probeAfter || !r.leased() {
 		return
 	}
 	if !t.probes.take(r.now, r.probeRate(s, t), probeBurst) {
@@ -45,11 +42,7 @@
 }
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
-	if v.Misdirected {
-		r.hearStranger(v.Target, v.Reading, e)
-	} else {
-		r.hear(v.Target, v.Reading, e)
-	}
+	r.hear(v.Target, v.Reading, v.Misdirected, e)
 	t := r.findTarget(v.Target)
 	if t != nil && v.Refused {
 		r.noteConnectionRefused(t, e)
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -69,15 +69,17 @@
 	return time.Duration(jitter * float64(after)).Round(time.Millisecond)
 }
 
-// aimSpent is how much of its aim the call has spent so far.
-func (c *call) aimSpent(now units.Instant) float64 {
-	aim := float64(c.route.aim)
-	if aim == 0 {
-		aim = aimOfDeadline * float64(c.deadline.Sub(c.arrived))
+// aim is the aim of the call's route, or the part of its deadline that stands in for one.
+func (c *call) aim() float64 {
+	if c.route.aim > 0 {
+		return float64(c.route.aim)
 	}
-	return float64(now.Sub(c.arrived)) / aim
+	return aimOfDeadline * float64(c.deadline.Sub(c.arrived))
 }
 
+// aimSpent is how much of its aim the call has spent so far.
+func (c *call) aimSpent(now units.Instant) float64 { return float64(now.Sub(c.arrived)) / c.aim() }
+
 // isBusy tells whether calls have lately found no target that suits. Then one that
 // nothing recent is known of is likely to be full as well.
 func (s *service) isBusy(now units.Instant) bool {
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -244,10 +244,11 @@
 	return name
 }
 
-// callBad makes one call with the request that ends targets, at any box.
-func (x *crashStory) callBad() lab.Call {
-	return x.caller.Do(lab.Plan{Host: "repeatable.test", Body: []byte(crashBody)})
-}
+// badCall is a call with the request that ends targets.
+var badCall = lab.Plan{Host: "repeatable.test", Body: []byte(crashBody)}
+
+// callBad makes one such call, at any box.
+func (x *crashStory) callBad() lab.Call { return x.caller.Do(badCall) }
 
 // Replicas and boxes all start anew, the replicas from their logs; the call comes again at once.
 func TestAQuarantineOutlivesAllProcesses(t *testing.T) {
@@ -257,19 +258,8 @@
 	x.quiet.Store(true)
 	time.Sleep(2 * restartPause)
 	crashes := x.countCrashes()
-	nodes := append(append([]*lab.Node{}, x.cluster.Replicas...), x.cluster.Boxes...)
-	for _, n := range nodes {
-		n.Process.Kill()
-	}
-	for _, n := range nodes {
-		x.must(x.cluster.StartAgain(n))
-	}
-	var entries []string
-	for _, b := range x.cluster.Boxes {
-		x.must(x.cluster.AwaitServing(b, patience))
-		entries = append(entries, b.Entry)
-	}
-	x.caller.SetAddresses(entries...)
+	x.killAndStart(x.allNodes())
+	x.caller.SetAddresses(x.servingEntries()...)
 	for range 9 {
 		if c := x.callBad(); c.Verdict != lab.NotRun || c.Reason != "quarantined" {
 			t.Errorf("the call was answered %+v", c)
@@ -316,12 +306,7 @@
 	}
 	time.Sleep(2 * restartPause)
 	x.must(x.api().ReleaseCall(name, "test"))
-	x.must(lab.Eventually(patience, func() error {
-		if c := x.callBad(); c.Verdict != lab.Whole {
-			return fmt.Errorf("the call was answered %+v", c)
-		}
-		return nil
-	}))
+	x.awaitWhole(badCall)
 	list, err := x.api().Quarantines()
 	if err != nil || len(list) != 0 {
 		t.Errorf("in quarantine are %v: %v", list, err)
--- a/test/power_test.go
+++ b/test/power_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -34,6 +33,9 @@
 		},
 	})
 	x.must(err)
+	for _, n := range x.cluster.Replicas {
+		n.Settings.Control.Growth.Bootstrap = false
+	}
 	put := func(version units.DocumentVersion) {
 		t.Helper()
 		x.must(lab.Eventually(patience, func() error { return x.api().PutDocument(documentOf(version)) }))
@@ -47,7 +49,10 @@
 		}))
 	}
 	for round, pause := range []time.Duration{time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond} {
-		x.awaitVoters(replicas)
+		for _, n := range x.cluster.Replicas {
+			x.awaitVoter(n)
+			x.awaitAcknowledged(n)
+		}
 		version := units.DocumentVersion(round + 2)
 		put(version)
 		evacuate := round%2 == 0
@@ -55,15 +60,10 @@
 			return x.api().OrderEvacuation(table.EvacuationOrder{Domain: soakDomain, Evacuate: evacuate, Operator: "test"})
 		}))
 		time.Sleep(pause)
-		x.loseAllAndTwoDisks(round, (round+2)%replicas)
+		x.killAndStart(x.allNodes(), x.cluster.Replicas[round], x.cluster.Replicas[(round+2)%replicas])
 		x.must(lab.Eventually(patience, func() error { return x.holds(version, evacuate) }))
 	}
-	var entries []string
-	for _, b := range x.cluster.Boxes {
-		x.must(x.cluster.AwaitServing(b, patience))
-		entries = append(entries, b.Entry)
-	}
-	x.caller = lab.NewCaller(entries...)
+	x.caller = lab.NewCaller(x.servingEntries()...)
 	before := x.countOf(x.targets[0])
 	for range 20 {
 		if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
@@ -75,34 +75,6 @@
 	}
 }
 
-// awaitVoters waits until so many replicas vote and hold all that is committed.
-func (x *story) awaitVoters(n int) {
-	x.Helper()
-	s := &soak{story: x, random: rand.New(rand.NewPCG(1, 1))}
-	x.must(lab.Eventually(patience, func() error {
-		if voters := s.votersNow(); voters < n {
-			return fmt.Errorf("%d replicas vote", voters)
-		}
-		return nil
-	}))
-}
-
-// loseAllAndTwoDisks ends all processes, takes the disks of two replicas, and starts all again.
-func (x *story) loseAllAndTwoDisks(first, second int) {
-	x.Helper()
-	nodes := append(append([]*lab.Node{}, x.cluster.Replicas...), x.cluster.Boxes...)
-	for _, n := range nodes {
-		n.Process.Kill()
-	}
-	for _, i := range []int{first, second} {
-		x.must(x.cluster.LoseDisk(x.cluster.Replicas[i]))
-	}
-	for _, n := range nodes {
-		n.Settings.Control.Growth.Bootstrap = false
-		x.must(x.cluster.StartAgain(n))
-	}
-}
-
 // holds tells whether the last orders that were acknowledged hold. Nothing older may ever be read.
 func (x *story) holds(version units.DocumentVersion, evacuated bool) error {
 	raw, err := x.api().Document()
--- a/test/rest_test.go
+++ b/test/rest_test.go
@@ -30,29 +30,26 @@
 	drainTime = 2 * time.Second
 )
 
-// beginWords begins a story of registered targets that say things of themselves, with one box, so
+// beginTalking begins a story of registered targets that say things of themselves, with one box, so
 // that a target's counts are of that box alone.
-func beginWords(t *testing.T, targets int) *story {
+func beginTalking(t *testing.T, targets int) *story {
 	x := begin(t, setting{
-		replicas: 1, boxes: 1, targets: targets, adjust: wordsOfTargets,
+		replicas: 1, boxes: 1, targets: targets, adjust: readLeaving,
 		targetArguments: []string{"--slots", "4", "--queue", "8", "--work", "5ms"},
 	})
 	x.must(lab.Eventually(patience, func() error { return x.api().PutDocument(rolloutDocument()) }))
 	for _, target := range x.targets {
 		x.must(lab.Eventually(patience, func() error { return x.api().Report(registration(target, 1)) }))
 	}
-	x.must(x.cluster.AwaitServing(x.cluster.Boxes[0], patience))
-	x.caller = lab.NewCaller(x.cluster.Boxes[0].Entry)
-	x.must(lab.Eventually(patience, func() error {
-		if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
-			return fmt.Errorf("the call was answered %+v", c)
-		}
-		return nil
-	}))
+	x.caller = lab.NewCaller(x.servingEntries()...)
+	x.awaitWhole(shopCall)
 	return x
 }
 
-func wordsOfTargets(s *config.Settings) {
+// shopCall is a call of the story's service.
+var shopCall = lab.Plan{Host: "shop.test"}
+
+func readLeaving(s *config.Settings) {
 	quickLeases(s)
 	s.Entry.LeavingHeader = lab.LeavingHeader
 }
@@ -82,7 +79,7 @@
 			defer work.Done()
 			for ; time.Now().Before(end); time.Sleep(callerPause) {
 				made.Add(1)
-				if x.caller.Do(lab.Plan{Host: "shop.test"}).Verdict == lab.Whole {
+				if x.caller.Do(shopCall).Verdict == lab.Whole {
 					served.Add(1)
 				}
 			}
@@ -93,7 +90,7 @@
 }
 
 func TestATargetThatAskedForRestGetsNoCalls(t *testing.T) {
-	x := beginWords(t, 4)
+	x := beginTalking(t, 4)
 	resting := x.targets[1:]
 	for _, target := range resting {
 		x.behave(target, fmt.Sprintf("shed=1&rest_ms=%d", restAsked.Milliseconds()))
@@ -115,7 +112,7 @@
 }
 
 func TestATargetThatSaysItLeavesGetsNoCalls(t *testing.T) {
-	x := beginWords(t, 4)
+	x := beginTalking(t, 4)
 	x.behave(x.targets[0], "leaving=1")
 	x.callFor(drainTime)
 	before := x.statsOf(x.targets[0])
@@ -135,7 +132,7 @@
 // A box stands still in the middle of a rest: the rest runs on meanwhile, and neither is forgotten nor
 // begins anew.
 func TestARestRunsOnWhileTheBoxStandsStill(t *testing.T) {
-	x := beginWords(t, 2)
+	x := beginTalking(t, 2)
 	resting, box := x.targets[1], x.cluster.Boxes[0]
 	x.behave(resting, fmt.Sprintf("shed=1&rest_ms=%d", restAsked.Milliseconds()))
 	x.must(lab.Eventually(patience, func() error {
--- a/test/rollout_test.go
+++ b/test/rollout_test.go
@@ -50,13 +50,10 @@
 	x.must(lab.Eventually(patience, func() error { return x.wantInForce(oldSoftware) }))
 	known, err := x.api().Table()
 	x.must(err)
-	var entries []string
 	for _, b := range x.cluster.Boxes {
 		x.must(x.cluster.AwaitInForce(b, known.Revision, patience))
-		x.must(x.cluster.AwaitServing(b, patience))
-		entries = append(entries, b.Entry)
 	}
-	x.caller = lab.NewCaller(entries...)
+	x.caller = lab.NewCaller(x.servingEntries()...)
 	for k := range 8 {
 		x.repeat(func() { x.call(k) })
 	}
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -150,14 +150,7 @@
 }
 
 func (x *soak) killAll() bool {
-	return x.with(func() {
-		for _, n := range x.cluster.Replicas {
-			n.Process.Kill()
-		}
-		for _, n := range x.cluster.Replicas {
-			x.must(x.cluster.StartAgain(n))
-		}
-	}, x.allReplicas()...)
+	return x.with(func() { x.killAndStart(x.cluster.Replicas) }, x.allReplicas()...)
 }
 
 func (x *soak) allReplicas() []any {
@@ -278,14 +271,7 @@
 	first := x.draw(soakReplicas)
 	second := (first + 1 + x.draw(soakReplicas-1)) % soakReplicas
 	lost := []*lab.Node{x.cluster.Replicas[first], x.cluster.Replicas[second]}
-	for _, n := range lost {
-		n.Process.Kill()
-	}
-	for _, n := range lost {
-		x.must(x.cluster.LoseDisk(n))
-		n.Settings.Control.Growth.Bootstrap = false
-		x.must(x.cluster.StartAgain(n))
-	}
+	x.killAndStart(lost, lost...)
 	x.diskLost = time.Now()
 }
 
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -190,14 +190,11 @@
 		x.reportAll(x.cluster.Replicas[0])
 		return x.putOnce(x.cluster.Replicas[0])
 	}))
-	var entries []string
+	x.caller = lab.NewCaller(x.servingEntries()...)
 	for _, b := range x.cluster.Boxes {
-		x.must(x.cluster.AwaitServing(b, patience))
-		entries = append(entries, b.Entry)
 		// Callers find a box that is started again where it was.
 		b.Settings.Entry.Listen = b.Entry
 	}
-	x.caller = lab.NewCaller(entries...)
 }
 
 // pause waits for a random time; it is how the schedule's steps are spread.
--- a/test/starts_test.go
+++ b/test/starts_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -22,22 +21,12 @@
 			})
 		}))
 	}
-	x.must(x.cluster.AwaitServing(x.cluster.Boxes[0], patience))
-	x.caller = lab.NewCaller(x.cluster.Boxes[0].Entry)
-	served := func() {
-		t.Helper()
-		x.must(lab.Eventually(patience, func() error {
-			if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
-				return fmt.Errorf("the call was answered %+v", c)
-			}
-			return nil
-		}))
-	}
+	x.caller = lab.NewCaller(x.servingEntries()...)
 	report(x.targets[0], 1000, 57, table.Active)
-	served()
+	x.awaitWhole(shopCall)
 	x.targets[0].Process.Kill()
 	report(x.targets[1], 2000, 1, table.Active)
-	served()
+	x.awaitWhole(shopCall)
 	report(x.targets[0], 1000, 58, table.Leaving)
 	for range 20 {
 		if c := x.caller.Do(lab.Plan{Host: "shop.test"}); c.Verdict != lab.Whole {
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -71,7 +72,7 @@
 // lookForRaces fails the story if a program built with the race detector found
 // one.
 func (x *story) lookForRaces() {
-	for _, n := range append(x.cluster.Replicas, x.cluster.Boxes...) {
+	for _, n := range x.allNodes() {
 		if n.Process != nil && strings.Contains(n.Process.Log(), "WARNING: DATA RACE") {
 			x.Errorf("%s found a race:\n%s", n.Settings.Box, n.Process.Log())
 		}
@@ -129,13 +130,51 @@
 	x.Helper()
 	result, err := x.cluster.Apply(x.sheets(adjust))
 	x.must(err)
+	x.awaitEverywhere(result)
+	x.caller = lab.NewCaller(x.servingEntries()...)
+}
+
+// servingEntries waits until every box serves, and returns where callers reach them.
+func (x *story) servingEntries() []string {
+	x.Helper()
 	var entries []string
 	for _, b := range x.cluster.Boxes {
-		x.must(x.cluster.AwaitInForce(b, result.Revision, patience))
 		x.must(x.cluster.AwaitServing(b, patience))
 		entries = append(entries, b.Entry)
 	}
-	x.caller = lab.NewCaller(entries...)
+	return entries
+}
+
+// awaitWhole waits until a call is served.
+func (x *story) awaitWhole(plan lab.Plan) {
+	x.Helper()
+	x.must(lab.Eventually(patience, func() error {
+		if c := x.caller.Do(plan); c.Verdict != lab.Whole {
+			return fmt.Errorf("the call was answered %+v", c)
+		}
+		return nil
+	}))
+}
+
+// killAndStart ends processes at the same moment and starts them again, some of them without their
+// disks.
+func (x *story) killAndStart(nodes []*lab.Node, lost ...*lab.Node) {
+	x.Helper()
+	for _, n := range nodes {
+		n.Process.Kill()
+	}
+	for _, n := range lost {
+		x.must(x.cluster.LoseDisk(n))
+		n.Settings.Control.Growth.Bootstrap = false
+	}
+	for _, n := range nodes {
+		x.must(x.cluster.StartAgain(n))
+	}
+}
+
+// allNodes are the replicas and the boxes.
+func (x *story) allNodes() []*lab.Node {
+	return slices.Concat(x.cluster.Replicas, x.cluster.Boxes)
 }
 
 // edit sends an edit of one service's weight through nodes, all replicas when
@@ -250,7 +289,7 @@
 				return err
 			}
 			for _, p := range d.Control.Log.Peers {
-				if string(p.ID) == n.Settings.Box && p.Acknowledged >= leader.Control.Log.Commit {
+				if string(p.ID) == n.Settings.ReplicaName() && p.Acknowledged >= leader.Control.Log.Commit {
 					return nil
 				}
 			}
