Logs tell what limit a target names

Cause: no line shows what a target writes of its limit, so that a limit that is read nowhere can't be told from one that is read and exceeded. Change: answers of calls and probes are read for it; attempt-ended and probe-answered show limit and, where it can't be read, unreadLimit. The setting entry.limitHeader names the header. Nothing else of what boxes do has changed.

--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -171,6 +171,7 @@
 	TargetHeader   string              `json:"targetHeader" doc:"The header in which a registered target names itself in the answer to a probe. Empty compares nothing."`
 	ColdHeader     string              `json:"coldHeader" doc:"The header in which a target says, in milliseconds, how long it stays cold. Empty reads none."`
 	LeavingHeader  string              `json:"leavingHeader" doc:"The header in which a target says, by the value 1, that it is about to end. Empty reads none."`
+	LimitHeader    string              `json:"limitHeader" doc:"The header in which a target names how many calls a second it takes from all boxes together, for as long as its answers say so. Empty reads none."`
 	PromiseStatus  bool                `json:"promiseStatus" doc:"Whether callers take 408, 421, 429 and 503 as a promise that a call hasn't run. Then a target's answer of that status without shedHeader isn't passed on."`
 	Unframed       bool                `json:"unframed" doc:"Whether an answer with neither a length nor chunks counts as whole when its connection ends cleanly. Otherwise it counts as broken."`
 	Fractions      bool                `json:"retryAfterFractions" doc:"Whether Retry-After carries fractions of a second; otherwise whole seconds, as RFC 9110 has it."`
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -168,6 +168,15 @@
 	Rest time.Duration
 	// Leaving is set when the target says that it is about to end.
 	Leaving bool
+	// Limit is what the target says of the calls that it takes from all boxes together.
+	Limit SaidLimit
+}
+
+// SaidLimit is what one answer says of a target's limit: that it names one, by Rate, or that it
+// names something that can't be read, or nothing.
+type SaidLimit struct {
+	Named, Unread bool
+	Rate          units.CallRate
 }
 
 // Endpoint is a target of a service as the shell needs to know it. It is never
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -342,6 +342,7 @@
 		ShedStatus: s.ShedStatus, ShedHeader: s.ShedHeader, LoadHeader: s.LoadHeader,
 		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath, CallIDHeader: s.CallIDHeader,
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
+		LimitHeader:   s.LimitHeader,
 		PromiseStatus: s.PromiseStatus, Unframed: s.Unframed,
 	}
 }
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -40,6 +40,9 @@
 	rest       time.Duration
 	leaving    bool
 	unreadRest string
+	// limit is what the answer said of the target's limit, unreadLimit what couldn't be read of it.
+	limit       routing.SaidLimit
+	unreadLimit string
 	// fingerprint is set for an attempt that broke off and for a call in quarantine; request and
 	// caller, which operators need to find whoever sends it, for the latter only.
 	fingerprint, request, caller string
@@ -73,6 +76,7 @@
 	s := step{
 		at: now, what: stepEnded, attempt: ended.number, result: result,
 		rest: a.Reading.Rest, leaving: a.Reading.Leaving, unreadRest: a.UnreadRest,
+		limit: a.Reading.Limit, unreadLimit: a.UnreadLimit,
 	}
 	if result == routing.Broken && !c.answered {
 		s.fingerprint = crash.FingerprintOf(&c.identity).String()
@@ -250,13 +254,16 @@
 		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
 		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
 		f["coldMs"] = millis(s.probed.Reading.Cold)
-		addNotice(f, s.probed.Reading.Rest, s.probed.Reading.Leaving)
+		addNotice(f, s.probed.Reading.Rest, s.probed.Reading.Leaving, s.probed.Reading.Limit)
 	case stepEnded:
 		f["result"] = s.result.String()
-		addNotice(f, s.rest, s.leaving)
+		addNotice(f, s.rest, s.leaving, s.limit)
 		if s.unreadRest != "" {
 			f["unreadRest"] = s.unreadRest
 		}
+		if s.unreadLimit != "" {
+			f["unreadLimit"] = s.unreadLimit
+		}
 		if s.fingerprint != "" {
 			f["fingerprint"] = s.fingerprint
 		}
@@ -270,13 +277,16 @@
 }
 
 // addNotice adds what a target said of itself to a line, where it said anything.
-func addNotice(f logrus.Fields, rest time.Duration, leaving bool) {
+func addNotice(f logrus.Fields, rest time.Duration, leaving bool, limit routing.SaidLimit) {
 	if rest > 0 {
 		f["restMs"] = millis(rest)
 	}
 	if leaving {
 		f["leaving"] = true
 	}
+	if limit.Named {
+		f["limit"] = round(float64(limit.Rate))
+	}
 }
 
 func millis(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -169,19 +169,23 @@
 	h := &a.Response.Header
 	said := a.Reading
 	a.Reading = parseReading(string(h.Peek(a.pools.settings.LoadHeader)))
-	a.Reading.Rest, a.Reading.Leaving = said.Rest, said.Leaving
+	a.Reading.Rest, a.Reading.Leaving, a.Reading.Limit = said.Rest, said.Leaving, said.Limit
 	if header := a.pools.settings.ColdHeader; header != "" {
 		a.Reading.Cold = parseCold(string(h.Peek(header)))
 	}
 }
 
-// readNotice reads whether the target asks for rest or leaves. The answer to another call tells it
+// readNotice reads whether the target asks for rest, leaves or names a limit. The answer to another call tells it
 // as well: what comes on a connection comes from one start of a target.
 func (a *Attempt) readNotice() {
 	h := &a.Response.Header
 	if header := a.pools.settings.LeavingHeader; header != "" && parseLeaving(h.Peek(header)) {
 		a.Reading.Leaving = true
 	}
+	if header := a.pools.settings.LimitHeader; header != "" {
+		// Of several answers the last one says what holds now.
+		a.Reading.Limit, a.UnreadLimit = limitOf(h, header)
+	}
 	if a.Response.StatusCode() != fasthttp.StatusServiceUnavailable && a.classify() != routing.Shed {
 		return
 	}
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -36,6 +36,8 @@
 	Reading routing.Reading
 	// UnreadRest is what the target wrote where it may ask for rest, if that can't be read.
 	UnreadRest string
+	// UnreadLimit is what the target wrote where it names its limit, if that can't be read.
+	UnreadLimit string
 	// Refused is set when the target's host refused the connection.
 	Refused bool
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -34,6 +34,9 @@
 	ColdHeader string
 	// LeavingHeader is where a target says that it is about to end; empty reads none.
 	LeavingHeader string
+	// LimitHeader is where a target names how many calls a second it takes from all boxes together;
+	// empty reads none.
+	LimitHeader string
 	// PromiseStatus is set where some statuses promise that a call hasn't run.
 	PromiseStatus bool
 	// Unframed lets answers count that end with their connection.
--- a/pkg/target/rest_test.go
+++ b/pkg/target/rest_test.go
@@ -11,19 +11,20 @@
 )
 
 // TestNotices sends calls to a stand-in that answers as the file says, and prints what its answers
-// said of itself: for how long it wants rest, whether it leaves, and what couldn't be read.
+// said of itself: for how long it wants rest, whether it leaves, the limit that it names, and what couldn't be read.
 func TestNotices(t *testing.T) {
 	datadriven.RunTest(t, "testdata/notices", func(t *testing.T, d *datadriven.TestData) string {
 		target := startAnswers(t, d.Input+"\n")
 		pools := newTestPools()
 		pools.settings.LeavingHeader = "X-Leaving"
+		pools.settings.LimitHeader = "X-Limit"
 		x := &routing.Effect{
 			Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.listener.Addr().String(), Registered: true},
 			Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
 		}
 		if d.Cmd == "probe" {
 			v := pools.Probe(x)
-			return fmt.Sprintf("rest %s, leaving %t, healthy %t\n", v.Reading.Rest, v.Reading.Leaving, v.Healthy)
+			return fmt.Sprintf("rest %s, leaving %t%s, healthy %t\n", v.Reading.Rest, v.Reading.Leaving, describeLimit(v.Reading.Limit, ""), v.Healthy)
 		}
 		a := pools.NewAttempt(x)
 		defer a.Release()
@@ -34,10 +35,24 @@
 		if streaming {
 			defer a.end()
 		}
-		return fmt.Sprintf("%s: rest %s, leaving %t, unread %q\n", result, a.Reading.Rest, a.Reading.Leaving, a.UnreadRest)
+		return fmt.Sprintf(
+			"%s: rest %s, leaving %t%s, unread %q\n", result, a.Reading.Rest, a.Reading.Leaving, describeLimit(a.Reading.Limit, a.UnreadLimit), a.UnreadRest,
+		)
 	})
 }
 
+// describeLimit says what an answer said of the target's limit, if it said anything.
+func describeLimit(x routing.SaidLimit, unread string) string {
+	text := ""
+	if x.Named {
+		text += fmt.Sprintf(", limit %g", x.Rate)
+	}
+	if x.Unread {
+		text += fmt.Sprintf(", unread limit %q", unread)
+	}
+	return text
+}
+
 // A target asks for rest after a call or a probe was chosen for it. Nothing of them is sent, and the
 // connection is kept; both are sent once the rest is over, calls not to one that leaves.
 func TestNothingIsSentToATargetThatWantsNothing(t *testing.T) {
--- a/pkg/units/units.go
+++ b/pkg/units/units.go
@@ -72,6 +72,9 @@
 // and for the age of remembered answers, never for leases.
 type WallTime int64
 
+// CallRate is a number of calls a second.
+type CallRate float64
+
 // Percent is a share in hundredths.
 type Percent float64
 
