--- a/pkg/core/limit/limit.go
+++ b/pkg/core/limit/limit.go
@@ -18,31 +18,46 @@
 	MostRate units.CallRate = 10_000
 )
 
-// Word is the newest that is known of a target's limit.
+// Word is the newest that is known of a target's limit. Boxes' clocks can't be compared, and messages between
+// them may take long; versions tell words apart: each change is made on top of the word that was known
+// as the call was sent whose answer brought it.
 type Word struct {
+	// Version numbers the changes; zero is the word of whoever has heard nothing.
+	Version uint64
 	// Limited is set while the target names a limit, of Rate calls a second.
 	Limited bool
 	Rate    units.CallRate
-	// At is when a word that names a limit was heard; for one that ends it, when the call was sent
-	// whose answer named none. Zero means that nothing was heard yet.
-	At units.Instant
 }
 
-// NewWord is what an answer says that names a limit.
-func NewWord(rate units.CallRate, at units.Instant) Word {
+// Naming is what follows on a word when an answer names a limit.
+func (w Word) Naming(rate units.CallRate) Word {
 	if rate >= MostRate {
-		return Word{At: at}
+		return w.Ending()
 	}
-	return Word{Limited: true, Rate: rate, At: at}
+	return Word{Version: w.Version + 1, Limited: true, Rate: rate}
 }
 
-// After tells whether the word is newer than another.
-func (w Word) After(o Word) bool { return w.At > o.At }
+// Ending is what follows on a word when an answer names no limit.
+func (w Word) Ending() Word { return Word{Version: w.Version + 1} }
+
+// Same tells whether two words say the same, whatever their versions.
+func (w Word) Same(o Word) bool { return w.Limited == o.Limited && (!w.Limited || w.Rate == o.Rate) }
+
+// Tighter tells whether the word allows less than another.
+func (w Word) Tighter(o Word) bool { return w.Limited && (!o.Limited || w.Rate < o.Rate) }
+
+// Replaces tells whether the word takes the place of another. Of two changes of the same word, which two boxes
+// made by themselves, the tighter one holds.
+func (w Word) Replaces(o Word) bool {
+	return w.Version > o.Version || w.Version == o.Version && w.Tighter(o)
+}
 
 const (
 	// saveUp is for how long what the limit allows is saved up while nobody asks for it, so that
 	// calls which come in clusters find some.
 	saveUp = 500 * time.Millisecond
+	// leastWait keeps whoever waits from asking again before the clock has moved.
+	leastWait = time.Millisecond
 	// leastBurst lets a call be permitted at any rate.
 	leastBurst = 1
 )
@@ -91,7 +106,7 @@
 	a.tokens = min(a.burst(), a.tokens+float64(max(0, n)))
 }
 
-// Wait is how long it takes until a call may be permitted.
+// Wait is how long it takes until a call may be permitted: at least leastWait where that isn't now.
 func (a *Account) Wait(now units.Instant) time.Duration {
 	a.refill(now)
 	wait := max(0, a.from.Sub(now))
@@ -99,7 +114,7 @@
 		return wait
 	}
 	missing := (leastBurst - a.tokens) / float64(a.rate)
-	return wait + time.Duration(missing*float64(time.Second))
+	return max(leastWait, wait+time.Duration(missing*float64(time.Second)))
 }
 
 func (a *Account) burst() float64 { return leastBurst + float64(a.rate)*saveUp.Seconds() }
--- a/pkg/core/limit/limit_test.go
+++ b/pkg/core/limit/limit_test.go
@@ -79,11 +79,34 @@
 	}
 }
 
-func TestAbsurdLimitsAreNone(t *testing.T) {
-	if w := NewWord(1e300, 5); w.Limited || w.At != 5 {
+func TestWords(t *testing.T) {
+	heard := Word{Version: 3, Limited: true, Rate: 2}
+	scenarios := []struct {
+		testName string
+		word     Word
+		// replaces tells whether the word takes heard's place.
+		replaces bool
+	}{
+		{"an absurd limit is none", heard.Naming(1e300), true},
+		{"none at all is a limit", heard.Naming(0), true},
+		{"it ends", heard.Ending(), true},
+		{"an older word says nothing", Word{Version: 2, Limited: true, Rate: 1}, false},
+		{"a change of the same word that is tighter", Word{Version: 3, Limited: true, Rate: 1}, true},
+		{"a change of the same word that is looser", Word{Version: 3, Limited: true, Rate: 3}, false},
+		{"a change of the same word that ends it", Word{Version: 3}, false},
+		{"nothing was heard", Word{}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			if s.word.Replaces(heard) != s.replaces {
+				t.Errorf("%+v replaces %+v: %t", s.word, heard, !s.replaces)
+			}
+		})
+	}
+	if w := heard.Naming(1e300); w.Limited {
 		t.Errorf("%+v", w)
 	}
-	if w := NewWord(0, 5); !w.Limited {
+	if w := heard.Naming(0); !w.Limited {
 		t.Errorf("%+v", w)
 	}
 }
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -153,7 +153,7 @@
 	c.onTrial = false
 	r.seekPermits(s, c, neededAsks, e)
 	until := min(c.deadline, r.now.Add(s.row.HoldLimit))
-	if s.limited > 0 && s.isClosed(c, r.now) {
+	if s.isLimited(c) {
 		until = min(until, c.waitEnd(s))
 	}
 	if reason := r.refusesToHold(s, c, until); reason != 0 {
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -25,6 +25,7 @@
 		ahead:  t.load(r.now), patience: c.patience(t, r.now), longPatience: c.longPatience(t, r.now),
 	}
 	a.permit, _ = r.usePermit(t)
+	a.limitVersion = t.limitWord().Version
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
 		if a.loan != nil {
@@ -97,21 +98,26 @@
 	r.release(c, a, e)
 }
 
-// attemptStarted passes on an answer whose first bytes have come, and ends the call's other attempts.
-func (r *Router) attemptStarted(v *AttemptStarted, e *Effects) {
-	r.hear(v.Endpoint, v.Reading, false, e)
-	c := r.calls.Get(v.Call)
+// attemptOf returns a call and its attempt, nil where it is over.
+func (r *Router) attemptOf(id CallID, n AttemptNumber) (*call, *attempt) {
+	c := r.calls.Get(id)
 	if c == nil {
-		return
+		return nil, nil
 	}
-	a := c.find(v.Attempt)
+	return c, c.find(n)
+}
+
+// attemptStarted passes on an answer whose first bytes have come, and ends the call's other attempts.
+func (r *Router) attemptStarted(v *AttemptStarted, e *Effects) {
+	c, a := r.attemptOf(v.Call, v.Attempt)
+	r.hear(v.Endpoint, v.Reading, false, a.limitBase(), e)
 	if a == nil || c.streaming {
 		return
 	}
 	c.streaming = true
 	// The shell may no longer hold the request once its answer is passed on.
 	c.identity = nil
-	r.endLimit(a.target, a.sent, v.Reading.Limit, e)
+	r.endLimit(a, v.Reading.Limit, e)
 	r.answerBegins(c, a, v.Coming)
 	a.target.takeReading(r.now, v.Reading)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
@@ -148,12 +154,8 @@
 
 // attemptEnded learns from how an attempt ended, then delivers its answer or goes on with the call.
 func (r *Router) attemptEnded(v *AttemptEnded, e *Effects) {
-	r.hear(v.Endpoint, v.Reading, v.Result == Misdirected, e)
-	c := r.calls.Get(v.Call)
-	if c == nil {
-		return
-	}
-	a := c.find(v.Attempt)
+	c, a := r.attemptOf(v.Call, v.Attempt)
+	r.hear(v.Endpoint, v.Reading, v.Result == Misdirected, a.limitBase(), e)
 	if a == nil {
 		return
 	}
@@ -166,7 +168,7 @@
 		t.noteTime(r.now, c.route, took, a)
 	}
 	if v.Result == Answered {
-		r.endLimit(t, a.sent, v.Reading.Limit, e)
+		r.endLimit(a, v.Reading.Limit, e)
 	}
 	if v.Result == NotSent || v.Result == Withheld {
 		r.unusePermit(t, a.permit, e)
--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -208,7 +208,7 @@
 				t.row.Address = fmt.Sprintf("10.0.0.1:%d", i)
 				t.endpoint.Address = t.row.Address
 				if i%2 == 0 {
-					r.hear(t.endpoint, Reading{Rest: time.Hour}, false, &e)
+					r.hear(t.endpoint, Reading{Rest: time.Hour}, false, noBase, &e)
 				}
 			}
 			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
@@ -227,7 +227,7 @@
 				t.row.Address = fmt.Sprintf("10.0.0.1:%d", i)
 				t.endpoint.Address = t.row.Address
 				if i%2 == 0 {
-					r.hear(t.endpoint, Reading{Limit: SaidLimit{Named: true, Rate: 2}}, false, &e)
+					r.hear(t.endpoint, Reading{Limit: SaidLimit{Named: true, Rate: 2}}, false, noBase, &e)
 				}
 			}
 			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/crash"
@@ -28,6 +29,8 @@
 	// permit is until when the attempt may begin at a target that names a limit; zero where it
 	// named none.
 	permit units.Instant
+	// limitVersion is which word on the target's limit was known at the sending.
+	limitVersion uint64
 	// atPace is set when the target was known to go at its usual pace at the sending, full
 	// when it was nearly full then, cold when it was cold.
 	atPace bool
@@ -55,6 +58,16 @@
 	missing, counted bool
 }
 
+// noBase stands for an answer to a call of which it isn't known which word on the limit was known as it was sent.
+const noBase uint64 = math.MaxUint64
+
+func (a *attempt) limitBase() uint64 {
+	if a == nil {
+		return noBase
+	}
+	return a.limitVersion
+}
+
 // call is a call that hasn't been answered yet.
 type call struct {
 	owner any
@@ -82,6 +95,8 @@
 	// that it shed the call.
 	mayHaveRun bool
 	held       bool
+	// asks counts the coordinators that were asked for a permit for the call.
+	asks int
 	// early is set while the call is held for the box's first table.
 	early      bool
 	probeRound probeRound
--- a/pkg/core/routing/coordinator.go
+++ b/pkg/core/routing/coordinator.go
@@ -43,11 +43,7 @@
 	Count int
 	// Again is how long after a grant the next permit is there.
 	Again time.Duration
-	// Limited and Rate are the limit, Age is how long ago it was heard; negative where the sender
-	// has heard nothing.
-	Limited bool
-	Rate    units.CallRate
-	Age     time.Duration
+	Word  limit.Word
 }
 
 // PeerLimit is a LimitMessage of another box.
@@ -81,11 +77,14 @@
 	listed int
 }
 
-// coordinatorOf returns a target's coordinator; false means that there is none. A box without a
-// list of boxes is alone.
+// coordinatorOf returns a target's coordinator; false means that there is none. A box that never had a list of
+// boxes is alone; a list that has become empty says that none is in touch with the control replicas.
 func (r *Router) coordinatorOf(t *target) (units.BoxID, bool) {
-	if len(r.rank.boxes) == 0 {
+	switch {
+	case r.neverListed:
 		return r.settings.Box, true
+	case len(r.rank.boxes) == 0:
+		return "", false
 	}
 	if t.coordination.listed != r.boxLists {
 		t.coordination = coordination{box: firstFor(t.row.Target, r.boxesBeside(t)), listed: r.boxLists}
@@ -108,10 +107,7 @@
 // sendLimit sends a message on a target's limit, or takes it at once if it is for this box.
 func (r *Router) sendLimit(to units.BoxID, t *target, m LimitMessage, e *Effects) {
 	m.Service, m.Target, m.Born = t.row.Service, t.row.Target, t.row.Born
-	m.Age = unheard
-	if w := t.limitWord(); w.At > 0 {
-		m.Limited, m.Rate, m.Age = w.Limited, w.Rate, r.now.Sub(w.At)
-	}
+	m.Word = t.limitWord()
 	if to == r.settings.Box {
 		r.receiveLimit(to, m, e)
 		return
@@ -119,9 +115,6 @@
 	e.add(Effect{Kind: SendLimit, Peer: to, Limit: &m})
 }
 
-// unheard is the age of a limit that nothing was heard of.
-const unheard time.Duration = -1
-
 // limitWord is what is known of a target's limit.
 func (t *target) limitWord() limit.Word {
 	if t.notice == nil || t.notice.limit == nil {
@@ -137,9 +130,7 @@
 	if t == nil || t.row.Born != m.Born {
 		return
 	}
-	if m.Age >= 0 {
-		r.learnLimit(t, limit.Word{Limited: m.Limited, Rate: m.Rate, At: r.now.Add(-m.Age)}, e)
-	}
+	r.learnLimit(t, m.Word, e)
 	switch m.Kind {
 	case AskPermits:
 		r.meetAsk(from, t, &m, e)
@@ -171,7 +162,7 @@
 	if box, _ := r.coordinatorOf(t); box == r.settings.Box && t.notice.limited() && r.leased() {
 		x := t.notice.limit
 		if x.account == nil {
-			x.account = limit.NewAccount(x.word.Rate, r.now, r.coordinatesFrom(t))
+			x.account = limit.NewAccount(x.word.Rate, x.changedAt, r.coordinatesFrom(t))
 		}
 		answer.Count = x.account.Permit(r.now, min(m.Count, mostPermits))
 		answer.Again = x.account.Wait(r.now)
@@ -185,16 +176,17 @@
 // before has handed over or is no longer listed.
 func (r *Router) coordinatesFrom(t *target) units.Instant {
 	from := r.servesFrom
+	x := t.notice.limit
 	for _, p := range r.pastBoxes {
-		box := firstFor(t.row.Target, besideIn(p.boxes, t.row.Domain))
-		if box == r.settings.Box || !r.rank.lists(box) {
-			continue
-		}
-		x := t.notice.limit
-		if x.handedBy == box && x.handedAt.Add(r.settings.ShareDelay) > p.until {
-			continue
+		switch box := firstFor(t.row.Target, besideIn(p.boxes, t.row.Domain)); {
+		case box == r.settings.Box:
+		case !r.rank.lists(box):
+			from = max(from, p.until)
+		case x.handedBy == box && x.handedAt.Add(r.settings.ShareDelay) > p.until:
+			from = max(from, x.handedAt)
+		default:
+			from = max(from, p.until.Add(r.settings.ShareDelay))
 		}
-		from = max(from, p.until.Add(r.settings.ShareDelay))
 	}
 	return from
 }
--- a/pkg/core/routing/namedlimit.go
+++ b/pkg/core/routing/namedlimit.go
@@ -51,9 +51,10 @@
 // namedLimit is what a box knows of the limit of a start of a target, and what it holds of it.
 type namedLimit struct {
 	word limit.Word
-	// toldAt is when the log was last told of a limit, toldRate which it was.
-	toldAt   units.Instant
-	toldRate units.CallRate
+	// heardAt is when an answer to this box last named a limit, changedAt when the word last changed.
+	heardAt, changedAt units.Instant
+	// toldAt is when the log was last told of a limit.
+	toldAt units.Instant
 	// permits are until when each permit that is held may be used, the first to end first.
 	permits []units.Instant
 	// ask is the request under way, again when the next one is worth while.
@@ -161,79 +162,97 @@
 	r.returnPermits(t, 1, e)
 }
 
-// hearLimit takes a word on the limit of a start of a target, if it is newer than what is known.
-// It tells whether the limit begins, ends, or is another one.
-func (r *Router) hearLimit(n *notice, w limit.Word) (begins, ends, changes bool) {
+// nameLimit takes an answer of a start of a target that names a limit. One to a call that was sent before the
+// newest word was known may be older than that: only a tighter limit is taken from it.
+func (r *Router) nameLimit(n *notice, x *Endpoint, rate units.CallRate, base uint64, e *Effects) {
 	if n.limit == nil {
 		n.limit = &namedLimit{}
 	}
-	x := n.limit
-	if !w.After(x.word) {
-		return false, false, false
+	n.limit.heardAt = r.now
+	w := n.limit.word.Naming(rate)
+	if !w.Same(n.limit.word) && (w.Tighter(n.limit.word) || base == n.limit.word.Version) {
+		r.changeLimit(n, x, w, e)
 	}
-	before := x.word
-	x.word = w
-	if x.account != nil && w.Limited {
-		x.account.SetRate(r.now, w.Rate)
+}
+
+// endLimit takes a good answer that names no limit. It ends one only if its call was sent once the newest word was
+// known, and after this box last heard of the limit: an answer that was on its way then says nothing. The
+// coordinator tells the other boxes when they ask.
+func (r *Router) endLimit(a *attempt, said SaidLimit, e *Effects) {
+	t := a.target
+	if said.Named || said.Unread || !t.notice.limited() {
+		return
 	}
-	if !w.Limited {
-		x.permits, x.ask, x.again, x.account = nil, permitAsk{}, 0, nil
+	x := t.notice.limit
+	if a.limitVersion != x.word.Version || a.sent <= x.heardAt {
+		return
+	}
+	r.changeLimit(t.notice, t.endpoint, x.word.Ending(), e)
+	if to, known := r.coordinatorOf(t); known && to != r.settings.Box {
+		r.sendLimit(to, t, LimitMessage{Kind: TellLimit}, e)
 	}
-	return w.Limited && !before.Limited, before.Limited && !w.Limited, w.Limited && before.Limited && w.Rate != before.Rate
 }
 
-// learnLimit takes a word on a target's limit that another box has passed on.
+// learnLimit takes the word on a target's limit that another box has sent.
 func (r *Router) learnLimit(t *target, w limit.Word, e *Effects) {
+	if !w.Replaces(t.limitWord()) || t.notice == nil && !w.Limited {
+		return
+	}
 	if t.notice == nil {
-		if !w.Limited {
-			return
-		}
 		t.notice = r.noticeOf(originOfRow(&t.row))
 	}
-	begins, ends, changes := r.hearLimit(t.notice, w)
-	r.tellLimit(t.notice, t.endpoint, begins, ends, changes, e)
-}
-
-// endLimit takes an answer that names no limit. It ends one only if its call was sent after the limit
-// was last heard of: an answer that was on its way then says nothing. The coordinator tells the
-// others when they ask.
-func (r *Router) endLimit(t *target, sent units.Instant, said SaidLimit, e *Effects) {
-	if said.Named || said.Unread || !t.notice.limited() || sent <= t.notice.limit.word.At {
-		return
-	}
-	r.learnLimit(t, limit.Word{At: sent}, e)
-	if to, _ := r.coordinatorOf(t); to != r.settings.Box {
-		r.sendLimit(to, t, LimitMessage{Kind: TellLimit}, e)
+	if t.notice.limit == nil {
+		t.notice.limit = &namedLimit{}
 	}
+	r.changeLimit(t.notice, t.endpoint, w, e)
 }
 
-// tellLimit does what follows from a word on a target's limit: the shell keeps calls without a permit
-// from the target, or lets all go there again.
-func (r *Router) tellLimit(n *notice, x *Endpoint, begins, ends, changes bool, e *Effects) {
-	if !begins && !ends && !(changes && r.now.Sub(n.limit.toldAt) >= retellLimit) {
+// changeLimit puts a word in force. The shell keeps calls without a permit from the target from now on,
+// or lets all go there again.
+func (r *Router) changeLimit(n *notice, endpoint *Endpoint, w limit.Word, e *Effects) {
+	x := n.limit
+	before := x.word
+	x.word, x.changedAt = w, r.now
+	switch {
+	case !w.Limited:
+		x.permits, x.ask, x.again, x.account = nil, permitAsk{}, 0, nil
+	case x.account != nil:
+		x.account.SetRate(r.now, w.Rate)
+	}
+	begins, ends := w.Limited && !before.Limited, before.Limited && !w.Limited
+	if !begins && !ends && (w.Same(before) || r.now.Sub(x.toldAt) < retellLimit) {
 		return
 	}
-	n.limit.toldAt, n.limit.toldRate = r.now, n.limit.word.Rate
-	said := n.forShell(r.now)
-	said.LimitBegins, said.LimitEnds = begins || changes, ends
-	e.add(Effect{Kind: TargetNotice, Endpoint: x, Notice: said})
-	for _, s := range r.bindEverywhere(n, x, e) {
+	x.toldAt = r.now
+	news := n.forShell(r.now)
+	news.LimitBegins, news.LimitEnds = w.Limited, ends
+	e.add(Effect{Kind: TargetNotice, Endpoint: endpoint, Notice: news})
+	for _, s := range r.bindEverywhere(n, endpoint, e) {
 		if ends {
 			r.freed = append(r.freed, s)
 		}
 	}
 }
 
-// neededAsks is how many coordinators are asked at a time for a call that has no other target: most of
-// what is asked for beyond a call's need goes back unused.
-const neededAsks = 2
+const (
+	// neededAsks is how many coordinators are asked at a time for a call that has no other target: most
+	// of what is asked for beyond a call's need goes back unused.
+	neededAsks = 2
+	// mostAsks is how many are asked for one call. Where as many have nothing left others hardly have,
+	// and messages would cost the boxes more than the call.
+	mostAsks = 4
+)
 
 // seekPermits asks for permits of limited targets that a call without another one might go to. A call that is
 // under way isn't sent to one as well.
 func (r *Router) seekPermits(s *service, c *call, most int, e *Effects) {
-	if c.underWay() == 0 {
-		r.askSome(s, c, most, func(*target) bool { return true }, e)
+	if c.underWay() > 0 {
+		return
 	}
+	if c.route.work != table.Patient {
+		most = min(most, mostAsks-c.asks)
+	}
+	c.asks += r.askSome(s, c, most, func(*target) bool { return true }, e)
 }
 
 // scout asks for a permit of a limited target that a call might go to as well as to others, so that what the
@@ -246,35 +265,48 @@
 	r.askSome(s, c, 1, func(t *target) bool { return t.near }, e)
 }
 
-// askSome asks for permits of some of the limited targets that a call might go to and that fit.
-func (r *Router) askSome(s *service, c *call, most int, fits func(*target) bool, e *Effects) {
+// askSome asks for permits of some of the limited targets that a call might go to and that fit, and returns of
+// how many.
+func (r *Router) askSome(s *service, c *call, most int, fits func(*target) bool, e *Effects) (asked int) {
 	if s.limited == 0 || !r.leased() {
-		return
+		return 0
 	}
 	anyHealth := r.anyHealth(s, c)
 	start := r.random.IntN(len(s.targets))
 	for k := range s.targets {
 		t := s.targets[(start+k)%len(s.targets)]
-		if most == 0 {
-			return
+		if asked >= most {
+			break
 		}
 		if t.notice.limited() && t.notice.limit.mayAsk(r.now) && fits(t) && c.mayUse(t) && t.takesIfPermitted(r.now, anyHealth) {
 			r.askPermits(t, min(mostPermits, 1+s.held.length+len(s.waiting)), e)
-			most--
+			asked++
 		}
 	}
+	return asked
 }
 
-// seekMore asks for the first call that still waits for a permit.
+// seekMore asks for the first call that still waits for a permit. Calls for which enough coordinators were asked in
+// vain are refused.
 func (r *Router) seekMore(s *service, e *Effects) {
-	if s.limited == 0 {
-		return
-	}
-	if _, c := r.firstHeld(s); c != nil {
-		r.seekPermits(s, c, 1, e)
+	for s.limited > 0 && !s.asksPermits(r.now) {
+		id, c := r.firstHeld(s)
+		if c == nil || !s.isLimited(c) {
+			return
+		}
+		if r.seekPermits(s, c, 1, e); c.asks < mostAsks || c.route.work == table.Patient || s.asksPermits(r.now) {
+			return
+		}
+		s.held.popFront()
+		r.refuse(id, c, Refusal{Reason: TargetsLimited, Outcome: c.outcome(), RetryAfter: r.limitRetry(s, r.now)}, e)
 	}
 }
 
+// asksPermits tells whether a coordinator may still answer.
+func (s *service) asksPermits(now units.Instant) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.notice.limited() && t.notice.limit.ask.isOpen(now) })
+}
+
 // askPermits asks a target's coordinator for permits.
 func (r *Router) askPermits(t *target, count int, e *Effects) {
 	to, known := r.coordinatorOf(t)
@@ -310,8 +342,18 @@
 		r.freed = append(r.freed, t.service)
 		return
 	}
-	r.seekMore(t.service, e)
-	r.refuseUnservable(t.service, e)
+	// The next coordinator is asked when the event is over.
+	r.declined = append(r.declined, t.service)
+}
+
+// settleDeclined asks other coordinators for the calls that wait, and refuses those that wait in vain.
+func (r *Router) settleDeclined(e *Effects) {
+	for len(r.declined) > 0 {
+		s := r.declined[len(r.declined)-1]
+		r.declined = r.declined[:len(r.declined)-1]
+		r.seekMore(s, e)
+		r.refuseUnservable(s, e)
+	}
 }
 
 // returnPermits gives permits that nobody used back to the target's coordinator.
--- a/pkg/core/routing/notice.go
+++ b/pkg/core/routing/notice.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/madderpond/madderpond/pkg/core/limit"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -92,12 +91,13 @@
 
 // isOver tells whether nothing of a notice is worth keeping.
 func (n *notice) isOver(now units.Instant) bool {
-	return !n.forbids(now) && !n.limited() && (n.limit == nil || now.Sub(n.limit.word.At) > limitMemory)
+	return !n.forbids(now) && !n.limited() && (n.limit == nil || now.Sub(n.limit.changedAt) > limitMemory)
 }
 
 // hear takes what a target said of itself in an answer, whatever became of the call or probe. A
-// misdirected answer comes from another target at the address.
-func (r *Router) hear(x *Endpoint, said Reading, misdirected bool, e *Effects) {
+// misdirected answer comes from another target at the address. base is which word on the target's limit was
+// known as the call was sent.
+func (r *Router) hear(x *Endpoint, said Reading, misdirected bool, base uint64, e *Effects) {
 	if x == nil || said.Rest <= 0 && !said.Leaving && !said.Limit.Named {
 		return
 	}
@@ -107,12 +107,12 @@
 		if other == nil {
 			return
 		}
-		o, x = originOfRow(&other.row), other.endpoint
+		o, x, base = originOfRow(&other.row), other.endpoint, noBase
 	} else if t := r.findTarget(x); t != nil {
 		// Its birth may have become known since the endpoint was made.
 		o = originOfRow(&t.row)
 	}
-	r.takeNotice(o, x, said, e)
+	r.takeNotice(o, x, said, base, e)
 }
 
 // onlyOther returns the only other target that is listed at an endpoint's address; nil for none,
@@ -134,11 +134,10 @@
 }
 
 // takeNotice keeps what a start of a target said, and has it bind all targets that are this start.
-func (r *Router) takeNotice(o origin, x *Endpoint, said Reading, e *Effects) {
+func (r *Router) takeNotice(o origin, x *Endpoint, said Reading, base uint64, e *Effects) {
 	n := r.noticeOf(o)
 	if said.Limit.Named {
-		begins, ends, changes := r.hearLimit(n, limit.NewWord(said.Limit.Rate, r.now))
-		r.tellLimit(n, x, begins, ends, changes, e)
+		r.nameLimit(n, x, said.Limit.Rate, base, e)
 	}
 	restBegins := said.Rest > 0 && !n.rests(r.now)
 	leaveBegins := said.Leaving && !n.leaving
@@ -333,10 +332,17 @@
 	return first, first != 0
 }
 
-// isClosed tells whether all targets that a call may use are closed.
-func (s *service) isClosed(c *call, now units.Instant) bool {
-	_, closed := s.opensAt(c, now)
-	return closed
+// isLimited tells whether all targets that a call may use name limits.
+func (s *service) isLimited(c *call) bool {
+	if s.limited == 0 {
+		return false
+	}
+	for _, t := range s.targets {
+		if t.isActive() && c.mayUse(t) && !t.notice.limited() {
+			return false
+		}
+	}
+	return true
 }
 
 // opensTooLate tells whether all targets that a call may use are closed for longer than it can wait.
@@ -364,7 +370,7 @@
 		return held
 	}
 	wait := time.Duration(calmPart * c.aim())
-	if s.limited > 0 {
+	if s.isLimited(c) {
 		wait = min(wait, limitWait)
 	}
 	return min(held, c.arrived.Add(wait))
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -49,7 +49,7 @@
 }
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
-	r.hear(v.Target, v.Reading, v.Misdirected, e)
+	r.hear(v.Target, v.Reading, v.Misdirected, noBase, e)
 	t := r.findTarget(v.Target)
 	if t != nil && v.Refused {
 		r.noteConnectionRefused(t, e)
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -65,6 +65,8 @@
 	// present one that stay, by the failure domain of the targets they are beside.
 	boxLists int
 	beside   map[units.Domain][]table.Box
+	// neverListed is set until a list of boxes names any.
+	neverListed bool
 	// pastBoxes are the lists of boxes before the present one that other boxes may still go by.
 	pastBoxes []pastBoxes
 	// moves are the boxes that came and went with the table that is put in force.
@@ -116,6 +118,8 @@
 	crashes     crashBook
 	notices     noticeBook
 	permits     PermitStatus
+	// declined are the services for which a coordinator had no permit during this event.
+	declined []*service
 }
 
 // sweepPeriod is how often shares, ejections and probes are looked at.
@@ -136,26 +140,27 @@
 		return nil, err
 	}
 	return &Router{
-		settings:  s,
-		random:    rand.New(rand.NewPCG(s.Seed, 1)),
-		policy:    policy,
-		table:     table.NewTable(),
-		services:  map[units.ServiceName]*service{},
-		calls:     container.NewSlab[call](),
-		timers:    container.NewHeap(timerBefore),
-		loans:     newLoanBook(),
-		outlooks:  map[units.Domain]*outlook{},
-		boxLists:  1,
-		beside:    map[units.Domain][]table.Box{},
-		inbound:   inbound{rate: s.LinkRate},
-		distances: map[units.Domain]*domainDistance{},
-		unknown:   map[units.Domain]bool{},
-		now:       now,
-		startedAt: now,
-		off:       off,
-		sweepAt:   now,
-		crashes:   newCrashBook(),
-		notices:   noticeBook{},
+		settings:    s,
+		random:      rand.New(rand.NewPCG(s.Seed, 1)),
+		policy:      policy,
+		table:       table.NewTable(),
+		services:    map[units.ServiceName]*service{},
+		calls:       container.NewSlab[call](),
+		timers:      container.NewHeap(timerBefore),
+		loans:       newLoanBook(),
+		outlooks:    map[units.Domain]*outlook{},
+		boxLists:    1,
+		neverListed: true,
+		beside:      map[units.Domain][]table.Box{},
+		inbound:     inbound{rate: s.LinkRate},
+		distances:   map[units.Domain]*domainDistance{},
+		unknown:     map[units.Domain]bool{},
+		now:         now,
+		startedAt:   now,
+		off:         off,
+		sweepAt:     now,
+		crashes:     newCrashBook(),
+		notices:     noticeBook{},
 	}, nil
 }
 
@@ -196,6 +201,7 @@
 		r.receiveLimit(v.From, v.Message, e)
 	}
 	r.admitEarly(e)
+	r.settleDeclined(e)
 	r.useFreed(e)
 }
 
--- a/pkg/core/routing/script_notice_test.go
+++ b/pkg/core/routing/script_notice_test.go
@@ -34,11 +34,11 @@
 	AskPermits: "ask", GrantPermits: "grant", ReturnPermits: "return", TellLimit: "tell", HandOver: "hand-over",
 }
 
-// limit BOX kind=K service=S target=T [born=N] [nonce=N] [count=N] [again=D] [limit=R] [age=D] gives a message of
-// another box on a target's limit. Without a limit it says that there is none, without an age that nothing was
+// limit BOX kind=K service=S target=T [born=N] [nonce=N] [count=N] [again=D] [version=N] [limit=R] gives a message of
+// another box on a target's limit. Without a limit it says that there is none, without a version that nothing was
 // heard of one.
 func (s *script) peerLimit(d *datadriven.TestData) {
-	m := LimitMessage{Service: units.ServiceName(s.word(d, "service")), Target: units.TargetID(s.word(d, "target")), Born: 1, Age: unheard}
+	m := LimitMessage{Service: units.ServiceName(s.word(d, "service")), Target: units.TargetID(s.word(d, "target")), Born: 1}
 	for k, w := range limitWords {
 		if w == s.word(d, "kind") {
 			m.Kind = k
@@ -49,11 +49,9 @@
 	d.MaybeScanArgs(s.t, "count", &m.Count)
 	m.Again = s.duration(d, "again")
 	if d.HasArg("limit") {
-		m.Limited, m.Rate = true, s.rate(d, "limit")
-	}
-	if d.HasArg("age") {
-		m.Age = s.duration(d, "age")
+		m.Word.Limited, m.Word.Rate = true, s.rate(d, "limit")
 	}
+	d.MaybeScanArgs(s.t, "version", &m.Word.Version)
 	s.give(&PeerLimit{From: units.BoxID(d.CmdArgs[0].Key), Message: m})
 }
 
@@ -69,15 +67,12 @@
 	if m.Kind == GrantPermits {
 		words = append(words, fmt.Sprintf("again after %s", m.Again.Round(time.Millisecond)))
 	}
-	switch {
-	case m.Age < 0:
-		return strings.Join(append(words, "nothing heard"), ", ")
-	case m.Limited:
-		words = append(words, fmt.Sprintf("limit %g", m.Rate))
-	default:
+	if m.Word.Limited {
+		words = append(words, fmt.Sprintf("limit %g", m.Word.Rate))
+	} else {
 		words = append(words, "no limit")
 	}
-	return strings.Join(append(words, fmt.Sprintf("heard %s ago", m.Age.Round(time.Millisecond))), ", ")
+	return strings.Join(append(words, fmt.Sprintf("version %d", m.Word.Version)), ", ")
 }
 
 // describeNotice tells of what a target wants as the shell is told.
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -73,6 +73,7 @@
 		r.servesFrom = r.now.Add(r.settings.ShareDelay)
 	}
 	r.rank = rank
+	r.neverListed = r.neverListed && len(boxes) == 0
 	r.boxLists++
 	clear(r.beside)
 	r.dropLoans(boxes)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -261,6 +261,7 @@
 			return
 		case <-idle.C:
 			e.pools.CloseIdle()
+			e.peers.closeIdle()
 		case <-hangUps.C:
 			e.reportHangUps()
 		}
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"maps"
+	"time"
+
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/transport"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -11,11 +14,21 @@
 // called under the entry's lock and never waits.
 type peerLinks struct {
 	entry *Entry
-	links map[string]*transport.Link
+	links map[string]*peerLink
+}
+
+// peerLink is a connection to another box, with when it was last needed.
+type peerLink struct {
+	*transport.Link
+	usedAt units.Instant
 }
 
+// idlePeer is after what time without a message the connection to a box is closed: each one costs
+// memory and a sign of life a second at both boxes, and is needed for short times only.
+const idlePeer = 30 * time.Second
+
 func newPeerLinks(e *Entry) *peerLinks {
-	return &peerLinks{entry: e, links: map[string]*transport.Link{}}
+	return &peerLinks{entry: e, links: map[string]*peerLink{}}
 }
 
 func (p *peerLinks) send(to units.BoxID, m *wire.Envelope) {
@@ -25,9 +38,11 @@
 	}
 	link := p.links[address]
 	if link == nil {
-		link = transport.NewLink(address, p.entry.Security, func() *wire.Hello { return &wire.Hello{Box: p.entry.Settings.Box} })
+		hello := func() *wire.Hello { return &wire.Hello{Box: p.entry.Settings.Box} }
+		link = &peerLink{Link: transport.NewLink(address, p.entry.Security, hello)}
 		p.links[address] = link
 	}
+	link.usedAt = p.entry.Clock.Now()
 	m.From, m.To = p.entry.Settings.Box, string(to)
 	link.Send(m)
 }
@@ -39,6 +54,20 @@
 	return ""
 }
 
+// closeIdle closes the connections that weren't needed for a while.
+func (p *peerLinks) closeIdle() {
+	p.entry.lock.Lock()
+	defer p.entry.lock.Unlock()
+	now := p.entry.Clock.Now()
+	maps.DeleteFunc(p.links, func(_ string, l *peerLink) bool {
+		idle := now.Sub(l.usedAt) > idlePeer
+		if idle {
+			l.Close()
+		}
+		return idle
+	})
+}
+
 func (p *peerLinks) close() {
 	p.entry.lock.Lock()
 	defer p.entry.lock.Unlock()
--- a/pkg/target/rest_test.go
+++ b/pkg/target/rest_test.go
@@ -53,19 +53,25 @@
 	return text
 }
 
-// A target asks for rest after a call or a probe was chosen for it. Nothing of them is sent, and the
+// A target asks for rest, or names a limit, after a call or a probe was chosen for it. Nothing of them is sent, and the
 // connection is kept; both are sent once the rest is over, calls not to one that leaves.
 func TestNothingIsSentToATargetThatWantsNothing(t *testing.T) {
 	scenarios := []struct {
 		testName      string
 		calls, probes time.Duration
+		limited       bool
+		permit        time.Duration
 		call          routing.AttemptResult
 		probed        bool
 	}{
-		{"it rests", time.Minute, time.Minute, routing.Withheld, false},
-		{"its rest is over", -time.Second, -time.Second, routing.Answered, true},
-		{"it leaves", time.Minute, 0, routing.Withheld, true},
-		{"the one that left has a successor", 0, 0, routing.Answered, true},
+		{"it rests", time.Minute, time.Minute, false, 0, routing.Withheld, false},
+		{"its rest is over", -time.Second, -time.Second, false, 0, routing.Answered, true},
+		{"it leaves", time.Minute, 0, false, 0, routing.Withheld, true},
+		{"the one that left has a successor", 0, 0, false, 0, routing.Answered, true},
+		{"it names a limit", 0, 0, true, 0, routing.Withheld, false},
+		{"it names a limit, and permits what is sent", 0, 0, true, time.Minute, routing.Answered, true},
+		{"it names a limit, and the permit has ended", 0, 0, true, -time.Second, routing.Withheld, false},
+		{"it names a limit and rests", time.Minute, time.Minute, true, time.Minute, routing.Withheld, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -74,10 +80,10 @@
 			now := pools.clock.Now()
 			x := &routing.Effect{
 				Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.listener.Addr().String()},
-				Deadline: now.Add(10 * time.Second), NotAfter: now.Add(time.Minute),
+				Deadline: now.Add(10 * time.Second), NotAfter: now.Add(time.Minute), PermitUntil: now.Add(s.permit),
 			}
 			pools.Withhold(x.Endpoint, Withholding{Calls: now.Add(time.Minute), Probes: now.Add(time.Minute)})
-			pools.Withhold(x.Endpoint, Withholding{Calls: now.Add(s.calls), Probes: now.Add(s.probes)})
+			pools.Withhold(x.Endpoint, Withholding{Calls: now.Add(s.calls), Probes: now.Add(s.probes), Limited: s.limited})
 			a := pools.NewAttempt(x)
 			defer a.Release()
 			a.Request.SetRequestURI("/")
@@ -92,7 +98,7 @@
 				t.Errorf("a probe found it healthy: %t, unreachable: %t", v.Healthy, v.Unreachable)
 			}
 			pools.CloseIdle()
-			if over := s.calls <= 0 && s.probes <= 0; over != (len(pools.withheld) == 0) {
+			if over := s.calls <= 0 && s.probes <= 0 && !s.limited; over != (len(pools.withheld) == 0) {
 				t.Errorf("%d targets are remembered", len(pools.withheld))
 			}
 		})
--- a/pkg/wire/convert_limit.go
+++ b/pkg/wire/convert_limit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/limit"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -12,7 +13,8 @@
 func FromLimit(m *routing.LimitMessage) *Limit {
 	return &Limit{
 		Kind: int32(m.Kind), Service: string(m.Service), Target: string(m.Target), Born: int64(m.Born), Nonce: m.Nonce,
-		Count: int32(m.Count), Again: int64(m.Again), Limited: m.Limited, Rate: float64(m.Rate), Age: int64(m.Age),
+		Count: int32(m.Count), Again: int64(m.Again),
+		Version: m.Word.Version, Limited: m.Word.Limited, Rate: float64(m.Word.Rate),
 	}
 }
 
@@ -26,6 +28,6 @@
 	return routing.LimitMessage{
 		Kind: routing.LimitKind(m.Kind), Service: units.ServiceName(m.Service), Target: units.TargetID(m.Target),
 		Born: units.WallTime(m.Born), Nonce: m.Nonce, Count: max(0, int(m.Count)), Again: max(0, time.Duration(m.Again)),
-		Limited: m.Limited, Rate: units.CallRate(rate), Age: time.Duration(m.Age),
+		Word: limit.Word{Version: m.Version, Limited: m.Limited, Rate: units.CallRate(rate)},
 	}
 }
