--- a/pkg/core/routing/limit_fleet_test.go
+++ b/pkg/core/routing/limit_fleet_test.go
@@ -42,11 +42,10 @@
 	// loss is the part of messages that are lost, late the part that take up to two seconds.
 	loss, late float64
 	// slow is the part of connections that take up to half a second.
-	slow             float64
-	calls, served    int
-	refused, slowest time.Duration
-	refusals         int
-	messages         int
+	slow float64
+	// calls, refusals and messages are counted; slowest is how long a call was out that was refused.
+	calls, refusals, messages int
+	slowest                   time.Duration
 	// faults are those that were brought about, for the log.
 	faults      []string
 	retryAfters []time.Duration
@@ -84,6 +83,8 @@
 	// without having stopped.
 	rates []limitRate
 	since units.Instant
+	// startedAt is when it last started; zero for before the test.
+	startedAt units.Instant
 	// told is when each box was first told of the present limit.
 	told  map[*limitBox]units.Instant
 	came  []limitArrival
@@ -253,7 +254,6 @@
 		c := x.Owner.(*limitCall)
 		f.refusals++
 		f.slowest = max(f.slowest, f.now.Sub(c.arrived))
-		f.retryAfters = append(f.retryAfters, x.Refusal.RetryAfter)
 	}
 }
 
@@ -334,8 +334,6 @@
 			f.give(b, ended)
 		}
 	})
-	x.Owner.(*limitCall).sent = true
-	f.served++
 }
 
 func (f *limitFleet) probe(b *limitBox, x Effect) {
@@ -368,6 +366,10 @@
 
 // name has the target name a limit from now on, or none.
 func (t *limitTarget) name(f *limitFleet, limited bool, rate float64) {
+	if limited && t.startedAt != 0 && f.now.Sub(t.startedAt) < limitGrace {
+		// Boxes whose rows don't tell of the new start yet put what it says down to the one before.
+		return
+	}
 	if !limited || !t.limited {
 		t.since, t.rates, t.came = f.now, nil, nil
 		clear(t.told)
@@ -380,6 +382,7 @@
 func (t *limitTarget) startAgain(f *limitFleet) {
 	t.born++
 	t.name(f, false, 0)
+	t.startedAt = f.now
 	f.spread()
 }
 
@@ -442,10 +445,7 @@
 }
 
 // limitCall is a caller's call.
-type limitCall struct {
-	arrived units.Instant
-	sent    bool
-}
+type limitCall struct{ arrived units.Instant }
 
 // call brings a box some calls a second for as long as the test goes on.
 func (f *limitFleet) keepCalling(b *limitBox, rate float64) {
--- a/test/named_limit_test.go
+++ b/test/named_limit_test.go
@@ -104,12 +104,18 @@
 }
 
 // All targets of a service name limits, which come to a fifth of the calls. As much as they allow is used,
-// whichever box a caller came to; the others are refused at once, unrun, and told when to come back.
+// whichever box callers come to; the others are refused at once, unrun, and told when to come back.
 func TestAServiceWhoseTargetsAllNameLimits(t *testing.T) {
+	t.Run("callers come to all boxes", func(t *testing.T) { useLimits(t, limitedBoxes) })
+	t.Run("callers come to one box", func(t *testing.T) { useLimits(t, 1) })
+}
+
+func useLimits(t *testing.T, called int) {
 	x := beginTalkingTo(t, limitedBoxes, limitedTargets)
 	limits := []float64{2, 2, 2, 2, 2, 2, 2, 2}
 	x.limitTargets(limits...)
 	x.callTogether(calling, callerPause, limitLearnt)
+	x.caller.SetAddresses(x.servingEntries()[:called]...)
 	before := x.limitedStats(limitedTargets)
 	calls := x.callTogether(calling, callerPause, limitWatched)
 	got := x.checkLimits(before)
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -79,6 +79,8 @@
 	{"have a target ask for rest", (*soak).askForRest},
 	{"have targets ask for rest together", (*soak).askForRestTogether},
 	{"have a target leave by its answers", (*soak).leaveByAnswers},
+	{"have a target name limits", (*soak).nameLimits},
+	{"have targets name limits together", (*soak).nameLimitsTogether},
 }
 
 const (
@@ -95,6 +97,8 @@
 	// fourthFaults is how many the seeds from fourthFaultsFrom on draw from.
 	fourthFaults     = 21
 	fourthFaultsFrom = 20_000
+	// fifthFaults is how many the seeds from wordsFrom on draw from.
+	fifthFaults = 24
 )
 
 // drawFault draws one of the faults that the soak's seed knows.
@@ -108,6 +112,8 @@
 		return x.draw(thirdFaults)
 	case x.seed < wordsFrom:
 		return x.draw(fourthFaults)
+	case x.seed < limitsFrom:
+		return x.draw(fifthFaults)
 	}
 	return x.draw(len(soakFaults))
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -183,6 +183,7 @@
 			s.Control.Rollout.Enabled = x.rollsOut()
 			s.Regions = soakRegions
 			s.Entry.LeavingHeader = lab.LeavingHeader
+			s.Entry.LimitHeader = lab.LimitHeader
 		},
 	})
 	x.must(err)
@@ -407,6 +408,10 @@
 	for _, n := range append(x.cluster.Replicas, x.cluster.Boxes...) {
 		if n.Process != nil {
 			os.WriteFile(fmt.Sprintf("%s/%s.log", folder, n.Settings.Box), []byte(n.Process.Log()), 0o600)
+			if d, err := n.Dump(); err == nil {
+				data, _ := json.MarshalIndent(d, "", " ")
+				os.WriteFile(fmt.Sprintf("%s/%s.dump", folder, n.Settings.Box), data, 0o600)
+			}
 		}
 	}
 	x.Logf("the logs are kept in %s", folder)
--- a/test/soak_words_test.go
+++ b/test/soak_words_test.go
@@ -13,6 +13,12 @@
 	// soakLeastRest and soakMostRest bound the rests that targets ask for, in milliseconds.
 	soakLeastRest = 500
 	soakMostRest  = 3000
+	// limitsFrom is the first seed whose targets name limits.
+	limitsFrom = 60_000
+	// soakMostLimit bounds the limits that targets name, in tenths of a call a second.
+	soakMostLimit = 60
+	// limitDisturbed is for how long before a window a disturbance of a box excuses its calls.
+	limitDisturbed = 7 * time.Second
 )
 
 // words tells whether the seed's targets ask for rest and leave by their answers.
@@ -83,6 +89,34 @@
 	}, t)
 }
 
+// nameLimits has a target name a limit that may change, and end.
+func (x *soak) nameLimits() bool {
+	t := x.targets[x.draw(len(x.targets))]
+	return x.with(func() { x.limit(t) }, t)
+}
+
+// nameLimitsTogether has most targets of both services do so at the same time.
+func (x *soak) nameLimitsTogether() bool {
+	var some []*lab.TargetProcess
+	var things []any
+	for _, t := range x.targets[1:] {
+		some, things = append(some, t), append(things, t)
+	}
+	return x.with(func() { x.limit(some...) }, things...)
+}
+
+func (x *soak) limit(some ...*lab.TargetProcess) {
+	for range 1 + x.draw(2) {
+		for _, t := range some {
+			x.tell(t, fmt.Sprintf("limit=%g", float64(x.draw(soakMostLimit))/10))
+		}
+		x.pause(2000, 4500)
+	}
+	for _, t := range some {
+		x.tell(t, "shed=0")
+	}
+}
+
 // boxAt is the box whose entry is at an address.
 func (x *soak) boxAt(entry string) *lab.Node {
 	for _, b := range x.cluster.Boxes {
@@ -93,13 +127,17 @@
 	return nil
 }
 
-// checkWords makes sure that boxes sent no more to targets that had asked for rest, or had said that
-// they leave, but for boxes that were disturbed since and targets that stood still.
+// checkWords makes sure that boxes sent no more to targets that had asked for rest, had said that
+// they leave or named limits, but for boxes that were disturbed since and targets that stood still.
 func (x *soak) checkWords() {
 	for _, t := range x.targets {
 		all, err := lab.ReadBreaches(t.Journal)
 		x.must(err)
 		for _, b := range all {
+			if b.Limit != nil {
+				x.checkLimit(t, b.Limit)
+				continue
+			}
 			if x.wasDisturbed(x.boxAt(b.Box), b.Said, b.At) || x.wasDisturbed(t, b.Said, b.At) {
 				continue
 			}
@@ -107,3 +145,20 @@
 		}
 	}
 }
+
+// checkLimit makes sure that boxes which weren't disturbed sent no more than a target's limit allows.
+func (x *soak) checkLimit(t *lab.TargetProcess, b *lab.LimitBreach) {
+	since := b.At.Add(-limitDisturbed)
+	if x.wasDisturbed(t, since, b.At) {
+		return
+	}
+	n := 0
+	for entry, calls := range b.Calls {
+		if !x.wasDisturbed(x.boxAt(entry), since, b.At) {
+			n += calls
+		}
+	}
+	if float64(n) > b.Allowed {
+		x.Errorf("%s named a limit of %g a second and got %d calls from boxes that weren't disturbed, allowed %.0f: %v", t.Name, b.Rate, n, b.Allowed, b.Calls)
+	}
+}
