Crashes under one caller's request count against the same request of others

Callers saw it as targets lost one after the other: several callers sent the same request, and after the first of them was in quarantine the crashes began to be counted anew. Cause: the verdict on one caller's request took its crashes away from the same request of all callers, so that three more were needed, and as many again for each caller. Change: such crashes go on counting against the same request of all callers, and against nothing else; one more crash under another caller's is enough, unless any of them got an answer meanwhile, or the first was released.

--- a/pkg/core/control/quarantines.go
+++ b/pkg/core/control/quarantines.go
@@ -276,6 +276,9 @@
 	e.Changes = append(e.Changes, Change{
 		Kind: kinds[x.Action], Call: x.Call, Targets: x.Targets, Trial: x.Trial, Operator: x.Operator, Revision: delta.Revision,
 	})
+	if x.Action == table.EndQuarantine {
+		r.quarantines.ledger.Release(x.Call)
+	}
 	r.tickAt = r.now
 	r.quarantines.changed = true
 	return delta, nil
--- a/pkg/core/crash/fingerprint.go
+++ b/pkg/core/crash/fingerprint.go
@@ -24,6 +24,8 @@
 // AnyCaller returns the fingerprint of the same content, whoever calls.
 func (f Fingerprint) AnyCaller() Fingerprint { return Fingerprint{Head: f.Head, Body: f.Body} }
 
+func (f Fingerprint) isAnyCaller() bool { return f.Caller == 0 }
+
 // Covers tells whether a call of fingerprint x is one that f stands for.
 func (f Fingerprint) Covers(x Fingerprint) bool {
 	return f.Head == x.Head && f.Body == x.Body && (f.Caller == 0 || f.Caller == x.Caller)
--- a/pkg/core/crash/ledger.go
+++ b/pkg/core/crash/ledger.go
@@ -39,7 +39,8 @@
 	target   units.TargetID
 	at       units.Instant
 	suspects []suspect
-	// explained is set once a call that was there is known to be to blame.
+	// explained is set once a call that was there is known to be to blame. Where that is one caller's,
+	// the crash still counts against the same call of all callers, and against no other.
 	explained bool
 	// notes are those that it was put together from. Crashes without suspects are kept too, so
 	// that a note which comes again changes nothing.
@@ -152,11 +153,27 @@
 }
 
 // Explain puts crashes down to a call that is known to be to blame and was under way there; they
-// no longer count against others.
+// no longer count against others. Those of one caller's call go on counting against the same call of all callers: if
+// it is its content that crashes targets, one more crash under another caller's shows it.
 func (l *Ledger) Explain(f Fingerprint) {
 	for i := range l.events {
-		if e := &l.events[i]; e.has(f) {
-			e.explained = true
+		e := &l.events[i]
+		if !e.has(f) || e.explained && !f.isAnyCaller() {
+			continue
+		}
+		e.explained = true
+		e.suspects = slices.DeleteFunc(e.suspects, func(s suspect) bool {
+			return f.isAnyCaller() || !f.AnyCaller().Covers(s.fingerprint)
+		})
+		l.stale = true
+	}
+}
+
+// Release drops what counts against the same call of all callers by crashes that were put down to one caller's: whoever
+// releases that doesn't hold it responsible any more.
+func (l *Ledger) Release(f Fingerprint) {
+	for i := range l.events {
+		if e := &l.events[i]; e.explained && e.has(f) {
 			e.suspects = nil
 			l.stale = true
 		}
@@ -193,7 +210,7 @@
 	for i := range l.events {
 		e := &l.events[i]
 		sent := e.lastSent(f)
-		if sent == never || e.at <= l.answered[f] {
+		if sent == never || e.at <= l.answered[f] || e.explained && !f.isAnyCaller() {
 			continue
 		}
 		r.events = append(r.events, e)
@@ -253,7 +270,9 @@
 func (e *event) fingerprints() map[Fingerprint]bool {
 	set := map[Fingerprint]bool{}
 	for _, s := range e.suspects {
-		set[s.fingerprint] = true
+		if !e.explained {
+			set[s.fingerprint] = true
+		}
 		set[s.fingerprint.AnyCaller()] = true
 	}
 	return set
@@ -293,7 +312,7 @@
 // nobody is to blame yet.
 func (l *Ledger) blame(now units.Instant) []record {
 	all := l.records()
-	enough := slices.DeleteFunc(slices.Clone(all), func(r record) bool { return len(r.chain) < l.enough || !r.isSettled(now) })
+	enough := slices.DeleteFunc(slices.Clone(all), func(r record) bool { return !l.isDue(&r) || !r.isSettled(now) })
 	for _, r := range enough {
 		if !slices.ContainsFunc(all, r.isRivalledBy) {
 			return []record{r}
@@ -306,6 +325,16 @@
 	return append([]record{r}, slices.DeleteFunc(slices.Clone(all), func(x record) bool { return !r.isRivalledBy(x) })...)
 }
 
+// isDue tells whether crashes enough stand against a call, not all of which are put down to one caller's.
+func (l *Ledger) isDue(r *record) bool {
+	return len(r.chain) >= l.enough && r.isOpen()
+}
+
+// isOpen tells whether nobody is blamed yet for one of the crashes.
+func (r *record) isOpen() bool {
+	return slices.ContainsFunc(r.chain, func(e *event) bool { return !e.explained })
+}
+
 // isCommon tells whether as many targets of the service crashed without the call meanwhile: a
 // service whose targets crash by themselves has calls under way at most of the crashes.
 func (l *Ledger) isCommon(r record) bool {
@@ -349,7 +378,7 @@
 func (l *Ledger) Suspects(most int) []Fingerprint {
 	var list []Fingerprint
 	for _, r := range l.records() {
-		if len(r.chain) > 1 && len(list) < most {
+		if len(r.chain) > 1 && r.isOpen() && len(list) < most {
 			list = append(list, r.fingerprint)
 		}
 	}
@@ -358,7 +387,7 @@
 
 // Undecided tells whether crashes under a call are enough that time alone may bring a verdict.
 func (l *Ledger) Undecided() bool {
-	return l.enough > 0 && slices.ContainsFunc(l.records(), func(r record) bool { return len(r.chain) >= l.enough })
+	return l.enough > 0 && slices.ContainsFunc(l.records(), func(r record) bool { return l.isDue(&r) })
 }
 
 // SuspectsSince returns the calls under which targets have crashed since a time.
--- a/pkg/core/crash/ledger_test.go
+++ b/pkg/core/crash/ledger_test.go
@@ -25,6 +25,7 @@
 	"judge":    (*script).judge,
 	"suspects": (*script).suspects,
 	"blamed":   (*script).blamed,
+	"released": (*script).released,
 	"kept":     (*script).kept,
 }
 
@@ -123,6 +124,12 @@
 	return "known"
 }
 
+// released CALL[/CALLER] tells the ledger that a call that was to blame is no longer.
+func (s *script) released(d *datadriven.TestData) string {
+	s.ledger.Release(s.fingerprint(d.CmdArgs[0].Key))
+	return "known"
+}
+
 // kept counts the crashes that are kept.
 func (s *script) kept(*datadriven.TestData) string { return fmt.Sprint(len(s.ledger.events)) }
 
