--- a/pkg/core/routing/coordinator.go
+++ b/pkg/core/routing/coordinator.go
@@ -54,17 +54,6 @@
 
 func (*PeerLimit) routingEvent() {}
 
-// PermitStatus counts permits and what was asked for; it is for the dump.
-type PermitStatus struct {
-	Asked    uint64 `json:"asked"`
-	Granted  uint64 `json:"granted"`
-	Used     uint64 `json:"used"`
-	Returned uint64 `json:"returned"`
-	// Permitted is how many this box has granted as a coordinator, itself included.
-	Permitted uint64 `json:"permitted"`
-	nonce     uint64
-}
-
 // pastBoxes is a list of boxes that is no longer in force.
 type pastBoxes struct {
 	boxes []table.Box
--- /dev/null
+++ b/pkg/core/routing/permits.go
@@ -0,0 +1,317 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A permit lets a box send one call or probe to a target that names a limit. A box asks the target's
+// coordinator for as many as its calls need, uses each once, and gives back what it has no use for.
+
+const (
+	// permitTerm is how long a box may keep a permit that it has no use for.
+	permitTerm = 300 * time.Millisecond
+	// askTerm is after what time an unanswered request counts as lost. What is granted later
+	// goes back, so that no permit is used long after it was counted.
+	askTerm = 250 * time.Millisecond
+	// askPause is when a target's coordinator is asked again that didn't answer, or doesn't
+	// hold itself for the coordinator.
+	askPause = 100 * time.Millisecond
+	// mostAskPause bounds for how long a box takes a coordinator's word that nothing is left. It
+	// learns within it that the limit is over.
+	mostAskPause = time.Second
+	// askSpread is how far the pauses of boxes lie apart, as a part of them, so that they don't
+	// all ask at the moment at which the next call is permitted.
+	askSpread = 0.5
+	// mostPermits is how many permits a box asks for at once and keeps of one target.
+	mostPermits = 8
+	// scoutAfter is after what time without an answer of a limited target a call goes there rather
+	// than to a better one, since nothing else shows that the limit is over.
+	scoutAfter = time.Second
+	// scoutPause is the least time between two requests for permits of a service whose calls have
+	// other targets, so that they hardly cost more than without limits.
+	scoutPause = 20 * time.Millisecond
+	// neededAsks is how many coordinators are asked at a time for a call that has no other target: most
+	// of what is asked for beyond a call's need goes back unused.
+	neededAsks = 2
+	// mostAsks is how many are asked for one call. Where as many have nothing left others hardly have,
+	// and messages would cost the boxes more than the call.
+	mostAsks = 4
+)
+
+// PermitStatus counts permits and what was asked for; it is for the dump.
+type PermitStatus struct {
+	Asked    uint64 `json:"asked"`
+	Granted  uint64 `json:"granted"`
+	Used     uint64 `json:"used"`
+	Returned uint64 `json:"returned"`
+	// Permitted is how many this box has granted as a coordinator, itself included.
+	Permitted uint64 `json:"permitted"`
+	nonce     uint64
+}
+
+// permitAsk is a request for permits.
+type permitAsk struct {
+	nonce uint64
+	at    units.Instant
+	open  bool
+}
+
+// isOpen tells whether an answer to a request may still come.
+func (a *permitAsk) isOpen(now units.Instant) bool { return a.open && now.Sub(a.at) < askTerm }
+
+// holds tells whether a permit is held that may be used now.
+func (x *namedLimit) holds(now units.Instant) bool {
+	return len(x.permits) > 0 && now < x.permits[len(x.permits)-1]
+}
+
+// add keeps permits that may be used until an instant.
+func (x *namedLimit) add(n int, until units.Instant) {
+	i, _ := slices.BinarySearch(x.permits, until)
+	x.permits = slices.Insert(x.permits, i, slices.Repeat([]units.Instant{until}, n)...)
+}
+
+// use takes the permit that ends first; false means that there is none.
+func (x *namedLimit) use(now units.Instant) (until units.Instant, ok bool) {
+	x.dropEnded(now)
+	if len(x.permits) == 0 {
+		return 0, false
+	}
+	until = x.permits[0]
+	x.permits = slices.Delete(x.permits, 0, 1)
+	return until, true
+}
+
+// dropEnded drops the permits that may no longer be used, and returns how many there were.
+func (x *namedLimit) dropEnded(now units.Instant) int {
+	n := 0
+	for n < len(x.permits) && x.permits[n] <= now {
+		n++
+	}
+	x.permits = slices.Delete(x.permits, 0, n)
+	return n
+}
+
+// opensAt is when a permit may come, as far as this box knows.
+func (x *namedLimit) opensAt(now units.Instant) units.Instant {
+	if x.ask.isOpen(now) {
+		return now
+	}
+	return max(now, x.again)
+}
+
+// mayAsk tells whether a request for permits is worth while now.
+func (x *namedLimit) mayAsk(now units.Instant) bool {
+	return !x.holds(now) && !x.ask.isOpen(now) && now >= x.again
+}
+
+// lacksPermit tells whether the target names a limit and this box has no permit for a call to it.
+func (t *target) lacksPermit(now units.Instant) bool {
+	return t.notice.limited() && !t.notice.limit.holds(now)
+}
+
+// takesIfPermitted tells whether a new call might go to the target now, were it permitted.
+func (t *target) takesIfPermitted(now units.Instant, anyHealth bool) bool {
+	return t.coldAdmits(now) && t.takesWhenWarm(now, anyHealth)
+}
+
+// usePermit takes the permit that a call or probe of a target needs. It is zero where the
+// target names no limit, and false where one is needed and there is none.
+func (r *Router) usePermit(t *target) (until units.Instant, ok bool) {
+	if !t.notice.limited() {
+		return 0, true
+	}
+	until, ok = t.notice.limit.use(r.now)
+	if ok {
+		r.permits.Used++
+	}
+	return until, ok
+}
+
+// unusePermit gives back the permit of an attempt that wasn't sent.
+func (r *Router) unusePermit(t *target, until units.Instant, e *Effects) {
+	if until == 0 || !t.notice.limited() {
+		return
+	}
+	r.permits.Used--
+	if r.now < until {
+		t.notice.limit.add(1, until)
+		r.sweepBy(t.service, until)
+		return
+	}
+	r.returnPermits(t, 1, e)
+}
+
+// seekPermits asks for permits of limited targets that a call without another one might go to. A call that is
+// under way isn't sent to one as well.
+func (r *Router) seekPermits(s *service, c *call, most int, e *Effects) {
+	if c.underWay() > 0 {
+		return
+	}
+	if c.route.work != table.Patient {
+		most = min(most, mostAsks-c.asks)
+	}
+	c.asks += r.askSome(s, c, most, func(*target) bool { return true }, e)
+}
+
+// scout asks for a permit of a limited target that a call might go to as well as to others, so that what the
+// limit allows is used, and its end is noticed.
+func (r *Router) scout(s *service, c *call, e *Effects) {
+	if s.limited == 0 || r.now < s.scoutAt {
+		return
+	}
+	s.scoutAt = r.now.Add(scoutPause)
+	r.askSome(s, c, 1, func(t *target) bool { return t.near }, e)
+}
+
+// askSome asks for permits of some of the limited targets that a call might go to and that fit, and returns of
+// how many.
+func (r *Router) askSome(s *service, c *call, most int, fits func(*target) bool, e *Effects) (asked int) {
+	if s.limited == 0 || !r.leased() {
+		return 0
+	}
+	anyHealth := r.anyHealth(s, c)
+	start := r.random.IntN(len(s.targets))
+	for k := range s.targets {
+		t := s.targets[(start+k)%len(s.targets)]
+		if asked >= most {
+			break
+		}
+		if t.notice.limited() && t.notice.limit.mayAsk(r.now) && fits(t) && c.mayUse(t) && t.takesIfPermitted(r.now, anyHealth) {
+			r.askPermits(t, min(mostPermits, 1+s.held.length+len(s.waiting)), e)
+			asked++
+		}
+	}
+	return asked
+}
+
+// seekMore asks for the first call that still waits for a permit. Calls for which enough coordinators were asked in
+// vain are refused.
+func (r *Router) seekMore(s *service, e *Effects) {
+	for s.limited > 0 && !s.asksPermits(r.now) {
+		id, c := r.firstHeld(s)
+		if c == nil || !s.isLimited(c) {
+			return
+		}
+		if r.seekPermits(s, c, 1, e); c.asks < mostAsks || c.route.work == table.Patient || s.asksPermits(r.now) {
+			return
+		}
+		s.held.popFront()
+		r.refuse(id, c, Refusal{Reason: TargetsLimited, Outcome: c.outcome(), RetryAfter: r.limitRetry(s, r.now)}, e)
+	}
+}
+
+// asksPermits tells whether a coordinator may still answer.
+func (s *service) asksPermits(now units.Instant) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.notice.limited() && t.notice.limit.ask.isOpen(now) })
+}
+
+// askPermits asks a target's coordinator for permits.
+func (r *Router) askPermits(t *target, count int, e *Effects) {
+	to, known := r.coordinatorOf(t)
+	if !known {
+		t.notice.limit.again = r.now.Add(askPause)
+		return
+	}
+	r.permits.nonce++
+	r.permits.Asked++
+	t.notice.limit.ask = permitAsk{nonce: r.permits.nonce, at: r.now, open: true}
+	r.sweepBy(t.service, r.now.Add(askTerm))
+	r.sendLimit(to, t, LimitMessage{Kind: AskPermits, Nonce: r.permits.nonce, Count: count}, e)
+}
+
+// takeGrant takes a coordinator's answer. What comes too late goes back.
+func (r *Router) takeGrant(from units.BoxID, t *target, m *LimitMessage, e *Effects) {
+	if !t.notice.limited() {
+		return
+	}
+	x := t.notice.limit
+	if m.Nonce != x.ask.nonce || !x.ask.isOpen(r.now) {
+		r.returnPermitsTo(from, t, m.Count, e)
+		return
+	}
+	x.ask.open = false
+	pause := min(m.Again, mostAskPause)
+	x.again = r.now.Add(pause + time.Duration(askSpread*r.random.Float64()*float64(pause)))
+	if m.Count > 0 {
+		r.permits.Granted += uint64(m.Count)
+		until := r.now.Add(permitTerm)
+		x.add(min(m.Count, mostPermits), until)
+		r.sweepBy(t.service, until)
+		r.freed = append(r.freed, t.service)
+		return
+	}
+	// The next coordinator is asked when the event is over.
+	r.declined = append(r.declined, t.service)
+}
+
+// settleDeclined asks other coordinators for the calls that wait, and refuses those that wait in vain.
+func (r *Router) settleDeclined(e *Effects) {
+	for len(r.declined) > 0 {
+		s := r.declined[len(r.declined)-1]
+		r.declined = r.declined[:len(r.declined)-1]
+		r.seekMore(s, e)
+		r.refuseUnservable(s, e)
+	}
+}
+
+// returnPermits gives permits that nobody used back to the target's coordinator.
+func (r *Router) returnPermits(t *target, n int, e *Effects) {
+	if to, known := r.coordinatorOf(t); known {
+		r.returnPermitsTo(to, t, n, e)
+	}
+}
+
+func (r *Router) returnPermitsTo(to units.BoxID, t *target, n int, e *Effects) {
+	if n <= 0 {
+		return
+	}
+	r.permits.Returned += uint64(n)
+	r.sendLimit(to, t, LimitMessage{Kind: ReturnPermits, Count: n}, e)
+}
+
+// sweepPermits gives back the permits whose time is over, and notes requests that weren't answered.
+func (r *Router) sweepPermits(s *service, e *Effects) {
+	if s.limited == 0 {
+		return
+	}
+	for _, t := range s.targets {
+		if !t.notice.limited() {
+			continue
+		}
+		x := t.notice.limit
+		if n := x.dropEnded(r.now); n > 0 {
+			r.returnPermits(t, n, e)
+			// Nothing here needed it, so that others are let ask first.
+			x.again = max(x.again, r.now.Add(permitTerm))
+		}
+		if x.ask.open && !x.ask.isOpen(r.now) {
+			x.ask.open = false
+			x.again = r.now.Add(askPause)
+		}
+		if len(x.permits) > 0 {
+			r.sweepBy(s, x.permits[0])
+		}
+		if x.ask.open {
+			r.sweepBy(s, x.ask.at.Add(askTerm))
+		}
+	}
+	r.seekMore(s, e)
+}
+
+// dueScout is a limited target that hasn't answered for a while and that a call may go to; nil for
+// none. Only work that may run twice is sent there, which a hedge saves if the target is slow.
+func (c *candidates) dueScout() *target {
+	if c.service.limited == 0 || c.call.route.work != table.Repeatable || c.call.underWay() > 0 {
+		return nil
+	}
+	for i, t := range c.service.targets {
+		if t.notice.limited() && t.notice.limit.holds(c.now) && c.now.Sub(t.lastHeard) > scoutAfter && c.Available(i) {
+			return t
+		}
+	}
+	return nil
+}
--- a/test/soak_words_test.go
+++ b/test/soak_words_test.go
@@ -17,6 +17,8 @@
 	limitsFrom = 60_000
 	// soakMostLimit bounds the limits that targets name, in tenths of a call a second.
 	soakMostLimit = 60
+	// targetsLimited is the reason of a call that targets' limits left no room for.
+	targetsLimited = "targets-limited"
 	// limitDisturbed is for how long before a window a disturbance of a box excuses its calls.
 	limitDisturbed = 7 * time.Second
 )
