--- a/pkg/core/routing/limit_fleet_test.go
+++ b/pkg/core/routing/limit_fleet_test.go
@@ -46,6 +46,8 @@
 	// calls, refusals and messages are counted; slowest is how long a call was out that was refused.
 	calls, refusals, messages int
 	slowest                   time.Duration
+	// waits is for how long calls have waited for their first send.
+	waits time.Duration
 	// faults are those that were brought about, for the log.
 	faults []string
 }
@@ -85,9 +87,10 @@
 	// startedAt is when it last started; zero for before the test.
 	startedAt units.Instant
 	// told is when each box was first told of the present limit.
-	told  map[*limitBox]units.Instant
-	came  []limitArrival
-	total int
+	told map[*limitBox]units.Instant
+	came []limitArrival
+	// total counts calls and probes, calls the calls among them.
+	total, calls int
 }
 
 type limitRate struct {
@@ -246,6 +249,9 @@
 	case SendLimit:
 		f.post(b, x)
 	case Send:
+		if x.Attempt == 1 {
+			f.waits += f.now.Sub(x.Owner.(*limitCall).arrived)
+		}
 		later(f.connects(), func() { f.send(b, x) })
 	case Probe:
 		later(f.connects(), func() { f.probe(b, x) })
@@ -321,6 +327,7 @@
 		return
 	}
 	t := f.targetOf(x.Endpoint)
+	t.calls++
 	t.arrive(f, b)
 	start := b.start
 	f.after(time.Duration(20+f.random.IntN(40))*time.Millisecond, func() {
@@ -616,3 +623,97 @@
 	}
 	return n
 }
+
+// More calls come than all targets of a service allow, and the limits end. Two seconds later no call is refused any more and
+// each target gets a third of its part of the calls at least; on the way none gets more than one and a half times its part in
+// half a second, and a few calls.
+func TestTargetsAreInFullUseAgainWhenLimitsEnd(t *testing.T) {
+	const (
+		boxes, targets = 18, 10
+		calls          = 90.0
+		step           = 500 * time.Millisecond
+		// burstPart and burstSlack bound the calls of half a second: they come at random.
+		burstPart, burstSlack = 1.5, 6
+	)
+	f := newLimitFleet(t, boxes, targets, 1)
+	for _, b := range f.boxes {
+		f.keepCalling(b, calls/boxes)
+	}
+	f.run(3 * time.Second)
+	for _, x := range f.targets {
+		x.name(f, true, 2)
+	}
+	f.run(8 * time.Second)
+	for _, x := range f.targets {
+		x.name(f, false, 0)
+	}
+	// Calls of the half seconds, by target; probes aren't among them.
+	var sends [][]int
+	for range 8 {
+		before := f.sends()
+		f.run(step)
+		after := f.sends()
+		for i := range after {
+			after[i] -= before[i]
+		}
+		sends = append(sends, after)
+		if len(sends) == 4 {
+			f.refusals = 0
+		}
+	}
+	if f.refusals > 0 {
+		t.Errorf("%d calls were refused later than 2 s after the limits had ended", f.refusals)
+	}
+	part := calls / targets * step.Seconds()
+	for i := range f.targets {
+		late := 0
+		for k, list := range sends {
+			if burst := burstPart*part + burstSlack; float64(list[i]) > burst {
+				t.Errorf("%s got %d calls in the %d. half second, its part is %.1f", f.targets[i].id, list[i], k+1, part)
+			}
+			if k >= 4 {
+				late += list[i]
+			}
+		}
+		if float64(late) < 4*part/3 {
+			t.Errorf("%s got %d calls in the last two seconds, its part is %.1f", f.targets[i].id, late, 4*part)
+		}
+	}
+}
+
+// Two of ten targets name limits. No caller is refused, and calls are sent as soon as they would be without limits.
+func TestLimitsOfSomeTargetsCostCallersNothing(t *testing.T) {
+	const boxes, targets, calls = 18, 10, 73.0
+	f := newLimitFleet(t, boxes, targets, 1)
+	for _, b := range f.boxes {
+		f.keepCalling(b, calls/boxes)
+	}
+	f.run(3 * time.Second)
+	before := f.waits
+	f.run(10 * time.Second)
+	without := f.waits - before
+	for _, x := range f.targets[:2] {
+		x.name(f, true, 1)
+	}
+	f.run(4 * time.Second)
+	f.refusals = 0
+	before = f.waits
+	f.run(10 * time.Second)
+	with := f.waits - before
+	t.Logf("calls waited for their first send for %s in all without limits, %s with them", without, with)
+	if f.refusals > 0 {
+		t.Errorf("%d calls were refused though eight targets have room for all", f.refusals)
+	}
+	if with > without*3/2 {
+		t.Errorf("calls waited for %s in all, %s without limits", with, without)
+	}
+}
+
+// sends are the calls that each target has got.
+func (f *limitFleet) sends() []int {
+	all := make([]int, len(f.targets))
+	for i, t := range f.targets {
+		all[i] = t.calls
+	}
+	return all
+}
