A trial of a call in quarantine that was never sent is left for the next one

Callers of a request that was blamed wrongly were refused for minutes: the one call that was let through came while all targets wanted rest or named limits, was refused without having been sent, and its trial was gone; the next comes two minutes later. Script: refused as quarantined before, sent after.

--- a/pkg/core/routing/quarantine.go
+++ b/pkg/core/routing/quarantine.go
@@ -111,8 +111,8 @@
 	if !found {
 		return false
 	}
-	if r.crashes.useTrial(f, r.now) {
-		c.trial = true
+	if t, ok := r.crashes.useTrial(f, r.now); ok {
+		c.trial, c.trialUsed = true, t
 		return false
 	}
 	r.crashes.noteRefused(f)
@@ -121,13 +121,22 @@
 }
 
 // useTrial uses up a trial of a call, if there is one.
-func (b *crashBook) useTrial(f crash.Fingerprint, now units.Instant) bool {
+func (b *crashBook) useTrial(f crash.Fingerprint, now units.Instant) (trial, bool) {
 	i := slices.IndexFunc(b.trials, func(t trial) bool { return t.call == f && now < t.until })
 	if i < 0 {
-		return false
+		return trial{}, false
 	}
+	used := b.trials[i]
 	b.trials = slices.Delete(b.trials, i, i+1)
-	return true
+	return used, true
+}
+
+// unuseTrial gives back the trial of a call that ends without having been sent: it has shown nothing, and
+// the next one may come only minutes later.
+func (r *Router) unuseTrial(c *call) {
+	if c.trial && c.sends == 0 {
+		r.crashes.trials = append(r.crashes.trials, c.trialUsed)
+	}
 }
 
 func (b *crashBook) noteRefused(f crash.Fingerprint) {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -305,6 +305,7 @@
 		return
 	}
 	r.explainClosed(c, &refusal)
+	r.unuseTrial(c)
 	e.add(Effect{Kind: Refuse, Call: id, Owner: c.owner, Refusal: refusal})
 	r.refusals[refusal.Reason]++
 	if c.service != nil {
