--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -37,6 +37,7 @@
 }{
 	{3002, "all targets of a service had been slow; they counted as too slow for 15 s and every call was refused"},
 	{50_002, "two boxes sent calls to a target that had asked them for rest 1.7 and 1.8 s before, since it seemed to have room"},
+	{60_005, "boxes dropped the requests of others for permits, so that limits that were over kept calls away"},
 }
 
 const (
