--- a/pkg/core/routing/namedlimit.go
+++ b/pkg/core/routing/namedlimit.go
@@ -14,9 +14,6 @@
 // second, and callers come to other boxes than those whose part is left.
 
 const (
-	// limitWait is how long a call that isn't patient waits for a permit: callers who can't be
-	// served learn so at once.
-	limitWait = 150 * time.Millisecond
 	// limitMemory is how long a box remembers that a limit is over, so that a box that hasn't
 	// heard it yet doesn't begin it anew.
 	limitMemory = time.Minute
