Read-through: one piece of code for what stood twice

The entry alone knows which messages boxes send each other: the process hands it every connection of a box that isn't for a replica, so that a new kind of message can't be forgotten there again. A call's trial is told by its number instead of a second field; the second result of usePermit, which nobody used, is gone. Callers of stories and the two benchmarks of calls beside targets that said something stand once.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -159,7 +159,7 @@
 	switch {
 	case first.GetRenewRequest() != nil && a.replica != nil:
 		a.replica.ServeBox(first, c)
-	case (first.GetLoan() != nil || first.GetLimit() != nil) && a.entry != nil:
+	case a.entry != nil:
 		a.entry.ServePeer(hello, first, c)
 	}
 }
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -24,7 +24,7 @@
 		cold:   t.isCold(r.now),
 		ahead:  t.load(r.now), patience: c.patience(t, r.now), longPatience: c.longPatience(t, r.now),
 	}
-	a.permit, _ = r.usePermit(t)
+	a.permit = r.usePermit(t)
 	a.limitVersion = t.limitWord().Version
 	if !t.ownRoom() {
 		a.loan = t.freeLoan(r.now)
--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -199,26 +199,16 @@
 
 // BenchmarkCallBesideRests is a call at a service of which every second target rests. BenchmarkCall
 // is the same without any rest.
-func BenchmarkCallBesideRests(b *testing.B) {
-	for _, targets := range []int{20, 500} {
-		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
-			r, now := newBenchRouter(b, 1, targets, 0)
-			var e Effects
-			for i, t := range r.order[0].targets {
-				t.row.Address = fmt.Sprintf("10.0.0.1:%d", i)
-				t.endpoint.Address = t.row.Address
-				if i%2 == 0 {
-					r.hear(t.endpoint, Reading{Rest: time.Hour}, false, noBase, &e)
-				}
-			}
-			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
-		})
-	}
-}
+func BenchmarkCallBesideRests(b *testing.B) { benchCallsBeside(b, Reading{Rest: time.Hour}) }
 
 // BenchmarkCallBesideLimits is a call at a service of which every second target names a limit, with permits
 // that this box grants itself. BenchmarkCall is the same without any limit.
 func BenchmarkCallBesideLimits(b *testing.B) {
+	benchCallsBeside(b, Reading{Limit: SaidLimit{Named: true, Rate: 2}})
+}
+
+// benchCallsBeside measures calls at a service of which every second target has said something of itself.
+func benchCallsBeside(b *testing.B, said Reading) {
 	for _, targets := range []int{20, 500} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			r, now := newBenchRouter(b, 1, targets, 0)
@@ -227,7 +217,7 @@
 				t.row.Address = fmt.Sprintf("10.0.0.1:%d", i)
 				t.endpoint.Address = t.row.Address
 				if i%2 == 0 {
-					r.hear(t.endpoint, Reading{Limit: SaidLimit{Named: true, Rate: 2}}, false, noBase, &e)
+					r.hear(t.endpoint, said, false, noBase, &e)
 				}
 			}
 			benchCalls(b, r, now, &CallArrived{Owner: r, Host: []byte("s0"), Path: []byte("/")})
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -104,9 +104,8 @@
 	watched bool
 	// kept is a failed answer that the caller gets when nothing better comes.
 	kept keptAnswer
-	// trial is set for a call in quarantine that is let through once, by trialUsed.
-	trial     bool
-	trialUsed trial
+	// trial is the one that lets a call in quarantine through once; its number is zero for others.
+	trial trial
 	// onTrial is set while the call is chosen to go to a rollout's new version.
 	onTrial bool
 	// streaming is set once the head of an answer has been passed on.
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -82,9 +82,8 @@
 		return
 	}
 	t.service.probeBudget.owe(1)
-	permit, _ := r.usePermit(t)
 	e.add(Effect{
-		Kind: Probe, PermitUntil: permit, Attempt: crashCheck, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t), Connections: t.connections,
+		Kind: Probe, PermitUntil: r.usePermit(t), Attempt: crashCheck, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t), Connections: t.connections,
 		ProbePath: t.service.row.ProbePath,
 	})
 }
--- a/pkg/core/routing/permits.go
+++ b/pkg/core/routing/permits.go
@@ -118,17 +118,17 @@
 	return t.coldAdmits(now) && t.takesWhenWarm(now, anyHealth)
 }
 
-// usePermit takes the permit that a call or probe of a target needs. It is zero where the
-// target names no limit, and false where one is needed and there is none.
-func (r *Router) usePermit(t *target) (until units.Instant, ok bool) {
+// usePermit takes the permit that a call or probe of a target needs, and returns until when it may be
+// used: zero where the target names no limit, or there is none.
+func (r *Router) usePermit(t *target) units.Instant {
 	if !t.notice.limited() {
-		return 0, true
+		return 0
 	}
-	until, ok = t.notice.limit.use(r.now)
+	until, ok := t.notice.limit.use(r.now)
 	if ok {
 		r.permits.Used++
 	}
-	return until, ok
+	return until
 }
 
 // unusePermit gives back the permit of an attempt that wasn't sent.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -123,9 +123,8 @@
 // probe probes a target for a call.
 func (r *Router) probe(id CallID, c *call, t *target, number AttemptNumber, e *Effects) {
 	t.noteProbeSent(r.now)
-	permit, _ := r.usePermit(t)
 	e.add(Effect{
-		Kind: Probe, PermitUntil: permit, Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
+		Kind: Probe, PermitUntil: r.usePermit(t), Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.notAfterOf(t),
 		Connections: t.connections, ProbePath: c.service.row.ProbePath,
 	})
 }
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -44,8 +44,7 @@
 	}
 	t.probing = true
 	t.probesSent++
-	permit, _ := r.usePermit(t)
-	e.add(Effect{Kind: Probe, PermitUntil: permit, Endpoint: t.endpoint, NotAfter: r.notAfter(), Connections: t.connections})
+	e.add(Effect{Kind: Probe, PermitUntil: r.usePermit(t), Endpoint: t.endpoint, NotAfter: r.notAfter(), Connections: t.connections})
 }
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
--- a/pkg/core/routing/quarantine.go
+++ b/pkg/core/routing/quarantine.go
@@ -82,9 +82,12 @@
 	}
 }
 
+// isTrial tells whether the call is in quarantine and let through once.
+func (c *call) isTrial() bool { return c.trial.number > 0 }
+
 // isQuarantined tells whether a call may go to no target.
 func (r *Router) isQuarantined(c *call) bool {
-	if c.trial {
+	if c.isTrial() {
 		return false
 	}
 	_, found := r.crashes.quarantined.find(c.identity)
@@ -101,7 +104,7 @@
 		return true
 	}
 	_, suspected := r.crashes.suspects.find(c.identity)
-	return !suspected && !c.trial
+	return !suspected && !c.isTrial()
 }
 
 // refuseIfQuarantined refuses a new call that may go to no target, unless it is the one call of
@@ -111,8 +114,7 @@
 	if !found {
 		return false
 	}
-	if t, ok := r.crashes.useTrial(f, r.now); ok {
-		c.trial, c.trialUsed = true, t
+	if c.trial = r.crashes.useTrial(f, r.now); c.isTrial() {
 		return false
 	}
 	r.crashes.noteRefused(f)
@@ -120,22 +122,22 @@
 	return true
 }
 
-// useTrial uses up a trial of a call, if there is one.
-func (b *crashBook) useTrial(f crash.Fingerprint, now units.Instant) (trial, bool) {
+// useTrial uses up a trial of a call, and returns it; zero for none.
+func (b *crashBook) useTrial(f crash.Fingerprint, now units.Instant) trial {
 	i := slices.IndexFunc(b.trials, func(t trial) bool { return t.call == f && now < t.until })
 	if i < 0 {
-		return trial{}, false
+		return trial{}
 	}
 	used := b.trials[i]
 	b.trials = slices.Delete(b.trials, i, i+1)
-	return used, true
+	return used
 }
 
 // unuseTrial gives back the trial of a call that ends without having been sent: it has shown nothing, and
 // the next one may come only minutes later.
 func (r *Router) unuseTrial(c *call) {
-	if c.trial && c.sends == 0 {
-		r.crashes.trials = append(r.crashes.trials, c.trialUsed)
+	if c.isTrial() && c.sends == 0 {
+		r.crashes.trials = append(r.crashes.trials, c.trial)
 	}
 }
 
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -76,19 +76,31 @@
 	}
 }
 
-// ServePeer takes the messages of another box until its connection ends.
+// ServePeer takes the messages of another box until its connection ends. One whose first message isn't between
+// boxes is meant for somebody else.
 func (e *Entry) ServePeer(hello *wire.Hello, first *wire.Envelope, c *transport.Conn) {
-	for m := first; ; {
-		from := units.BoxID(hello.Box)
-		if loan := m.GetLoan(); loan != nil {
-			e.reduce(&routing.PeerMessage{From: from, Message: wire.ToLoan(loan)})
-		}
-		if limit := m.GetLimit(); limit != nil {
-			e.reduce(&routing.PeerLimit{From: from, Message: wire.ToLimit(limit)})
-		}
-		var err error
-		if m, err = c.Receive(); err != nil {
+	from := units.BoxID(hello.Box)
+	if !e.takePeerMessage(from, first) {
+		return
+	}
+	for {
+		m, err := c.Receive()
+		if err != nil {
 			return
 		}
+		e.takePeerMessage(from, m)
+	}
+}
+
+// takePeerMessage takes a message of another box, and tells whether it is one.
+func (e *Entry) takePeerMessage(from units.BoxID, m *wire.Envelope) bool {
+	switch {
+	case m.GetLoan() != nil:
+		e.reduce(&routing.PeerMessage{From: from, Message: wire.ToLoan(m.GetLoan())})
+	case m.GetLimit() != nil:
+		e.reduce(&routing.PeerLimit{From: from, Message: wire.ToLimit(m.GetLimit())})
+	default:
+		return false
 	}
+	return true
 }
--- a/test/named_limit_test.go
+++ b/test/named_limit_test.go
@@ -36,16 +36,16 @@
 }
 
 // callTogether makes some calls at a time for a while, each a moment after the one before.
-func (x *story) callTogether(callers int, pause, while time.Duration) []lab.Call {
+func (x *story) callTogether(while time.Duration) []lab.Call {
 	var work sync.WaitGroup
 	var lock sync.Mutex
 	var calls []lab.Call
 	end := time.Now().Add(while)
-	for range callers {
+	for range calling {
 		work.Add(1)
 		go func() {
 			defer work.Done()
-			for ; time.Now().Before(end); time.Sleep(pause) {
+			for ; time.Now().Before(end); time.Sleep(callerPause) {
 				c := x.caller.Do(shopCall)
 				lock.Lock()
 				calls = append(calls, c)
@@ -94,9 +94,9 @@
 func TestALimitThatTargetsNameHoldsOverAllBoxes(t *testing.T) {
 	x := beginTalkingTo(t, limitedBoxes, limitedTargets)
 	x.limitTargets(2.2, 3.9)
-	x.callTogether(calling, callerPause, limitLearnt)
+	x.callTogether(limitLearnt)
 	before := x.limitedStats(2)
-	calls := x.callTogether(calling, callerPause, limitWatched)
+	calls := x.callTogether(limitWatched)
 	x.checkLimits(before)
 	if whole := countWhole(calls); whole < len(calls)*99/100 {
 		t.Errorf("%d of %d calls were served, though six targets have room for all", whole, len(calls))
@@ -114,10 +114,10 @@
 	x := beginTalkingTo(t, limitedBoxes, limitedTargets)
 	limits := []float64{2, 2, 2, 2, 2, 2, 2, 2}
 	x.limitTargets(limits...)
-	x.callTogether(calling, callerPause, limitLearnt)
+	x.callTogether(limitLearnt)
 	x.caller.SetAddresses(x.servingEntries()[:called]...)
 	before := x.limitedStats(limitedTargets)
-	calls := x.callTogether(calling, callerPause, limitWatched)
+	calls := x.callTogether(limitWatched)
 	got := x.checkLimits(before)
 	sum := 0.0
 	for _, l := range limits {
--- a/test/rest_test.go
+++ b/test/rest_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,24 +71,9 @@
 )
 
 // callFor makes calls for a time, and returns how many and how many of them were served.
-func (x *story) callFor(d time.Duration) (calls, whole int64) {
-	var work sync.WaitGroup
-	var made, served atomic.Int64
-	end := time.Now().Add(d)
-	for range calling {
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			for ; time.Now().Before(end); time.Sleep(callerPause) {
-				made.Add(1)
-				if x.caller.Do(shopCall).Verdict == lab.Whole {
-					served.Add(1)
-				}
-			}
-		}()
-	}
-	work.Wait()
-	return made.Load(), served.Load()
+func (x *story) callFor(d time.Duration) (calls, whole int) {
+	made := x.callTogether(d)
+	return len(made), countWhole(made)
 }
 
 func TestATargetThatAskedForRestGetsNoCalls(t *testing.T) {
