Keys of workspaces: calls need one, targets get the workspace's name in its place

Cause: documents could name workspaces (tenants) with keys, and nothing read them. Each call was served, its key went to a target as it came, and whatever a caller wrote as its workspace's name reached targets.

The shell takes the key and the caller's own name of a workspace out of every send and puts the workspace's name in. Waiting calls are ordered by their workspace's priority, then their route's. The parsing of documents checks shared, doubled, empty and unreadable keys, names that can't stand in a header, negative figures.

Quotas are carried and not enforced yet.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -131,6 +131,7 @@
 	{"GET", "/v1/targets", false, (*Server).getTargets},
 	{"PUT", "/v1/targets/", false, (*Server).putTarget},
 	{"DELETE", "/v1/targets/", false, (*Server).deleteTarget},
+	{"GET", "/v1/workspaces", false, (*Server).getWorkspaces},
 	{"GET", "/v1/evacuations", false, (*Server).getEvacuations},
 	{"PUT", "/v1/evacuations/", false, (*Server).putEvacuation},
 	{"DELETE", "/v1/evacuations/", false, (*Server).deleteEvacuation},
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -181,6 +181,12 @@
 	return c.askAny("DELETE", "/v1/targets/"+string(id), nil, &answer)
 }
 
+// Workspaces returns the workspaces of the document in force.
+func (c *Client) Workspaces() ([]table.WorkspaceView, error) {
+	var list []table.WorkspaceView
+	return list, c.askAny("GET", "/v1/workspaces", nil, &list)
+}
+
 // Evacuations returns the failure domains that are or were evacuated.
 func (c *Client) Evacuations() ([]table.Evacuation, error) {
 	var list []table.Evacuation
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -139,43 +139,46 @@
 
 // Entry is the entry for callers.
 type Entry struct {
-	Listen         string              `json:"listen" validate:"ipport" doc:"IP number and port for callers; port 0 takes a free one."`
-	Policy         string              `json:"policy" validate:"oneof=cost random round-robin least-in-flight two-choices-reported" doc:"How a target is chosen: cost, random, round-robin, least-in-flight or two-choices-reported. All but cost are for comparison."`
-	Loans          bool                `json:"loans" doc:"Whether boxes lend each other slots of limited targets."`
-	Disable        []routing.Mechanism `json:"disable" validate:"unique,dive,oneof=probing waiting hedging retrying slow-targets failing-targets ejection ramping own-domain concurrency subsetting early-calls outlook first-tries shared-link unanswered-calls crash-suspects" doc:"Parts of the routing that aren't used, to find out what they are worth or to rule them out while a fault is looked for: probing, waiting, hedging, retrying, slow-targets, failing-targets, ejection, ramping, own-domain, concurrency, subsetting, early-calls, outlook, first-tries, shared-link, unanswered-calls, crash-suspects."`
-	ServeStale     bool                `json:"serveStale" doc:"Whether to serve on when the lease on the table has run out. Then a target marked as leaving may get new work from a box that is cut off."`
-	ShareDelay     Duration            `json:"shareDelay" validate:"min=100ms,max=120s" doc:"How long a risen share of a limit waits until it counts; above lease plus electionTimeout of the control replicas."`
-	ColdDoubt      Duration            `json:"coldDoubt" validate:"min=0s,max=120s" doc:"How long after its failure domain was restored a target counts as cold unless a probe shows it warm; above the time between two reports of a target."`
-	MaxCalls       int                 `json:"maxCalls" validate:"min=1,max=1000000" doc:"How many sends may be under way at once in this process; one more is refused as not run."`
-	MaxConnections int                 `json:"maxConnections" validate:"min=1,max=1000000" doc:"How many callers' connections may be open at once."`
-	MaxBody        int                 `json:"maxBody" validate:"min=1,max=1073741824" doc:"The largest request body, in bytes."`
-	BufferBody     int                 `json:"bufferBody" validate:"min=0,max=67108864" doc:"Answers up to this many bytes are passed on only once they are whole; longer ones are passed on as they come."`
-	LinkMbps       float64             `json:"linkMbps" validate:"min=0,max=1000000" doc:"How fast this box's link is, in megabits a second. Answers of more than two pieces (8 KB on links of up to 8 Mbit/s, at most 128 KB) are then written piece by piece at three quarters of it, taking turns, and small ones at once. 0 means that the link isn't a limit."`
-	HeaderBytes    int                 `json:"headerBytes" validate:"min=1024,max=1048576" doc:"The most that a request's head may take, in bytes."`
-	ReadTimeout    Duration            `json:"readTimeout" validate:"min=10ms,max=10m" doc:"How long a caller may take to send a request."`
-	IdleTimeout    Duration            `json:"idleTimeout" validate:"min=10ms,max=1h" doc:"How long a caller's connection may be idle."`
-	WriteTimeout   Duration            `json:"writeTimeout" validate:"min=10ms,max=1h" doc:"How long a caller may take to read an answer."`
-	ConnectTimeout Duration            `json:"connectTimeout" validate:"min=1ms,max=1m" doc:"How long a connection to a target may take to open."`
-	OnceIdle       Duration            `json:"onceIdle" validate:"min=10ms,max=1h" doc:"How long a connection to a target may have rested to carry work that must not run twice. A target may have forgotten the connection and reset what is sent; then nobody knows whether it ran."`
-	IdleTarget     Duration            `json:"idleTarget" validate:"min=10ms,max=1h" doc:"How long an unused connection to a target is kept."`
-	MaxDeadline    Duration            `json:"maxDeadline" validate:"min=10ms,max=1h" doc:"The longest deadline that a caller may ask for."`
-	ProbePath      string              `json:"probePath" validate:"startswith=/" doc:"The path that probes ask for."`
-	ProbeCost      Duration            `json:"probeCost" validate:"min=1us,max=10s" doc:"How long a probe keeps a slot of a target busy."`
-	ShedStatus     int                 `json:"shedStatus" validate:"min=0,max=599" doc:"The status by which a target says that it shed a call unrun; it counts only together with shedHeader. 0 takes any status."`
-	ShedHeader     string              `json:"shedHeader" validate:"required" doc:"The header, with any value, that a target must add to say so."`
-	LoadHeader     string              `json:"loadHeader" validate:"required" doc:"The header in which a target reports how many calls it has."`
-	DeadlineHeader string              `json:"deadlineHeader" validate:"required" doc:"The header that carries the time left, in milliseconds, from callers and to targets."`
-	CallerHeader   string              `json:"callerHeader" doc:"The header that names the caller of a call, where a proxy in front of the box or the caller itself sets one. Together with method, host, path and body it tells whether two calls are the same one, sent again. Empty goes by the caller's IP number."`
-	CallIDHeader   string              `json:"callIdHeader" doc:"The header by which callers name a call, and that targets give back; an answer with another name isn't the call's. Empty compares nothing."`
-	IdentityHeader string              `json:"identityHeader" doc:"The header that tells a registered target which one is meant; another one at its address answers 421 and doesn't run the call. Empty sends none."`
-	TargetHeader   string              `json:"targetHeader" doc:"The header in which a registered target names itself in the answer to a probe. Empty compares nothing."`
-	ColdHeader     string              `json:"coldHeader" doc:"The header in which a target says, in milliseconds, how long it stays cold. Empty reads none."`
-	LeavingHeader  string              `json:"leavingHeader" doc:"The header in which a target says, by the value 1, that it is about to end. Empty reads none."`
-	LimitHeader    string              `json:"limitHeader" doc:"The header in which a target names how many calls a second it takes from all boxes together, for as long as its answers say so. Empty reads none."`
-	PromiseStatus  bool                `json:"promiseStatus" doc:"Whether callers take 408, 421, 429 and 503 as a promise that a call hasn't run. Then a target's answer of that status without shedHeader isn't passed on."`
-	Unframed       bool                `json:"unframed" doc:"Whether an answer with neither a length nor chunks counts as whole when its connection ends cleanly. Otherwise it counts as broken."`
-	Fractions      bool                `json:"retryAfterFractions" doc:"Whether Retry-After carries fractions of a second; otherwise whole seconds, as RFC 9110 has it."`
-	HangUpCheck    Duration            `json:"hangUpCheck" validate:"min=5ms,max=10s" doc:"How often the callers of waiting calls are looked for, so that a call is canceled when its caller hangs up."`
+	Listen          string              `json:"listen" validate:"ipport" doc:"IP number and port for callers; port 0 takes a free one."`
+	Policy          string              `json:"policy" validate:"oneof=cost random round-robin least-in-flight two-choices-reported" doc:"How a target is chosen: cost, random, round-robin, least-in-flight or two-choices-reported. All but cost are for comparison."`
+	Loans           bool                `json:"loans" doc:"Whether boxes lend each other slots of limited targets."`
+	Disable         []routing.Mechanism `json:"disable" validate:"unique,dive,oneof=probing waiting hedging retrying slow-targets failing-targets ejection ramping own-domain concurrency subsetting early-calls outlook first-tries shared-link unanswered-calls crash-suspects" doc:"Parts of the routing that aren't used, to find out what they are worth or to rule them out while a fault is looked for: probing, waiting, hedging, retrying, slow-targets, failing-targets, ejection, ramping, own-domain, concurrency, subsetting, early-calls, outlook, first-tries, shared-link, unanswered-calls, crash-suspects."`
+	ServeStale      bool                `json:"serveStale" doc:"Whether to serve on when the lease on the table has run out. Then a target marked as leaving may get new work from a box that is cut off."`
+	ShareDelay      Duration            `json:"shareDelay" validate:"min=100ms,max=120s" doc:"How long a risen share of a limit waits until it counts; above lease plus electionTimeout of the control replicas."`
+	ColdDoubt       Duration            `json:"coldDoubt" validate:"min=0s,max=120s" doc:"How long after its failure domain was restored a target counts as cold unless a probe shows it warm; above the time between two reports of a target."`
+	MaxCalls        int                 `json:"maxCalls" validate:"min=1,max=1000000" doc:"How many sends may be under way at once in this process; one more is refused as not run."`
+	MaxConnections  int                 `json:"maxConnections" validate:"min=1,max=1000000" doc:"How many callers' connections may be open at once."`
+	MaxBody         int                 `json:"maxBody" validate:"min=1,max=1073741824" doc:"The largest request body, in bytes."`
+	BufferBody      int                 `json:"bufferBody" validate:"min=0,max=67108864" doc:"Answers up to this many bytes are passed on only once they are whole; longer ones are passed on as they come."`
+	LinkMbps        float64             `json:"linkMbps" validate:"min=0,max=1000000" doc:"How fast this box's link is, in megabits a second. Answers of more than two pieces (8 KB on links of up to 8 Mbit/s, at most 128 KB) are then written piece by piece at three quarters of it, taking turns, and small ones at once. 0 means that the link isn't a limit."`
+	HeaderBytes     int                 `json:"headerBytes" validate:"min=1024,max=1048576" doc:"The most that a request's head may take, in bytes."`
+	ReadTimeout     Duration            `json:"readTimeout" validate:"min=10ms,max=10m" doc:"How long a caller may take to send a request."`
+	IdleTimeout     Duration            `json:"idleTimeout" validate:"min=10ms,max=1h" doc:"How long a caller's connection may be idle."`
+	WriteTimeout    Duration            `json:"writeTimeout" validate:"min=10ms,max=1h" doc:"How long a caller may take to read an answer."`
+	ConnectTimeout  Duration            `json:"connectTimeout" validate:"min=1ms,max=1m" doc:"How long a connection to a target may take to open."`
+	OnceIdle        Duration            `json:"onceIdle" validate:"min=10ms,max=1h" doc:"How long a connection to a target may have rested to carry work that must not run twice. A target may have forgotten the connection and reset what is sent; then nobody knows whether it ran."`
+	IdleTarget      Duration            `json:"idleTarget" validate:"min=10ms,max=1h" doc:"How long an unused connection to a target is kept."`
+	MaxDeadline     Duration            `json:"maxDeadline" validate:"min=10ms,max=1h" doc:"The longest deadline that a caller may ask for."`
+	ProbePath       string              `json:"probePath" validate:"startswith=/" doc:"The path that probes ask for."`
+	ProbeCost       Duration            `json:"probeCost" validate:"min=1us,max=10s" doc:"How long a probe keeps a slot of a target busy."`
+	ShedStatus      int                 `json:"shedStatus" validate:"min=0,max=599" doc:"The status by which a target says that it shed a call unrun; it counts only together with shedHeader. 0 takes any status."`
+	ShedHeader      string              `json:"shedHeader" validate:"required" doc:"The header, with any value, that a target must add to say so."`
+	LoadHeader      string              `json:"loadHeader" validate:"required" doc:"The header in which a target reports how many calls it has."`
+	DeadlineHeader  string              `json:"deadlineHeader" validate:"required" doc:"The header that carries the time left, in milliseconds, from callers and to targets."`
+	CallerHeader    string              `json:"callerHeader" doc:"The header that names the caller of a call, where a proxy in front of the box or the caller itself sets one. Together with method, host, path and body it tells whether two calls are the same one, sent again. Empty goes by the caller's IP number."`
+	KeyHeader       string              `json:"keyHeader" validate:"required" doc:"The header by which callers present the key of a workspace. Targets never get it."`
+	WorkspaceHeader string              `json:"workspaceHeader" validate:"required,nefield=KeyHeader" doc:"The header that tells a target which workspace calls. A caller's own is taken out."`
+	KeyDoubt        Duration            `json:"keyDoubt" validate:"min=0s,max=24h" doc:"How long a box that is out of touch with the control replicas lets calls in by their keys, some of which may have been taken away meanwhile. After it, calls that need a key are refused. 0s lets them in for as long as the box serves."`
+	CallIDHeader    string              `json:"callIdHeader" doc:"The header by which callers name a call, and that targets give back; an answer with another name isn't the call's. Empty compares nothing."`
+	IdentityHeader  string              `json:"identityHeader" doc:"The header that tells a registered target which one is meant; another one at its address answers 421 and doesn't run the call. Empty sends none."`
+	TargetHeader    string              `json:"targetHeader" doc:"The header in which a registered target names itself in the answer to a probe. Empty compares nothing."`
+	ColdHeader      string              `json:"coldHeader" doc:"The header in which a target says, in milliseconds, how long it stays cold. Empty reads none."`
+	LeavingHeader   string              `json:"leavingHeader" doc:"The header in which a target says, by the value 1, that it is about to end. Empty reads none."`
+	LimitHeader     string              `json:"limitHeader" doc:"The header in which a target names how many calls a second it takes from all boxes together, for as long as its answers say so. Empty reads none."`
+	PromiseStatus   bool                `json:"promiseStatus" doc:"Whether callers take 408, 421, 429 and 503 as a promise that a call hasn't run. Then a target's answer of that status without shedHeader isn't passed on."`
+	Unframed        bool                `json:"unframed" doc:"Whether an answer with neither a length nor chunks counts as whole when its connection ends cleanly. Otherwise it counts as broken."`
+	Fractions       bool                `json:"retryAfterFractions" doc:"Whether Retry-After carries fractions of a second; otherwise whole seconds, as RFC 9110 has it."`
+	HangUpCheck     Duration            `json:"hangUpCheck" validate:"min=5ms,max=10s" doc:"How often the callers of waiting calls are looked for, so that a call is canceled when its caller hangs up."`
 }
 
 // Admin is the port for operators.
--- a/pkg/core/box/box.go
+++ b/pkg/core/box/box.go
@@ -79,7 +79,7 @@
 		e.Subscription.Watched = nil
 	}
 	if e.Subscription.LeaseChanged {
-		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil()}, &e.Routing)
+		b.router.Reduce(now, &routing.LeaseChanged{Until: b.subscription.LeaseUntil(), At: b.subscription.LeasedAt()}, &e.Routing)
 		e.Subscription.LeaseChanged = false
 	}
 	b.addEvidence(now, e.Subscription.Sends[before:])
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -33,6 +33,9 @@
 		r.refuse(id, c, r.noRoute(), e)
 		return
 	}
+	if r.refuseWithoutKey(id, c, &v.Credential, e) {
+		return
+	}
 	if r.refuseIfQuarantined(id, c, e) {
 		return
 	}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -45,6 +45,7 @@
 		Kind: Send, Call: id, Owner: c.owner, Attempt: a.number, Endpoint: t.endpoint,
 		Deadline: c.deadline, NotAfter: r.notAfterOf(t), Connections: t.connections, Once: c.route.work == table.Once,
 		PermitUntil: a.permit, Purpose: why, Evidence: evidence, Aim: c.route.aim, LargeAnswer: c.route.largeAnswers,
+		Workspace: c.workspaceName(),
 	})
 	hedged := !hedge && r.hedges(c)
 	if hedged {
--- a/pkg/core/routing/bench_test.go
+++ b/pkg/core/routing/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/apikey"
 	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -73,6 +74,26 @@
 	}
 }
 
+// BenchmarkCallWithKey is a call that is let in by one of many keys. BenchmarkCall at 5 targets is the
+// same without any.
+func BenchmarkCallWithKey(b *testing.B) {
+	const keys = 10_000
+	r, now := newBenchRouter(b, 1, 5, 0)
+	next := *r.table
+	next.Revision++
+	next.Document, next.KeysRequired = 1, true
+	for i := range keys {
+		next.Workspaces = append(next.Workspaces, table.Workspace{
+			Name: units.WorkspaceName(fmt.Sprintf("w%05d", i)), Keys: []apikey.Digest{apikey.DigestOf(fmt.Appendf(nil, "key-%05d", i))},
+		})
+	}
+	var e Effects
+	r.Reduce(now, &TableChanged{Table: &next}, &e)
+	benchCalls(b, r, now, &CallArrived{
+		Owner: r, Host: []byte("s0"), Path: []byte("/"), Credential: apikey.Presented([][]byte{[]byte("key-04711")}),
+	})
+}
+
 // BenchmarkCallBesideQuarantines is a call that isn't in quarantine, at a box that keeps many from
 // targets. BenchmarkCall at 5 targets is the same without any.
 func BenchmarkCallBesideQuarantines(b *testing.B) {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -78,6 +78,8 @@
 	regions    *table.AllowedRegions
 	// identity tells the call apart by its content; nil where that isn't known.
 	identity crash.Identity
+	// workspace is the one whose key let the call in; nil for none.
+	workspace *table.Workspace
 	// service is the one of the route's services that the call goes to.
 	service  *service
 	arrived  units.Instant
--- a/pkg/core/routing/early.go
+++ b/pkg/core/routing/early.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/apikey"
+)
 
 // A box that has just started gets its table a moment later. Calls that come before are
 // held for it: a caller that is refused comes back later than the table does, and all of
@@ -21,6 +25,7 @@
 	id       CallID
 	host     string
 	path     string
+	key      apikey.Credential
 	deadline time.Duration
 }
 
@@ -34,7 +39,7 @@
 		until = min(until, r.now.Add(v.Deadline))
 	}
 	c.early = true
-	r.early = append(r.early, earlyCall{id: id, host: string(v.Host), path: string(v.Path), deadline: v.Deadline})
+	r.early = append(r.early, earlyCall{id: id, host: string(v.Host), path: string(v.Path), key: v.Credential.Detached(), deadline: v.Deadline})
 	r.timers.Push(timer{at: until, call: id, kind: earlyTimer})
 	e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: until})
 	return true
@@ -54,7 +59,7 @@
 			continue
 		}
 		c.early = false
-		r.admit(x.id, c, &CallArrived{Host: []byte(x.host), Path: []byte(x.path), Deadline: x.deadline}, e)
+		r.admit(x.id, c, &CallArrived{Host: []byte(x.host), Path: []byte(x.path), Credential: x.key, Deadline: x.deadline}, e)
 	}
 }
 
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/apikey"
 	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -29,8 +30,9 @@
 // TableChanged puts a new table in force.
 type TableChanged struct{ Table *table.Table }
 
-// LeaseChanged says until when the table may be trusted.
-type LeaseChanged struct{ Until units.Instant }
+// LeaseChanged says until when the table may be trusted, and that it was known to be in force
+// At.
+type LeaseChanged struct{ Until, At units.Instant }
 
 // RegionsChanged gives the regions of the failure domains anew.
 type RegionsChanged struct{ Regions map[units.Domain]units.Region }
@@ -46,6 +48,8 @@
 	Owner any
 	Host  []byte
 	Path  []byte
+	// Credential is the key that the call presents, if any.
+	Credential apikey.Credential
 	// Deadline is how long the caller will wait; zero means it didn't say.
 	Deadline time.Duration
 	// Identity tells the call apart from others by its content, as long as the call lives.
@@ -281,6 +285,8 @@
 	Connections int
 	// Once is set for a Send of work that must not run twice.
 	Once bool
+	// Workspace is the one whose key let a call in that is sent; empty for none.
+	Workspace units.WorkspaceName
 	// Aim is the aim of the call's route, zero for none; LargeAnswer is set where the route's
 	// answers are large. Both are set for a Send.
 	Aim         time.Duration
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -51,6 +51,8 @@
 	Quarantined
 	TargetsRest
 	TargetsLimited
+	UnknownKey
+	KeysInDoubt
 	reasonCount
 )
 
@@ -84,6 +86,8 @@
 	Quarantined:    {"quarantined", 503, "change the request or find out why targets crash when they run it; it goes to none until an operator releases it or it stays away"},
 	TargetsRest:    {"targets-rest", 503, "come back after the time given; all targets of this service have asked for rest until then"},
 	TargetsLimited: {"targets-limited", 503, "come back after the time given; all targets of this service name limits, and others' calls use up what they allow"},
+	UnknownKey:     {"unknown-key", 401, "send one API key of a workspace, in the documented header"},
+	KeysInDoubt:    {"keys-in-doubt", 503, "try another box; this one has lost touch with the control replicas and can't know which keys hold"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -35,6 +35,9 @@
 	// LinkRate is how fast the box's link is, in bytes a second; zero means that it isn't
 	// limited.
 	LinkRate float64
+	// KeyDoubt is how long after it last knew its table to be in force the box lets calls in by
+	// their keys; zero means for ever.
+	KeyDoubt time.Duration
 	// Disable are the mechanisms that aren't used.
 	Disable []Mechanism
 }
@@ -60,6 +63,7 @@
 	services map[units.ServiceName]*service
 	order    []*service
 	routes   routeIndex
+	keys     keyRing
 	rank     boxRank
 	// boxLists numbers the lists of boxes that were put in force; beside are the boxes of the
 	// present one that stay, by the failure domain of the targets they are beside.
@@ -78,6 +82,8 @@
 	// servesFrom is when a box that was listed anew has had time to get its shares.
 	servesFrom units.Instant
 	leaseUntil units.Instant
+	// leasedAt is when the table was last known to be in force.
+	leasedAt units.Instant
 	// stopsAt is when the box will have stopped as planned, zero for never; from
 	// stopsTaking on only calls that are sure to end before are taken.
 	stopsAt     units.Instant
@@ -188,7 +194,7 @@
 		r.stopsAt = v.Until
 		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
 	case *LeaseChanged:
-		r.leaseUntil = v.Until
+		r.leaseUntil, r.leasedAt = v.Until, v.At
 	case *ExposuresChanged:
 		r.takeExposures(v.Exposures, e)
 	case *WatchedChanged:
--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -31,6 +31,8 @@
 	priority    int
 	// largeAnswers is set where answers yield the box's link to others.
 	largeAnswers bool
+	// public is set where calls need no key.
+	public bool
 	// size is how many bytes of its answers come while they pass through, as a mean; sized
 	// is set once one has come.
 	size  float64
@@ -70,7 +72,7 @@
 func (r *Router) newRoute(row *table.Route) *route {
 	x := &route{
 		host: row.Host, prefix: row.PathPrefix, work: row.Work, deadline: row.Deadline, usual: row.Deadline, aim: row.Aim,
-		maxAttempts: maxAttempts, priority: row.Priority, largeAnswers: row.LargeAnswers, regions: row.Regions,
+		maxAttempts: maxAttempts, priority: row.Priority, largeAnswers: row.LargeAnswers, public: row.Public, regions: row.Regions,
 	}
 	if row.MaxAttempts > 0 {
 		x.maxAttempts = min(row.MaxAttempts, maxAttempts)
--- a/pkg/core/routing/silence.go
+++ b/pkg/core/routing/silence.go
@@ -201,10 +201,6 @@
 	return false
 }
 
-// missedPriority puts calls whose answer is missed behind all others that wait: most of
-// them are late already, so that a slot does more for a call that has just come.
-const missedPriority = 1 << 20
-
 // missesAnswer tells whether the call has been out for longer than its answer should take.
 func (r *Router) missesAnswer(c *call) bool {
 	if !r.on(UnansweredCalls) {
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -14,6 +14,9 @@
 	rolloutsChanged := versionsChanged(r.table, t)
 	quarantinesChanged := !sameQuarantines(r.table.Quarantines, t.Quarantines)
 	r.table = t
+	if t.Document != r.keys.document {
+		r.keys = newKeyRing(t)
+	}
 	boxesChanged := r.changeBoxes(t.Boxes)
 	routesChanged := r.dropMissing(t, e) || tableRoutesChanged
 	r.changed = r.changed[:0]
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -11,10 +11,10 @@
 // Calls that found no suitable target wait for one: they probe again after a pause, the
 // most urgent first and the oldest of those, and take the slot that an answer shows free.
 
-// waitingCall is a call that waits, with its route's priority; 0 is the most urgent.
+// waitingCall is a call that waits.
 type waitingCall struct {
-	id       CallID
-	priority int
+	id      CallID
+	urgency urgency
 }
 
 const (
@@ -103,7 +103,7 @@
 // addWaiting puts a call behind those that are as urgent or more.
 func (s *service) addWaiting(w waitingCall) {
 	i := len(s.waiting)
-	for i > 0 && s.waiting[i-1].priority > w.priority {
+	for i > 0 && s.waiting[i-1].urgency.compare(w.urgency) > 0 {
 		i--
 	}
 	s.waiting = slices.Insert(s.waiting, i, w)
@@ -118,10 +118,9 @@
 	missed := r.missesAnswer(c)
 	if !c.probeRound.waiting {
 		c.probeRound.waiting = true
-		w := waitingCall{id: id, priority: c.route.priority}
-		if missed {
-			w.priority += missedPriority
-		} else {
+		w := waitingCall{id: id, urgency: c.urgency()}
+		w.urgency.missed = missed
+		if !missed {
 			c.service.noteFound(r.now, false)
 		}
 		c.service.addWaiting(w)
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -99,7 +99,9 @@
 // grant is a lease that waits for the revision it was given for.
 type grant struct {
 	revision units.Revision
-	until    units.Instant
+	// sent is when the request for it was sent.
+	sent  units.Instant
+	until units.Instant
 }
 
 // maxGrants bounds the leases that wait for their revision.
@@ -122,6 +124,8 @@
 	sentAt     map[uint64]units.Instant
 	grants     []grant
 	leaseUntil units.Instant
+	// leasedAt is when the request for the present lease was sent.
+	leasedAt units.Instant
 	// leaseTime is how long the last grant was for.
 	leaseTime time.Duration
 	leaving   bool
@@ -286,6 +290,7 @@
 	s.takeWatched(r, e)
 	s.grants = append(s.grants, grant{
 		revision: units.Revision(r.Revision),
+		sent:     sent,
 		until:    sent.Add(time.Duration(r.Duration)),
 	})
 	if len(s.grants) > maxGrants {
@@ -300,7 +305,7 @@
 			return false
 		}
 		if g.until > s.leaseUntil {
-			s.leaseUntil = g.until
+			s.leaseUntil, s.leasedAt = g.until, g.sent
 			e.LeaseChanged = true
 		}
 		return true
@@ -319,6 +324,10 @@
 // can't know whether the table is still in force.
 func (s *Subscription) LeaseUntil() units.Instant { return s.leaseUntil }
 
+// LeasedAt returns when the table was last known to be in force: when the request for the
+// present lease was sent.
+func (s *Subscription) LeasedAt() units.Instant { return s.leasedAt }
+
 // Fresh tells whether at least half of the lease is left. A box that isn't fresh
 // has missed several renewals; callers had better be sent elsewhere while it can
 // still answer those that come.
--- a/pkg/core/table/document.go
+++ b/pkg/core/table/document.go
@@ -15,6 +15,8 @@
 	Version  units.DocumentVersion `json:"version"`
 	Services []Service             `json:"services"`
 	Routes   []*Route              `json:"routes"`
+	// Workspaces are those whose keys let calls in; nil lets in every call.
+	Workspaces Workspaces `json:"workspaces"`
 	// Source is the document as its operator wrote it; reads give it back.
 	Source []byte `json:"source,omitempty"`
 }
@@ -42,7 +44,7 @@
 		}
 		keys[r.Key()] = true
 	}
-	return ""
+	return d.Workspaces.check()
 }
 
 // documentServiceRules are the rules that don't need a service to be reachable by
@@ -76,6 +78,8 @@
 	delta := s.newDelta()
 	delta.Document = d.Version
 	delta.Routes = routeDifference(s.table.Routes, routesByKey(d.Routes))
+	delta.KeysRequired = d.Workspaces != nil
+	delta.Workspaces = workspaceDifference(s.table.Workspaces, d.Workspaces.sorted())
 	kept := map[units.ServiceName]bool{}
 	for i := range d.Services {
 		kept[d.Services[i].Name] = true
--- a/pkg/core/table/route.go
+++ b/pkg/core/table/route.go
@@ -30,6 +30,8 @@
 	// LargeAnswers is set where answers may be many times as long as those of other routes:
 	// they yield the box's link to others.
 	LargeAnswers bool `json:"largeAnswers,omitempty"`
+	// Public is set where calls need no key of a workspace.
+	Public bool `json:"public,omitempty"`
 	// Regions restricts where calls may be served; nil allows every region.
 	Regions *AllowedRegions `json:"regions,omitempty"`
 	// Parts are the services that share the calls by weight.
@@ -54,7 +56,7 @@
 // equal tells whether two routes say the same.
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Key() == o.Key() && r.Work == o.Work && r.Deadline == o.Deadline && r.Aim == o.Aim &&
-		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && r.LargeAnswers == o.LargeAnswers &&
+		r.MaxAttempts == o.MaxAttempts && r.Priority == o.Priority && r.LargeAnswers == o.LargeAnswers && r.Public == o.Public &&
 		r.Regions.Equal(o.Regions) && slices.Equal(r.Parts, o.Parts)
 }
 
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -31,6 +31,10 @@
 	InForce []SoftwareInForce `json:"inForce,omitempty"`
 	// Quarantines are the calls that no target gets, sorted by fingerprint.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Workspaces are the customers whose keys let calls in, sorted by name.
+	Workspaces []Workspace `json:"-"`
+	// KeysRequired is set where calls of routes that aren't public need the key of a workspace.
+	KeysRequired bool `json:"-"`
 }
 
 // Delta carries a table from one revision to the next.
@@ -53,6 +57,9 @@
 	// Quarantines are those that begin or change, Released those that end.
 	Quarantines []Quarantine        `json:"quarantines,omitempty"`
 	Released    []crash.Fingerprint `json:"released,omitempty"`
+	// Workspaces and KeysRequired come with a document.
+	Workspaces   WorkspaceChange `json:"workspaces"`
+	KeysRequired bool            `json:"keysRequired,omitempty"`
 }
 
 // BoxChange is a change of the list of boxes. It holds what differs only, since
@@ -112,6 +119,10 @@
 		Rollouts:    patchByService(t.Rollouts, d.Rollouts, serviceOfRollout),
 		InForce:     patchByService(t.InForce, d.InForce, serviceInForce),
 		Quarantines: patchQuarantines(t.Quarantines, d),
+		Workspaces:  patchWorkspaces(t.Workspaces, d.Workspaces), KeysRequired: t.KeysRequired,
+	}
+	if d.Document != 0 {
+		next.KeysRequired = d.KeysRequired
 	}
 	if len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 {
 		return next, true
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -110,7 +110,7 @@
 	c := x.Owner.(*call)
 	c.id = x.Call
 	a := e.pools.NewAttempt(&x)
-	e.fillRequest(a.Request, c.request)
+	e.fillRequest(a.Request, c.request, x.Workspace)
 	s := send{number: x.Attempt, attempt: a}
 	c.sends = append(c.sends, s)
 	if c.inline && c.first.attempt == nil && e.running.Load() < int64(e.Settings.Entry.MaxCalls) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -116,6 +116,7 @@
 		Loans:       s.Entry.Loans,
 		MaxDeadline: s.Entry.MaxDeadline.Std(),
 		LinkRate:    float64(pacing.FromMegabits(s.Entry.LinkMbps)),
+		KeyDoubt:    s.Entry.KeyDoubt.Std(),
 		Disable:     s.Entry.Disable,
 	}, c.Clock.Now())
 }
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -7,7 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/core/apikey"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 // hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
@@ -43,15 +45,26 @@
 	}
 }
 
-// fillRequest makes an attempt's own copy of a caller's request.
-func (e *Entry) fillRequest(out, from *fasthttp.Request) {
+// fillRequest makes an attempt's own copy of a caller's request, for the workspace whose key let it
+// in. The key stays here, and nobody else says which workspace calls.
+func (e *Entry) fillRequest(out, from *fasthttp.Request, w units.WorkspaceName) {
 	from.Header.CopyTo(&out.Header)
 	removeHopByHop(&out.Header)
 	out.Header.Del("Expect")
+	out.Header.Del(e.Settings.Entry.KeyHeader)
+	out.Header.Del(e.Settings.Entry.WorkspaceHeader)
+	if w != "" {
+		out.Header.Set(e.Settings.Entry.WorkspaceHeader, string(w))
+	}
 	out.SetBody(from.Body())
 	out.Header.SetNoDefaultContentType(true)
 }
 
+// credentialOf returns the key that a request presents.
+func (e *Entry) credentialOf(ctx *fasthttp.RequestCtx) apikey.Credential {
+	return apikey.Presented(ctx.Request.Header.PeekAll(e.Settings.Entry.KeyHeader))
+}
+
 // findUnsafeFraming names what makes a request's length ambiguous; such a
 // request could mean one thing here and another at a target.
 func findUnsafeFraming(h *fasthttp.RequestHeader) string {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -48,8 +48,10 @@
 		NoDefaultContentType:          true,
 		ReduceMemoryUsage:             true,
 		CloseOnShutdown:               true,
-		ErrorHandler:                  e.handleBadRequest,
-		Logger:                        e.Log,
+		// A request that can't be read may carry a key.
+		SecureErrorLogMessage: true,
+		ErrorHandler:          e.handleBadRequest,
+		Logger:                e.Log,
 	}
 }
 
@@ -124,7 +126,8 @@
 	e.waiting[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Deadline: e.askedDeadline(ctx), Identity: &c.identity,
+		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Credential: e.credentialOf(ctx), Deadline: e.askedDeadline(ctx),
+		Identity: &c.identity,
 	})
 	c.inline = false
 	first, id := c.first, c.id
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -33,9 +33,11 @@
 	endpoint *routing.Endpoint
 	purpose  routing.Purpose
 	evidence routing.Evidence
-	result   routing.AttemptResult
-	refusal  routing.Refusal
-	probed   routing.ProbeEnded
+	// workspace is the one that a send goes out for; empty for none.
+	workspace units.WorkspaceName
+	result    routing.AttemptResult
+	refusal   routing.Refusal
+	probed    routing.ProbeEnded
 	// rest and leaving are what a target said of itself in an answer, unreadRest what it wrote in
 	// place of a time to rest.
 	rest       time.Duration
@@ -94,7 +96,7 @@
 	s := step{at: e.Clock.Now(), attempt: x.Attempt, endpoint: x.Endpoint}
 	switch x.Kind {
 	case routing.Send:
-		s.what, s.purpose, s.evidence = stepSent, x.Purpose, x.Evidence
+		s.what, s.purpose, s.evidence, s.workspace = stepSent, x.Purpose, x.Evidence, x.Workspace
 	case routing.Refuse:
 		s.what, s.refusal = stepRefused, x.Refusal
 		if x.Refusal.Reason == routing.Quarantined && !c.answered {
@@ -259,6 +261,9 @@
 		f["purpose"] = s.purpose.String()
 		f["load"], f["pace"], f["slowdown"] = round(s.evidence.Load), round(s.evidence.Pace), round(s.evidence.Slowdown)
 		f["readingAgeMs"], f["revision"] = millis(s.evidence.ReadingAge), s.evidence.Revision
+		if s.workspace != "" {
+			f["workspace"] = s.workspace
+		}
 	case stepProbed:
 		f["known"], f["healthy"], f["unreachable"] = s.probed.Reading.Known, s.probed.Healthy, s.probed.Unreachable
 		f["misdirected"], f["load"], f["pace"] = s.probed.Misdirected, s.probed.Reading.InFlight, round(s.probed.Reading.Pace)
--- a/pkg/lab/caller.go
+++ b/pkg/lab/caller.go
@@ -53,6 +53,8 @@
 	Cut      string
 	Deadline time.Duration
 	Body     []byte
+	// Key is presented in place of the caller's own; empty presents that.
+	Key string
 }
 
 // Caller makes calls to entry boxes and checks every answer.
@@ -62,6 +64,7 @@
 	calls  []Call
 	next   atomic.Uint64
 	addrs  atomic.Pointer[[]string]
+	key    atomic.Pointer[string]
 }
 
 const (
@@ -85,6 +88,9 @@
 // SetAddresses changes where the calls go from now on.
 func (c *Caller) SetAddresses(addresses ...string) { c.addrs.Store(&addresses) }
 
+// SetKey gives the caller a key, which all its calls present from now on.
+func (c *Caller) SetKey(key string) { c.key.Store(&key) }
+
 // Do makes one call and returns what came of it.
 func (c *Caller) Do(p Plan) Call {
 	addresses := *c.addrs.Load()
@@ -93,6 +99,9 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	if own := c.key.Load(); own != nil && p.Key == "" {
+		p.Key = *own
+	}
 	fill(request, address, &x, p)
 	started := time.Now()
 	err := c.client.DoTimeout(request, response, callLimit)
@@ -111,6 +120,9 @@
 	request.Header.Set(RequestHeader, x.Request)
 	request.Header.Set(EntryHeader, address)
 	request.Header.Set(MadeHeader, strconv.FormatInt(time.Now().UnixMicro(), 10))
+	if p.Key != "" {
+		request.Header.Set(KeyHeader, p.Key)
+	}
 	if p.Work > 0 {
 		request.Header.Set(WorkHeader, strconv.FormatInt(p.Work.Microseconds(), 10))
 	}
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -31,6 +31,7 @@
 	EntryHeader    = "X-Entry"
 	MadeHeader     = "X-Made-Us"
 	RanByHeader    = "X-Ran-By"
+	KeyHeader      = "X-Api-Key"
 )
 
 // TargetSettings are what a stand-in target is like.
--- a/pkg/sheet/routes.go
+++ b/pkg/sheet/routes.go
@@ -30,6 +30,8 @@
 		func(r *table.Route) string { return strconv.Itoa(r.MaxAttempts) }},
 	{"large_answers", false, func(r *table.Route, c string) error { return readBool(&r.LargeAnswers, c) },
 		func(r *table.Route) string { return strconv.FormatBool(r.LargeAnswers) }},
+	{"public", false, func(r *table.Route, c string) error { return readBool(&r.Public, c) },
+		func(r *table.Route) string { return strconv.FormatBool(r.Public) }},
 	{"priority", false, func(r *table.Route, c string) error { return readInt(&r.Priority, c) },
 		func(r *table.Route) string { return strconv.Itoa(r.Priority) }},
 	{"regions", false, readRegions, writeRegions},
--- a/pkg/units/units.go
+++ b/pkg/units/units.go
@@ -20,6 +20,9 @@
 // TargetID names a target; the same target may stand in several rows.
 type TargetID string
 
+// WorkspaceName names a workspace: a customer whose callers share keys and limits.
+type WorkspaceName string
+
 // Domain names a failure domain.
 type Domain string
 
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -214,6 +214,7 @@
 		Evacuations: mapSlice(t.Evacuations, fromEvacuation),
 		Rollouts:    mapSlice(t.Rollouts, fromRollout), InForce: mapSlice(t.InForce, fromInForce),
 		Quarantines: mapSlice(t.Quarantines, fromQuarantine),
+		Workspaces:  mapSlice(t.Workspaces, fromWorkspace), KeysRequired: t.KeysRequired,
 	}
 }
 
@@ -231,6 +232,8 @@
 	out.Rollouts = mapSlice(t.Rollouts, toRollout)
 	out.InForce = mapSlice(t.InForce, toInForce)
 	out.Quarantines = mapSlice(t.Quarantines, toQuarantine)
+	out.Workspaces = mapSlice(t.Workspaces, toWorkspace)
+	out.KeysRequired = t.KeysRequired
 	return out
 }
 
@@ -246,6 +249,9 @@
 		Evacuations: mapSlice(d.Evacuations, fromEvacuation),
 		Rollouts:    mapSlice(d.Rollouts, fromRollout), InForce: mapSlice(d.InForce, fromInForce),
 		Quarantines: mapSlice(d.Quarantines, fromQuarantine), Released: FromFingerprints(d.Released),
+		Workspaces:        mapSlice(d.Workspaces.Put, fromWorkspace),
+		RemovedWorkspaces: mapSlice(d.Workspaces.Removed, func(n units.WorkspaceName) string { return string(n) }),
+		KeysRequired:      d.KeysRequired,
 	}
 	if !d.Boxes.Empty() {
 		out.Boxes = FromBoxChange(d.Boxes)
@@ -266,6 +272,11 @@
 		Rollouts:    mapSlice(d.Rollouts, toRollout), InForce: mapSlice(d.InForce, toInForce),
 		Quarantines: mapSlice(d.Quarantines, toQuarantine), Released: ToFingerprints(d.Released),
 		Routes: table.RouteChange{Put: mapSlice(d.Routes, ToRoute), Removed: mapSlice(d.RemovedRoutes, toRouteKey)},
+		Workspaces: table.WorkspaceChange{
+			Put:     mapSlice(d.Workspaces, toWorkspace),
+			Removed: mapSlice(d.RemovedWorkspaces, func(n string) units.WorkspaceName { return units.WorkspaceName(n) }),
+		},
+		KeysRequired: d.KeysRequired,
 	}
 	if d.Boxes != nil {
 		out.Boxes = ToBoxChange(d.Boxes)
--- a/pkg/wire/convert_document.go
+++ b/pkg/wire/convert_document.go
@@ -17,7 +17,8 @@
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: int32(r.Work), Deadline: int64(r.Deadline),
 		Aim: int64(r.Aim), MaxAttempts: int32(r.MaxAttempts), Priority: int32(r.Priority),
 		LargeAnswers: r.LargeAnswers, AllowedRegions: fromAllowedRegions(r.Regions), Restricted: r.Regions != nil,
-		Parts: mapSlice(r.Parts, func(p table.Part) *Part { return &Part{Service: string(p.Service), Weight: int32(p.Weight)} }),
+		Public: r.Public,
+		Parts:  mapSlice(r.Parts, func(p table.Part) *Part { return &Part{Service: string(p.Service), Weight: int32(p.Weight)} }),
 	}
 }
 
@@ -26,7 +27,7 @@
 	return &table.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Work: table.Work(r.Work), Deadline: time.Duration(r.Deadline),
 		Aim: time.Duration(r.Aim), MaxAttempts: int(r.MaxAttempts), Priority: int(r.Priority),
-		LargeAnswers: r.LargeAnswers, Regions: toAllowedRegions(r),
+		LargeAnswers: r.LargeAnswers, Regions: toAllowedRegions(r), Public: r.Public,
 		Parts: mapSlice(r.Parts, func(p *Part) table.Part {
 			return table.Part{Service: units.ServiceName(p.Service), Weight: int(p.Weight)}
 		}),
@@ -81,7 +82,8 @@
 	}
 	return &Document{
 		Version: uint64(d.Version), Source: d.Source, Routes: mapSlice(d.Routes, FromRoute),
-		Services: mapSlice(d.Services, func(s table.Service) *Service { return FromService(&s, 0) }),
+		Services:   mapSlice(d.Services, func(s table.Service) *Service { return FromService(&s, 0) }),
+		Workspaces: mapSlice(d.Workspaces, fromWorkspace), KeysRequired: d.Workspaces != nil,
 	}
 }
 
@@ -90,10 +92,15 @@
 	if d == nil {
 		return nil
 	}
-	return &table.Document{
+	out := &table.Document{
 		Version: units.DocumentVersion(d.Version), Source: d.Source, Routes: mapSlice(d.Routes, ToRoute),
-		Services: mapSlice(d.Services, func(s *Service) table.Service { return *ToService(s) }),
+		Services:   mapSlice(d.Services, func(s *Service) table.Service { return *ToService(s) }),
+		Workspaces: mapSlice(d.Workspaces, toWorkspace),
 	}
+	if d.KeysRequired && out.Workspaces == nil {
+		out.Workspaces = table.Workspaces{}
+	}
+	return out
 }
 
 // FromRegistration converts a target's report.
