A leader sends a replica at most two unanswered append requests; waiting commands are passed on less often

Cause: each command was sent to each replica in a message of its own, and each advance of the commit to each of them again. 10,000 registrations at ten replicas were some 360,000 messages at the leader, which has 0.96 of a core. A replica that waited passed each command on again every 300 ms, so that a leader which couldn't keep up got more the slower it was.

Commands that wait are passed on after 0.3, 0.6, 1.2 s, and at once to a new leader, as edits are now.

Tests: 1,000 commands that come together go to a follower in at most 6 messages, with their commit (1,000 before); lost answers hold nothing up for longer than a heartbeat. The random schedules of control pass.

--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -228,6 +228,7 @@
 func (r *Replica) noticeLeadership(e *Effects) {
 	if leader := r.node.Leader(); leader != r.knownLeader {
 		r.knownLeader = leader
+		r.passAgain()
 		e.Changes = append(e.Changes, Change{Kind: LeaderChanged, Leader: leader, Term: r.node.Term(), Revision: r.state.Table().Revision})
 	}
 	if index := r.node.MembershipIndex(); index != r.knownMembership {
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
@@ -22,6 +23,8 @@
 	what     string
 	deadline units.Instant
 	retryAt  units.Instant
+	// pause is how long after it was last passed on the command is passed on again.
+	pause time.Duration
 }
 
 // waitingRead is a read that waits for the index that the leader names.
@@ -144,7 +147,7 @@
 		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
 		return
 	}
-	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout)}
+	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout), pause: retryPeriod}
 	r.requests.commands.Put(r.requests.number, w)
 	r.passCommand(w, log)
 }
@@ -157,7 +160,9 @@
 
 // passCommand hands a waiting command to whoever leads now.
 func (r *Replica) passCommand(w *waitingCommand, log *replication.Effects) {
-	w.retryAt = r.now.Add(retryPeriod)
+	w.retryAt = r.now.Add(w.pause)
+	// A leader that can't keep up gets fewer copies, not more.
+	w.pause *= 2
 	if r.node.IsLeader() {
 		r.node.Propose(r.now, [][]byte{w.encoded}, log)
 		return
@@ -165,6 +170,20 @@
 	r.sendLeader(&wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded}}, log)
 }
 
+// passAgain has what waits passed on at once: another leader may not have heard of it.
+func (r *Replica) passAgain() {
+	for _, n := range r.requests.commands.Keys() {
+		w := r.requests.commands.Get(n)
+		w.retryAt, w.pause = r.now, retryPeriod
+	}
+	for _, id := range r.edits.waiting.Keys() {
+		r.edits.waiting.Get(id).retryAt = r.now
+	}
+	if r.hasWaiting() {
+		r.tickAt = r.now
+	}
+}
+
 // receiveProposal takes what another replica passes on to its leader.
 func (r *Replica) receiveProposal(p *wire.ProposeRequest, log *replication.Effects) {
 	if len(p.Command) > 0 {
--- /dev/null
+++ b/pkg/core/replication/flight_test.go
@@ -0,0 +1,102 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// newLeader returns the leader of three voters; answer gives it a follower's answer to an append
+// request.
+func newLeader(t *testing.T, now units.Instant) (n *Node, answer func(m *wire.Envelope, match units.Index, e *Effects)) {
+	t.Helper()
+	membership := &wire.Membership{Cluster: "c", Voters: []*wire.Member{
+		{Id: "a", Incarnation: "a.1"}, {Id: "b", Incarnation: "b.1"}, {Id: "c", Incarnation: "c.1"},
+	}}
+	durable := &Durable{Snapshot: &wire.Snapshot{Index: 1, Term: 1, Membership: membership}}
+	durable.HardState.Term = 1
+	n = NewNode(Settings{
+		ID: "a", Incarnation: "a.1", Boot: 1, Peers: []units.ReplicaID{"b", "c"},
+		ElectionTimeout: time.Second, Heartbeat: 100 * time.Millisecond,
+	}, durable, now)
+	receive := func(from string, body wire.Body, e *Effects) {
+		n.Receive(now, &wire.Envelope{From: from, To: "a", Incarnation: from + ".1", Boot: 1, Cluster: "c", Body: body}, e)
+	}
+	n.startElection(now, true, &Effects{})
+	n.Written(now, n.written, &Effects{})
+	receive("b", &wire.Envelope_VoteResponse{VoteResponse: &wire.VoteResponse{Term: uint64(n.Term()), Granted: true}}, &Effects{})
+	if !n.IsLeader() {
+		t.Fatal("the node doesn't lead")
+	}
+	return n, func(m *wire.Envelope, match units.Index, e *Effects) {
+		r := m.GetAppendRequest()
+		receive(m.To, &wire.Envelope_AppendResponse{AppendResponse: &wire.AppendResponse{
+			Term: uint64(n.Term()), Match: uint64(match), Round: r.Round,
+		}}, e)
+	}
+}
+
+// appendsTo are the append requests to a replica.
+func appendsTo(e *Effects, id string) []*wire.Envelope {
+	var list []*wire.Envelope
+	for _, m := range e.Sends {
+		if m.To == id && m.GetAppendRequest() != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// A thousand commands that come while a follower is still to answer go to it in a few messages, none
+// is left out, and it learns of their commit.
+func TestCommandsThatComeTogetherGoTogether(t *testing.T) {
+	const commands, most = 1000, 6
+	now := units.Instant(time.Second)
+	n, answer := newLeader(t, now)
+	e := &Effects{}
+	for range commands {
+		n.Propose(now, [][]byte{{1}}, e)
+	}
+	n.Written(now, n.written, e)
+	sent := 0
+	for i := 0; i < len(e.Sends); i++ {
+		m := e.Sends[i]
+		r := m.GetAppendRequest()
+		if r == nil || m.To != "b" {
+			continue
+		}
+		sent++
+		answer(m, units.Index(r.PrevIndex)+units.Index(len(r.Entries)), e)
+	}
+	if sent > most {
+		t.Errorf("%d commands were sent in %d messages", commands, sent)
+	}
+	if n.log.commit != n.log.last() {
+		t.Errorf("the log is committed to %d of %d", n.log.commit, n.log.last())
+	}
+	list := appendsTo(e, "b")
+	if told := list[len(list)-1].GetAppendRequest().Commit; units.Index(told) != n.log.commit {
+		t.Errorf("the follower was told of the commit of %d, not %d", told, n.log.commit)
+	}
+}
+
+// Requests whose answers are lost don't keep a leader from sending for longer than a heartbeat.
+func TestLostAnswersHoldUpNothingForLong(t *testing.T) {
+	now := units.Instant(time.Second)
+	n, _ := newLeader(t, now)
+	for range maxUnanswered {
+		n.Propose(now, [][]byte{{1}}, &Effects{})
+	}
+	e := &Effects{}
+	n.Propose(now, [][]byte{{2}}, e)
+	if list := appendsTo(e, "b"); len(list) > 0 {
+		t.Fatalf("%d requests were sent beside those that weren't answered", len(list))
+	}
+	n.Tick(now.Add(n.settings.Heartbeat), e)
+	list := appendsTo(e, "b")
+	if len(list) == 0 || len(list[0].GetAppendRequest().Entries) == 0 {
+		t.Fatal("after a heartbeat the entries still wait")
+	}
+}
--- a/pkg/core/replication/leadership.go
+++ b/pkg/core/replication/leadership.go
@@ -71,21 +71,13 @@
 	return n.leaderID != "" && kept && term == n.term
 }
 
-// broadcast sends every other replica an append request, empty or not. It brings them up
-// to date on acknowledgements, so that whoever learns of a commit knows on whose word it
-// rests.
+// broadcast sends every other replica an append request, empty or not.
 func (n *Node) broadcast(now units.Instant, e *Effects) {
-	first := len(e.Sends)
 	for _, id := range n.order {
 		if p := n.peers[id]; n.wantsAppends(now, p) {
 			n.sendAppend(now, p, e)
 		}
 	}
-	for _, m := range e.Sends[first:] {
-		if r := m.GetAppendRequest(); r != nil {
-			r.Acknowledged = n.acknowledgedFor(n.peers[units.ReplicaID(m.To)], units.Instant(r.Round))
-		}
-	}
 }
 
 // wantsAppends tells whether a replica is worth sending to: every one that the
@@ -101,17 +93,21 @@
 // stops sending to it.
 const forgetAfter = 5 * time.Second
 
-// sendPending sends the entries that a follower hasn't been sent yet.
+// sendPending sends the entries and the commit that followers haven't been sent yet, unless they
+// have still to answer what they were sent.
 func (n *Node) sendPending(now units.Instant, e *Effects) {
 	for _, id := range n.order {
 		p := n.peers[id]
-		if p.incarnation != "" && p.next <= n.log.last() && n.wantsAppends(now, p) {
+		lacks := p.next <= n.log.last() || p.toldCommit < n.log.commit
+		if p.incarnation != "" && lacks && !p.flight.full(now, n.settings.Heartbeat) && n.wantsAppends(now, p) {
 			n.sendAppend(now, p, e)
 		}
 	}
 }
 
 func (n *Node) sendAppend(now units.Instant, p *progress, e *Effects) {
+	p.flight.add(now)
+	p.toldCommit = n.log.commit
 	previous := p.next - 1
 	term, kept := n.log.term(previous)
 	if !kept {
@@ -123,6 +119,8 @@
 	m.Body = &wire.Envelope_AppendRequest{AppendRequest: &wire.AppendRequest{
 		Term: uint64(n.term), PrevIndex: uint64(previous), PrevTerm: uint64(term),
 		Commit: uint64(n.log.commit), Entries: entries, Round: uint64(now),
+		// Whoever learns of a commit knows on whose word it rests.
+		Acknowledged: n.acknowledgedFor(p, now),
 	}}
 	e.Sends = append(e.Sends, m)
 	// What was sent is taken as received; a rejection puts next back.
@@ -171,6 +169,7 @@
 		return
 	}
 	p.contact = max(p.contact, units.Instant(r.Round))
+	p.flight.answered(units.Instant(r.Round))
 	p.noteTold(units.Instant(r.Round))
 	match := units.Index(r.Match)
 	if r.Rejected {
@@ -214,9 +213,8 @@
 	for _, p := range n.peers {
 		n.noteAcknowledged(p)
 	}
-	// Followers learn of the commit at once, not with the next heartbeat.
-	n.broadcast(now, e)
 	n.changeMembership(now, e)
+	// Followers learn of the commit at once, not with the next heartbeat.
 	n.sendPending(now, e)
 }
 
--- a/pkg/core/replication/progress.go
+++ b/pkg/core/replication/progress.go
@@ -26,6 +26,9 @@
 	}
 	next  units.Index
 	match units.Index
+	// toldCommit is the commit index that the replica was last sent.
+	toldCommit units.Index
+	flight     flight
 	// contact is when the newest answered heartbeat was sent, on the leader's
 	// clock; it bounds how long no other leader can have been elected.
 	contact units.Instant
@@ -54,6 +57,8 @@
 func (p *progress) restart(next units.Index) {
 	p.next = next
 	p.match = 0
+	p.toldCommit = 0
+	p.flight = flight{}
 	p.contact = 0
 	p.snapshotAt = 0
 	p.told = 0
