Boxes are told of their part of large services

What grows faster than the fleet is boxes times targets, in bytes, messages, processor time and memory.

Change: pkg/core/scope divides the registered targets of a service with more than 1,000 of them: a box holds one in 2^step of a failure domain's targets, four times as many of its own domain's, by a hash of box and target. Steps follow from how many targets and boxes there are, with room between up and down; they are part of the replicated table, so that every replica works out the same part of a box. Replicas keep past tables in place of past changes (they share rows), find what a box lacks by comparing the table it has with the present one, and send its part; what doesn't concern a box waits for its next request for a lease. A new version on trial is told to all boxes. The totals of a target (connections, probes) are divided among the boxes that can hold it instead of all. Services of up to 1,000 targets, and all rows that operators enter, are told of whole as before.

--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -31,7 +31,7 @@
 		return
 	}
 	r.state = state
-	r.deltas = container.NewRing[*table.Delta](maxDeltas)
+	r.past = container.NewRing[*table.Table](maxPast)
 	e.TableChanged = true
 	r.answerKnown(e)
 }
@@ -90,7 +90,7 @@
 		return
 	}
 	r.noteRollouts(delta, before, e)
-	r.deltas.Push(delta.Shrink(before))
+	r.past.Push(before)
 	e.TableChanged = true
 }
 
--- /dev/null
+++ b/pkg/core/control/parts_test.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// partsReplica is a replica with boxes attached and targets of one service, whose table the boxes have.
+func partsReplica(t *testing.T, boxes, targets int) (*Replica, []*session) {
+	t.Helper()
+	r, err := NewReplica(Settings{Replication: replication.Settings{ID: "r", ElectionTimeout: time.Second, Heartbeat: time.Second}}, &replication.Durable{}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.state.ApplyDocument(&table.Document{Version: 1, Services: []table.Service{{Name: "s", Work: table.Repeatable}}})
+	var list []table.Box
+	for i := range boxes {
+		list = append(list, table.Box{ID: units.BoxID(fmt.Sprintf("box-%04d", i)), Domain: units.Domain(fmt.Sprint("d", i%6))})
+	}
+	r.state.ApplyBoxes(table.BoxChange{Put: list})
+	for i := range targets {
+		r.state.ApplyRegistration(partsTarget(i, 1, table.Active))
+	}
+	var sessions []*session
+	for i := range list {
+		sessions = append(sessions, &session{connection: ConnectionID(i + 1), box: list[i], sent: r.Table().Revision, table: r.Table()})
+	}
+	return r, sessions
+}
+
+func partsTarget(i int, sequence uint64, state table.RowState) *table.Registration {
+	return &table.Registration{
+		Target: units.TargetID(fmt.Sprintf("i-%08x", i*2654435761%(1<<31))), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250),
+		Domain: units.Domain(fmt.Sprint("d", i%6)), State: state, Sequence: sequence, Slots: 3,
+	}
+}
+
+// sendChanges lets targets change one after the other, and returns how many messages and bytes bring the
+// boxes each change.
+func sendChanges(r *Replica, sessions []*session, changes int) (messages, bytes int) {
+	e := &Effects{}
+	for i := range changes {
+		r.state.ApplyRegistration(partsTarget(i, 2, table.Leaving))
+		for _, s := range sessions {
+			list := r.messagesFor(s, false, e)
+			for _, m := range list {
+				messages++
+				bytes += proto.Size(m)
+			}
+			if len(list) > 0 {
+				s.sent, s.table = r.Table().Revision, r.Table()
+			}
+		}
+	}
+	return messages, bytes
+}
+
+// A change of one target of a large service goes to the boxes that hold it, and they don't become more
+// with the fleet. While the service was told of whole each change went to every box.
+func TestAChangeGoesToTheBoxesThatHoldTheTarget(t *testing.T) {
+	const changes = 40
+	r, sessions := partsReplica(t, 500, 3_000)
+	messages, bytes := sendChanges(r, sessions, changes)
+	r, sessions = partsReplica(t, 1_000, 6_000)
+	messagesOfTwice, bytesOfTwice := sendChanges(r, sessions, changes)
+	t.Logf("%d changes take %d and %d messages, %d and %d bytes", changes, messages, messagesOfTwice, bytes, bytesOfTwice)
+	if messagesOfTwice > 2*messages*3/4 || messages > changes*len(sessions)/8 {
+		t.Errorf("%d changes take %d messages among 500 boxes and %d among 1,000", changes, messages, messagesOfTwice)
+	}
+	if bytesOfTwice > 2*bytes*3/4 {
+		t.Errorf("%d changes take %d bytes among 500 boxes and %d among 1,000", changes, bytes, bytesOfTwice)
+	}
+}
+
+// What doesn't concern a box comes with its next request, so that its leases, which name a revision,
+// come in force.
+func TestABoxIsBroughtUpToDateWhenItRenews(t *testing.T) {
+	r, sessions := partsReplica(t, 500, 3_000)
+	r.state.ApplyRegistration(partsTarget(7, 2, table.Leaving))
+	e := &Effects{}
+	for _, s := range sessions {
+		if len(r.messagesFor(s, false, e)) > 0 {
+			continue
+		}
+		list := r.messagesFor(s, true, e)
+		if len(list) != 1 {
+			t.Fatalf("a box that asks gets %d messages", len(list))
+		}
+		d := wire.ToDelta(list[0].GetDeltaBatch().Deltas[0])
+		if d.From != s.sent || d.Revision != r.Table().Revision || !d.Empty() {
+			t.Fatalf("it is told %+v", d)
+		}
+		return
+	}
+	t.Fatal("every box holds the target")
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -58,8 +58,9 @@
 	// time goes out at once; many in a row go together, which is far less to send, and
 	// for each box to put in force.
 	pushPeriod = 40 * time.Millisecond
-	// maxDeltas is how many changes are kept for boxes that fell behind.
-	maxDeltas = 256
+	// maxPast is how many tables are kept for boxes that come from other replicas with one of them. They
+	// share what didn't change.
+	maxPast = 1024
 )
 
 // Replica is the decision logic of one control replica.
@@ -69,9 +70,11 @@
 	state    *table.State
 	edits    editQueue
 	sessions *container.Ordered[ConnectionID, *session]
-	deltas   *container.Ring[*table.Delta]
+	// past are the tables before the present one, the newest last.
+	past *container.Ring[*table.Table]
 	// lastUpdate is what boxes were sent last.
 	lastUpdate boxUpdate
+	lastTable  tableMessages
 	// pushPending is set while boxes lack changes that wait for pushAt.
 	pushPending bool
 	pushAt      units.Instant
@@ -112,7 +115,7 @@
 		node:     replication.NewNode(s.Replication, d, now),
 		edits:    newEditQueue(),
 		sessions: container.NewOrdered[ConnectionID, *session](),
-		deltas:   container.NewRing[*table.Delta](maxDeltas),
+		past:     container.NewRing[*table.Table](maxPast),
 		leases:   newLeaseBook(),
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
@@ -11,9 +12,11 @@
 // session is a box that is attached to this replica.
 type session struct {
 	connection ConnectionID
-	box        units.BoxID
-	// sent is the revision up to which the box was sent the table.
-	sent units.Revision
+	box        table.Box
+	// sent is the revision of the table that the box was sent last, or came with; table is that
+	// table where this replica sent it.
+	sent  units.Revision
+	table *table.Table
 	// waiting is the box's last request for a lease while it waits for a leader.
 	waiting *wire.RenewRequest
 }
@@ -24,7 +27,7 @@
 		return
 	}
 	s := r.attach(v.Connection, request)
-	r.push(s, e)
+	r.push(s, true, e)
 	if !r.caughtUp {
 		r.keepWaiting(s, request, e)
 		return
@@ -88,7 +91,7 @@
 		s = &session{connection: c, sent: units.Revision(request.Revision)}
 		r.sessions.Put(c, s)
 	}
-	s.box = units.BoxID(request.Box.Id)
+	s.box = wire.ToBox(request.Box)
 	return s
 }
 
@@ -100,7 +103,7 @@
 // passGrant hands a leader's grant to the box it is for, if it is still here.
 func (r *Replica) passGrant(m *wire.Envelope, e *Effects) {
 	for _, c := range r.sessions.Keys() {
-		if string(r.sessions.Get(c).box) == m.GetRenewResponse().Box {
+		if string(r.sessions.Get(c).box.ID) == m.GetRenewResponse().Box {
 			answer := r.boxEnvelope()
 			answer.Body = m.Body
 			e.BoxSends = append(e.BoxSends, BoxSend{Connection: c, Envelope: answer})
@@ -119,22 +122,27 @@
 	r.pushPending = false
 	r.pushAt = r.now.Add(pushPeriod)
 	for _, c := range r.sessions.Keys() {
-		r.push(r.sessions.Get(c), e)
+		r.push(r.sessions.Get(c), false, e)
 	}
 }
 
-// push brings a box up to the present revision, by the changes it lacks where
-// they are still kept, and by the whole table otherwise. A box that knows more
-// than this replica is left alone until the replica has caught up.
-func (r *Replica) push(s *session, e *Effects) {
+// push brings a box up to the present revision, by what differs from the table that it has where
+// that is known, and by the whole table otherwise. What changes nothing of the box's part waits for
+// its next request, unless it is due now: most changes of large services concern few boxes. A box
+// that knows more than this replica is left alone until the replica has caught up.
+func (r *Replica) push(s *session, due bool, e *Effects) {
 	present := r.state.Table()
 	if s.sent >= present.Revision || !r.node.Formed() || r.holdsTable(s) {
 		return
 	}
-	for _, m := range r.messagesSince(s.sent, e) {
+	messages := r.messagesFor(s, due, e)
+	if len(messages) == 0 {
+		return
+	}
+	for _, m := range messages {
 		e.BoxSends = append(e.BoxSends, BoxSend{Connection: s.connection, Envelope: m})
 	}
-	s.sent = present.Revision
+	s.sent, s.table = present.Revision, present
 }
 
 // tableHold is for how long after its start a replica sends no whole table that may be an
@@ -146,50 +154,81 @@
 // replica's disk is as old as its last snapshot, and a whole table takes a box's link and
 // processor as long as the newest one does.
 func (r *Replica) holdsTable(s *session) bool {
-	return !r.caughtUp && r.now < r.startedAt.Add(tableHold) && r.needsWholeTable(s.sent)
+	return !r.caughtUp && r.now < r.startedAt.Add(tableHold) && r.tableOf(s) == nil
 }
 
-// needsWholeTable tells whether changes don't lead from a revision to the present one:
-// they aren't all kept, or there is no table to change.
-func (r *Replica) needsWholeTable(from units.Revision) bool {
-	return from == 0 || int(r.state.Table().Revision-from) > r.deltas.Len()
+// tableOf returns the table that a box has; nil where that isn't kept, or there is none.
+func (r *Replica) tableOf(s *session) *table.Table {
+	if s.table != nil {
+		return s.table
+	}
+	missing := int(r.state.Table().Revision - s.sent)
+	if s.sent == 0 || missing > r.past.Len() {
+		return nil
+	}
+	return r.past.At(r.past.Len() - missing)
 }
 
 // boxEnvelope is a message to a box, which knows whom it is attached to: every byte of
 // it goes to every box.
 func (r *Replica) boxEnvelope() *wire.Envelope { return &wire.Envelope{} }
 
-// boxUpdate is the messages that bring a box from one revision to another. They are made
-// once for all boxes.
+// boxUpdate is what brings boxes from one table to another. It is worked out once for all boxes,
+// and so are its messages where all boxes are told the same.
 type boxUpdate struct {
-	from, to units.Revision
+	from, to *table.Table
+	delta    *table.Delta
+	divided  bool
+	messages []*wire.Envelope
+}
+
+// tableMessages are the messages of a whole table that all boxes are told the same of.
+type tableMessages struct {
+	table    *table.Table
 	messages []*wire.Envelope
 }
 
-// messagesSince returns what brings a box from a revision to the present one.
-func (r *Replica) messagesSince(from units.Revision, e *Effects) []*wire.Envelope {
-	to := r.state.Table().Revision
-	if u := &r.lastUpdate; u.messages != nil && u.from == from && u.to == to {
+// messagesFor returns what brings a box to the present table. There are none where the box's part
+// doesn't change, unless it is due now.
+func (r *Replica) messagesFor(s *session, due bool, e *Effects) []*wire.Envelope {
+	present, from := r.state.Table(), r.tableOf(s)
+	if from == nil {
+		return r.wholeTable(&s.box, e)
+	}
+	u := r.updateFrom(from, present)
+	if !u.divided {
+		if u.messages == nil {
+			u.messages = fragments(wire.DeltaEnvelope(u.delta), e)
+		}
 		return u.messages
 	}
-	m := r.boxEnvelope()
-	m.Body = r.bodySince(from)
-	r.lastUpdate = boxUpdate{from: from, to: to, messages: fragments(m, e)}
-	return r.lastUpdate.messages
+	part := u.delta.For(&s.box, from, present)
+	if part.Empty() && !due {
+		return nil
+	}
+	return fragments(wire.DeltaEnvelope(part), e)
 }
 
-// bodySince is the changes that follow a revision, or the whole table.
-func (r *Replica) bodySince(from units.Revision) wire.Body {
+// wholeTable returns what gives a box the present table.
+func (r *Replica) wholeTable(b *table.Box, e *Effects) []*wire.Envelope {
 	present := r.state.Table()
-	if r.needsWholeTable(from) {
-		return &wire.Envelope_Table{Table: wire.FromTable(present)}
+	if present.Divided() {
+		return fragments(wire.TableEnvelope(present.For(b)), e)
 	}
-	missing := int(present.Revision - from)
-	batch := &wire.DeltaBatch{}
-	for i := r.deltas.Len() - missing; i < r.deltas.Len(); i++ {
-		batch.Deltas = append(batch.Deltas, wire.FromDelta(r.deltas.At(i)))
+	if u := &r.lastTable; u.table != present {
+		*u = tableMessages{table: present, messages: fragments(wire.TableEnvelope(present), e)}
+	}
+	return r.lastTable.messages
+}
+
+// updateFrom returns what leads from a table to the present one.
+func (r *Replica) updateFrom(from, present *table.Table) *boxUpdate {
+	u := &r.lastUpdate
+	if u.from != from || u.to != present {
+		delta := table.Difference(from, present)
+		*u = boxUpdate{from: from, to: present, delta: delta, divided: delta.Divided(present)}
 	}
-	return &wire.Envelope_DeltaBatch{DeltaBatch: batch}
+	return u
 }
 
 // fragments divides a message; one that can't be encoded stops the replica.
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/rollout"
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -69,6 +70,8 @@
 	// present one that stay, by the failure domain of the targets they are beside.
 	boxLists int
 	beside   map[units.Domain][]table.Box
+	// inDomain counts the boxes of the present list; nil until that is asked for.
+	inDomain scope.Boxes
 	// neverListed is set until a list of boxes names any.
 	neverListed bool
 	// pastBoxes are the lists of boxes before the present one that other boxes may still go by.
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -113,9 +112,10 @@
 		targets = append(targets, t)
 	}
 	for _, t := range s.targets {
-		if !slices.Contains(targets, t) {
-			t.gone = true
-		}
+		t.gone = true
+	}
+	for _, t := range targets {
+		t.gone = false
 	}
 	s.targets = targets
 }
--- a/pkg/core/routing/share.go
+++ b/pkg/core/routing/share.go
@@ -4,8 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -89,9 +88,7 @@
 	return n
 }
 
-func rendezvous(box units.BoxID, target units.TargetID) uint64 {
-	return xxhash.Sum64String(string(box) + "\x00" + string(target))
-}
+func rendezvous(box units.BoxID, target units.TargetID) uint64 { return scope.Hash(box, target) }
 
 // rateShare returns this box's part of a rate.
 func (b boxRank) rateShare(rate float64) float64 {
@@ -114,9 +111,10 @@
 	value float64
 }
 
-// fixedValue is a share that has settled.
-func fixedValue(value float64) settledValue {
-	return settledValue{history: []wantedValue{{value: value, at: -units.Instant(time.Hour)}}, value: value}
+// fix has a share hold at once.
+func (s *settledValue) fix(value float64) {
+	s.history = append(s.history[:0], wantedValue{value: value, at: -units.Instant(time.Hour)})
+	s.value = value
 }
 
 // want notes a new wanted value.
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/core/table"
 )
 
@@ -79,6 +80,7 @@
 	r.neverListed = r.neverListed && len(boxes) == 0
 	r.boxLists++
 	clear(r.beside)
+	r.inDomain = nil
 	r.dropLoans(boxes)
 	return true
 }
@@ -164,17 +166,39 @@
 // shareRegistered gives this box its part of a registered target's connections. It
 // holds at once: the bound is the target's own, which sheds what is too much.
 func (r *Router) shareRegistered(t *target) {
+	sharers := r.sharersOf(t)
 	t.connections = 0
 	if t.row.MaxConnections > 0 {
-		t.connections = max(1, t.row.MaxConnections/max(1, r.rank.count))
+		t.connections = max(1, t.row.MaxConnections/sharers)
 	}
 	limit := float64(unlimited)
 	if t.row.MaxInFlight > 0 {
-		limit = max(1, float64(t.row.MaxInFlight)/float64(max(1, r.rank.count)))
+		limit = max(1, float64(t.row.MaxInFlight)/float64(sharers))
 	}
-	t.share = fixedValue(limit)
-	t.rateShare = fixedValue(unlimited)
-	t.probeShare = fixedValue(1 / float64(max(1, r.rank.count)))
+	t.share.fix(limit)
+	t.rateShare.fix(unlimited)
+	t.probeShare.fix(1 / float64(sharers))
+}
+
+// sharersOf bounds how many boxes may use a registered target.
+func (r *Router) sharersOf(t *target) int {
+	all := max(1, r.rank.count)
+	if len(t.service.entry.Division) == 0 {
+		return all
+	}
+	step := t.service.entry.Division.StepOf("", t.row.Domain)
+	return r.boxCounts().MostHolders(all, t.row.Domain, step)
+}
+
+// boxCounts are how many boxes are in each failure domain.
+func (r *Router) boxCounts() scope.Boxes {
+	if r.inDomain == nil {
+		r.inDomain = scope.Boxes{}
+		for _, b := range r.rank.boxes {
+			r.inDomain[b.Domain]++
+		}
+	}
+	return r.inDomain
 }
 
 // placeTarget works out how many boxes come before this one for a target, from the
--- a/pkg/core/table/bench_test.go
+++ b/pkg/core/table/bench_test.go
@@ -42,8 +42,8 @@
 		r.Sequence = uint64(i + 2)
 		r.State = []RowState{Active, Leaving}[(i/len(all)+1)%2]
 		before := s.Table()
-		if d := s.ApplyRegistration(&r); d != nil {
-			d.Shrink(before)
+		if s.ApplyRegistration(&r) != nil {
+			Difference(before, s.Table())
 		}
 	}
 }
@@ -55,7 +55,8 @@
 	before := s.Table()
 	r := *all[len(all)-1]
 	r.Sequence, r.State = 2, Leaving
-	d := s.ApplyRegistration(&r).Shrink(before)
+	s.ApplyRegistration(&r)
+	d := Difference(before, s.Table())
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
--- a/pkg/core/table/document.go
+++ b/pkg/core/table/document.go
@@ -126,6 +126,7 @@
 
 // commit puts a delta in force and returns it.
 func (s *State) commit(d *Delta) *Delta {
+	s.rescope(d)
 	s.table, _ = s.table.Patch(d)
 	return d
 }
--- a/pkg/core/table/patch.go
+++ b/pkg/core/table/patch.go
@@ -17,7 +17,7 @@
 
 // apply returns the entry after the patch.
 func (p *EntryPatch) apply(old *Entry) *Entry {
-	next := &Entry{Service: old.Service, Version: p.Version, Rows: old.Rows}
+	next := &Entry{Service: old.Service, Version: p.Version, Rows: old.Rows, Division: old.Division}
 	for _, id := range p.Removed {
 		next.Rows = next.Rows.Without(id)
 	}
@@ -27,22 +27,6 @@
 	return next
 }
 
-// Shrink returns the delta with a patch in place of each service of which some rows have
-// changed only, given the table that the delta starts from. It leads to the same table.
-func (d *Delta) Shrink(from *Table) *Delta {
-	small := *d
-	small.Changed = nil
-	for _, e := range d.Changed {
-		old := from.Services[e.Service.Name]
-		if old == nil || !old.Service.equal(&e.Service) {
-			small.Changed = append(small.Changed, e)
-			continue
-		}
-		small.Patched = append(small.Patched, patchOf(old, e))
-	}
-	return &small
-}
-
 // patchOf returns what differs between two lists of rows.
 func patchOf(old, next *Entry) *EntryPatch {
 	p := &EntryPatch{Service: next.Service.Name, Version: next.Version}
--- a/pkg/core/table/patch_test.go
+++ b/pkg/core/table/patch_test.go
@@ -25,14 +25,14 @@
 	return e
 }
 
-func TestAShrunkDeltaLeadsToTheSameTable(t *testing.T) {
+func TestADifferenceLeadsToTheSameTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		from := &Table{Revision: 3, Services: map[units.ServiceName]*Entry{"s": drawEntry(t, "from", 3)}}
 		whole := &Delta{From: 3, Revision: 4, Changed: []*Entry{drawEntry(t, "to", 4)}}
 		want, _ := from.Patch(whole)
-		have, ok := from.Patch(whole.Shrink(from))
+		have, ok := from.Patch(Difference(from, want))
 		if !ok {
-			t.Fatal("the shrunk delta doesn't follow")
+			t.Fatal("the difference doesn't follow")
 		}
 		if d := cmp.Diff(want, have, cmpopts.EquateEmpty()); d != "" {
 			t.Fatal(d)
--- a/pkg/core/table/registration_test.go
+++ b/pkg/core/table/registration_test.go
@@ -89,7 +89,8 @@
 		r := registration(units.TargetID(fmt.Sprintf("t%05d", i)), fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), 2)
 		r.State = Leaving
 		from := s.Table()
-		s.ApplyRegistration(r).Shrink(from)
+		s.ApplyRegistration(r)
+		Difference(from, s.Table())
 	}
 	runtime.ReadMemStats(&after)
 	return (after.TotalAlloc - before.TotalAlloc) / changes
--- a/pkg/core/table/rows.go
+++ b/pkg/core/table/rows.go
@@ -1,11 +1,13 @@
 package table
 
 import (
+	"cmp"
 	"encoding/json"
 	"iter"
 	"slices"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -13,6 +15,8 @@
 // rows, at a cost that hardly grows with how many there are. Neither do the rows that they hand out.
 type Rows struct {
 	byTarget container.SortedMap[units.TargetID, *Row]
+	// registered counts the registered rows of each failure domain, in order.
+	registered []scope.Count
 }
 
 // RowsOf returns the given rows; of two rows of a target the later one counts.
@@ -46,10 +50,39 @@
 }
 
 // With returns the rows with one in place of its target's.
-func (r Rows) With(row Row) Rows { return Rows{r.byTarget.Put(row.Target, &row)} }
+func (r Rows) With(row Row) Rows {
+	next := Rows{byTarget: r.byTarget.Put(row.Target, &row), registered: r.registered}
+	old := r.Get(row.Target)
+	if old != nil && old.Registered == row.Registered && old.Domain == row.Domain {
+		return next
+	}
+	next.count(old, -1)
+	next.count(&row, 1)
+	return next
+}
 
 // Without returns the rows without a target's.
-func (r Rows) Without(target units.TargetID) Rows { return Rows{r.byTarget.Delete(target)} }
+func (r Rows) Without(target units.TargetID) Rows {
+	next := Rows{byTarget: r.byTarget.Delete(target), registered: r.registered}
+	next.count(r.Get(target), -1)
+	return next
+}
+
+// count counts a row in or out, in a list of its own.
+func (r *Rows) count(row *Row, n int) {
+	if row == nil || !row.Registered {
+		return
+	}
+	i, found := slices.BinarySearchFunc(r.registered, row.Domain, func(c scope.Count, d units.Domain) int { return cmp.Compare(c.Domain, d) })
+	r.registered = slices.Clone(r.registered)
+	if !found {
+		r.registered = slices.Insert(r.registered, i, scope.Count{Domain: row.Domain})
+	}
+	r.registered[i].N += n
+	if r.registered[i].N == 0 {
+		r.registered = slices.Delete(r.registered, i, i+1)
+	}
+}
 
 // entered returns the rows that operators entered.
 func (r Rows) entered() Rows {
--- a/pkg/core/table/service.go
+++ b/pkg/core/table/service.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -82,6 +83,8 @@
 	Service Service       `json:"service"`
 	Version units.Version `json:"version"`
 	Rows    Rows          `json:"rows"`
+	// Division says which of the registered rows boxes are told of; nil stands for all of them.
+	Division scope.Division `json:"division,omitempty"`
 }
 
 // Row returns the row of a target, or nil.
--- a/pkg/core/table/state.go
+++ b/pkg/core/table/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -25,7 +26,9 @@
 // State is the whole replicated state: the table, the answers to past edits and
 // their history.
 type State struct {
-	table   *Table
+	table *Table
+	// boxes counts the table's boxes by failure domain.
+	boxes   scope.Boxes
 	results map[units.EditID]*Result
 	// order holds the ids of results, oldest first.
 	order   []units.EditID
@@ -88,6 +91,7 @@
 func RestoreState(t *Table, results, history []Result) *State {
 	s := NewState()
 	s.table = t
+	s.boxes = countBoxes(t.Boxes)
 	for i := range results {
 		s.remember(&results[i])
 	}
@@ -128,7 +132,7 @@
 	result, delta := s.decide(e, at)
 	s.remember(&result)
 	if delta != nil {
-		s.table, _ = s.table.Patch(delta)
+		s.commit(delta)
 		s.history.Push(result)
 	}
 	return result, delta
--- a/pkg/core/table/table.go
+++ b/pkg/core/table/table.go
@@ -73,23 +73,6 @@
 // Empty tells whether nothing changes.
 func (c BoxChange) Empty() bool { return len(c.Put)+len(c.Removed) == 0 }
 
-// BoxDifference returns the change that leads from one list of boxes to another;
-// both are sorted by id.
-func BoxDifference(from, to []Box) BoxChange {
-	var c BoxChange
-	for _, b := range to {
-		if i, found := findBox(from, b.ID); !found || from[i] != b {
-			c.Put = append(c.Put, b)
-		}
-	}
-	for _, b := range from {
-		if _, found := findBox(to, b.ID); !found {
-			c.Removed = append(c.Removed, b.ID)
-		}
-	}
-	return c
-}
-
 func findBox(boxes []Box, id units.BoxID) (int, bool) {
 	return slices.BinarySearchFunc(boxes, id, func(b Box, id units.BoxID) int {
 		return strings.Compare(string(b.ID), string(id))
--- a/pkg/core/table/workspace_test.go
+++ b/pkg/core/table/workspace_test.go
@@ -72,8 +72,8 @@
 				newest = d
 			}
 			before := s.Table()
-			if delta := s.ApplyDocument(d); delta != nil {
-				box, _ = box.Patch(delta.Shrink(before))
+			if s.ApplyDocument(d) != nil {
+				box, _ = box.Patch(Difference(before, s.Table()))
 			}
 			if delta := s.ApplyBoxes(BoxChange{Put: []Box{{ID: "b"}}}); delta != nil {
 				box, _ = box.Patch(delta)
--- a/pkg/wire/convert.go
+++ b/pkg/wire/convert.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/units"
@@ -168,6 +169,14 @@
 	}
 }
 
+func fromDomainStep(s scope.DomainStep) *DomainStep {
+	return &DomainStep{Domain: string(s.Domain), Step: int32(s.Step)}
+}
+
+func toDomainStep(s *DomainStep) scope.DomainStep {
+	return scope.DomainStep{Domain: units.Domain(s.Domain), Step: scope.Step(s.Step)}
+}
+
 // entryParts are the services and rows of a list of entries, side by side.
 type entryParts struct {
 	services []*Service
@@ -177,7 +186,9 @@
 func fromEntries(entries []*table.Entry) entryParts {
 	var parts entryParts
 	for _, e := range entries {
-		parts.services = append(parts.services, FromService(&e.Service, e.Version))
+		service := FromService(&e.Service, e.Version)
+		service.Division = mapSlice(e.Division, fromDomainStep)
+		parts.services = append(parts.services, service)
 		for r := range e.Rows.All() {
 			parts.rows = append(parts.rows, FromRow(r))
 		}
@@ -189,7 +200,7 @@
 	byName := make(map[string]*table.Entry, len(p.services))
 	entries := make([]*table.Entry, 0, len(p.services))
 	for _, s := range p.services {
-		e := &table.Entry{Service: *ToService(s), Version: units.Version(s.Version)}
+		e := &table.Entry{Service: *ToService(s), Version: units.Version(s.Version), Division: mapSlice(s.Division, toDomainStep)}
 		byName[s.Name] = e
 		entries = append(entries, e)
 	}
