Quotas of workspaces, over all boxes together

Cause: rate and burst of a workspace were read and bound nothing.

A call takes one credit, whatever its sends; calls beyond the quota get 429, not run, at once.

--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -58,6 +58,7 @@
 			DeadlineHeader:  "X-Deadline-Ms",
 			IdentityHeader:  "X-Expected-Target",
 			KeyHeader:       "X-Api-Key",
+			QuotaSlack:      routing.DefaultQuotaSlack,
 			WorkspaceHeader: "X-Workspace",
 			HangUpCheck:     Duration(20 * time.Millisecond),
 		},
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -169,6 +169,7 @@
 	KeyHeader       string              `json:"keyHeader" validate:"required" doc:"The header by which callers present the key of a workspace. Targets never get it."`
 	WorkspaceHeader string              `json:"workspaceHeader" validate:"required,nefield=KeyHeader" doc:"The header that tells a target which workspace calls. A caller's own is taken out."`
 	KeyDoubt        Duration            `json:"keyDoubt" validate:"min=0s,max=24h" doc:"How long a box that is out of touch with the control replicas lets calls in by their keys, some of which may have been taken away meanwhile. After it, calls that need a key are refused. 0s lets them in for as long as the box serves."`
+	QuotaSlack      int                 `json:"quotaSlack" validate:"min=16,max=1000000" doc:"How many calls beyond its rate and burst a workspace may run at a time, all boxes together. What boxes hand out ahead comes out of it. It must be the same on all boxes."`
 	CallIDHeader    string              `json:"callIdHeader" doc:"The header by which callers name a call, and that targets give back; an answer with another name isn't the call's. Empty compares nothing."`
 	IdentityHeader  string              `json:"identityHeader" doc:"The header that tells a registered target which one is meant; another one at its address answers 421 and doesn't run the call. Empty sends none."`
 	TargetHeader    string              `json:"targetHeader" doc:"The header in which a registered target names itself in the answer to a probe. Empty compares nothing."`
--- a/pkg/core/limit/limit.go
+++ b/pkg/core/limit/limit.go
@@ -1,13 +1,9 @@
-// Package limit is about limits that targets name while they run: how many calls a second one takes
-// from all boxes together. It keeps what was last said of such a limit, and the account of the one
-// box, the target's coordinator, that permits calls to it. It is pure: time comes in as instants.
+// Package limit is about rates that hold for all boxes together. It keeps what was last said of the
+// limits that targets name while they run, and the account of a box that permits calls up to a rate: a
+// target's coordinator, or a holder of a workspace's quota. It is pure: time comes in as instants.
 package limit
 
-import (
-	"time"
-
-	"github.com/madderpond/madderpond/pkg/units"
-)
+import "github.com/madderpond/madderpond/pkg/units"
 
 const (
 	// LeastRate stands in for limits below it: a target that takes no calls at all gets one now
@@ -51,78 +47,3 @@
 func (w Word) Replaces(o Word) bool {
 	return w.Version > o.Version || w.Version == o.Version && w.Tighter(o)
 }
-
-const (
-	// saveUp is for how long what the limit allows is saved up while nobody asks for it, so that
-	// calls which come in clusters find some.
-	saveUp = 500 * time.Millisecond
-	// leastWait keeps whoever waits from asking again before the clock has moved.
-	leastWait = time.Millisecond
-	// leastBurst lets a call be permitted at any rate.
-	leastBurst = 1
-)
-
-// Account is what a coordinator may still permit. What its box learns of other coordinators
-// decides from when on it may do so.
-type Account struct {
-	rate   units.CallRate
-	tokens float64
-	at     units.Instant
-	from   units.Instant
-}
-
-// NewAccount begins an account that permits nothing before an instant.
-func NewAccount(rate units.CallRate, now, from units.Instant) *Account {
-	return &Account{rate: max(rate, LeastRate), at: now, from: from}
-}
-
-// SetRate takes another limit from now on.
-func (a *Account) SetRate(now units.Instant, rate units.CallRate) {
-	a.refill(now)
-	a.rate = max(rate, LeastRate)
-	a.tokens = min(a.tokens, a.burst())
-}
-
-// SetFrom has the account permit nothing before an instant.
-func (a *Account) SetFrom(now, from units.Instant) {
-	a.refill(now)
-	a.from = from
-}
-
-// Permit permits up to n calls, and returns how many.
-func (a *Account) Permit(now units.Instant, n int) int {
-	a.refill(now)
-	if now < a.from {
-		return 0
-	}
-	n = max(0, min(n, int(a.tokens)))
-	a.tokens -= float64(n)
-	return n
-}
-
-// Return takes permits back that weren't used.
-func (a *Account) Return(now units.Instant, n int) {
-	a.refill(now)
-	a.tokens = min(a.burst(), a.tokens+float64(max(0, n)))
-}
-
-// Wait is how long it takes until a call may be permitted: at least leastWait where that isn't now.
-func (a *Account) Wait(now units.Instant) time.Duration {
-	a.refill(now)
-	wait := max(0, a.from.Sub(now))
-	if a.tokens >= leastBurst {
-		return wait
-	}
-	missing := (leastBurst - a.tokens) / float64(a.rate)
-	return max(leastWait, wait+time.Duration(missing*float64(time.Second)))
-}
-
-func (a *Account) burst() float64 { return leastBurst + float64(a.rate)*saveUp.Seconds() }
-
-func (a *Account) refill(now units.Instant) {
-	since := max(a.at, a.from)
-	a.at = max(a.at, now)
-	if now > since {
-		a.tokens = min(a.burst(), a.tokens+now.Sub(since).Seconds()*float64(a.rate))
-	}
-}
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -44,6 +44,14 @@
 		return
 	}
 	c.bind(v.Host, v.Path)
+	c.asked = v.Deadline
+	if !r.waitsForCredit(id, c, e) {
+		r.admitBound(id, c, e)
+	}
+}
+
+// admitBound decides what becomes of a call that is let in.
+func (r *Router) admitBound(id CallID, c *call, e *Effects) {
 	s := r.pickService(c)
 	if s == nil {
 		r.refuse(id, c, Refusal{Reason: NoTarget, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
@@ -52,11 +60,11 @@
 	c.service = s
 	s.calls++
 	s.earnExtras()
-	c.deadline = c.arrived.Add(c.route.deadlineOf(v.Deadline, r.settings.MaxDeadline))
+	c.deadline = c.arrived.Add(c.route.deadlineOf(c.asked, r.settings.MaxDeadline))
 	if !s.isBusy(r.now) {
-		c.route.asked.learn(v.Deadline)
+		c.route.asked.learn(c.asked)
 	}
-	if r.comesTooLate(c, v.Deadline) {
+	if r.comesTooLate(c, c.asked) {
 		r.refuse(id, c, Refusal{Reason: TooLate, Outcome: NotRun, RetryAfter: r.busyRetryAfter(s)}, e)
 		return
 	}
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -80,6 +80,12 @@
 	identity crash.Identity
 	// workspace is the one whose key let the call in; nil for none.
 	workspace *table.Workspace
+	// asked is the deadline that the caller asked for; zero for none.
+	asked time.Duration
+	// waitsCredit is set while the call waits for a credit of its workspace; creditUntil is until when
+	// the credit that it took would have held, zero for none.
+	waitsCredit bool
+	creditUntil units.Instant
 	// service is the one of the route's services that the call goes to.
 	service  *service
 	arrived  units.Instant
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -258,6 +258,8 @@
 	SendPeer
 	// SendLimit sends Limit to the box Peer.
 	SendLimit
+	// SendQuota sends Quota to the box Peer.
+	SendQuota
 	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
 	// it is for the log.
 	ExposureTurned
@@ -304,6 +306,7 @@
 	Peer     units.BoxID
 	Loan     LoanMessage
 	Limit    *LimitMessage
+	Quota    *QuotaMessage
 	Turn     *ExposureTurn
 	Crash    *crash.Note
 	Verdict  *crash.Verdict
--- /dev/null
+++ b/pkg/core/routing/quotas.go
@@ -0,0 +1,496 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/limit"
+	"github.com/madderpond/madderpond/pkg/core/quota"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A credit lets in one call of a workspace whose rate is limited. A box asks the workspace's holders for
+// as many as its calls need, one holder after the other while they have none left, and refuses at once
+// what nobody has a credit for.
+
+const (
+	// creditTerm is how long a box may keep a credit that it has no use for: runs come that much later
+	// than the holder counted them.
+	creditTerm = 300 * time.Millisecond
+	// creditAskTerm is after what time an unanswered request counts as lost; creditWait is how long a
+	// call waits for credits at all. A holder answers within a few milliseconds.
+	creditAskTerm = 100 * time.Millisecond
+	creditWait    = 350 * time.Millisecond
+	// silentHolder is for how long a holder that didn't answer isn't asked again.
+	silentHolder = 500 * time.Millisecond
+	// creditsAhead is for how much of a box's own calls it asks ahead, mostCredits how many credits a
+	// request asks for at the most.
+	creditsAhead = 200 * time.Millisecond
+	mostCredits  = 64
+	// maxCreditWaiting bounds the calls of a workspace that wait for credits at a box.
+	maxCreditWaiting = 1024
+	// quotaRateMemory is over what time a box estimates how many calls a workspace sends it.
+	quotaRateMemory = 2 * time.Second
+	// leastQuotaRetry and mostQuotaRetry bound when a caller without a credit may come back.
+	leastQuotaRetry = 200 * time.Millisecond
+	mostQuotaRetry  = 5 * time.Second
+)
+
+// QuotaKind says what a message on a quota is about.
+type QuotaKind uint8
+
+// The kinds of message.
+const (
+	// AskCredits asks for up to Count credits.
+	AskCredits QuotaKind = iota + 1
+	// GrantCredits gives Count credits, and says when the next is there.
+	GrantCredits
+	// ReturnCredits gives Count credits back that weren't used.
+	ReturnCredits
+)
+
+// QuotaMessage is a message between a box and a holder of a workspace's quota.
+type QuotaMessage struct {
+	Kind      QuotaKind
+	Workspace units.WorkspaceName
+	// Nonce ties a grant to the request that it answers.
+	Nonce uint64
+	Count int
+	// Again is how long after a grant the next credit is there.
+	Again time.Duration
+}
+
+// PeerQuota is a QuotaMessage of another box.
+type PeerQuota struct {
+	From    units.BoxID
+	Message QuotaMessage
+}
+
+func (*PeerQuota) routingEvent() {}
+
+// quotaBook is what a box knows of quotas.
+type quotaBook struct {
+	uses map[units.WorkspaceName]*quotaUse
+	// order lists uses by name.
+	order []*quotaUse
+	seats map[quota.Group]*quotaSeats
+	nonce uint64
+	// sweepAt is when time alone may next bring something about.
+	sweepAt units.Instant
+	// document and listed are those that the book was last reviewed for.
+	document units.DocumentVersion
+	listed   int
+}
+
+// quotaUse is what a box knows of the quota of one workspace.
+type quotaUse struct {
+	name  units.WorkspaceName
+	rate  units.CallRate
+	burst float64
+	group quota.Group
+	// credits are those on hand, by when they end.
+	credits []units.Instant
+	waiting []creditCall
+	asks    []creditAsk
+	// closed says until when holders have nothing to give, or don't answer.
+	closed map[units.BoxID]units.Instant
+	// came counts the calls that come here.
+	came eventRate
+	// account is this box's part, where it is a holder; disappointed counts the requests that it didn't
+	// give all to.
+	account      *limit.Account
+	disappointed eventRate
+	status       QuotaStatus
+}
+
+// creditCall is a call that waits for a credit.
+type creditCall struct {
+	id    CallID
+	since units.Instant
+}
+
+// creditAsk is a request for credits that is under way.
+type creditAsk struct {
+	nonce  uint64
+	holder units.BoxID
+	count  int
+	at     units.Instant
+}
+
+// QuotaStatus is what the dump shows of a workspace's quota at a box.
+type QuotaStatus struct {
+	Workspace units.WorkspaceName `json:"workspace"`
+	// Admitted and Refused count the box's own calls, Granted the credits that it gave as a holder.
+	Admitted uint64 `json:"admitted"`
+	Refused  uint64 `json:"refused"`
+	Granted  uint64 `json:"granted,omitempty"`
+}
+
+func newQuotaBook() quotaBook {
+	return quotaBook{uses: map[units.WorkspaceName]*quotaUse{}, seats: map[quota.Group]*quotaSeats{}}
+}
+
+// any tells whether a workspace's rate is limited.
+func (b *quotaBook) any() bool { return len(b.order) > 0 }
+
+// reviewQuotas takes the limits and the list of boxes that are in force.
+func (r *Router) reviewQuotas(e *Effects) {
+	b := &r.quotas
+	if b.document == r.table.Document && b.listed == r.boxLists {
+		return
+	}
+	limitsChanged := b.document != r.table.Document
+	b.document, b.listed = r.table.Document, r.boxLists
+	if limitsChanged {
+		r.takeQuotas(e)
+	}
+	if b.any() {
+		r.reviewSeats()
+		r.askAllCredits(e)
+	}
+}
+
+// takeQuotas takes the limits of the table's workspaces.
+func (r *Router) takeQuotas(e *Effects) {
+	b := &r.quotas
+	kept := map[units.WorkspaceName]*quotaUse{}
+	b.order = b.order[:0]
+	for i := range r.table.Workspaces {
+		w := &r.table.Workspaces[i]
+		if w.Rate <= 0 {
+			continue
+		}
+		u := b.uses[w.Name]
+		if u == nil {
+			u = &quotaUse{
+				name: w.Name, group: quota.GroupOf(w.Name), closed: map[units.BoxID]units.Instant{}, status: QuotaStatus{Workspace: w.Name},
+			}
+		}
+		u.rate, u.burst = w.Rate, w.Burst
+		kept[w.Name] = u
+		b.order = append(b.order, u)
+	}
+	for name, u := range b.uses {
+		if kept[name] == nil {
+			r.releaseWaiting(u, e)
+		}
+	}
+	b.uses = kept
+}
+
+// releaseWaiting lets calls go on that wait for credits of a workspace whose rate is no longer limited.
+func (r *Router) releaseWaiting(u *quotaUse, e *Effects) {
+	for _, w := range u.waiting {
+		if c := r.creditWaiter(w); c != nil {
+			c.waitsCredit = false
+			r.admitBound(w.id, c, e)
+		}
+	}
+	u.waiting = nil
+}
+
+// creditWaiter returns the call of an entry of the queue, or nil where it has ended.
+func (r *Router) creditWaiter(w creditCall) *call {
+	if c := r.calls.Get(w.id); c != nil && c.waitsCredit {
+		return c
+	}
+	return nil
+}
+
+// waitsForCredit takes a credit for a call, or has it wait for one, or refuses it; false means that the call may
+// go on.
+func (r *Router) waitsForCredit(id CallID, c *call, e *Effects) bool {
+	if c.workspace == nil || c.workspace.Rate <= 0 {
+		return false
+	}
+	u := r.quotas.uses[c.workspace.Name]
+	if u == nil {
+		return false
+	}
+	u.came.note(r.now)
+	if r.takeCredit(u, c) {
+		return false
+	}
+	if len(u.waiting) >= maxCreditWaiting {
+		r.refuseCredit(u, id, c, e)
+		return true
+	}
+	c.waitsCredit = true
+	u.waiting = append(u.waiting, creditCall{id: id, since: r.now})
+	first := len(e.List)
+	r.askCredits(u, e)
+	if r.creditWaiter(creditCall{id: id}) != nil {
+		// The caller's goroutine needs the call's id before anything else happens to it.
+		e.List = slices.Insert(e.List, first, Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: r.now.Add(creditWait)})
+	}
+	return true
+}
+
+// eventRate estimates how many events there are a second, over the last quotaRateMemory.
+type eventRate struct {
+	value float64
+	at    units.Instant
+}
+
+func (x *eventRate) note(now units.Instant) {
+	x.value = x.perSecond(now) + 1/quotaRateMemory.Seconds()
+	x.at = now
+}
+
+func (x *eventRate) perSecond(now units.Instant) float64 {
+	return x.value * max(0, 1-float64(now.Sub(x.at))/float64(quotaRateMemory))
+}
+
+// takeCredit uses a credit on hand for a call, or one of the box's own account.
+func (r *Router) takeCredit(u *quotaUse, c *call) bool {
+	u.dropEnded(r.now)
+	switch {
+	case len(u.credits) > 0:
+		c.creditUntil = u.credits[0]
+		u.credits = slices.Delete(u.credits, 0, 1)
+	case len(u.waiting) == 0 && u.account != nil && r.mayGrant() && u.account.Permit(r.now, 1) == 1:
+		c.creditUntil = r.now.Add(creditTerm)
+	default:
+		return false
+	}
+	u.status.Admitted++
+	return true
+}
+
+// dropEnded drops the credits that have ended, and returns how many there were.
+func (u *quotaUse) dropEnded(now units.Instant) int {
+	n := 0
+	for n < len(u.credits) && u.credits[n] <= now {
+		n++
+	}
+	u.credits = slices.Delete(u.credits, 0, n)
+	return n
+}
+
+// unuseCredit gives back the credit of a call that ends without having been sent.
+func (r *Router) unuseCredit(c *call) {
+	if c.creditUntil == 0 || c.sends > 0 || c.workspace == nil {
+		return
+	}
+	u := r.quotas.uses[c.workspace.Name]
+	if u == nil {
+		return
+	}
+	u.status.Admitted--
+	if c.creditUntil > r.now {
+		i, _ := slices.BinarySearch(u.credits, c.creditUntil)
+		u.credits = slices.Insert(u.credits, i, c.creditUntil)
+	}
+	c.creditUntil = 0
+}
+
+// askAllCredits asks for whatever waits, of holders that may be others now.
+func (r *Router) askAllCredits(e *Effects) {
+	for _, u := range r.quotas.order {
+		if len(u.waiting) > 0 {
+			r.askCredits(u, e)
+		}
+	}
+}
+
+// askCredits asks holders for what the calls that wait need, and refuses those that no holder is left for.
+func (r *Router) askCredits(u *quotaUse, e *Effects) {
+	for {
+		r.serveCredits(u, e)
+		need := len(u.waiting)
+		for _, a := range u.asks {
+			need -= a.count
+		}
+		if need <= 0 {
+			return
+		}
+		holder := r.nextHolder(u)
+		if holder == "" {
+			r.refuseLast(u, need, e)
+			return
+		}
+		count := min(mostCredits, need+int(u.came.perSecond(r.now)*creditsAhead.Seconds()))
+		if holder == r.settings.Box {
+			r.takeOwnCredits(u, count)
+			continue
+		}
+		r.quotas.nonce++
+		u.asks = append(u.asks, creditAsk{nonce: r.quotas.nonce, holder: holder, count: count, at: r.now})
+		r.sweepQuotasBy(r.now.Add(creditAskTerm))
+		e.add(Effect{Kind: SendQuota, Peer: holder, Quota: &QuotaMessage{
+			Kind: AskCredits, Workspace: u.name, Nonce: r.quotas.nonce, Count: count,
+		}})
+	}
+}
+
+// nextHolder returns the next holder to ask; empty for none.
+func (r *Router) nextHolder(u *quotaUse) units.BoxID {
+	for _, h := range r.seatsOf(u.group).order {
+		asked := slices.ContainsFunc(u.asks, func(a creditAsk) bool { return a.holder == h })
+		if !asked && r.now >= u.closed[h] {
+			return h
+		}
+	}
+	return ""
+}
+
+// takeOwnCredits takes credits of this box's own account.
+func (r *Router) takeOwnCredits(u *quotaUse, count int) {
+	n, again := r.permitCredits(u, count)
+	u.add(n, r.now.Add(creditTerm))
+	if n < count {
+		u.closed[r.settings.Box] = r.now.Add(again)
+	}
+}
+
+func (u *quotaUse) add(n int, until units.Instant) {
+	u.credits = append(u.credits, slices.Repeat([]units.Instant{until}, n)...)
+}
+
+// serveCredits lets in the calls that wait, the first first, as far as there are credits.
+func (r *Router) serveCredits(u *quotaUse, e *Effects) {
+	for len(u.waiting) > 0 {
+		c := r.creditWaiter(u.waiting[0])
+		if c == nil {
+			u.waiting = u.waiting[1:]
+			continue
+		}
+		if u.dropEnded(r.now); len(u.credits) == 0 {
+			return
+		}
+		id := u.waiting[0].id
+		u.waiting = u.waiting[1:]
+		r.takeCredit(u, c)
+		c.waitsCredit = false
+		r.admitBound(id, c, e)
+	}
+}
+
+// refuseLast refuses the calls that came last, for which no holder is left to ask.
+func (r *Router) refuseLast(u *quotaUse, n int, e *Effects) {
+	first := max(0, len(u.waiting)-n)
+	last := slices.Clone(u.waiting[first:])
+	u.waiting = u.waiting[:first]
+	for _, w := range last {
+		if c := r.creditWaiter(w); c != nil {
+			r.refuseCredit(u, w.id, c, e)
+		}
+	}
+}
+
+func (r *Router) refuseCredit(u *quotaUse, id CallID, c *call, e *Effects) {
+	c.waitsCredit = false
+	u.status.Refused++
+	r.refuse(id, c, Refusal{Reason: QuotaSpent, Outcome: NotRun, RetryAfter: r.quotaRetry(u)}, e)
+}
+
+// quotaRetry is when a caller without a credit may come back: when the first holder has one again. The
+// more calls are refused of those that come, the more callers wait for it, so that they are spread over
+// longer.
+func (r *Router) quotaRetry(u *quotaUse) time.Duration {
+	after := mostQuotaRetry
+	for _, until := range u.closed {
+		after = min(after, until.Sub(r.now))
+	}
+	after = max(after, leastQuotaRetry)
+	total := u.status.Admitted + u.status.Refused
+	spread := float64(u.status.Refused) / float64(max(1, total))
+	after += time.Duration(spread * r.random.Float64() * float64(mostQuotaRetry))
+	return min(after, mostQuotaRetry).Round(time.Millisecond)
+}
+
+// takeCredits takes a holder's answer. What comes too late goes back.
+func (r *Router) takeCredits(from units.BoxID, m *QuotaMessage, e *Effects) {
+	u := r.quotas.uses[m.Workspace]
+	i := -1
+	if u != nil {
+		i = slices.IndexFunc(u.asks, func(a creditAsk) bool { return a.nonce == m.Nonce && a.holder == from })
+	}
+	if i < 0 {
+		if m.Count > 0 {
+			e.add(Effect{Kind: SendQuota, Peer: from, Quota: &QuotaMessage{Kind: ReturnCredits, Workspace: m.Workspace, Count: m.Count}})
+		}
+		return
+	}
+	ask := u.asks[i]
+	u.asks = slices.Delete(u.asks, i, i+1)
+	delete(u.closed, from)
+	if m.Count < ask.count {
+		u.closed[from] = r.now.Add(min(m.Again, mostQuotaRetry))
+	}
+	u.add(min(m.Count, ask.count), r.now.Add(creditTerm))
+	r.askCredits(u, e)
+}
+
+// sweepQuotas does what time alone brings about: requests are lost, credits end, calls have waited long
+// enough.
+func (r *Router) sweepQuotas(e *Effects) {
+	b := &r.quotas
+	if r.now < b.sweepAt {
+		return
+	}
+	b.sweepAt = r.now.Add(calmSweepPeriod)
+	if r.seatsDue() {
+		r.reviewSeats()
+	}
+	for _, u := range b.order {
+		if len(u.asks)+len(u.waiting)+len(u.credits) == 0 {
+			continue
+		}
+		u.asks = slices.DeleteFunc(u.asks, func(a creditAsk) bool {
+			lost := r.now.Sub(a.at) >= creditAskTerm
+			if lost {
+				u.closed[a.holder] = r.now.Add(silentHolder)
+			}
+			return lost
+		})
+		u.dropEnded(r.now)
+		r.refuseWaitedOut(u, e)
+		r.askCredits(u, e)
+		if len(u.asks) > 0 {
+			r.sweepQuotasBy(r.now.Add(sweepPeriod))
+		}
+	}
+}
+
+// refuseWaitedOut refuses the calls that have waited for as long as they may.
+func (r *Router) refuseWaitedOut(u *quotaUse, e *Effects) {
+	for len(u.waiting) > 0 && r.now.Sub(u.waiting[0].since) >= creditWait {
+		w := u.waiting[0]
+		u.waiting = u.waiting[1:]
+		if c := r.creditWaiter(w); c != nil {
+			r.refuseCredit(u, w.id, c, e)
+		}
+	}
+}
+
+// sweepQuotasBy has quotas looked at by a time at the latest.
+func (r *Router) sweepQuotasBy(at units.Instant) {
+	r.quotas.sweepAt = min(r.quotas.sweepAt, at)
+	r.sweepAt = min(r.sweepAt, at)
+}
+
+// receiveQuota takes a message of another box.
+func (r *Router) receiveQuota(from units.BoxID, m *QuotaMessage, e *Effects) {
+	switch m.Kind {
+	case AskCredits:
+		r.meetCreditAsk(from, m, e)
+	case GrantCredits:
+		r.takeCredits(from, m, e)
+	case ReturnCredits:
+		if u := r.quotas.uses[m.Workspace]; u != nil && u.account != nil {
+			u.account.Return(r.now, min(m.Count, mostCredits))
+		}
+	}
+}
+
+// quotaStatuses are what the dump shows, for the workspaces whose calls came here or that this box holds.
+func (r *Router) quotaStatuses() []QuotaStatus {
+	var list []QuotaStatus
+	for _, u := range r.quotas.order {
+		if s := u.status; s.Admitted+s.Refused+s.Granted > 0 {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -53,6 +53,7 @@
 	TargetsLimited
 	UnknownKey
 	KeysInDoubt
+	QuotaSpent
 	reasonCount
 )
 
@@ -88,6 +89,7 @@
 	TargetsLimited: {"targets-limited", 503, "come back after the time given; all targets of this service name limits, and others' calls use up what they allow"},
 	UnknownKey:     {"unknown-key", 401, "send one API key of a workspace, in the documented header"},
 	KeysInDoubt:    {"keys-in-doubt", 503, "try another box; this one has lost touch with the control replicas and can't know which keys hold"},
+	QuotaSpent:     {"quota-spent", 429, "come back after the time given; the workspace's calls use up what it may send"},
 	CallerLeft:     {"caller-gone", 499, "nothing; the caller hung up"},
 }
 
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/container"
+	"github.com/madderpond/madderpond/pkg/core/quota"
 	"github.com/madderpond/madderpond/pkg/core/rollout"
 	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -36,6 +37,8 @@
 	// LinkRate is how fast the box's link is, in bytes a second; zero means that it isn't
 	// limited.
 	LinkRate float64
+	// QuotaSlack is how many calls beyond its rate and burst a workspace may run at a time.
+	QuotaSlack int
 	// KeyDoubt is how long after it last knew its table to be in force the box lets calls in by
 	// their keys; zero means for ever.
 	KeyDoubt time.Duration
@@ -49,6 +52,7 @@
 	DefaultProbeCost   = 5 * time.Millisecond
 	DefaultColdDoubt   = 2 * time.Second
 	DefaultMaxDeadline = 5 * time.Minute
+	DefaultQuotaSlack  = 2 * quota.Seats
 )
 
 // Router is the state of a box's routing.
@@ -127,6 +131,7 @@
 	crashes     crashBook
 	notices     noticeBook
 	permits     PermitStatus
+	quotas      quotaBook
 	// declined are the services for which a coordinator had no permit during this event.
 	declined []*service
 }
@@ -170,6 +175,7 @@
 		sweepAt:     now,
 		crashes:     newCrashBook(),
 		notices:     noticeBook{},
+		quotas:      newQuotaBook(),
 	}, nil
 }
 
@@ -197,6 +203,7 @@
 		r.stopsAt = v.Until
 		r.stopsTaking = r.now.Add(v.Until.Sub(r.now) / 2)
 	case *LeaseChanged:
+		r.renewSeats()
 		r.leaseUntil, r.leasedAt = v.Until, v.At
 	case *ExposuresChanged:
 		r.takeExposures(v.Exposures, e)
@@ -208,6 +215,8 @@
 		r.receiveLoan(v.From, v.Message, e)
 	case *PeerLimit:
 		r.receiveLimit(v.From, v.Message, e)
+	case *PeerQuota:
+		r.receiveQuota(v.From, &v.Message, e)
 	}
 	r.admitEarly(e)
 	r.settleDeclined(e)
@@ -244,6 +253,10 @@
 	r.sweepLoans(e)
 	r.ageQuarantines(e)
 	r.ageNotices()
+	if r.quotas.any() {
+		r.sweepQuotas(e)
+		r.sweepAt = min(r.sweepAt, r.quotas.sweepAt)
+	}
 	if r.loans.any() {
 		r.sweepAt = min(r.sweepAt, r.now.Add(sweepPeriod))
 	}
@@ -330,6 +343,7 @@
 			r.cancel(id, c, a, e)
 		}
 	}
+	r.unuseCredit(c)
 	c.reset()
 	r.calls.Release(id)
 }
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -58,6 +58,7 @@
 	"limit":     (*script).peerLimit,
 
 	"key-doubt": (*script).keyDoubt,
+	"quota":     (*script).quota,
 }
 
 func TestScripts(t *testing.T) {
@@ -161,6 +162,8 @@
 		return s.describeNotice(x)
 	case SendPeer:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
+	case SendQuota:
+		return fmt.Sprintf("tell %s: %s", x.Peer, describeQuota(x.Quota))
 	case SendLimit:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLimit(x.Limit))
 	}
@@ -193,7 +196,7 @@
 // [DOMAIN] [leaving] [silent] [cold=TIME] [software=V]", "in-force SERVICE V", "rollout SERVICE
 // FROM TO STAGE ORDER SINCE SHARE [TARGET,TARGET...]", "evacuated DOMAIN", "restored DOMAIN REVISION" and
 // "route NAME COLUMN=VALUE...", with commas in place of spaces; "keys" where calls need one, and
-// "workspace NAME [priority=N] KEY...".
+// "workspace NAME [priority=N] [rate=N] KEY...", with a burst of a second.
 func (s *script) setTable(d *datadriven.TestData) {
 	next := table.NewTable()
 	next.Revision = s.table.Revision + 1
@@ -289,6 +292,14 @@
 func (s *script) addWorkspace(t *table.Table, words []string) {
 	w := table.Workspace{Name: units.WorkspaceName(words[0])}
 	for _, word := range words[1:] {
+		if rate, limits := strings.CutPrefix(word, "rate="); limits {
+			n, err := strconv.ParseFloat(rate, 64)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			w.Rate, w.Burst = units.CallRate(n), n
+			continue
+		}
 		priority, ranks := strings.CutPrefix(word, "priority=")
 		if !ranks {
 			w.Keys = append(w.Keys, apikey.DigestOf([]byte(word)))
@@ -545,3 +556,35 @@
 	sort.Strings(lines)
 	return strings.Join(lines, "\n") + "\n"
 }
+
+var quotaWords = map[QuotaKind]string{AskCredits: "ask", GrantCredits: "grant", ReturnCredits: "return"}
+
+func describeQuota(m *QuotaMessage) string {
+	text := fmt.Sprintf("%s %d credits of %s", quotaWords[m.Kind], m.Count, m.Workspace)
+	if m.Again > 0 {
+		text += fmt.Sprintf(", again after %s", m.Again)
+	}
+	return text
+}
+
+// quota BOX kind=ask|grant|return workspace=W count=N [again=D] gives a message of another box; a grant answers the
+// last request to it.
+func (s *script) quota(d *datadriven.TestData) {
+	from := units.BoxID(d.CmdArgs[0].Key)
+	var count int
+	d.ScanArgs(s.t, "count", &count)
+	m := QuotaMessage{Workspace: units.WorkspaceName(s.word(d, "workspace")), Count: count, Again: s.duration(d, "again")}
+	for kind, word := range quotaWords {
+		if word == s.word(d, "kind") {
+			m.Kind = kind
+		}
+	}
+	if u := s.router.quotas.uses[m.Workspace]; u != nil && m.Kind == GrantCredits {
+		for _, a := range u.asks {
+			if a.holder == from {
+				m.Nonce = a.nonce
+			}
+		}
+	}
+	s.give(&PeerQuota{From: from, Message: m})
+}
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -26,6 +26,8 @@
 	// Permits are for targets that name limits.
 	Permits PermitStatus  `json:"permits"`
 	Inbound InboundStatus `json:"inbound"`
+	// Quotas are of the workspaces whose calls came here, or whose credits this box gave.
+	Quotas []QuotaStatus `json:"quotas,omitempty"`
 }
 
 // InboundStatus is what a box knows of the large answers on their way to it.
@@ -155,7 +157,7 @@
 		Revision: r.table.Revision, LeaseLeft: r.leaseUntil.Sub(now), Boxes: r.rank.count,
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
 		Evacuated: r.table.EvacuatedDomains(), Region: r.settings.Regions[r.settings.Domain], Restricted: r.restrictedRoutes(),
-		Inbound: r.inboundStatus(now), Permits: r.permits,
+		Inbound: r.inboundStatus(now), Permits: r.permits, Quotas: r.quotaStatuses(),
 		Loans: LoanStatus{
 			Asked: r.loans.askedTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -45,6 +45,7 @@
 	if boxesChanged {
 		r.reviewCoordination(e)
 	}
+	r.reviewQuotas(e)
 	for _, s := range r.changed {
 		r.settleCalls(s, e)
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -117,6 +117,7 @@
 		MaxDeadline: s.Entry.MaxDeadline.Std(),
 		LinkRate:    float64(pacing.FromMegabits(s.Entry.LinkMbps)),
 		KeyDoubt:    s.Entry.KeyDoubt.Std(),
+		QuotaSlack:  s.Entry.QuotaSlack,
 		Disable:     s.Entry.Disable,
 	}, c.Clock.Now())
 }
@@ -235,6 +236,8 @@
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Loan{Loan: wire.FromLoan(x.Loan)}})
 	case routing.SendLimit:
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Limit{Limit: wire.FromLimit(x.Limit)}})
+	case routing.SendQuota:
+		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Quota{Quota: wire.FromQuota(x.Quota)}})
 	case routing.RegionUnknown:
 		e.logUnknownRegion(&x)
 	}
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -99,6 +99,8 @@
 		e.reduce(&routing.PeerMessage{From: from, Message: wire.ToLoan(m.GetLoan())})
 	case m.GetLimit() != nil:
 		e.reduce(&routing.PeerLimit{From: from, Message: wire.ToLimit(m.GetLimit())})
+	case m.GetQuota() != nil:
+		e.reduce(&routing.PeerQuota{From: from, Message: wire.ToQuota(m.GetQuota())})
 	default:
 		return false
 	}
--- /dev/null
+++ b/pkg/wire/convert_quota.go
@@ -0,0 +1,21 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// FromQuota converts a message between boxes.
+func FromQuota(m *routing.QuotaMessage) *Quota {
+	return &Quota{Kind: int32(m.Kind), Workspace: string(m.Workspace), Nonce: m.Nonce, Count: int32(m.Count), Again: int64(m.Again)}
+}
+
+// ToQuota converts a message between boxes back.
+func ToQuota(m *Quota) routing.QuotaMessage {
+	return routing.QuotaMessage{
+		Kind: routing.QuotaKind(m.Kind), Workspace: units.WorkspaceName(m.Workspace), Nonce: m.Nonce, Count: max(0, int(m.Count)),
+		Again: max(0, time.Duration(m.Again)),
+	}
+}
--- /dev/null
+++ b/pkg/wire/convert_quota_test.go
@@ -0,0 +1,24 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+)
+
+func TestQuotaMessagesComeAsTheyWereSent(t *testing.T) {
+	m := routing.QuotaMessage{Kind: routing.GrantCredits, Workspace: "w", Nonce: 7, Count: 3, Again: time.Second}
+	if d := cmp.Diff(m, ToQuota(FromQuota(&m))); d != "" {
+		t.Error(d)
+	}
+}
+
+// Another box's message can't make a count negative.
+func TestQuotaMessagesThatMakeNoSense(t *testing.T) {
+	if m := ToQuota(&Quota{Count: -5, Again: -1}); m.Count != 0 || m.Again != 0 {
+		t.Errorf("read as %+v", m)
+	}
+}
