Boxes attach to a replica of their failure domain

Change: grants name the failure domains of the replicas at work; a box moves to its home, the first of its own domain's by a hash, of all where its domain has none, 0.5 to 2 s after it has learnt of it and with a lease in hand. A home that can't be reached is dialled each 10 s. Replicas tell their domain as they connect to each other. A replica with 512 commands waiting refuses more at once, with a time to come back; updates to boxes go out at most each millisecond for every box that is attached, so that their number is bounded.

Tests: home_test.go (moves, stays with its lease when the home is out of reach, spread), TestAReplicaThatCantKeepUpSaysSo.

--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -24,7 +24,11 @@
 type Tick struct{}
 
 // PeerMessage is a message from another replica.
-type PeerMessage struct{ Envelope *wire.Envelope }
+type PeerMessage struct {
+	Envelope *wire.Envelope
+	// Domain is the other replica's failure domain; empty where that isn't known.
+	Domain units.Domain
+}
 
 // DiskSynced says that all writes up to a sequence are on the disk.
 type DiskSynced struct{ Sequence replication.WriteSequence }
--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -49,14 +49,15 @@
 	r.takeCrashNotes(request)
 	m := r.envelope()
 	m.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{
-		Box:      request.Box.Id,
-		Nonce:    request.Nonce,
-		Start:    request.Start,
-		Revision: uint64(r.state.Table().Revision),
-		Duration: int64(r.settings.Lease),
-		Replicas: r.replicasUnknownTo(request), Exposures: r.exposures(),
-		Term: uint64(r.node.Term()), Noted: lastNote(request), Watched: r.watchedBy(box.ID),
+		Box:       request.Box.Id,
+		Nonce:     request.Nonce,
+		Start:     request.Start,
+		Revision:  uint64(r.state.Table().Revision),
+		Duration:  int64(r.settings.Lease),
+		Exposures: r.exposures(),
+		Term:      uint64(r.node.Term()), Noted: lastNote(request), Watched: r.watchedBy(box.ID),
 	}}
+	r.nameReplicas(request, m.GetRenewResponse())
 	send(m)
 }
 
@@ -73,13 +74,17 @@
 	return names
 }
 
-// replicasUnknownTo names the replicas at work, unless the box knows just these.
-func (r *Replica) replicasUnknownTo(request *wire.RenewRequest) []string {
+// nameReplicas has a grant name the replicas at work and their failure domains, unless the box knows just
+// these.
+func (r *Replica) nameReplicas(request *wire.RenewRequest, answer *wire.RenewResponse) {
 	names := r.liveReplicas()
-	if wire.ChecksumNames(names) == request.Replicas {
-		return nil
+	domains := make([]string, 0, len(names))
+	for _, n := range names {
+		domains = append(domains, string(r.domains[units.ReplicaID(n)]))
+	}
+	if wire.ChecksumReplicas(names, domains) != request.Replicas {
+		answer.Replicas, answer.ReplicaDomains = names, domains
 	}
-	return names
 }
 
 // leaseEnds returns when a box's lease has run out for sure.
--- a/pkg/core/control/parts_test.go
+++ b/pkg/core/control/parts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
@@ -102,3 +103,26 @@
 	}
 	t.Fatal("every box holds the target")
 }
+
+// A replica that can't keep up says so at once, and takes commands again when others are through.
+func TestAReplicaThatCantKeepUpSaysSo(t *testing.T) {
+	r := newLoneReplica(t)
+	r.give(DocumentSubmitted{Request: 1, Document: &table.Document{Version: 1, Services: []table.Service{{Name: "s", Work: table.Repeatable, Deadline: time.Second}}}})
+	var e Effects
+	for i := range maxWaitingCommands + 1 {
+		r.core.Reduce(r.now, 1, TargetReported{Request: RequestID(i + 2), Registration: partsTarget(i, 1, table.Active)}, &e)
+	}
+	last := RequestID(maxWaitingCommands + 2)
+	if len(e.Answers) != 1 || e.Answers[0].Request != last || fault.KindOf(e.Answers[0].Err) != fault.Unavailable {
+		t.Fatalf("answered at once: %+v", e.Answers)
+	}
+	e.Answers = nil
+	r.core.Reduce(r.now, 1, DiskSynced{Sequence: e.Writes[len(e.Writes)-1].Sequence}, &e)
+	if len(e.Answers) != maxWaitingCommands {
+		t.Fatalf("%d commands are answered", len(e.Answers))
+	}
+	r.core.Reduce(r.now, 1, TargetReported{Request: last + 1, Registration: partsTarget(maxWaitingCommands+1, 1, table.Active)}, &e)
+	if len(e.Answers) != maxWaitingCommands {
+		t.Fatalf("a command is refused though none waits: %v", e.Answers[len(e.Answers)-1].Err)
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -14,6 +14,8 @@
 // Settings are what a control replica needs to know.
 type Settings struct {
 	Replication replication.Settings
+	// Domain is the replica's own failure domain.
+	Domain units.Domain
 	// Lease is how long a box may go on without hearing of the leader.
 	Lease time.Duration
 	// LeaseMargin is added before a silent box's share is given to others.
@@ -58,6 +60,12 @@
 	// time goes out at once; many in a row go together, which is far less to send, and
 	// for each box to put in force.
 	pushPeriod = 40 * time.Millisecond
+	// pushPerBox makes that time longer with the boxes that are attached, so that updates take a bounded
+	// part of a replica's processor time however many there are.
+	pushPerBox = time.Millisecond
+	// maxWaitingCommands is how many commands of others may wait for a quorum at a replica. One that has
+	// as many can't keep up, and whoever comes then is better told so at once.
+	maxWaitingCommands = 512
 	// maxPast is how many tables are kept for boxes that come from other replicas with one of them. They
 	// share what didn't change.
 	maxPast = 1024
@@ -79,6 +87,8 @@
 	pushPending bool
 	pushAt      units.Instant
 	leases      leaseBook
+	// domains are the failure domains of the other replicas.
+	domains map[units.ReplicaID]units.Domain
 	// requests are those for whole tables, registered targets and reads.
 	requests requestBook
 	hearing  hearingBook
@@ -117,6 +127,7 @@
 		sessions: container.NewOrdered[ConnectionID, *session](),
 		past:     container.NewRing[*table.Table](maxPast),
 		leases:   newLeaseBook(),
+		domains:  map[units.ReplicaID]units.Domain{s.Replication.ID: s.Domain},
 		requests: newRequestBook(),
 		hearing:  newHearingBook(),
 		rollouts: newRolloutBook(),
@@ -148,6 +159,7 @@
 	case Tick:
 		r.node.Tick(r.now, &log)
 	case PeerMessage:
+		r.domains[units.ReplicaID(v.Envelope.From)] = v.Domain
 		r.receivePeer(v.Envelope, &log, e)
 	case DiskSynced:
 		r.node.Written(r.now, v.Sequence, &log)
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -138,6 +138,11 @@
 		e.Answers = append(e.Answers, Answer{Request: id, Err: errNotFormed()})
 		return
 	}
+	if r.requests.commands.Len() >= maxWaitingCommands {
+		err := fault.New(fault.Unavailable, "send it again a second later, to any replica", "this replica has %d orders and reports waiting", maxWaitingCommands)
+		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
+		return
+	}
 	r.requests.number++
 	c.Number = uint64(r.requests.number)
 	c.Origin = r.origin()
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -120,7 +120,7 @@
 		return
 	}
 	r.pushPending = false
-	r.pushAt = r.now.Add(pushPeriod)
+	r.pushAt = r.now.Add(max(pushPeriod, time.Duration(r.sessions.Len())*pushPerBox))
 	for _, c := range r.sessions.Keys() {
 		r.push(r.sessions.Get(c), false, e)
 	}
--- /dev/null
+++ b/pkg/core/control/storm_bench_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/madderpond/madderpond/pkg/core/replication"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// loneReplica is a replica that is its own quorum, with a disk that syncs at once.
+type loneReplica struct {
+	core *Replica
+	now  units.Instant
+	sent int
+	e    Effects
+}
+
+func newLoneReplica(b testing.TB) *loneReplica {
+	s := Settings{
+		Replication: replication.Settings{ID: "r", Incarnation: "i", Boot: 1, ElectionTimeout: 400 * time.Millisecond, Heartbeat: 100 * time.Millisecond},
+		Lease:       DefaultLease, LeaseMargin: DefaultLeaseMargin, EditTimeout: DefaultEditTimeout, SnapshotEvery: DefaultSnapshotEvery,
+		KeepEntries: DefaultKeepEntries, SilentAfter: time.Minute,
+	}
+	core, err := NewReplica(s, &replication.Durable{}, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &loneReplica{core: core, now: units.Instant(time.Second)}
+	r.give(FormRequested{Request: 1, Cluster: "c"})
+	for range 100 {
+		r.now = r.now.Add(20 * time.Millisecond)
+		r.give(Tick{})
+	}
+	if !core.node.IsLeader() {
+		b.Fatal("the replica doesn't lead")
+	}
+	return r
+}
+
+// give gives the replica an event and syncs what it writes.
+func (r *loneReplica) give(event Event) {
+	r.core.Reduce(r.now, 1, event, &r.e)
+	for len(r.e.Writes) > 0 {
+		last := r.e.Writes[len(r.e.Writes)-1].Sequence
+		r.count()
+		r.core.Reduce(r.now, 1, DiskSynced{Sequence: last}, &r.e)
+	}
+	r.count()
+}
+
+// count counts the bytes for boxes, which are encoded as for a connection.
+func (r *loneReplica) count() {
+	for _, s := range r.e.BoxSends {
+		data, err := proto.Marshal(s.Envelope)
+		if err == nil {
+			r.sent += len(data)
+		}
+	}
+	r.e = Effects{}
+}
+
+// BenchmarkRegistrations is what a replica's decisions cost for each of 10,000 targets that register at
+// 1,600 a second while 100 boxes are attached, which renew their leases: 140 to 160 us.
+func BenchmarkRegistrations(b *testing.B) {
+	const boxes, targets, domains = 100, 10_000, 6
+	for range b.N {
+		b.StopTimer()
+		r := newLoneReplica(b)
+		r.give(DocumentSubmitted{Request: 2, Document: &table.Document{Version: 1, Services: []table.Service{
+			{Name: "s0", Work: table.Repeatable, Deadline: time.Second}, {Name: "s1", Work: table.Repeatable, Deadline: time.Second},
+			{Name: "s2", Work: table.Repeatable, Deadline: time.Second},
+		}}})
+		renew := func(i int) {
+			r.give(BoxMessage{Connection: ConnectionID(i + 1), Envelope: &wire.Envelope{Body: &wire.Envelope_RenewRequest{RenewRequest: &wire.RenewRequest{
+				Box:   &wire.Box{Id: fmt.Sprintf("box-%04d", i), Domain: fmt.Sprint("d", i%domains), Address: "10.0.0.1:7000"},
+				Nonce: uint64(r.now), Start: 1, Revision: uint64(r.core.Table().Revision),
+			}}}})
+		}
+		for i := range boxes {
+			renew(i)
+		}
+		b.StartTimer()
+		for i := range targets {
+			r.now = r.now.Add(625 * time.Microsecond)
+			t := partsTarget(i, 1, table.Active)
+			t.Service = units.ServiceName([]string{"s0", "s1", "s2", "s2"}[i%4])
+			t.Domain = units.Domain(fmt.Sprint("d", i%domains))
+			t.Address = fmt.Sprintf("10.%d.%d.%d:8080", 1+i/62500, i/250%250, i%250)
+			r.give(TargetReported{Request: RequestID(i + 10), Registration: t})
+			if i%6 == 0 {
+				renew(i / 6 % boxes)
+			}
+		}
+		b.StopTimer()
+		if n := r.core.state.Registrations(); n != targets {
+			b.Fatalf("%d targets are registered", n)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/targets, "us/registration")
+}
--- /dev/null
+++ b/pkg/core/subscription/home_test.go
@@ -0,0 +1,117 @@
+package subscription
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// domainBox is a box of a failure domain that is attached to a seed elsewhere and has learnt of the others.
+func domainBox(id units.BoxID, domain units.Domain, names, domains []string) *box {
+	b := &box{now: units.Instant(time.Second)}
+	b.Subscription = NewSubscription(Settings{
+		Box: table.Box{ID: id, Domain: domain}, Replicas: []units.ReplicaID{"seed"}, RenewEvery: 100 * time.Millisecond,
+		Silence: 300 * time.Millisecond, Start: start,
+	}, b.now)
+	b.give(Tick{})
+	m := grantOf(b.nonce(), 0, start)
+	m.GetRenewResponse().Replicas, m.GetRenewResponse().ReplicaDomains = names, domains
+	b.receive(m)
+	return b
+}
+
+// renewFor has the box renew its lease for a time, and returns the replicas that it dials meanwhile.
+func (b *box) renewFor(d time.Duration) [][]units.ReplicaID {
+	var dialled [][]units.ReplicaID
+	for end := b.now.Add(d); b.now < end; {
+		b.pass(50 * time.Millisecond)
+		if b.effects.Attach {
+			dialled = append(dialled, b.effects.Replicas)
+		}
+		if b.link.state == linkUp && len(b.effects.Sends) > 0 {
+			b.receive(grantOf(b.nonce(), 0, start))
+		}
+	}
+	return dialled
+}
+
+var (
+	homeNames   = []string{"seed", "a1", "a2", "b1"}
+	homeDomains = []string{"c", "a", "a", "b"}
+)
+
+func TestABoxMovesToAReplicaOfItsDomain(t *testing.T) {
+	b := domainBox("box", "a", homeNames, homeDomains)
+	dialled := b.renewFor(3 * time.Second)
+	if len(dialled) != 1 || len(dialled[0]) != 1 || b.replicas.domains[dialled[0][0]] != "a" {
+		t.Fatalf("the box dials %v", dialled)
+	}
+	if b.LeaseUntil() <= b.now {
+		t.Error("the box has lost its lease on its way")
+	}
+	if dialled := b.renewFor(20 * time.Second); len(dialled) > 0 {
+		t.Errorf("a box at home dials %v", dialled)
+	}
+}
+
+// A home that can't be reached costs a box a dial now and then, and never its lease.
+func TestABoxWhoseHomeIsOutOfReachStays(t *testing.T) {
+	b := domainBox("box", "b", homeNames, homeDomains)
+	b.renewFor(400 * time.Millisecond)
+	b.dark = true
+	tries := 0
+	for range 20 * 60 {
+		b.pass(50 * time.Millisecond)
+		if b.effects.Attach {
+			home := slices.Equal(b.effects.Replicas, []units.ReplicaID{"b1"})
+			if home {
+				tries++
+			}
+			b.dark = home
+			if !home {
+				b.give(Attached{Attachment: b.attachment, Replica: b.effects.Replicas[0]})
+			} else {
+				b.give(Detached{Attachment: b.attachment})
+			}
+		}
+		if b.link.state == linkUp && len(b.effects.Sends) > 0 {
+			b.receive(grantOf(b.nonce(), 0, start))
+		}
+		if b.LeaseUntil() <= b.now {
+			t.Fatal("the box has lost its lease")
+		}
+	}
+	if tries == 0 || tries > 8 {
+		t.Errorf("the home was dialled %d times in a minute", tries)
+	}
+}
+
+// Boxes of a domain without a replica are spread over all, those of others over their own.
+func TestBoxesAreSpreadOverReplicas(t *testing.T) {
+	count := map[units.ReplicaID]int{}
+	for i := range 600 {
+		domain := []units.Domain{"a", "b", "none"}[i%3]
+		l := newReplicaList(nil, nil)
+		l.learn(homeNames, homeDomains)
+		home := l.home(units.BoxID(fmt.Sprint("box", i)), domain, 0)
+		if domain != "none" && l.domains[home] != domain {
+			t.Fatalf("a box of %s is at home at %s", domain, home)
+		}
+		count[home]++
+	}
+	if count["a1"] < 100 || count["a2"] < 100 || count["b1"] < 200 || count["seed"] < 25 {
+		t.Errorf("boxes are spread as %v", count)
+	}
+}
+
+// A leader that learns more of the replicas' domains names them again.
+func TestTheChecksumKnowsDomains(t *testing.T) {
+	if wire.ChecksumReplicas(homeNames, homeDomains) == wire.ChecksumReplicas(homeNames, []string{"c", "a", "a", ""}) {
+		t.Error("the checksum leaves out domains")
+	}
+}
--- a/pkg/core/subscription/link.go
+++ b/pkg/core/subscription/link.go
@@ -26,6 +26,11 @@
 	// desperateFrom is the number of attempts in vain from which on replicas are dialled
 	// that had to be left a moment ago: they may have started again.
 	desperateFrom = 2
+	// moveDelay and moveSpread are how long after it learnt of its home a box moves there: replicas that
+	// form a cluster are named one after the other. moveAgain is when it tries again.
+	moveDelay  = 500 * time.Millisecond
+	moveSpread = 1500 * time.Millisecond
+	moveAgain  = 10 * time.Second
 	// dialJitter is the part of a limit by which boxes differ, so that they don't all dial
 	// at the same time.
 	dialJitter = 0.5
@@ -49,13 +54,40 @@
 	waits bool
 	// nextAt is when replicas may be dialled again.
 	nextAt units.Instant
+	// moveAt is when a box that isn't attached to its home moves there; zero while it is.
+	moveAt units.Instant
 	// failures counts the attempts that have brought no news since the last that did.
 	failures int
 }
 
 // attach dials replicas anew.
 func (s *Subscription) attach(now units.Instant, e *Effects) {
-	candidates := s.replicas.candidates(now, maxCandidates, s.link.failures >= desperateFrom)
+	s.dial(now, s.replicas.candidates(now, maxCandidates, s.link.failures >= desperateFrom), e)
+}
+
+// moveHome has a box that has a lease move to the replica that it is to be attached to, some time after it
+// learnt that it isn't, so that not all boxes move together.
+func (s *Subscription) moveHome(now units.Instant, e *Effects) {
+	home := s.replicas.home(s.settings.Box.ID, s.settings.Box.Domain, now)
+	switch {
+	case home == s.replicas.current:
+		s.link.moveAt = 0
+		return
+	case home == "" || !s.Fresh(now):
+		return
+	case s.link.moveAt == 0:
+		s.link.moveAt = now.Add(moveDelay + time.Duration(s.random.Float64()*float64(moveSpread)))
+	}
+	if now < s.link.moveAt {
+		return
+	}
+	s.link.moveAt = now.Add(moveAgain)
+	// An attempt in vain is put down to the home, not to the replica that is left.
+	s.replicas.current = home
+	s.dial(now, []units.ReplicaID{home}, e)
+}
+
+func (s *Subscription) dial(now units.Instant, candidates []units.ReplicaID, e *Effects) {
 	limit := s.nextDialLimit()
 	s.link.state = linkDialling
 	s.link.waits = false
--- a/pkg/core/subscription/replicas.go
+++ b/pkg/core/subscription/replicas.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/madderpond/madderpond/pkg/units"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
@@ -20,7 +22,9 @@
 	known []units.ReplicaID
 	// named are those that the leader named last.
 	named []units.ReplicaID
-	// checksum sums up those, as they came.
+	// domains are the failure domains of those, as far as they are known.
+	domains map[units.ReplicaID]units.Domain
+	// checksum sums up both, as they came.
 	checksum uint64
 	leftAt   map[units.ReplicaID]units.Instant
 	// current is the replica that the box is attached to, or was last.
@@ -49,14 +53,18 @@
 }
 
 // learn takes the leader's list of replicas at work; an empty one says nothing.
-func (l *replicaList) learn(names []string) {
+func (l *replicaList) learn(names, domains []string) {
 	if len(names) == 0 {
 		return
 	}
-	l.checksum = wire.ChecksumNames(names)
+	l.checksum = wire.ChecksumReplicas(names, domains)
 	l.named = l.named[:0]
-	for _, n := range names {
+	l.domains = map[units.ReplicaID]units.Domain{}
+	for i, n := range names {
 		l.named = append(l.named, units.ReplicaID(n))
+		if i < len(domains) {
+			l.domains[units.ReplicaID(n)] = units.Domain(domains[i])
+		}
 	}
 	l.addKnown(l.named)
 }
@@ -99,3 +107,27 @@
 	}
 	return rankKnown
 }
+
+// home returns the replica that a box of a domain is to be attached to: one of its own domain where there are
+// any, so that what each box gets crosses no border, and of those the one that comes first for the box, so
+// that boxes are spread over them. It is empty where none is known, or the home was left lately.
+func (l *replicaList) home(box units.BoxID, domain units.Domain, now units.Instant) units.ReplicaID {
+	own := slices.DeleteFunc(slices.Clone(l.named), func(id units.ReplicaID) bool { return domain == "" || l.domains[id] != domain })
+	if len(own) == 0 {
+		own = l.named
+	}
+	var first units.ReplicaID
+	for _, id := range own {
+		if first == "" || homeHash(box, id) > homeHash(box, first) {
+			first = id
+		}
+	}
+	if first != "" && l.rank(first, now) == rankLeft {
+		return ""
+	}
+	return first
+}
+
+func homeHash(box units.BoxID, id units.ReplicaID) uint64 {
+	return xxhash.Sum64String(string(box) + "\x00" + string(id))
+}
--- a/pkg/core/subscription/subscription.go
+++ b/pkg/core/subscription/subscription.go
@@ -192,6 +192,7 @@
 	}
 	if s.link.state == linkUp && now >= s.renewAt {
 		s.renew(now, e)
+		s.moveHome(now, e)
 	}
 }
 
@@ -282,7 +283,7 @@
 		return
 	}
 	delete(s.sentAt, r.Nonce)
-	s.replicas.learn(r.Replicas)
+	s.replicas.learn(r.Replicas, r.ReplicaDomains)
 	s.noteNews(now)
 	s.grantedAt = now
 	s.leaseTime = time.Duration(r.Duration)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -93,6 +93,7 @@
 		}
 	}
 	return control.Settings{
+		Domain: units.Domain(r.Settings.Domain),
 		Replication: replication.Settings{
 			ID: r.identity.Replica, Incarnation: r.identity.Incarnation, Boot: r.identity.Boot, Peers: peers,
 			ElectionTimeout: s.ElectionTimeout.Std(), Heartbeat: s.Heartbeat.Std(), Seed: rand.Uint64(),
@@ -228,7 +229,7 @@
 		if err != nil || m.From != hello.Replica {
 			return
 		}
-		r.handle(control.PeerMessage{Envelope: m})
+		r.handle(control.PeerMessage{Envelope: m, Domain: units.Domain(hello.Domain)})
 	}
 }
 
--- a/pkg/wire/checksum.go
+++ b/pkg/wire/checksum.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,3 +12,8 @@
 func ChecksumNames(names []string) uint64 {
 	return xxhash.Sum64String(strings.Join(names, "\n"))
 }
+
+// ChecksumReplicas sums up the names of replicas and their failure domains.
+func ChecksumReplicas(names, domains []string) uint64 {
+	return ChecksumNames(append(slices.Clone(names), domains...))
+}
