A larger fleet starts with less: services are divided sooner, divisions change by patches, commands go into the log once

Cause, from the traffic of a fleet's start: 179 KB to each box. Until a service had 1,000 targets every box was told of each, and with each step of a division of its whole part; 10,000 registrations made 50,321 proposals, since reports that waited were proposed again by replicas and, as other commands, by the targets that repeated them.

Change: a service is divided from 250,000 boxes times targets on (what it costs to tell all), with 250 targets at the least; a change of a division is a patch of what the box gains and loses; domains that are near a step take it together. Reports of a target that say the same while one waits are one command; a leader adds a command to its log once.

--- a/pkg/core/control/parts_test.go
+++ b/pkg/core/control/parts_test.go
@@ -126,3 +126,33 @@
 		t.Fatalf("a command is refused though none waits: %v", e.Answers[len(e.Answers)-1].Err)
 	}
 }
+
+// Reports of a target that say the same while the first still waits are one command, and a command that is passed
+// on again is one entry of the log; all who reported are answered.
+func TestWhatIsSentAgainIsNoMoreWork(t *testing.T) {
+	r := newLoneReplica(t)
+	r.give(DocumentSubmitted{Request: 1, Document: &table.Document{Version: 1, Services: []table.Service{{Name: "s", Work: table.Repeatable, Deadline: time.Second}}}})
+	last := r.core.node.Status(r.now).LastIndex
+	var e Effects
+	for i := range 5 {
+		r.core.Reduce(r.now, 1, TargetReported{Request: RequestID(i + 2), Registration: partsTarget(1, uint64(i+1), table.Active)}, &e)
+	}
+	command, err := wire.EncodeCommand(&wire.Command{
+		Origin: originOf("other", 3), Number: 7, Kind: &wire.Command_Registration{Registration: wire.FromRegistration(partsTarget(2, 1, table.Active))},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		r.core.Reduce(r.now, 1, PeerMessage{Envelope: &wire.Envelope{From: "other", Incarnation: "other", Boot: 3, Body: &wire.Envelope_ProposeRequest{
+			ProposeRequest: &wire.ProposeRequest{Command: command, Number: 7},
+		}}}, &e)
+	}
+	if n := r.core.node.Status(r.now).LastIndex - last; n != 2 {
+		t.Errorf("%d entries for two targets", n)
+	}
+	r.core.Reduce(r.now, 1, DiskSynced{Sequence: e.Writes[len(e.Writes)-1].Sequence}, &e)
+	if len(e.Answers) != 5 || len(r.core.requests.reports)+len(r.core.requests.proposed) > 0 {
+		t.Errorf("%d answers, %d reports and %d proposals are kept", len(e.Answers), len(r.core.requests.reports), len(r.core.requests.proposed))
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -261,6 +261,7 @@
 	r.rollouts.forgetLeadership()
 	r.quarantines = newQuarantineBook()
 	r.edits.forgetProposals()
+	clear(r.requests.proposed)
 }
 
 func (r *Replica) compact(log *replication.Effects, e *Effects) {
@@ -286,7 +287,7 @@
 func (r *Replica) receivePeer(m *wire.Envelope, log *replication.Effects, e *Effects) {
 	switch b := m.Body.(type) {
 	case *wire.Envelope_ProposeRequest:
-		r.receiveProposal(b.ProposeRequest, log)
+		r.receiveProposal(m, log)
 	case *wire.Envelope_HeardRequest:
 		r.takeHeard(b.HeardRequest)
 	case *wire.Envelope_ReadRequest:
--- a/pkg/core/control/requests.go
+++ b/pkg/core/control/requests.go
@@ -18,8 +18,11 @@
 // waitingCommand is a command that came to this replica and isn't applied yet. It
 // may be proposed more than once: applying it again changes nothing.
 type waitingCommand struct {
-	request  RequestID
+	number   commandNumber
+	requests []RequestID
 	encoded  []byte
+	// report is the target's report that the command is; nil for others.
+	report   *table.Registration
 	what     string
 	deadline units.Instant
 	retryAt  units.Instant
@@ -41,12 +44,25 @@
 	number   commandNumber
 	commands *container.Ordered[commandNumber, *waitingCommand]
 	reads    *container.Ordered[commandNumber, *waitingRead]
+	// reports are the commands that are reports, by target.
+	reports map[units.TargetID]*waitingCommand
+	// proposed are the commands that this leader has added to the log and that aren't applied yet, so that
+	// one which is passed on again isn't added twice.
+	proposed map[proposal]bool
+}
+
+// proposal names a command by the start of the replica that it came to, and its number there.
+type proposal struct {
+	origin string
+	number commandNumber
 }
 
 func newRequestBook() requestBook {
 	return requestBook{
 		commands: container.NewOrdered[commandNumber, *waitingCommand](),
 		reads:    container.NewOrdered[commandNumber, *waitingRead](),
+		reports:  map[units.TargetID]*waitingCommand{},
+		proposed: map[proposal]bool{},
 	}
 }
 
@@ -89,8 +105,17 @@
 		e.Answers = append(e.Answers, Answer{Request: v.Request})
 		return
 	}
+	if w := r.requests.reports[v.Registration.Target]; w != nil && w.report.SameFacts(v.Registration) {
+		// The answer to the one that waits says as much.
+		w.requests = append(w.requests, v.Request)
+		return
+	}
 	c := &wire.Command{Kind: &wire.Command_Registration{Registration: wire.FromRegistration(v.Registration)}}
-	r.submitCommand(v.Request, c, fmt.Sprintf("report of target %s", v.Registration.Target), log, e)
+	w := r.submitCommand(v.Request, c, fmt.Sprintf("report of target %s", v.Registration.Target), log, e)
+	if w != nil {
+		w.report = v.Registration
+		r.requests.reports[v.Registration.Target] = w
+	}
 }
 
 func (r *Replica) departTarget(v TargetDeparted, log *replication.Effects, e *Effects) {
@@ -133,15 +158,17 @@
 	return nil
 }
 
-func (r *Replica) submitCommand(id RequestID, c *wire.Command, what string, log *replication.Effects, e *Effects) {
+// submitCommand has a command wait for a quorum and passes it on. It returns nil where that isn't done, and
+// the request is answered.
+func (r *Replica) submitCommand(id RequestID, c *wire.Command, what string, log *replication.Effects, e *Effects) *waitingCommand {
 	if !r.node.Formed() {
 		e.Answers = append(e.Answers, Answer{Request: id, Err: errNotFormed()})
-		return
+		return nil
 	}
 	if r.requests.commands.Len() >= maxWaitingCommands {
 		err := fault.New(fault.Unavailable, "send it again a second later, to any replica", "this replica has %d orders and reports waiting", maxWaitingCommands)
 		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
-		return
+		return nil
 	}
 	r.requests.number++
 	c.Number = uint64(r.requests.number)
@@ -150,29 +177,31 @@
 	encoded, err := wire.EncodeCommand(c)
 	if err != nil {
 		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
-		return
+		return nil
 	}
-	w := &waitingCommand{request: id, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout), pause: retryPeriod}
+	w := &waitingCommand{number: r.requests.number, requests: []RequestID{id}, encoded: encoded, what: what, deadline: r.now.Add(r.settings.EditTimeout), pause: retryPeriod}
 	r.requests.commands.Put(r.requests.number, w)
 	r.passCommand(w, log)
+	return w
 }
 
 // origin names this start of this replica in the commands that it waits for.
 func (r *Replica) origin() string {
-	s := &r.settings.Replication
-	return fmt.Sprintf("%s/%d", s.Incarnation, s.Boot)
+	return originOf(r.settings.Replication.Incarnation, r.settings.Replication.Boot)
 }
 
+func originOf(i units.Incarnation, boot uint64) string { return fmt.Sprintf("%s/%d", i, boot) }
+
 // passCommand hands a waiting command to whoever leads now.
 func (r *Replica) passCommand(w *waitingCommand, log *replication.Effects) {
 	w.retryAt = r.now.Add(w.pause)
 	// A leader that can't keep up gets fewer copies, not more.
 	w.pause *= 2
 	if r.node.IsLeader() {
-		r.node.Propose(r.now, [][]byte{w.encoded}, log)
+		r.proposeOnce(proposal{origin: r.origin(), number: w.number}, w.encoded, log)
 		return
 	}
-	r.sendLeader(&wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded}}, log)
+	r.sendLeader(&wire.Envelope_ProposeRequest{ProposeRequest: &wire.ProposeRequest{Command: w.encoded, Number: uint64(w.number)}}, log)
 }
 
 // passAgain has what waits passed on at once: another leader may not have heard of it.
@@ -189,10 +218,19 @@
 	}
 }
 
+// proposeOnce adds a command to the log, unless that was done and it isn't applied yet.
+func (r *Replica) proposeOnce(p proposal, encoded []byte, log *replication.Effects) {
+	if !r.requests.proposed[p] && r.node.Propose(r.now, [][]byte{encoded}, log) {
+		r.requests.proposed[p] = true
+	}
+}
+
 // receiveProposal takes what another replica passes on to its leader.
-func (r *Replica) receiveProposal(p *wire.ProposeRequest, log *replication.Effects) {
+func (r *Replica) receiveProposal(m *wire.Envelope, log *replication.Effects) {
+	p := m.GetProposeRequest()
 	if len(p.Command) > 0 {
-		r.node.Propose(r.now, [][]byte{p.Command}, log)
+		from := originOf(units.Incarnation(m.Incarnation), m.Boot)
+		r.proposeOnce(proposal{origin: from, number: commandNumber(p.Number)}, p.Command, log)
 		return
 	}
 	r.propose(wire.ToEdit(p.Edit), log)
@@ -214,12 +252,23 @@
 // to this replica in this life; the error says why the command changed nothing.
 func (r *Replica) answerCommand(c *wire.Command, err error, e *Effects) {
 	n := commandNumber(c.Number)
+	delete(r.requests.proposed, proposal{origin: c.Origin, number: n})
 	w := r.requests.commands.Get(n)
 	if w == nil || c.Origin != r.origin() {
 		return
 	}
-	e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
-	r.requests.commands.Delete(n)
+	r.requests.answer(w, err, e)
+}
+
+// answer answers all requests of a command, which waits no more.
+func (b *requestBook) answer(w *waitingCommand, err error, e *Effects) {
+	for _, id := range w.requests {
+		e.Answers = append(e.Answers, Answer{Request: id, Err: err})
+	}
+	b.commands.Delete(w.number)
+	if w.report != nil && b.reports[w.report.Target] == w {
+		delete(b.reports, w.report.Target)
+	}
 }
 
 // retryRequests passes waiting commands and reads on again, and gives up on those
@@ -229,8 +278,7 @@
 		w := r.requests.commands.Get(n)
 		if r.now >= w.deadline {
 			err := fault.New(fault.Unknown, "send it again; it takes effect once at most", "no quorum of control replicas answered in time, so it isn't known whether the %s was taken", w.what)
-			e.Answers = append(e.Answers, Answer{Request: w.request, Err: err})
-			r.requests.commands.Delete(n)
+			r.requests.answer(w, err, e)
 			continue
 		}
 		if r.now >= w.retryAt {
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -187,7 +187,7 @@
 	if len(t.service.entry.Division) == 0 {
 		return all
 	}
-	step := t.service.entry.Division.StepOf("", t.row.Domain)
+	step := t.service.entry.Division.Step(t.row.Domain)
 	return r.boxCounts().MostHolders(all, t.row.Domain, step)
 }
 
--- a/pkg/core/scope/scope.go
+++ b/pkg/core/scope/scope.go
@@ -22,8 +22,10 @@
 	// ownSteps is how many steps less a box's own failure domain is divided by: its calls go there.
 	ownSteps = 2
 	// wholeService is up to how many registered targets a service is told of whole, since fewer cost
-	// boxes little. One that was divided is told of whole again from half as many on.
-	wholeService = 1000
+	// boxes little, and wholeProduct up to how many boxes times targets: that is what it costs to tell all.
+	// A service that was divided is told of whole again from half of that on.
+	wholeService = 250
+	wholeProduct = 250_000
 	// mostOfDomain and leastOfDomain bound how many targets of another domain a box holds, where
 	// there are more: enough to go to when its own domain is lost.
 	mostOfDomain  = 48
@@ -33,6 +35,9 @@
 	// them boxes may come and go without a change.
 	leastHolders  = 24
 	fewestHolders = 6
+	// soonPart is from which part of mostOfDomain on a domain takes a step together with another one that
+	// takes it: each change of a division costs a message to every box.
+	soonPart = 0.75
 )
 
 // Hash orders boxes for a target, and targets for a box: rendezvous hashing.
@@ -43,12 +48,12 @@
 // Holds tells whether a box holds a target at a step. Whoever does holds it at each smaller step as
 // well, and the box that comes first for a target by Hash, the highest, holds it longest.
 func Holds(box units.BoxID, target units.TargetID, s Step) bool {
-	if s <= 0 {
-		return true
-	}
-	return ^Hash(box, target)>>(64-s) == 0
+	return s <= 0 || HeldAt(Hash(box, target), s)
 }
 
+// HeldAt tells whether a target is held at a step, given the Hash of box and target.
+func HeldAt(hash uint64, s Step) bool { return s <= 0 || ^hash>>(64-s) == 0 }
+
 // DomainStep is the step of a failure domain's targets.
 type DomainStep struct {
 	Domain units.Domain
@@ -61,12 +66,17 @@
 
 // StepOf returns the step by which a box of one domain holds the targets of another, or its own.
 func (d Division) StepOf(box, targets units.Domain) Step {
+	if box == targets {
+		return max(0, d.Step(targets)-ownSteps)
+	}
+	return d.Step(targets)
+}
+
+// Step returns the step of a domain's targets.
+func (d Division) Step(targets units.Domain) Step {
 	i, found := slices.BinarySearchFunc(d, targets, func(x DomainStep, t units.Domain) int { return cmp.Compare(x.Domain, t) })
-	switch {
-	case !found:
+	if !found {
 		return 0
-	case box == targets:
-		return max(0, d[i].Step-ownSteps)
 	}
 	return d[i].Step
 }
@@ -112,13 +122,30 @@
 	for _, c := range targets {
 		registered += c.N
 	}
-	if registered < wholeService/2 || before == nil && registered <= wholeService {
+	total := boxes.Total()
+	if !divides(before, registered, total) {
 		return nil
 	}
-	total := boxes.Total()
+	next := steps(before, targets, boxes, total, mostOfDomain)
+	if !slices.Equal(next, before) {
+		next = steps(before, targets, boxes, total, soonPart*mostOfDomain)
+	}
+	return next
+}
+
+// divides tells whether a service is told of in parts.
+func divides(before Division, registered, boxes int) bool {
+	if before == nil {
+		return registered > wholeService && registered*boxes > wholeProduct
+	}
+	return registered > wholeService/2 && registered*boxes > wholeProduct/2
+}
+
+// steps returns the steps of all domains, given how many targets of another domain a box holds at the most.
+func steps(before Division, targets []Count, boxes Boxes, total, most int) Division {
 	var next Division
 	for _, c := range targets {
-		step := nextStep(before.StepOf("", c.Domain), c, boxes, total)
+		step := nextStep(before.Step(c.Domain), c, boxes, total, most)
 		if step > 0 {
 			next = append(next, DomainStep{Domain: c.Domain, Step: step})
 		}
@@ -126,8 +153,8 @@
 	return next
 }
 
-func nextStep(step Step, c Count, boxes Boxes, total int) Step {
-	for c.N>>step > mostOfDomain && enoughHolders(boxes, total, c.Domain, step+1) {
+func nextStep(step Step, c Count, boxes Boxes, total, most int) Step {
+	for c.N>>step > most && enoughHolders(boxes, total, c.Domain, step+1) {
 		step++
 	}
 	for step > 0 && (c.N>>step < leastOfDomain || boxes.Holders(total, c.Domain, step) < fewestHolders) {
--- a/pkg/core/table/difference.go
+++ b/pkg/core/table/difference.go
@@ -40,7 +40,7 @@
 		old, next := from.Services[n], to.Services[n]
 		switch {
 		case old == next && from.sameView(to, old):
-		case old == nil || !old.Service.equal(&next.Service) || !from.sameView(to, next):
+		case old == nil || !old.Service.equal(&next.Service):
 			d.Changed = append(d.Changed, next)
 		default:
 			d.Patched = append(d.Patched, patchOf(old, next))
--- a/pkg/core/table/patch.go
+++ b/pkg/core/table/patch.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/madderpond/madderpond/pkg/core/scope"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -13,6 +14,9 @@
 	Version units.Version     `json:"version"`
 	Put     []Row             `json:"put,omitempty"`
 	Removed []units.TargetID  `json:"removed,omitempty"`
+	// Division is how the rows are divided from now on, where Redivided is set.
+	Division  scope.Division `json:"division,omitempty"`
+	Redivided bool           `json:"redivided,omitempty"`
 }
 
 // apply returns the entry after the patch.
@@ -24,6 +28,9 @@
 	for _, r := range p.Put {
 		next.Rows = next.Rows.With(r)
 	}
+	if p.Redivided {
+		next.Division = p.Division
+	}
 	return next
 }
 
@@ -31,6 +38,9 @@
 func patchOf(old, next *Entry) *EntryPatch {
 	p := &EntryPatch{Service: next.Service.Name, Version: next.Version}
 	p.Put, p.Removed = old.Rows.difference(next.Rows)
+	if !slices.Equal(old.Division, next.Division) {
+		p.Division, p.Redivided = next.Division, true
+	}
 	return p
 }
 
--- a/pkg/core/table/registration.go
+++ b/pkg/core/table/registration.go
@@ -68,10 +68,10 @@
 	}
 }
 
-// sameFacts tells whether a later registration says nothing new. While a target is cold
+// SameFacts tells whether a later registration says nothing new. While a target is cold
 // the time left gets shorter; it is news only when the target is warm at last, or has
 // become cold again.
-func (r *Registration) sameFacts(o *Registration) bool {
+func (r *Registration) SameFacts(o *Registration) bool {
 	a, b := *r, *o
 	a.Sequence, b.Sequence = 0, 0
 	if a.Cold > 0 && b.Cold > 0 && b.Cold <= a.Cold {
@@ -110,7 +110,7 @@
 	case held == nil || r.isOtherStart(held):
 		return true
 	}
-	return r.Sequence > held.Sequence && !held.sameFacts(r)
+	return r.Sequence > held.Sequence && !held.SameFacts(r)
 }
 
 // Outdated tells whether a report is of an earlier start of its target than the one that is held
--- a/pkg/core/table/scope.go
+++ b/pkg/core/table/scope.go
@@ -122,7 +122,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(d.Patched, func(p *EntryPatch) bool { return len(to.Services[p.Service].Division) > 0 })
+	return slices.ContainsFunc(d.Patched, func(p *EntryPatch) bool { return p.Redivided || len(to.Services[p.Service].Division) > 0 })
 }
 
 // For returns what a box is told of the change, which leads from one table to another.
@@ -134,7 +134,7 @@
 	}
 	next.Patched = nil
 	for _, p := range d.Patched {
-		if part := p.part(b, from.Services[p.Service], to.viewOf(to.Services[p.Service])); part != nil {
+		if part := p.part(b, from, to); part != nil {
 			next.Patched = append(next.Patched, part)
 		}
 	}
@@ -142,21 +142,27 @@
 }
 
 // part returns what a box is told of the patch, or nil for nothing.
-func (p *EntryPatch) part(b *Box, old *Entry, v view) *EntryPatch {
-	if v.whole() {
+func (p *EntryPatch) part(b *Box, from, to *Table) *EntryPatch {
+	old, next := from.Services[p.Service], to.Services[p.Service]
+	before, after := from.viewOf(old), to.viewOf(next)
+	if before.whole() && after.whole() {
 		return p
 	}
-	part := &EntryPatch{Service: p.Service, Version: p.Version}
+	part := &EntryPatch{Service: p.Service, Version: p.Version, Division: p.Division, Redivided: p.Redivided}
 	held := func(id units.TargetID) bool {
 		r := old.Row(id)
-		return r != nil && v.shows(b, r)
-	}
-	for i := range p.Put {
-		switch r := &p.Put[i]; {
-		case v.shows(b, r):
-			part.Put = append(part.Put, *r)
-		case held(r.Target):
-			part.Removed = append(part.Removed, r.Target)
+		return r != nil && before.shows(b, r)
+	}
+	if !before.equal(&after) {
+		part.addRedivided(b, old, next, &before, &after)
+	} else {
+		for i := range p.Put {
+			switch r := &p.Put[i]; {
+			case after.shows(b, r):
+				part.Put = append(part.Put, *r)
+			case held(r.Target):
+				part.Removed = append(part.Removed, r.Target)
+			}
 		}
 	}
 	for _, id := range p.Removed {
@@ -164,12 +170,27 @@
 			part.Removed = append(part.Removed, id)
 		}
 	}
-	if len(part.Put)+len(part.Removed) == 0 {
+	if len(part.Put)+len(part.Removed) == 0 && !p.Redivided {
 		return nil
 	}
 	return part
 }
 
+// addRedivided adds to a box's part of a patch the rows that it holds differently from before, by another
+// division or in another state.
+func (p *EntryPatch) addRedivided(b *Box, old, next *Entry, before, after *view) {
+	for r := range next.Rows.All() {
+		o := old.Row(r.Target)
+		heldBefore := o != nil && before.shows(b, o)
+		switch heldNow := after.shows(b, r); {
+		case heldNow && (!heldBefore || *o != *r):
+			p.Put = append(p.Put, *r)
+		case heldBefore && !heldNow:
+			p.Removed = append(p.Removed, r.Target)
+		}
+	}
+}
+
 // Empty tells whether the delta changes nothing but the revision.
 func (d *Delta) Empty() bool {
 	return len(d.Changed)+len(d.Patched)+len(d.Removed) == 0 && d.Boxes.Empty() && d.Document == 0 &&
--- a/pkg/wire/convert_document.go
+++ b/pkg/wire/convert_document.go
@@ -125,7 +125,8 @@
 func fromPatch(p *table.EntryPatch) *EntryPatch {
 	out := &EntryPatch{
 		Service: string(p.Service), Version: uint64(p.Version),
-		Removed: mapSlice(p.Removed, func(id units.TargetID) string { return string(id) }),
+		Removed:  mapSlice(p.Removed, func(id units.TargetID) string { return string(id) }),
+		Division: mapSlice(p.Division, fromDomainStep), Redivided: p.Redivided,
 	}
 	for i := range p.Put {
 		row := FromRow(&p.Put[i])
@@ -138,7 +139,8 @@
 func toPatch(p *EntryPatch) *table.EntryPatch {
 	out := &table.EntryPatch{
 		Service: units.ServiceName(p.Service), Version: units.Version(p.Version),
-		Removed: mapSlice(p.Removed, func(id string) units.TargetID { return units.TargetID(id) }),
+		Removed:  mapSlice(p.Removed, func(id string) units.TargetID { return units.TargetID(id) }),
+		Division: mapSlice(p.Division, toDomainStep), Redivided: p.Redivided,
 	}
 	for _, r := range p.Put {
 		row := *ToRow(r)
