--- a/test/soak_keys_test.go
+++ b/test/soak_keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/apikey"
@@ -19,6 +20,13 @@
 	soakOwnKey = "the-soak's-own-key"
 	// soakGuestVersions is for how many versions a key of the guests holds.
 	soakGuestVersions = 16
+	// soakGuestRate and soakGuestBurst are what guests may run; they ask for more.
+	soakGuestRate  = 15
+	soakGuestBurst = 5
+	// soakQuotaWindow is the window of the promise on quotas, soakQuotaOvershoot what it may be exceeded by
+	// beside the setting quotaSlack.
+	soakQuotaWindow    = 5 * time.Second
+	soakQuotaOvershoot = 0.1
 	// soakRevokeBound is how long a key that was taken away may let calls in: a lease and an
 	// election.
 	soakRevokeBound = soakLeaveBound
@@ -47,7 +55,10 @@
 	json.Unmarshal(plain, &fields)
 	fields["workspaces"] = []any{
 		map[string]any{"name": "own", "keys": []string{apikey.DigestOf([]byte(soakOwnKey)).Text()}},
-		map[string]any{"name": "guests", "keys": []string{apikey.DigestOf([]byte(guestKey(guestGeneration(d.Version)))).Text()}},
+		map[string]any{
+			"name": "guests", "keys": []string{apikey.DigestOf([]byte(guestKey(guestGeneration(d.Version)))).Text()},
+			"rate": soakGuestRate, "burst": soakGuestBurst,
+		},
 	}
 	data, _ := json.Marshal(fields)
 	return data
@@ -98,12 +109,35 @@
 // callWith calls with a key that may not hold.
 func (x *soak) callWith(key string) lab.Call {
 	c := x.caller.Do(lab.Plan{Host: "shop.test", Key: key})
-	if c.Reason == routing.UnknownKey.String() {
+	switch {
+	case c.Reason == routing.UnknownKey.String(), c.Reason == routing.QuotaSpent.String():
 		x.strangers.Add(1)
+	case c.Verdict != lab.NotRun:
+		x.lock.Lock()
+		x.guestRuns = append(x.guestRuns, time.Now())
+		x.lock.Unlock()
 	}
 	return c
 }
 
+// checkQuota makes sure that guests ran no more than they may at any time. Calls are counted by when they were
+// answered, so those that took long are counted late.
+func (x *soak) checkQuota() {
+	most := int((soakGuestRate*soakQuotaWindow.Seconds()+soakGuestBurst)*(1+soakQuotaOvershoot)) + routing.DefaultQuotaSlack
+	slices.SortFunc(x.guestRuns, time.Time.Compare)
+	first, worst := 0, 0
+	for last, at := range x.guestRuns {
+		for at.Sub(x.guestRuns[first]) > soakQuotaWindow {
+			first++
+		}
+		worst = max(worst, last-first+1)
+	}
+	if worst > most {
+		x.Errorf("%d calls of guests ran within %s, %d are allowed", worst, soakQuotaWindow, most)
+	}
+	x.Logf("%d calls of guests ran, %d at most within %s", len(x.guestRuns), worst, soakQuotaWindow)
+}
+
 // checkKeys makes sure that no box refuses the key in force once all faults have ended, and that none
 // lets in the ones before it.
 func (x *soak) checkKeys() {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -111,7 +111,9 @@
 	paths []*lab.FaultProxy
 	// born is when each target last started, where that is told.
 	born []units.WallTime
-	// strangers counts the calls that were refused for a key that didn't hold.
+	// strangers counts the calls that were refused for a key that didn't hold, or for a quota, guestRuns
+	// are when the guests' other calls were answered.
+	guestRuns []time.Time
 	strangers atomic.Int64
 	// guestSince is when the guests' keys of each generation were first acknowledged.
 	guestSince map[int]time.Time
@@ -158,6 +160,7 @@
 	x.checkDocument()
 	if x.keys() {
 		x.checkKeys()
+		x.checkQuota()
 	}
 	if x.crashes() {
 		x.checkCrashes()
