Credits of calls that aren't sent go back to a holder; schedules' leader behaves as ours

Cause: a call that took a credit and was then refused for want of targets, later than the credit held, kept its workspace from another call.

Change: such a credit goes back to a holder. In the schedules a new leader took all boxes off the list that hadn't renewed while there was none, and a box that started got the list with itself put back on it; control replicas take listed boxes as renewed when they begin to lead (control/leases.go) and send a table before the leader hears of the box (control/sessions.go, receiveBox).

--- a/pkg/core/routing/quota_fleet_test.go
+++ b/pkg/core/routing/quota_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -154,6 +155,8 @@
 		if f.leaderless {
 			return
 		}
+		// The replica sends the table that it has before the leader hears of the box.
+		revision, list := f.revision, maps.Clone(f.listed)
 		f.renewed[b] = f.now
 		if !f.listed[b] {
 			f.listed[b] = true
@@ -161,13 +164,21 @@
 		}
 		f.after(f.upTo(20*time.Millisecond), func() {
 			if b.life == life && b.side == 0 {
-				f.giveTable(b)
+				f.giveList(b, revision, list)
 				f.give(b, &LeaseChanged{Until: sent.Add(quotaLease), At: sent})
 			}
 		})
 	})
 }
 
+// newLeader has a leader begin, which takes the listed boxes as renewed.
+func (f *quotaFleet) newLeader() {
+	f.leaderless = false
+	for _, b := range f.boxes {
+		f.renewed[b] = f.now
+	}
+}
+
 // lead takes boxes off the list whose leases have run out.
 func (f *quotaFleet) lead() {
 	if f.leaderless {
@@ -191,15 +202,18 @@
 	}
 }
 
-func (f *quotaFleet) giveTable(b *quotaBox) {
-	if b.revision == f.revision {
+func (f *quotaFleet) giveTable(b *quotaBox) { f.giveList(b, f.revision, f.listed) }
+
+// giveList gives a box the table of a revision, unless it has it or a later one.
+func (f *quotaFleet) giveList(b *quotaBox, revision units.Revision, list map[*quotaBox]bool) {
+	if b.revision >= revision {
 		return
 	}
-	b.revision = f.revision
+	b.revision = revision
 	t := table.NewTable()
-	t.Revision, t.Document, t.KeysRequired = f.revision, 1, true
+	t.Revision, t.Document, t.KeysRequired = revision, 1, true
 	for _, o := range f.boxes {
-		if f.listed[o] {
+		if list[o] {
 			t.Boxes = append(t.Boxes, table.Box{ID: o.id})
 		}
 	}
@@ -366,7 +380,7 @@
 	case 4:
 		note("no leader beside")
 		f.leaderless = true
-		f.after(f.upTo(10*time.Second), func() { f.leaderless = false })
+		f.after(f.upTo(10*time.Second), f.newLeader)
 	case 5:
 		note("kill a third beside")
 		for i, o := range f.boxes {
--- a/pkg/core/routing/quotas.go
+++ b/pkg/core/routing/quotas.go
@@ -259,18 +259,18 @@
 	return true
 }
 
-// dropEnded drops the credits that have ended, and returns how many there were.
-func (u *quotaUse) dropEnded(now units.Instant) int {
+// dropEnded drops the credits that have ended.
+func (u *quotaUse) dropEnded(now units.Instant) {
 	n := 0
 	for n < len(u.credits) && u.credits[n] <= now {
 		n++
 	}
 	u.credits = slices.Delete(u.credits, 0, n)
-	return n
 }
 
-// unuseCredit gives back the credit of a call that ends without having been sent.
-func (r *Router) unuseCredit(c *call) {
+// unuseCredit gives back the credit of a call that ends without having been sent: to the next call while it
+// holds, else to a holder.
+func (r *Router) unuseCredit(c *call, e *Effects) {
 	if c.creditUntil == 0 || c.sends > 0 || c.workspace == nil {
 		return
 	}
@@ -282,10 +282,23 @@
 	if c.creditUntil > r.now {
 		i, _ := slices.BinarySearch(u.credits, c.creditUntil)
 		u.credits = slices.Insert(u.credits, i, c.creditUntil)
+	} else {
+		r.returnCredit(u, e)
 	}
 	c.creditUntil = 0
 }
 
+// returnCredit gives a credit back to a holder, this box if it is one.
+func (r *Router) returnCredit(u *quotaUse, e *Effects) {
+	order := r.seatsOf(u.group).order
+	switch {
+	case u.account != nil:
+		u.account.Return(r.now, 1)
+	case len(order) > 0:
+		e.add(Effect{Kind: SendQuota, Peer: order[0], Quota: &QuotaMessage{Kind: ReturnCredits, Workspace: u.name, Count: 1}})
+	}
+}
+
 // askAllCredits asks for whatever waits, of holders that may be others now.
 func (r *Router) askAllCredits(e *Effects) {
 	for _, u := range r.quotas.order {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -343,7 +343,7 @@
 			r.cancel(id, c, a, e)
 		}
 	}
-	r.unuseCredit(c)
+	r.unuseCredit(c, e)
 	c.reset()
 	r.calls.Release(id)
 }
