--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -37,7 +37,7 @@
 
 // keepWaiting keeps a request until a leader can answer it, and lets the box know, so that
 // it neither asks again soon nor looks for another replica while the replicas elect a
-// leader. What that saves wasn't measured by itself.
+// leader.
 func (r *Replica) keepWaiting(s *session, request *wire.RenewRequest, e *Effects) {
 	s.waiting = request
 	// By the time a leader gets the request the box may have sent calls that its evidence leaves
@@ -146,8 +146,8 @@
 }
 
 // tableHold is for how long after its start a replica sends no whole table that may be an
-// old one. Leaders stood 43 to 350 ms after the start of replicas that had lost power; a
-// box without a table holds its calls for a little longer.
+// old one: replicas that start together have a leader within it, and a box without a table
+// holds its calls for a little longer.
 const tableHold = 400 * time.Millisecond
 
 // holdsTable tells whether a box had better wait for the newest table: the one on this
--- a/pkg/core/routing/early.go
+++ b/pkg/core/routing/early.go
@@ -11,8 +11,8 @@
 // them at the same time.
 
 const (
-	// earlyHold is for how long after its start a box holds calls for its first table. After
-	// a loss of power of all boxes, tables were in force 110 to 290 ms after the start.
+	// earlyHold is for how long after its start a box holds calls for its first table; after a loss
+	// of power of all boxes a leader stands and tables come well within it.
 	earlyHold = 500 * time.Millisecond
 	// maxEarly bounds the calls that are held so.
 	maxEarly = 512
--- a/pkg/core/routing/subset.go
+++ b/pkg/core/routing/subset.go
@@ -15,10 +15,8 @@
 // subset are used as well, when its own are slow or full (outsideCost).
 
 const (
-	// subsetSize is how many targets of a service a box prefers. With 99 boxes beside 106
-	// targets a day of 38,902 calls took 55,503 new connections without subsets, 34,706 with
-	// 16 targets and 25,412 with 8; 6 in place of 10 served no better and saved 3 to 12 in
-	// 100 of the connections.
+	// subsetSize is how many targets of a service a box prefers: enough to find a free one, and few
+	// enough to come back to each before its idle connection is closed.
 	subsetSize = 10
 	// outsideCost is what a target beyond the subset must be better by, in units of the work
 	// itself.
--- a/pkg/core/subscription/link.go
+++ b/pkg/core/subscription/link.go
@@ -16,8 +16,8 @@
 	// firstDialLimit is how long an attempt to reach replicas may take. What is sent to a
 	// box without power is sent again only after a second, so attempts are short at first:
 	// the replicas may be starting, as this box is. After evenDials attempts in vain the
-	// limit doubles with each one, up to maxDialLimit: 473 boxes without any replica in
-	// reach then make 240 attempts a second in place of 4,700 (worked out).
+	// limit doubles with each one, up to maxDialLimit, so that many boxes without any replica
+	// in reach make few attempts.
 	firstDialLimit = 60 * time.Millisecond
 	evenDials      = 12
 	maxDialLimit   = 2 * time.Second
