--- a/pkg/core/control/parts_test.go
+++ b/pkg/core/control/parts_test.go
@@ -156,3 +156,24 @@
 		t.Errorf("%d answers, %d reports and %d proposals are kept", len(e.Answers), len(r.core.requests.reports), len(r.core.requests.proposed))
 	}
 }
+
+// snapshotBytes is how many bytes of snapshots a replica writes while targets register.
+func snapshotBytes(t *testing.T, targets int) int {
+	r := newLoneReplica(t)
+	r.give(DocumentSubmitted{Request: 1, Document: &table.Document{Version: 1, Services: []table.Service{{Name: "s", Work: table.Repeatable, Deadline: time.Second}}}})
+	for i := range targets {
+		x := partsTarget(i, 1, table.Active)
+		x.Address = fmt.Sprintf("10.%d.%d.%d:8080", 1+i/62500, i/250%250, i%250)
+		r.give(TargetReported{Request: RequestID(i + 2), Registration: x})
+	}
+	return r.snapshots
+}
+
+// What snapshots cost an entry of the log mustn't grow with the targets that there are.
+func TestSnapshotsGrowAsTheLogDoes(t *testing.T) {
+	half, whole := snapshotBytes(t, 5_000), snapshotBytes(t, 10_000)
+	t.Logf("%d bytes of snapshots for 5,000 targets, %d for 10,000", half, whole)
+	if whole > 3*half {
+		t.Errorf("%d bytes of snapshots for 5,000 targets, %d for 10,000", half, whole)
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -264,8 +264,15 @@
 	clear(r.requests.proposed)
 }
 
+// snapshotEvery is how many entries go between two snapshots: at least half as many as there are registered
+// targets, so that an entry's part of a snapshot doesn't grow with the state, and a start reads no more
+// entries than there are targets.
+func (r *Replica) snapshotEvery() int {
+	return max(r.settings.SnapshotEvery, r.state.Registrations()/2)
+}
+
 func (r *Replica) compact(log *replication.Effects, e *Effects) {
-	if !r.node.Formed() || r.node.SinceSnapshot() < r.settings.SnapshotEvery {
+	if !r.node.Formed() || r.node.SinceSnapshot() < r.snapshotEvery() {
 		return
 	}
 	state, err := wire.EncodeState(r.state)
--- a/pkg/core/control/storm_bench_test.go
+++ b/pkg/core/control/storm_bench_test.go
@@ -18,7 +18,9 @@
 	core *Replica
 	now  units.Instant
 	sent int
-	e    Effects
+	// snapshots counts the bytes of snapshots that it wrote.
+	snapshots int
+	e         Effects
 }
 
 func newLoneReplica(b testing.TB) *loneReplica {
@@ -47,6 +49,11 @@
 func (r *loneReplica) give(event Event) {
 	r.core.Reduce(r.now, 1, event, &r.e)
 	for len(r.e.Writes) > 0 {
+		for _, w := range r.e.Writes {
+			if w.Snapshot != nil {
+				r.snapshots += len(w.Snapshot.State)
+			}
+		}
 		last := r.e.Writes[len(r.e.Writes)-1].Sequence
 		r.count()
 		r.core.Reduce(r.now, 1, DiskSynced{Sequence: last}, &r.e)
