--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -118,7 +118,7 @@
 	SilentAfter     Duration `json:"silentAfter" validate:"min=0s,max=1h" doc:"How long a registered target may go without a report before it counts as silent; 0s never takes one for silent."`
 	ReadTimeout     Duration `json:"readTimeout" validate:"min=10ms,max=60s" doc:"How long a read of the newest document may wait for the leader's word."`
 	EditTimeout     Duration `json:"editTimeout" validate:"min=100ms,max=60s" doc:"How long an edit may wait for a quorum before its outcome is called unknown."`
-	SnapshotEvery   int      `json:"snapshotEvery" validate:"min=10,max=1000000" doc:"How many log entries go between two snapshots."`
+	SnapshotEvery   int      `json:"snapshotEvery" validate:"min=10,max=1000000" doc:"How many log entries go between two snapshots at the least; half as many as there are registered targets where that is more."`
 	Rollout         Rollout  `json:"rollout" doc:"Rollouts of new versions of services' software."`
 	KeepEntries     int      `json:"keepEntries" validate:"min=0,max=1000000" doc:"How many entries stay in the log behind a snapshot, for replicas that are a little behind."`
 }
