Operators see what workspaces use of their limits

Cause: madderctl workspaces showed what a workspace may send, not what it does. Change: boxes tell the leader every 2 s what they let in and refused; the leader shows rates over the last 10 s. A new leader begins at nothing. Tests: TestBoxesTellWhatTheyLetIn (each call once), TestOperatorsSeeWhatWorkspacesUse.

--- a/pkg/core/box/box.go
+++ b/pkg/core/box/box.go
@@ -85,14 +85,15 @@
 	b.addEvidence(now, e.Subscription.Sends[before:])
 }
 
-// addEvidence has requests for a lease carry what the router has seen of new versions and of
-// crashes.
+// addEvidence has requests for a lease carry what the router has seen of new versions, of
+// crashes and of workspaces' calls.
 func (b *Box) addEvidence(now units.Instant, sends []*wire.Envelope) {
 	for _, m := range sends {
 		if x := m.GetRenewRequest(); x != nil {
 			x.Evidence = wire.FromEvidence(b.router.TakeEvidence())
 			x.CrashNotes = wire.FromCrashNotes(b.router.CrashNotes(), now)
 			x.Refused = wire.FromFingerprints(b.router.TakeRefused())
+			x.Uses = wire.FromQuotaUses(b.router.TakeQuotaUses(now))
 		}
 	}
 }
--- a/pkg/core/control/leases.go
+++ b/pkg/core/control/leases.go
@@ -47,6 +47,7 @@
 	r.leases.leases[box.ID] = &lease{box: box, renewed: r.now, revision: units.Revision(request.Revision)}
 	r.takeEvidence(request)
 	r.takeCrashNotes(request)
+	r.takeUses(request)
 	m := r.envelope()
 	m.Body = &wire.Envelope_RenewResponse{RenewResponse: &wire.RenewResponse{
 		Box:       request.Box.Id,
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -89,6 +89,8 @@
 	rollouts rolloutBook
 	// quarantines is filled on the leader only.
 	quarantines quarantineBook
+	// uses is filled on the leader only.
+	uses useBook
 	// foreignReports counts the reports that no target of the table can have sent.
 	foreignReports uint64
 	// knownLeader and knownMembership are what was last told of in the log.
@@ -128,6 +130,7 @@
 		now:      now,
 
 		quarantines: newQuarantineBook(),
+		uses:        useBook{},
 
 		startedAt: now,
 		replaying: d.Snapshot != nil,
@@ -254,6 +257,7 @@
 	r.hearing.proposing = false
 	r.rollouts.forgetLeadership()
 	r.quarantines = newQuarantineBook()
+	r.uses = useBook{}
 	r.edits.forgetProposals()
 	clear(r.requests.proposed)
 }
--- /dev/null
+++ b/pkg/core/control/uses_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/apikey"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// tellUses has a box tell of calls once a second for a time.
+func tellUses(r *loneReplica, seconds int, uses ...*wire.WorkspaceUse) {
+	for range seconds {
+		r.now = r.now.Add(time.Second)
+		r.give(BoxMessage{Connection: 1, Envelope: &wire.Envelope{Body: &wire.Envelope_RenewRequest{RenewRequest: &wire.RenewRequest{
+			Box: &wire.Box{Id: "b", Domain: "d", Address: "10.0.0.1:7000"}, Nonce: uint64(r.now), Start: 1, Uses: uses,
+		}}}})
+	}
+}
+
+// Operators see at the leader what a workspace with a limit is let in and refused a second; what boxes
+// say of others, or of none that there is, isn't kept.
+func TestOperatorsSeeWhatWorkspacesUse(t *testing.T) {
+	r := newLoneReplica(t)
+	keys := func(name string) []apikey.Digest { return []apikey.Digest{apikey.DigestOf([]byte(name))} }
+	r.give(DocumentSubmitted{Request: 1, Document: &table.Document{
+		Version: 1, Services: []table.Service{{Name: "s", Work: table.Repeatable, Deadline: time.Second}},
+		Workspaces: table.Workspaces{
+			{Name: "free", Keys: keys("free")}, {Name: "idle", Keys: keys("idle"), Rate: 5}, {Name: "shops", Keys: keys("shops"), Rate: 20, Burst: 20},
+		},
+	}})
+	told := []*wire.WorkspaceUse{{Workspace: "shops", Admitted: 16, Refused: 3}, {Workspace: "free", Admitted: 9}, {Workspace: "foreign", Admitted: 9}}
+	use := func(name units.WorkspaceName) *table.WorkspaceUse {
+		for _, v := range r.core.WorkspaceViews(r.now) {
+			if v.Name == name {
+				return v.Use
+			}
+		}
+		return nil
+	}
+	tellUses(r, 25, told...)
+	if u := use("shops"); u == nil || math.Abs(float64(u.Admitted)-16) > 2 || math.Abs(float64(u.Refused)-3) > 1 {
+		t.Errorf("the workspace is shown with %+v", u)
+	}
+	if u := use("idle"); u == nil || u.Admitted != 0 {
+		t.Errorf("the one that sends nothing is shown with %+v", u)
+	}
+	if use("free") != nil || len(r.core.uses) != 1 {
+		t.Errorf("%d workspaces are counted, and one without a limit is shown with %+v", len(r.core.uses), use("free"))
+	}
+	tellUses(r, 25)
+	if u := use("shops"); u.Admitted != 0 || u.Refused != 0 {
+		t.Errorf("25 s after its last call it is shown with %+v", u)
+	}
+}
--- a/pkg/core/routing/quotas.go
+++ b/pkg/core/routing/quotas.go
@@ -79,6 +79,8 @@
 	sweepAt units.Instant
 	// reviewed is set once the holders by a list of boxes were worked out.
 	reviewed bool
+	// tellAt is when the leader is next told of uses.
+	tellAt units.Instant
 	// document and listed are those that the book was last reviewed for.
 	document units.DocumentVersion
 	listed   int
@@ -103,6 +105,8 @@
 	account      *limit.Account
 	disappointed eventRate
 	status       QuotaStatus
+	// told is the status that the leader was told of last.
+	told QuotaStatus
 }
 
 // creditCall is a call that waits for a credit.
--- /dev/null
+++ b/pkg/core/routing/quotatelling_test.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+// What all boxes tell the leader comes to what they let in and refused, each call once.
+func TestBoxesTellWhatTheyLetIn(t *testing.T) {
+	f := newQuotaFleet(9, 18, 40)
+	w := f.workspaces[0]
+	f.run(8 * time.Second)
+	f.begin(w, 100)
+	admitted, refused := 0, 0
+	tell := func() {
+		for _, b := range f.boxes {
+			for _, u := range b.router.TakeQuotaUses(f.now) {
+				admitted += u.Admitted
+				refused += u.Refused
+			}
+		}
+	}
+	for range 100 {
+		f.run(100 * time.Millisecond)
+		tell()
+	}
+	w.perSecond = 1e-9
+	f.run(quotaTellEvery)
+	tell()
+	if admitted != len(w.runs) || refused != w.refused {
+		t.Errorf("boxes told of %d calls let in and %d refused; %d ran and %d were refused", admitted, refused, len(w.runs), w.refused)
+	}
+}
--- a/pkg/core/table/workspace.go
+++ b/pkg/core/table/workspace.go
@@ -101,6 +101,15 @@
 
 func nameOfWorkspace(w Workspace) units.WorkspaceName { return w.Name }
 
+// Workspace returns the workspace of a name, or nil.
+func (t *Table) Workspace(name units.WorkspaceName) *Workspace {
+	i, found := slices.BinarySearchFunc(t.Workspaces, name, func(w Workspace, n units.WorkspaceName) int { return cmp.Compare(w.Name, n) })
+	if !found {
+		return nil
+	}
+	return &t.Workspaces[i]
+}
+
 // patchWorkspaces returns the list after a change.
 func patchWorkspaces(list []Workspace, c WorkspaceChange) []Workspace {
 	return patchSorted(list, c.Removed, c.Put, nameOfWorkspace, cmp.Compare)
@@ -115,6 +124,14 @@
 	Ranked   bool           `json:"ranked,omitempty"`
 	Rate     units.CallRate `json:"rate,omitempty"`
 	Burst    float64        `json:"burst,omitempty"`
+	// Use is nil where it isn't known: only the leader does.
+	Use *WorkspaceUse `json:"use,omitempty"`
+}
+
+// WorkspaceUse is what boxes have let in and refused of a workspace over the last seconds.
+type WorkspaceUse struct {
+	Admitted units.CallRate `json:"admitted"`
+	Refused  units.CallRate `json:"refused"`
 }
 
 // View is what may be shown of the workspace.
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -97,7 +97,7 @@
 			{"get", "print the document in force", "Prints the newest document as it was put, or fails when no replica can be sure of it.", &documentGet{tool: t}, nil},
 			{"put", "put a document in force", "madderctl document put FILE. The highest version holds; putting it again changes nothing.", &documentPut{tool: t}, nil},
 		}},
-		{"workspaces", "list the workspaces whose keys let calls in", "Shows priority, rate, burst and the beginnings of the keys' digests.", &listWorkspaces{tool: t}, nil},
+		{"workspaces", "list the workspaces whose keys let calls in", "Shows priority, rate, burst, what the leader knows of the calls let in and refused over the last 10 s, and the beginnings of the keys' digests.", &listWorkspaces{tool: t}, nil},
 		{"digest", "print the digest of a key for a document", "Reads the key from standard input, so that it stands in no history of commands. Needs no server.", &printDigest{tool: t}, nil},
 		{"targets", "list the targets that registered by themselves", "Shows state, sequence, and how long ago the leader heard of each; ask the leader for the latter.", &listTargets{tool: t}, nil},
 		{"regions", "list the routes that allow some regions only", "Names an entry box with --server; shows how many targets it has for each route.", &listRegions{tool: t}, nil},
--- a/pkg/ctl/workspaces.go
+++ b/pkg/ctl/workspaces.go
@@ -10,6 +10,7 @@
 
 	"github.com/madderpond/madderpond/pkg/core/apikey"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 type listWorkspaces struct{ tool *Tool }
@@ -33,13 +34,20 @@
 		if w.Ranked {
 			priority = strconv.Itoa(w.Priority)
 		}
+		admitted, refused := "", ""
+		if w.Use != nil {
+			admitted, refused = formatRate(w.Use.Admitted), formatRate(w.Use.Refused)
+		}
 		rows = append(rows, []string{
-			string(w.Name), priority, formatAmount(float64(w.Rate)), formatAmount(w.Burst), strings.Join(w.Keys, " "),
+			string(w.Name), priority, formatAmount(float64(w.Rate)), formatAmount(w.Burst), admitted, refused, strings.Join(w.Keys, " "),
 		})
 	}
-	return c.tool.printTable([]string{"workspace", "priority", "calls a second", "burst", "keys"}, rows)
+	return c.tool.printTable([]string{"workspace", "priority", "calls a second", "burst", "let in a second", "refused a second", "keys"}, rows)
 }
 
+// formatRate writes a measured rate, of which more digits say nothing.
+func formatRate(x units.CallRate) string { return strconv.FormatFloat(float64(x), 'f', 1, 64) }
+
 // formatAmount writes a limit; an empty cell stands for none.
 func formatAmount(x float64) string {
 	if x == 0 {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -246,6 +246,13 @@
 	return r.core.Table()
 }
 
+// Workspaces are what operators see of the workspaces.
+func (r *Replica) Workspaces() []table.WorkspaceView {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.core.WorkspaceViews(r.Clock.Now())
+}
+
 // Changed returns a channel that is closed with the next change of the table.
 func (r *Replica) Changed() <-chan struct{} {
 	r.lock.Lock()
--- a/pkg/wire/convert_quota.go
+++ b/pkg/wire/convert_quota.go
@@ -19,3 +19,10 @@
 		Again: max(0, time.Duration(m.Again)),
 	}
 }
+
+// FromQuotaUses converts what a box tells the leader of quotas.
+func FromQuotaUses(list []routing.QuotaUse) []*WorkspaceUse {
+	return mapSlice(list, func(x routing.QuotaUse) *WorkspaceUse {
+		return &WorkspaceUse{Workspace: string(x.Workspace), Admitted: uint32(x.Admitted), Refused: uint32(x.Refused)}
+	})
+}
