Each box begins at its own place in the turns of a route's parts

Cause: each box began a route's turns with the heaviest part, and anew whenever the table changed. Change: a box passes over as many turns as a hash of its id and the route says, and goes on where it was when the table changes and the parts don't. Tests: TestPartsGetTheirWeightsOverManyBoxes, TestPartsGetTheirWeightsWhileTheTableChanges.

--- a/pkg/core/routing/routes.go
+++ b/pkg/core/routing/routes.go
@@ -51,14 +51,6 @@
 	parts []routePart
 }
 
-// routePart is a service's part of a route's calls. Credits make each part come up
-// in proportion to its weight, evenly spread.
-type routePart struct {
-	service *service
-	weight  int
-	credit  int
-}
-
 // serviceRoute is the route that a service's own hosts and prefix make.
 func serviceRoute(s *service, host string) *route {
 	return &route{
@@ -82,12 +74,14 @@
 			x.parts = append(x.parts, routePart{service: s, weight: p.Weight})
 		}
 	}
+	x.beginTurns(r.settings.Box)
 	return x
 }
 
 // learnFrom takes over what was learnt of the route before a change, if there was one.
 func (x *route) learnFrom(old *route) {
 	if old != nil {
+		x.continueTurns(old)
 		x.typical, x.answers, x.first = old.typical, old.answers, old.first
 		x.asked = old.asked
 		x.size, x.sized = old.size, old.sized
@@ -143,24 +137,6 @@
 	return nil
 }
 
-// pick returns the service whose turn it is, or nil when the route has none.
-func (x *route) pick() *service {
-	if len(x.parts) == 0 {
-		return nil
-	}
-	total, best := 0, 0
-	for i := range x.parts {
-		p := &x.parts[i]
-		p.credit += p.weight
-		total += p.weight
-		if p.credit > x.parts[best].credit {
-			best = i
-		}
-	}
-	x.parts[best].credit -= total
-	return x.parts[best].service
-}
-
 // deadlineOf is how long a call of the route may take.
 func (x *route) deadlineOf(asked, most time.Duration) time.Duration {
 	if asked <= 0 {
