One call at a time of a request under which a target crashed

Change: a box that sees a crash tells the others which requests were under way. For 0.75 s one call of each is at a target at a time over all boxes, by the turn that the request's coordinator gives; an answer clears it everywhere. The caller under whose call the target crashed leaves the turn to others, and nobody has it while a verdict may be on its way. After 0.6 s without a turn a call goes on as before. Switched off by canaries.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -45,6 +45,13 @@
 	}
 	c.bind(v.Host, v.Path)
 	c.asked = v.Deadline
+	if !r.waitsForCanary(id, c, e) {
+		r.letIn(id, c, e)
+	}
+}
+
+// letIn goes on with a call that may go to targets, once its workspace's quota lets it.
+func (r *Router) letIn(id CallID, c *call, e *Effects) {
 	if !r.waitsForCredit(id, c, e) {
 		r.admitBound(id, c, e)
 	}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -188,6 +188,7 @@
 		r.noteConnectionRefused(t, e)
 	case v.Result == Answered || v.Result == Failed:
 		r.noteAnswered(c, e)
+		r.clearAnswered(c, e)
 	}
 	if v.Result == Answered || v.Result == Failed || v.Result == Shed {
 		t.noteAnswer(r.now, a)
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -82,6 +82,8 @@
 	workspace *table.Workspace
 	// asked is the deadline that the caller asked for; zero for none.
 	asked time.Duration
+	// waitsCanary is set while the call waits for the turn to be sent of a request that is suspected.
+	waitsCanary bool
 	// waitsCredit is set while the call waits for a credit of its workspace; creditUntil is until when
 	// the credit that it took would have held, zero for none.
 	waitsCredit bool
@@ -222,6 +224,8 @@
 	silenceTimer
 	// crashTimer is due when a target whose calls broke off is to be checked again.
 	crashTimer
+	// canaryTimer is due when a call of a suspected request looks whether it may go.
+	canaryTimer
 )
 
 // timer is due at a time; timers of calls that are over are passed over.
@@ -273,6 +277,8 @@
 		r.linkTimePassed(t.call, c, e)
 	case silenceTimer:
 		r.checkSilence(t.call, c, e)
+	case canaryTimer:
+		r.canaryTimePassed(t.call, c, e)
 	case earlyTimer:
 		r.refuseEarly(t.call, c, e)
 	case probeTimer:
--- /dev/null
+++ b/pkg/core/routing/canary.go
@@ -0,0 +1,341 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/crash"
+	"github.com/madderpond/madderpond/pkg/core/rendezvous"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// Until a verdict is there each caller of a request that crashes targets costs one more. So a box that sees a
+// crash tells the others at once which requests were under way, and while they are suspected one call of each goes
+// to a target at a time over all boxes, a canary, whoever calls. An answer to one clears the request everywhere:
+// one that is well is held up for about as long as one call of it takes.
+
+const (
+	// suspicionTerm is for how long a crash holds up the requests that were under way: three crashes, one
+	// after the other, are enough for a verdict and take less.
+	suspicionTerm = 750 * time.Millisecond
+	// canaryTerm is for how long a canary's coordinator waits for what becomes of it: an answer, or a crash,
+	// which shows some 45 ms after the target ended.
+	canaryTerm = 300 * time.Millisecond
+	// verdictTime is for how long after a crash no canary goes: a note's way to the leader, which may have seen
+	// enough, and the verdict's way back, between regions.
+	verdictTime = 100 * time.Millisecond
+	// canaryPause is the time between two requests to send a canary, a round trip between regions.
+	canaryPause = 25 * time.Millisecond
+	// canaryWait is how long a call waits at the most. It goes on then, as calls did before.
+	canaryWait = 600 * time.Millisecond
+	// otherFirst is for how long after a crash the caller under whose call it was leaves the turn to others:
+	// a crash under another one's shows that the request is to blame whoever sends it.
+	otherFirst = 250 * time.Millisecond
+	// maxSuspicions bounds the requests that are suspected at a time; with more, targets crash by
+	// themselves.
+	maxSuspicions = 32
+	// tellRate and tellBurst bound the messages that tell other boxes of crashes, a second: a box at which a
+	// failure domain's calls break off must not crowd the others.
+	tellRate  = 500
+	tellBurst = 1000
+)
+
+// CanaryKind says what a message on canaries is about.
+type CanaryKind uint8
+
+// The kinds of message.
+const (
+	// SuspectCalls names requests under which a target has crashed.
+	SuspectCalls CanaryKind = iota + 1
+	// ClearCall names a request that a target has answered.
+	ClearCall
+	// AskCanary asks whether a call of a request may go.
+	AskCanary
+	// SendCanary lets it.
+	SendCanary
+)
+
+// CanaryMessage is a message between boxes on requests under which targets crash.
+type CanaryMessage struct {
+	Kind CanaryKind
+	// Calls are the requests: those of a crash with who sent them, others whoever sends them.
+	Calls []crash.Fingerprint
+	// Call is the one at the asking box that a SendCanary is for.
+	Call CallID
+}
+
+// PeerCanary is a CanaryMessage of another box.
+type PeerCanary struct {
+	From    units.BoxID
+	Message CanaryMessage
+}
+
+func (*PeerCanary) routingEvent() {}
+
+// suspicion is a request of which one call goes at a time.
+type suspicion struct {
+	call  crash.Fingerprint
+	until units.Instant
+	// busyUntil is until when the coordinator lets no other canary go.
+	busyUntil units.Instant
+	// crashed is a call of it under which a target crashed last, at is when this box heard of that.
+	crashed crash.Fingerprint
+	at      units.Instant
+}
+
+// canaryBook is what a box knows of requests under which targets have just crashed.
+type canaryBook struct {
+	list []suspicion
+	// set has the calls of list.
+	set    callSet
+	told   rateLimit
+	status CanaryStatus
+}
+
+// CanaryStatus is what the dump and the metrics show.
+type CanaryStatus struct {
+	// Suspected counts the requests that were suspected, Cleared those that an answer here cleared.
+	Suspected uint64 `json:"suspected"`
+	Cleared   uint64 `json:"cleared"`
+	// Held counts the calls that waited, Sent the canaries, Unsure the calls that went on without
+	// having been let go.
+	Held   uint64 `json:"held"`
+	Sent   uint64 `json:"sent"`
+	Unsure uint64 `json:"unsure"`
+}
+
+// find returns the suspicion of a request, nil for none.
+func (b *canaryBook) find(f crash.Fingerprint) *suspicion {
+	for i := range b.list {
+		if b.list[i].call == f {
+			return &b.list[i]
+		}
+	}
+	return nil
+}
+
+// noteCrash has one call of a request go at a time after a crash.
+func (b *canaryBook) noteCrash(f crash.Fingerprint, now units.Instant) {
+	s := b.suspect(f.AnyCaller(), now)
+	s.busyUntil = now.Add(verdictTime)
+	s.crashed, s.at = f, now
+}
+
+// suspect has one call of a request go at a time from now on.
+func (b *canaryBook) suspect(f crash.Fingerprint, now units.Instant) *suspicion {
+	s := b.find(f)
+	if s == nil {
+		if len(b.list) >= maxSuspicions {
+			b.drop(b.list[0].call)
+		}
+		b.list = append(b.list, suspicion{call: f})
+		b.set.add(f)
+		b.status.Suspected++
+		s = &b.list[len(b.list)-1]
+	}
+	s.until = now.Add(suspicionTerm)
+	return s
+}
+
+// drop lets calls of a request go as they come.
+func (b *canaryBook) drop(f crash.Fingerprint) {
+	b.keep(func(s *suspicion) bool { return s.call != f })
+}
+
+func (b *canaryBook) dropOld(now units.Instant) {
+	b.keep(func(s *suspicion) bool { return now < s.until })
+}
+
+func (b *canaryBook) keep(wanted func(*suspicion) bool) {
+	kept := b.list[:0]
+	for i := range b.list {
+		if wanted(&b.list[i]) {
+			kept = append(kept, b.list[i])
+		}
+	}
+	if len(kept) == len(b.list) {
+		return
+	}
+	b.list = kept
+	b.set.clear()
+	for i := range b.list {
+		b.set.add(b.list[i].call)
+	}
+}
+
+// suspectCrashed suspects the requests of a crash here and at all other boxes.
+func (r *Router) suspectCrashed(n *crash.Note, e *Effects) {
+	if !r.on(Canaries) {
+		return
+	}
+	b := &r.crashes.canaries
+	var calls []crash.Fingerprint
+	for _, x := range n.Suspects {
+		b.noteCrash(x.Fingerprint, r.now)
+		calls = append(calls, x.Fingerprint)
+	}
+	r.tellCanaries(&CanaryMessage{Kind: SuspectCalls, Calls: calls}, e)
+}
+
+// tellCanaries tells all other boxes, unless that would be too many messages.
+func (r *Router) tellCanaries(m *CanaryMessage, e *Effects) {
+	others := len(r.rank.boxes) - 1
+	if others < 1 || !r.crashes.canaries.told.takeMany(r.now, float64(others), tellRate, tellBurst) {
+		return
+	}
+	for i := range r.rank.boxes {
+		if id := r.rank.boxes[i].ID; id != r.settings.Box {
+			e.add(Effect{Kind: SendCanaryMessage, Peer: id, Canary: m})
+		}
+	}
+}
+
+// clearAnswered clears a request that a target has run to an answer.
+func (r *Router) clearAnswered(c *call, e *Effects) {
+	b := &r.crashes.canaries
+	f, found := b.set.find(c.identity)
+	if !found {
+		return
+	}
+	b.drop(f)
+	b.status.Cleared++
+	r.tellCanaries(&CanaryMessage{Kind: ClearCall, Calls: []crash.Fingerprint{f}}, e)
+}
+
+// suspectedCall returns the suspected request that a call is one of.
+func (r *Router) suspectedCall(c *call) (f crash.Fingerprint, found bool) {
+	b := &r.crashes.canaries
+	if len(b.list) == 0 || !r.on(Canaries) {
+		return f, false
+	}
+	b.dropOld(r.now)
+	return b.set.find(c.identity)
+}
+
+// waitsForCanary has a new call of a suspected request wait until it may go; false means that it may now.
+func (r *Router) waitsForCanary(id CallID, c *call, e *Effects) bool {
+	f, found := r.suspectedCall(c)
+	if !found {
+		return false
+	}
+	b := &r.crashes.canaries
+	if r.coordinatesCanary(f) && !b.leavesTurn(f, c, r.now) && r.letCanaryGo(f) {
+		b.status.Sent++
+		return false
+	}
+	b.status.Held++
+	c.waitsCanary = true
+	e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.arrived.Add(c.route.deadlineOf(c.asked, r.settings.MaxDeadline))})
+	r.askCanary(id, c, f, e)
+	return true
+}
+
+// leavesTurn tells whether a call had better let those of other callers go first.
+func (b *canaryBook) leavesTurn(f crash.Fingerprint, c *call, now units.Instant) bool {
+	s := b.find(f)
+	return s != nil && now.Sub(s.at) < otherFirst && s.crashed.Matches(c.identity)
+}
+
+// askCanary asks the coordinator to let a call go, and will look again.
+func (r *Router) askCanary(id CallID, c *call, f crash.Fingerprint, e *Effects) {
+	r.timers.Push(timer{at: r.now.Add(canaryPause), call: id, kind: canaryTimer})
+	if !r.coordinatesCanary(f) && !r.crashes.canaries.leavesTurn(f, c, r.now) {
+		e.add(Effect{Kind: SendCanaryMessage, Peer: r.canaryCoordinator(f), Canary: &CanaryMessage{
+			Kind: AskCanary, Calls: []crash.Fingerprint{f}, Call: id,
+		}})
+	}
+}
+
+// canaryTimePassed looks at a call that waits: it goes when its request isn't suspected any more, when it is its turn, and
+// when it has waited long enough.
+func (r *Router) canaryTimePassed(id CallID, c *call, e *Effects) {
+	if !c.waitsCanary {
+		return
+	}
+	b := &r.crashes.canaries
+	f, found := r.suspectedCall(c)
+	switch {
+	case !found:
+		r.endCanaryWait(id, c, e)
+	case r.now.Sub(c.arrived) >= canaryWait:
+		b.status.Unsure++
+		r.endCanaryWait(id, c, e)
+	case r.coordinatesCanary(f) && !b.leavesTurn(f, c, r.now) && r.letCanaryGo(f):
+		b.status.Sent++
+		r.endCanaryWait(id, c, e)
+	default:
+		r.askCanary(id, c, f, e)
+	}
+}
+
+func (r *Router) endCanaryWait(id CallID, c *call, e *Effects) {
+	c.waitsCanary = false
+	r.letIn(id, c, e)
+}
+
+// canaryCoordinator is the box that says whose turn it is: the first by hash, so that all ask the same one.
+func (r *Router) canaryCoordinator(f crash.Fingerprint) units.BoxID {
+	first, most := r.settings.Box, uint64(0)
+	name := f.String()
+	for i := range r.rank.boxes {
+		b := &r.rank.boxes[i]
+		if rank := rendezvous.Hash(b.ID, name); !b.Leaving && rank >= most {
+			first, most = b.ID, rank
+		}
+	}
+	return first
+}
+
+func (r *Router) coordinatesCanary(f crash.Fingerprint) bool {
+	return r.canaryCoordinator(f) == r.settings.Box
+}
+
+// letCanaryGo gives away the turn, unless a canary is out.
+func (r *Router) letCanaryGo(f crash.Fingerprint) bool {
+	s := r.crashes.canaries.find(f)
+	if s == nil || r.now < s.busyUntil {
+		return false
+	}
+	s.busyUntil = r.now.Add(canaryTerm)
+	return true
+}
+
+// receiveCanary takes a message of another box.
+func (r *Router) receiveCanary(from units.BoxID, m *CanaryMessage, e *Effects) {
+	b := &r.crashes.canaries
+	if !r.on(Canaries) {
+		return
+	}
+	for _, f := range m.Calls[:min(len(m.Calls), maxSuspicions)] {
+		switch m.Kind {
+		case SuspectCalls:
+			b.noteCrash(f, r.now)
+		case ClearCall:
+			b.drop(f)
+		case AskCanary:
+			r.answerCanary(from, f, m.Call, e)
+		case SendCanary:
+			r.takeCanaryTurn(f, m.Call, e)
+		}
+	}
+}
+
+// answerCanary lets another box's call go where it is its turn. A coordinator that hasn't heard of the crash
+// takes the asking box's word; one that says nothing is asked again.
+func (r *Router) answerCanary(from units.BoxID, f crash.Fingerprint, id CallID, e *Effects) {
+	b := &r.crashes.canaries
+	b.dropOld(r.now)
+	if b.find(f) == nil {
+		b.suspect(f, r.now)
+	}
+	if r.letCanaryGo(f) {
+		e.add(Effect{Kind: SendCanaryMessage, Peer: from, Canary: &CanaryMessage{Kind: SendCanary, Calls: []crash.Fingerprint{f}, Call: id}})
+	}
+}
+
+// takeCanaryTurn sends the call whose turn it is. One that has ended leaves its turn to nobody until it runs out.
+func (r *Router) takeCanaryTurn(f crash.Fingerprint, id CallID, e *Effects) {
+	if c := r.calls.Get(id); c != nil && c.waitsCanary && f.Matches(c.identity) {
+		r.crashes.canaries.status.Sent++
+		r.endCanaryWait(id, c, e)
+	}
+}
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -148,6 +148,7 @@
 	e.add(Effect{Kind: TargetCrashed, Endpoint: t.endpoint, Crash: &n})
 	r.judgeAlone(e)
 	r.watchOwnSuspects()
+	r.suspectCrashed(&n, e)
 	r.sendNotesSoon()
 }
 
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -260,6 +260,8 @@
 	SendLimit
 	// SendQuota sends Quota to the box Peer.
 	SendQuota
+	// SendCanaryMessage sends Canary to the box Peer.
+	SendCanaryMessage
 	// ExposureTurned tells that the box's exposure to a new version began or ended, by Turn;
 	// it is for the log.
 	ExposureTurned
@@ -307,6 +309,7 @@
 	Loan     LoanMessage
 	Limit    *LimitMessage
 	Quota    *QuotaMessage
+	Canary   *CanaryMessage
 	Turn     *ExposureTurn
 	Crash    *crash.Note
 	Verdict  *crash.Verdict
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -50,12 +50,14 @@
 	UnansweredCalls Mechanism = "unanswered-calls"
 	// CrashSuspects finds the calls under which targets crash, and keeps them from targets.
 	CrashSuspects Mechanism = "crash-suspects"
+	// Canaries has one call at a time go to a target of a request under which one has just crashed.
+	Canaries Mechanism = "canaries"
 )
 
 // Mechanisms lists all of them.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting,
-	EarlyCalls, Outlook, FirstTries, SharedLink, UnansweredCalls, CrashSuspects,
+	EarlyCalls, Outlook, FirstTries, SharedLink, UnansweredCalls, CrashSuspects, Canaries,
 }
 
 // mechanismSet tells in constant time which mechanisms are switched off.
--- a/pkg/core/routing/quarantine.go
+++ b/pkg/core/routing/quarantine.go
@@ -56,7 +56,8 @@
 
 // crashBook is what a box knows of crashes and of the calls to blame.
 type crashBook struct {
-	notes crashNotes
+	notes    crashNotes
+	canaries canaryBook
 	// ledger holds the box's own notes.
 	ledger *crash.Ledger
 	// granted is what the last grant said, own the box's own verdicts.
@@ -104,7 +105,8 @@
 		return true
 	}
 	_, suspected := r.crashes.suspects.find(c.identity)
-	return !suspected && !c.isTrial()
+	_, oneAtATime := r.suspectedCall(c)
+	return !suspected && !oneAtATime && !c.isTrial()
 }
 
 // refuseIfQuarantined refuses a new call that may go to no target, unless it is the one call of
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -217,6 +217,8 @@
 		r.receiveLimit(v.From, v.Message, e)
 	case *PeerQuota:
 		r.receiveQuota(v.From, &v.Message, e)
+	case *PeerCanary:
+		r.receiveCanary(v.From, &v.Message, e)
 	}
 	r.admitEarly(e)
 	r.settleDeclined(e)
--- a/pkg/core/routing/script_crash_test.go
+++ b/pkg/core/routing/script_crash_test.go
@@ -82,3 +82,33 @@
 func (s *script) addQuarantine(t *table.Table, words []string) {
 	t.Quarantines = append(t.Quarantines, table.Quarantine{Call: crash.FingerprintOf(likeness(words[0])), Since: t.Revision})
 }
+
+var canaryWords = map[CanaryKind]string{SuspectCalls: "suspect", ClearCall: "clear", AskCanary: "ask", SendCanary: "send"}
+
+func describeCanary(m *CanaryMessage) string {
+	var calls []string
+	for _, f := range m.Calls {
+		calls = append(calls, fmt.Sprintf("%.8s", f))
+	}
+	return fmt.Sprintf("%s %s", canaryWords[m.Kind], strings.Join(calls, " "))
+}
+
+// canary BOX kind=suspect|clear|ask|send like=CONTENT [call=NAME] is a message of another box; a suspect is another
+// caller's.
+func (s *script) canary(d *datadriven.TestData) {
+	m := CanaryMessage{}
+	for k, w := range canaryWords {
+		if w == s.word(d, "kind") {
+			m.Kind = k
+		}
+	}
+	f := crash.FingerprintOf(likeness(s.word(d, "like"))).AnyCaller()
+	if m.Kind == SuspectCalls {
+		f.Caller = 2
+	}
+	m.Calls = []crash.Fingerprint{f}
+	if d.HasArg("call") {
+		m.Call = s.calls[s.word(d, "call")]
+	}
+	s.give(&PeerCanary{From: units.BoxID(d.CmdArgs[0].Key), Message: m})
+}
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -59,6 +59,7 @@
 
 	"key-doubt": (*script).keyDoubt,
 	"quota":     (*script).quota,
+	"canary":    (*script).canary,
 }
 
 func TestScripts(t *testing.T) {
@@ -164,6 +165,8 @@
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLoan(x.Loan))
 	case SendQuota:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeQuota(x.Quota))
+	case SendCanaryMessage:
+		return fmt.Sprintf("tell %s: %s", x.Peer, describeCanary(x.Canary))
 	case SendLimit:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLimit(x.Limit))
 	}
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -28,6 +28,8 @@
 	Inbound InboundStatus `json:"inbound"`
 	// Quotas are of the workspaces whose calls came here, or whose credits this box gave.
 	Quotas []QuotaStatus `json:"quotas,omitempty"`
+	// Canaries are of requests under which targets crashed a moment ago.
+	Canaries CanaryStatus `json:"canaries"`
 }
 
 // InboundStatus is what a box knows of the large answers on their way to it.
@@ -157,7 +159,7 @@
 		Revision: r.table.Revision, LeaseLeft: r.leaseUntil.Sub(now), Boxes: r.rank.count,
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
 		Evacuated: r.table.EvacuatedDomains(), Region: r.settings.Regions[r.settings.Domain], Restricted: r.restrictedRoutes(),
-		Inbound: r.inboundStatus(now), Permits: r.permits, Quotas: r.quotaStatuses(),
+		Inbound: r.inboundStatus(now), Permits: r.permits, Quotas: r.quotaStatuses(), Canaries: r.crashes.canaries.status,
 		Loans: LoanStatus{
 			Asked: r.loans.askedTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -238,6 +238,8 @@
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Limit{Limit: wire.FromLimit(x.Limit)}})
 	case routing.SendQuota:
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Quota{Quota: wire.FromQuota(x.Quota)}})
+	case routing.SendCanaryMessage:
+		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Canary{Canary: wire.FromCanary(x.Canary)}})
 	case routing.RegionUnknown:
 		e.logUnknownRegion(&x)
 	}
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -105,6 +105,8 @@
 		e.reduce(&routing.PeerLimit{From: from, Message: wire.ToLimit(m.GetLimit())})
 	case m.GetQuota() != nil:
 		e.reduce(&routing.PeerQuota{From: from, Message: wire.ToQuota(m.GetQuota())})
+	case m.GetCanary() != nil:
+		e.reduce(&routing.PeerCanary{From: from, Message: wire.ToCanary(m.GetCanary())})
 	default:
 		return false
 	}
--- a/pkg/wire/convert_crash.go
+++ b/pkg/wire/convert_crash.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/crash"
+	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -98,3 +99,13 @@
 		return crash.Watched{Call: ToFingerprint(x.Call), Quarantined: x.Quarantined, Trial: int(x.Trial)}
 	})
 }
+
+// FromCanary converts a message between boxes.
+func FromCanary(m *routing.CanaryMessage) *Canary {
+	return &Canary{Kind: int32(m.Kind), Calls: FromFingerprints(m.Calls), Call: uint64(m.Call)}
+}
+
+// ToCanary converts a message between boxes back.
+func ToCanary(m *Canary) routing.CanaryMessage {
+	return routing.CanaryMessage{Kind: routing.CanaryKind(m.Kind), Calls: ToFingerprints(m.Calls), Call: routing.CallID(m.Call)}
+}
--- a/pkg/wire/kind.go
+++ b/pkg/wire/kind.go
@@ -21,6 +21,7 @@
 	KindLoan         Kind = "loan"
 	KindLimit        Kind = "limit"
 	KindQuota        Kind = "quota"
+	KindCanary       Kind = "canary"
 )
 
 // KindOf returns the kind of message that an envelope carries.
@@ -56,6 +57,8 @@
 		return KindLimit
 	case *Envelope_Quota:
 		return KindQuota
+	case *Envelope_Canary:
+		return KindCanary
 	}
 	return KindOther
 }
