Boxes tell of crashes by a tree

Cause: a box that saw a crash sent a message to every other box. Each takes a connection: at 121 others a box of a sixth of a core spends a tenth of a second and more on them. Change: each box that is told tells eight others, by the list that all know.

--- a/pkg/core/routing/canary.go
+++ b/pkg/core/routing/canary.go
@@ -1,10 +1,12 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/rendezvous"
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -33,8 +35,11 @@
 	// maxSuspicions bounds the requests that are suspected at a time; with more, targets crash by
 	// themselves.
 	maxSuspicions = 32
-	// tellRate and tellBurst bound the messages that tell other boxes of crashes, a second: a box at which a
-	// failure domain's calls break off must not crowd the others.
+	// tellOn is how many boxes each one tells that is told: connections to all others would cost a small box a
+	// tenth of a second, and three steps reach 500.
+	tellOn = 8
+	// tellRate and tellBurst bound those messages, a second: a box at which a failure domain's calls break
+	// off must not crowd the others.
 	tellRate  = 500
 	tellBurst = 1000
 )
@@ -59,6 +64,8 @@
 	Kind CanaryKind
 	// Calls are the requests: those of a crash with who sent them, others whoever sends them.
 	Calls []crash.Fingerprint
+	// Origin is the box that tells all others; empty for messages between two.
+	Origin units.BoxID
 	// Call is the one at the asking box that a SendCanary is for.
 	Call CallID
 }
@@ -173,22 +180,32 @@
 		b.noteCrash(x.Fingerprint, r.now)
 		calls = append(calls, x.Fingerprint)
 	}
-	r.tellCanaries(&CanaryMessage{Kind: SuspectCalls, Calls: calls}, e)
+	r.tellCanaries(&CanaryMessage{Kind: SuspectCalls, Calls: calls, Origin: r.settings.Box}, e)
 }
 
-// tellCanaries tells all other boxes, unless that would be too many messages.
+// tellCanaries tells the boxes that come after this one in the tree whose root is the message's origin, unless
+// that would be too many messages. All boxes know the tree, by their list.
 func (r *Router) tellCanaries(m *CanaryMessage, e *Effects) {
-	others := len(r.rank.boxes) - 1
-	if others < 1 || !r.crashes.canaries.told.takeMany(r.now, float64(others), tellRate, tellBurst) {
+	n := len(r.rank.boxes)
+	root, own := r.placeOf(m.Origin), r.placeOf(r.settings.Box)
+	if root < 0 || own < 0 {
 		return
 	}
-	for i := range r.rank.boxes {
-		if id := r.rank.boxes[i].ID; id != r.settings.Box {
-			e.add(Effect{Kind: SendCanaryMessage, Peer: id, Canary: m})
-		}
+	first := (own-root+n)%n*tellOn + 1
+	last := min(first+tellOn, n)
+	if first >= last || !r.crashes.canaries.told.takeMany(r.now, float64(last-first), tellRate, tellBurst) {
+		return
+	}
+	for k := first; k < last; k++ {
+		e.add(Effect{Kind: SendCanaryMessage, Peer: r.rank.boxes[(root+k)%n].ID, Canary: m})
 	}
 }
 
+// placeOf returns a box's place in the list, or -1.
+func (r *Router) placeOf(id units.BoxID) int {
+	return slices.IndexFunc(r.rank.boxes, func(b table.Box) bool { return b.ID == id })
+}
+
 // clearAnswered clears a request that a target has run to an answer.
 func (r *Router) clearAnswered(c *call, e *Effects) {
 	b := &r.crashes.canaries
@@ -198,7 +215,7 @@
 	}
 	b.drop(f)
 	b.status.Cleared++
-	r.tellCanaries(&CanaryMessage{Kind: ClearCall, Calls: []crash.Fingerprint{f}}, e)
+	r.tellCanaries(&CanaryMessage{Kind: ClearCall, Calls: []crash.Fingerprint{f}, Origin: r.settings.Box}, e)
 }
 
 // suspectedCall returns the suspected request that a call is one of.
@@ -317,6 +334,9 @@
 			r.takeCanaryTurn(f, m.Call, e)
 		}
 	}
+	if m.Kind == SuspectCalls || m.Kind == ClearCall {
+		r.tellCanaries(m, e)
+	}
 }
 
 // answerCanary lets another box's call go where it is its turn. A coordinator that hasn't heard of the crash
--- a/pkg/wire/convert_crash.go
+++ b/pkg/wire/convert_crash.go
@@ -102,10 +102,10 @@
 
 // FromCanary converts a message between boxes.
 func FromCanary(m *routing.CanaryMessage) *Canary {
-	return &Canary{Kind: int32(m.Kind), Calls: FromFingerprints(m.Calls), Call: uint64(m.Call)}
+	return &Canary{Kind: int32(m.Kind), Calls: FromFingerprints(m.Calls), Call: uint64(m.Call), Origin: string(m.Origin)}
 }
 
 // ToCanary converts a message between boxes back.
 func ToCanary(m *Canary) routing.CanaryMessage {
-	return routing.CanaryMessage{Kind: routing.CanaryKind(m.Kind), Calls: ToFingerprints(m.Calls), Call: routing.CallID(m.Call)}
+	return routing.CanaryMessage{Kind: routing.CanaryKind(m.Kind), Calls: ToFingerprints(m.Calls), Call: routing.CallID(m.Call), Origin: units.BoxID(m.Origin)}
 }
--- a/pkg/wire/convert_quota_test.go
+++ b/pkg/wire/convert_quota_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 )
 
@@ -16,6 +17,13 @@
 	}
 }
 
+func TestCanaryMessagesComeAsTheyWereSent(t *testing.T) {
+	m := routing.CanaryMessage{Kind: routing.SuspectCalls, Calls: []crash.Fingerprint{{Head: 1, Body: 2, Caller: 3}}, Origin: "b", Call: 7}
+	if d := cmp.Diff(m, ToCanary(FromCanary(&m))); d != "" {
+		t.Error(d)
+	}
+}
+
 // Another box's message can't make a count negative.
 func TestQuotaMessagesThatMakeNoSense(t *testing.T) {
 	if m := ToQuota(&Quota{Count: -5, Again: -1}); m.Count != 0 || m.Again != 0 {
