A wait for a message ends before its connection is closed

Cause: a session that ends closes the connection below before its streams. A read that waits on one goes round without a pause until then: on a process of one processor until it is preempted, 10 ms later, and that for each connection that ends. Change: the connection below ends the read before it closes.

--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -81,7 +81,8 @@
 	if err != nil {
 		return nil, unreachable(err, address)
 	}
-	session, err := yamux.Client(security.client(raw), yamuxSettings())
+	below := &carrier{Conn: security.client(raw)}
+	session, err := yamux.Client(below, yamuxSettings())
 	if err != nil {
 		raw.Close()
 		return nil, unreachable(err, address)
@@ -91,6 +92,7 @@
 		session.Close()
 		return nil, unreachable(err, address)
 	}
+	below.carry(stream)
 	c := newConn(session, stream)
 	hello.Protocol = protocolVersion
 	if err := c.Send(&wire.Envelope{Body: &wire.Envelope_Hello{Hello: hello}}); err != nil {
@@ -108,7 +110,8 @@
 func accept(raw net.Conn, security *Security) (*Conn, *wire.Hello, error) {
 	raw.SetDeadline(time.Now().Add(helloLimit))
 	wrapped := security.server(raw)
-	session, err := yamux.Server(wrapped, yamuxSettings())
+	below := &carrier{Conn: wrapped}
+	session, err := yamux.Server(below, yamuxSettings())
 	if err != nil {
 		raw.Close()
 		return nil, nil, junk(err)
@@ -118,6 +121,7 @@
 		session.Close()
 		return nil, nil, junk(err)
 	}
+	below.carry(stream)
 	c := newConn(session, stream)
 	m, err := c.Receive()
 	if err != nil {
