--- a/pkg/core/routing/canary.go
+++ b/pkg/core/routing/canary.go
@@ -20,7 +20,7 @@
 	// after the other, are enough for a verdict and take less.
 	suspicionTerm = 750 * time.Millisecond
 	// canaryTerm is for how long a canary's coordinator waits for what becomes of it: an answer, or a crash,
-	// which shows some 45 ms after the target ended.
+	// which shows when its target's host has refused two checks.
 	canaryTerm = 300 * time.Millisecond
 	// verdictTime is for how long after a crash no canary goes: a note's way to the leader, which may have seen
 	// enough, and the verdict's way back, between regions.
@@ -35,8 +35,8 @@
 	// maxSuspicions bounds the requests that are suspected at a time; with more, targets crash by
 	// themselves.
 	maxSuspicions = 32
-	// tellOn is how many boxes each one tells that is told: connections to all others would cost a small box a
-	// tenth of a second, and three steps reach 500.
+	// tellOn is how many boxes each one tells that is told: connections to all others would cost a small box
+	// the time of its calls, and three steps reach 500.
 	tellOn = 8
 	// tellRate and tellBurst bound those messages, a second: a box at which a failure domain's calls break
 	// off must not crowd the others.
--- a/pkg/core/routing/turns.go
+++ b/pkg/core/routing/turns.go
@@ -10,8 +10,8 @@
 // The services of a route take turns by their weights. Hundreds of boxes may get one call each in the time over
 // which users look at the weights, so that each box begins at its own place in the order of turns.
 
-// mostTurns bounds how many turns a box passes over to begin at its own place: they are taken again
-// when an operator changes the weights, and 1,000 take some microseconds.
+// mostTurns bounds how many turns a box passes over to begin at its own place, which it does for each route whose
+// weights an operator changes.
 const mostTurns = 1000
 
 // routePart is a service's part of a route's calls. Credits make each part come up
