--- a/pkg/transport/carrier_test.go
+++ b/pkg/transport/carrier_test.go
@@ -45,6 +45,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The connection must not end while its other side is still saying who it is.
+	if other := <-dialled; other != nil {
+		defer other.Close()
+	}
 	ended := make(chan error, 1)
 	go func() {
 		_, err := c.Receive()
@@ -64,7 +68,4 @@
 	if err := <-closed; err != nil {
 		t.Error(err)
 	}
-	if other := <-dialled; other != nil {
-		other.Close()
-	}
 }
