--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -158,6 +158,7 @@
 	IdleTimeout     Duration            `json:"idleTimeout" validate:"min=10ms,max=1h" doc:"How long a caller's connection may be idle."`
 	WriteTimeout    Duration            `json:"writeTimeout" validate:"min=10ms,max=1h" doc:"How long a caller may take to read an answer."`
 	ConnectTimeout  Duration            `json:"connectTimeout" validate:"min=1ms,max=1m" doc:"How long a connection to a target may take to open."`
+	TargetSource    string              `json:"targetSource" validate:"omitempty,ip" doc:"The IP number of this box that connections to targets come from; empty leaves it to the system."`
 	OnceIdle        Duration            `json:"onceIdle" validate:"min=10ms,max=1h" doc:"How long a connection to a target may have rested to carry work that must not run twice. A target may have forgotten the connection and reset what is sent; then nobody knows whether it ran."`
 	IdleTarget      Duration            `json:"idleTarget" validate:"min=10ms,max=1h" doc:"How long an unused connection to a target is kept."`
 	MaxDeadline     Duration            `json:"maxDeadline" validate:"min=10ms,max=1h" doc:"The longest deadline that a caller may ask for."`
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -350,7 +351,10 @@
 }
 
 func targetSettings(s *entrySettings) target.Settings {
+	// The settings have been checked; an empty address parses to the zero address.
+	source, _ := netip.ParseAddr(s.TargetSource)
 	return target.Settings{
+		Source:         source,
 		ConnectTimeout: s.ConnectTimeout.Std(), IdleTimeout: s.IdleTarget.Std(), AtMostOnceIdleTimeout: s.OnceIdle.Std(), MaxBufferedBytes: s.BufferBody,
 		ShedStatus: s.ShedStatus, ShedHeader: s.ShedHeader, LoadHeader: s.LoadHeader,
 		DeadlineHeader: s.DeadlineHeader, ProbePath: s.ProbePath, CallIDHeader: s.CallIDHeader,
--- a/pkg/lab/caller.go
+++ b/pkg/lab/caller.go
@@ -55,6 +55,8 @@
 	Body        []byte
 	// Key is the API key to send; empty sends the caller's own.
 	Key string
+	// NewConnection makes the call on a connection of its own.
+	NewConnection bool
 }
 
 // Caller makes calls to entry boxes, checks every answer and records all calls.
@@ -123,6 +125,9 @@
 	if p.Key != "" {
 		request.Header.Set(KeyHeader, p.Key)
 	}
+	if p.NewConnection {
+		request.SetConnectionClose()
+	}
 	if p.Work > 0 {
 		request.Header.Set(WorkHeader, strconv.FormatInt(p.Work.Microseconds(), 10))
 	}
--- a/pkg/lab/faultproxy.go
+++ b/pkg/lab/faultproxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -15,8 +16,11 @@
 	changed    *sync.Cond
 	blackholed [directions]bool
 	delay      time.Duration
-	conns      map[net.Conn]bool
-	closed     bool
+	// conns holds the open connections with the client's address, also those to the target.
+	conns  map[net.Conn]netip.Addr
+	closed bool
+	// cuts holds the clients that are cut off from the target.
+	cuts map[netip.Addr]CutMode
 	// generation is incremented by each BlackholeOpenConns; connections of earlier
 	// generations stay blackholed.
 	generation int
@@ -34,6 +38,19 @@
 	directions
 )
 
+// CutMode is how a client's connections fail while it is cut off.
+type CutMode int
+
+// The modes of a cut.
+const (
+	// CutSilent holds back all data while connections stay open.
+	CutSilent CutMode = iota + 1
+	// CutReset resets open and new connections.
+	CutReset
+	// CutNew resets new connections only.
+	CutNew
+)
+
 // StartFaultProxy starts a proxy for a target address on a free loopback port.
 func StartFaultProxy(target string) (*FaultProxy, error) {
 	return StartFaultProxyAt("127.0.0.1:0", target)
@@ -45,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &FaultProxy{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	p := &FaultProxy{listener: listener, target: target, conns: map[net.Conn]netip.Addr{}, cuts: map[netip.Addr]CutMode{}}
 	p.changed = sync.NewCond(&p.lock)
 	go p.run()
 	return p, nil
@@ -77,6 +94,29 @@
 	p.changed.Broadcast()
 }
 
+// CutOff cuts the client at an address off from the target, until Reconnect.
+func (p *FaultProxy) CutOff(client netip.Addr, m CutMode) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.cuts[client] = m
+	if m != CutReset {
+		return
+	}
+	for c, from := range p.conns {
+		if from == client {
+			reset(c)
+		}
+	}
+}
+
+// Reconnect ends the cut of a client.
+func (p *FaultProxy) Reconnect(client netip.Addr) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	delete(p.cuts, client)
+	p.changed.Broadcast()
+}
+
 // SetDelay delays every chunk of data in both directions.
 func (p *FaultProxy) SetDelay(d time.Duration) {
 	p.lock.Lock()
@@ -89,11 +129,15 @@
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
+		reset(c)
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
 	}
+	c.Close()
 }
 
 // Close stops the proxy and resets its connections.
@@ -101,6 +145,7 @@
 	p.lock.Lock()
 	p.closed = true
 	p.blackholed = [directions]bool{}
+	clear(p.cuts)
 	p.changed.Broadcast()
 	p.lock.Unlock()
 	p.listener.Close()
@@ -119,8 +164,13 @@
 
 func (p *FaultProxy) forward(in net.Conn) {
 	defer p.closeConn(in)
-	generation, open := p.addConn(in)
-	if !open || !p.awaitForwarding(ToTarget, generation) {
+	client := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	generation, open := p.addConn(in, client)
+	if !open {
+		reset(in)
+		return
+	}
+	if !p.awaitForwarding(ToTarget, generation, client) {
 		return
 	}
 	out, err := net.Dial("tcp", p.target)
@@ -128,26 +178,26 @@
 		return
 	}
 	defer p.closeConn(out)
-	if _, open := p.addConn(out); !open {
+	if _, open := p.addConn(out, client); !open {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
-		p.copy(out, in, ToTarget, generation)
+		p.copy(out, in, ToTarget, generation, client)
 		close(done)
 	}()
-	p.copy(in, out, FromTarget, generation)
+	p.copy(in, out, FromTarget, generation, client)
 	<-done
 }
 
 // copy forwards data in one direction until that direction is closed.
-func (p *FaultProxy) copy(to, from net.Conn, d Direction, generation int) {
+func (p *FaultProxy) copy(to, from net.Conn, d Direction, generation int, client netip.Addr) {
 	defer closeWrite(to)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			if !p.awaitForwarding(d, generation) {
+			if !p.awaitForwarding(d, generation, client) {
 				return
 			}
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -169,11 +219,11 @@
 	}
 }
 
-// awaitForwarding blocks while the direction is blackholed, then for the delay. It returns false
-// if the proxy is closed.
-func (p *FaultProxy) awaitForwarding(d Direction, generation int) bool {
+// awaitForwarding blocks while the direction is blackholed or the client is cut off in silence, then
+// for the delay. It returns false if the proxy is closed.
+func (p *FaultProxy) awaitForwarding(d Direction, generation int, client netip.Addr) bool {
 	p.lock.Lock()
-	for (p.blackholed[d] || generation != p.generation) && !p.closed {
+	for (p.blackholed[d] || generation != p.generation || p.cuts[client] == CutSilent) && !p.closed {
 		p.changed.Wait()
 	}
 	closed, delay := p.closed, p.delay
@@ -184,13 +234,14 @@
 	return !closed
 }
 
-// addConn registers a connection; it returns the connection's generation and whether the proxy
-// is open.
-func (p *FaultProxy) addConn(c net.Conn) (generation int, open bool) {
+// addConn registers a connection of a client; it returns the connection's generation and whether
+// the proxy forwards the client's new connections.
+func (p *FaultProxy) addConn(c net.Conn, client netip.Addr) (generation int, open bool) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.conns[c] = true
-	return p.generation, !p.closed
+	p.conns[c] = client
+	m := p.cuts[client]
+	return p.generation, !p.closed && m != CutReset && m != CutNew
 }
 
 func (p *FaultProxy) closeConn(c net.Conn) {
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -118,8 +119,12 @@
 	return n, peekErr
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+// dial connects to an address, from a source IP address if that is valid.
+func dial(ctx context.Context, source netip.Addr, address string) (*conn, error) {
 	var d net.Dialer
+	if source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,9 @@
 // Settings configure the connections to targets and how their responses are read.
 type Settings struct {
 	ConnectTimeout time.Duration
-	IdleTimeout    time.Duration
+	// Source is the IP address that connections come from; the zero address leaves it to the system.
+	Source      netip.Addr
+	IdleTimeout time.Duration
 	// AtMostOnceIdleTimeout is how long a connection may have been idle to carry work that must
 	// not run twice.
 	AtMostOnceIdleTimeout time.Duration
@@ -99,7 +102,7 @@
 
 // open dials a new connection.
 func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, p.settings.Source, address)
 	if err != nil {
 		return nil, err
 	}
