--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -108,6 +108,7 @@
 		if a.entry, err = entry.NewEntry(a.Common, advertise); err != nil {
 			return err
 		}
+		a.listener.ServeRelays(a.entry.ServeRelay)
 	}
 	a.boxList = boxlist.NewWatcher(a.Common)
 	a.admin, err = admin.NewServer(a.Common, admin.Components{Entry: a.entry, Replica: a.replica, BoxList: a.boxList, Reloader: a.reloader})
--- a/pkg/config/defaults.go
+++ b/pkg/config/defaults.go
@@ -39,6 +39,7 @@
 			ShareDelay:      Duration(routing.DefaultShareDelay),
 			ColdDoubt:       Duration(routing.DefaultAssumedColdPeriod),
 			MaxCalls:        4096,
+			MaxRelayed:      routing.DefaultMaxRelayed,
 			MaxConnections:  20_000,
 			MaxBody:         1 << 20,
 			BufferBody:      256 << 10,
--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -15,6 +15,10 @@
 	c.owner = v.Owner
 	c.identity = v.Identity
 	c.arrived = r.now
+	if v.Relayed != nil {
+		r.acceptRelayed(id, c, v, e)
+		return
+	}
 	if r.tableIsEmpty() && r.holdEarly(id, c, v, e) {
 		return
 	}
@@ -44,6 +48,11 @@
 	}
 	c.bindRoute(v.Host, v.Path)
 	c.requestedDeadline = v.Deadline
+	if c.isRelayed() {
+		c.requestedDeadline += v.Relayed.Elapsed
+		r.admitToService(id, c, e)
+		return
+	}
 	if !r.holdForCanary(id, c, e) {
 		r.admitAfterCanary(id, c, e)
 	}
@@ -66,9 +75,11 @@
 	}
 	c.service = s
 	s.calls++
-	s.earnExtraTokens()
+	if !c.isRelayed() {
+		s.earnExtraTokens()
+	}
 	c.deadline = c.arrived.Add(c.route.callDeadline(c.requestedDeadline, r.settings.MaxDeadline))
-	if !s.isBusy(r.now) {
+	if !s.isBusy(r.now) && !c.isRelayed() {
 		c.route.callerDeadline.observe(c.requestedDeadline)
 	}
 	if r.wouldMissObjective(c, c.requestedDeadline) {
@@ -81,6 +92,9 @@
 
 // dispatch sends or holds an admitted call.
 func (r *Router) dispatch(id CallID, c *call, e *Effects) {
+	if r.relayIfCutOff(id, c, e) {
+		return
+	}
 	if r.waitForLink(id, c, e) {
 		return
 	}
@@ -244,7 +258,7 @@
 
 // serveHeld sends held calls, oldest first, while targets accept them.
 func (r *Router) serveHeld(s *service, e *Effects) {
-	for s.held.length > 0 && r.leased() {
+	for s.held.length > 0 && r.leased() && !s.hasCut() {
 		i, t := r.nextServable(s)
 		if t == nil {
 			return
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -112,6 +112,12 @@
 // other attempts.
 func (r *Router) attemptStarted(v *AttemptStarted, e *Effects) {
 	c, a := r.findAttempt(v.Call, v.Attempt)
+	if v.Endpoint != nil && v.Endpoint.Relay != "" {
+		if c != nil && c.relay.number == v.Attempt {
+			r.relayStarted(v, c, e)
+		}
+		return
+	}
 	r.handleNotice(v.Endpoint, v.Report, false, a.limitVersionAtSend(), e)
 	if a == nil || c.streaming {
 		return
@@ -119,11 +125,13 @@
 	c.streaming = true
 	// The shell may release the request once its answer is streamed.
 	c.identity = nil
+	r.recordHeard(a.target, e)
 	r.recordNoLimit(a, v.Report.Limit, e)
 	r.recordAnswerStart(c, a, v.Remaining)
 	a.target.recordReport(r.now, v.Report)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: a.target.endpoint})
 	r.cancelOthers(v.Call, c, a, e)
+	r.cancelRelay(v.Call, c, e)
 	c.endProbing()
 }
 
@@ -159,6 +167,13 @@
 // answer or continues with the call.
 func (r *Router) attemptEnded(v *AttemptEnded, e *Effects) {
 	c, a := r.findAttempt(v.Call, v.Attempt)
+	if c != nil && c.relay.number != 0 && c.relay.number == v.Attempt {
+		r.relayEnded(v, c, e)
+		return
+	}
+	if v.Endpoint != nil && v.Endpoint.Relay != "" {
+		return
+	}
 	r.handleNotice(v.Endpoint, v.Report, v.Result == Misdirected, a.limitVersionAtSend(), e)
 	if a == nil {
 		return
@@ -177,6 +192,7 @@
 	if v.Result == NotSent || v.Result == Withheld {
 		r.restorePermit(t, a.permitUntil, e)
 	}
+	r.recordContact(v, t, e)
 	wasEjected := t.health.ejected
 	if v.Result == Broken && r.recordIfUnanswered(c, a, e) {
 		t.lastObservedAt = r.now
@@ -204,7 +220,7 @@
 	}
 	switch v.Result {
 	case Answered:
-		r.deliver(v, c, t, e)
+		r.deliver(v, c, t.endpoint, e)
 	case Failed:
 		c.mayHaveRun = true
 		r.handleFailedAnswer(v, c, t, e)
@@ -212,6 +228,9 @@
 		r.resend(v.Call, c, TargetShed, e)
 	case NotSent, Withheld:
 		c.possibleArrivals--
+		if v.Unreachable {
+			c.unreachableSends++
+		}
 		r.resend(v.Call, c, NoTargetReached, e)
 	case Broken, Canceled:
 		c.mayHaveRun = true
@@ -219,6 +238,17 @@
 	}
 }
 
+// recordContact records what the result of an attempt shows about the box's link to a target. A call
+// at its deadline shows nothing: its target may be slow.
+func (r *Router) recordContact(v *AttemptEnded, t *target, e *Effects) {
+	switch {
+	case v.Result == Answered, v.Result == Failed, v.Result == Shed, v.Result == Misdirected:
+		r.recordHeard(t, e)
+	case v.Result == Broken, v.Unreachable:
+		r.recordContactFailed(t, e)
+	}
+}
+
 // updateTarget updates a target's state from the result of an attempt.
 func (r *Router) updateTarget(t *target, v *AttemptEnded, took time.Duration, e *Effects) {
 	if v.Result == Withheld {
@@ -277,13 +307,12 @@
 }
 
 func (r *Router) streamEnded(v *AttemptEnded, c *call) {
-	c.reset()
-	r.calls.Release(v.Call)
+	r.releaseCall(v.Call, c)
 }
 
-func (r *Router) deliver(v *AttemptEnded, c *call, t *target, e *Effects) {
+func (r *Router) deliver(v *AttemptEnded, c *call, x *Endpoint, e *Effects) {
 	r.recordVersionOvertaken(c, nil)
-	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: t.endpoint})
+	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: x})
 	r.finish(v.Call, c, e)
 }
 
@@ -294,7 +323,7 @@
 		r.keepAnswer(v, c, t, e)
 		return
 	}
-	r.deliver(v, c, t, e)
+	r.deliver(v, c, t.endpoint, e)
 }
 
 // keepAnswer has the shell keep a failed answer while the call is retried at another target. Only
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -96,6 +96,15 @@
 	// when the credit that it took would have expired; zero for none.
 	awaitsCredit     bool
 	creditValidUntil units.Instant
+	// relayedBy is the box that relayed the call to this one, grantedAttempts the number of targets
+	// that it may be sent to; empty and zero for a call of a caller.
+	relayedBy       units.BoxID
+	grantedAttempts int
+	// relay is the relay of the call that is in flight, relays the number of all.
+	relay  relaySend
+	relays int
+	// unreachableSends counts the sends for which no connection could be made.
+	unreachableSends int
 	// service is the one that was picked among the route's services.
 	service  *service
 	arrived  units.Instant
@@ -165,6 +174,9 @@
 			n++
 		}
 	}
+	if c.relay.number != 0 {
+		n++
+	}
 	return n
 }
 
@@ -201,7 +213,7 @@
 
 // attemptsExhausted reports whether the call may not be sent to any further target.
 func (c *call) attemptsExhausted() bool {
-	return c.sendsSinceHeld >= maxSends || c.possibleArrivals >= c.route.maxAttempts
+	return c.sendsSinceHeld >= maxSends || c.possibleArrivals >= c.maxAttempts()
 }
 
 // isInFlightAt reports whether an attempt of the call is in flight at a target.
@@ -309,6 +321,9 @@
 		if r.isInconclusive(a) || r.recordIfUnanswered(c, a, e) {
 			continue
 		}
+		if x := a.target.service.reachesOrDefault()[0]; x.heardAt <= a.sent {
+			r.recordContactFailed(a.target, e)
+		}
 		if a.target.health.recordFailure(r.now) {
 			r.healthChanged(a.target, e)
 		}
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -132,7 +132,8 @@
 	case len(w.broken) == 0:
 	case w.refusedAt == 0:
 		w.refusedAt = r.now
-	case r.now.Sub(w.refusedAt) >= crashCheckInterval:
+		r.checkOthers(t, e)
+	case r.now.Sub(w.refusedAt) >= crashCheckInterval && !r.isBoxAtFault(t):
 		r.recordCrash(t, e)
 	}
 }
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -54,6 +54,8 @@
 	// Identity distinguishes the call from others by its content for as long as the call lives. A
 	// call without one is never held responsible for a crash.
 	Identity crash.Identity
+	// Relayed is set if another box relayed the call to this one.
+	Relayed *RelayedCall
 }
 
 // CallerGone reports that the caller has closed its connection.
@@ -72,6 +74,10 @@
 	Report TargetReport
 	// Refused is set if the target's host refused the connection, so that no process listens there.
 	Refused bool
+	// Unreachable is set when no connection could be made.
+	Unreachable bool
+	// Declined is the refusal of the other box, for a relay that it declined.
+	Declined Refusal
 }
 
 // AttemptStarted reports that the headers of an answer have arrived whose body will be streamed;
@@ -102,6 +108,8 @@
 	Answered bool
 	// Misdirected is set when another target answered at the address.
 	Misdirected bool
+	// Withheld is set if the probe wasn't sent for a reason of the box's own.
+	Withheld bool
 }
 
 // PeerLoan is a LoanMessage received from another box.
@@ -144,11 +152,13 @@
 	// Withheld: nothing was sent, because after its selection the target asked for a rest,
 	// announced its shutdown or announced a limit.
 	Withheld
+	// Declined: the box that the call was relayed to refused it.
+	Declined
 )
 
 var resultNames = map[AttemptResult]string{
 	Answered: "answered", Failed: "failed", Shed: "shed", Misdirected: "misdirected", NotSent: "not-sent",
-	Broken: "broken", Canceled: "canceled", Withheld: "withheld",
+	Broken: "broken", Canceled: "canceled", Withheld: "withheld", Declined: "declined",
 }
 
 // String returns the result's name in the log.
@@ -195,6 +205,8 @@
 	// Born is when the target's process started, as far as that was known when the endpoint was
 	// created.
 	Born units.WallTime
+	// Relay is the other box that a call is relayed to; empty for a target.
+	Relay units.BoxID
 }
 
 // Notice is what a target has requested from the box or announced to it.
@@ -266,6 +278,9 @@
 	// ExposureSwitched reports, for the log, that the box's exposure to a new version began or
 	// ended; see ExposureSwitch.
 	ExposureSwitched
+	// ReachChanged reports, for the log, that the box lost or regained its links to targets; see
+	// Reach.
+	ReachChanged
 	// RegionUnknown reports, for the log and once for each failure domain, that the region of
 	// Endpoint's failure domain isn't known.
 	RegionUnknown
@@ -299,6 +314,11 @@
 	LargeAnswer      bool
 	// ProbePath is the path that a probe requests; empty means the box's default.
 	ProbePath string
+	// NewConnection is set for a Probe that must not use an open connection, ConnectOnly for one that
+	// only opens it.
+	NewConnection, ConnectOnly bool
+	// Relay describes the call to the box that a Send relays it to.
+	Relay RelayedCall
 	// Ejected is set for an EjectionChanged if the target was ejected. Failures is the number of
 	// consecutive failures, or for a ServiceHangs the number of unanswered calls.
 	Ejected  bool
@@ -317,6 +337,7 @@
 	Crash          *crash.Note
 	Verdict        *crash.Verdict
 	Notice         *Notice
+	Reach          *ReachChange
 }
 
 // Effects collects what the shell is to do; it may be reused after Reset.
--- a/pkg/core/routing/evidence.go
+++ b/pkg/core/routing/evidence.go
@@ -78,15 +78,26 @@
 	case result == Broken && !r.mayResend(c):
 	// A call suspected of crashing targets breaks with any version.
 	case result == Failed || result == Broken || ejected && result == NotSent:
-		r.recordVersionFailure(v, c, t, e)
+		r.recordVersionFailure(v, c, t, result == Failed, e)
 	}
 }
 
-// recordVersionFailure counts a failure of the target.
-func (r *Router) recordVersionFailure(v *rolloutState, c *call, t *target, e *Effects) {
-	v.evidence.forRoute(v.runsNewVersion(t), c.route.host, c.route.prefix).failures++
-	if v.runsNewVersion(t) {
-		r.recordNewVersionAnswer(v, true, e)
+// recordVersionFailure counts a failure of the target. One without an answer is counted only once
+// another target is heard, as it may be the box's own.
+func (r *Router) recordVersionFailure(v *rolloutState, c *call, t *target, isAnswer bool, e *Effects) {
+	f := versionFailure{rollout: v, isNew: v.runsNewVersion(t), host: c.route.host, prefix: c.route.prefix}
+	if isAnswer {
+		r.countVersionFailure(f, e)
+		return
+	}
+	r.deferFailure(t, f, e)
+}
+
+// countVersionFailure counts a failure as evidence about its version.
+func (r *Router) countVersionFailure(f versionFailure, e *Effects) {
+	f.rollout.evidence.forRoute(f.isNew, f.host, f.prefix).failures++
+	if f.isNew {
+		r.recordNewVersionAnswer(f.rollout, true, e)
 	}
 }
 
@@ -97,7 +108,7 @@
 	if v == nil || a.sent.Sub(c.arrived) > c.deadline.Sub(c.arrived)/2 {
 		return
 	}
-	r.recordVersionFailure(v, c, a.target, e)
+	r.recordVersionFailure(v, c, a.target, false, e)
 }
 
 // recordVersionOvertaken records the elapsed time of a call's first attempt when another one was
--- a/pkg/core/routing/hedging.go
+++ b/pkg/core/routing/hedging.go
@@ -12,7 +12,7 @@
 
 // isHedged reports whether late calls of this kind are hedged.
 func (r *Router) isHedged(c *call) bool {
-	return c.route.work == table.Repeatable && r.enabled(Hedging) && c.service.row.HedgeBudget > 0 && c.route.maxAttempts > 1
+	return c.route.work == table.Repeatable && r.enabled(Hedging) && c.service.row.HedgeBudget > 0 && c.maxAttempts() > 1
 }
 
 // hedgeDelay is how long a call may be unanswered before it is hedged: half of its latency
@@ -45,13 +45,13 @@
 
 // mayHedge reports whether the call waits for exactly one answer and may be sent once more.
 func (c *call) mayHedge() bool {
-	return !c.held && !c.streaming && !c.probeRound.active && c.inFlight() == 1 && !c.attemptsExhausted()
+	return !c.held && !c.streaming && !c.probeRound.active && c.relay.number == 0 && c.inFlight() == 1 && !c.attemptsExhausted()
 }
 
 // tryHedge hedges a call now if that is possible.
 func (r *Router) tryHedge(id CallID, c *call, e *Effects) bool {
 	s := c.service
-	if r.isBehindHeld(s, c) || !r.leased() || !r.mayResend(c) {
+	if c.isCutOff() || r.isBehindHeld(s, c) || !r.leased() || !r.mayResend(c) {
 		return false
 	}
 	t := r.choose(s, c)
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -53,12 +53,14 @@
 	CrashSuspects Mechanism = "crash-suspects"
 	// Canaries sends one call at a time of a request that was in flight at a recent crash.
 	Canaries Mechanism = "canaries"
+	// Relaying relays calls to other boxes while this one can't reach the targets.
+	Relaying Mechanism = "relaying"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting,
-	EarlyCalls, DomainAvailability, FirstTries, SharedLink, UnansweredCalls, CrashSuspects, Canaries,
+	EarlyCalls, DomainAvailability, FirstTries, SharedLink, UnansweredCalls, CrashSuspects, Canaries, Relaying,
 }
 
 // mechanismSet is a set of mechanisms that are switched off.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -38,10 +38,11 @@
 	FirstSend Purpose = iota
 	RetrySend
 	HedgeSend
+	RelaySend
 )
 
 // String returns the purpose as logs show it.
-func (p Purpose) String() string { return [...]string{"first", "retry", "hedge"}[p] }
+func (p Purpose) String() string { return [...]string{"first", "retry", "hedge", "relay"}[p] }
 
 // probeRound is the current round of probes of a call.
 type probeRound struct {
@@ -65,7 +66,7 @@
 	c.probeRound.queued = false
 	r.dropFinishedWaiting(c.service)
 	if len(c.service.waiting) >= maxProbingCalls || !r.sendProbes(id, c, e) {
-		if !c.service.isBusy(r.now) && !best.hasFreshReport(r.now) && !r.requiresKnownFreeSlot(c) {
+		if !c.service.isBusy(r.now) && !best.hasFreshReport(r.now) && !r.requiresKnownFreeSlot(c) && !c.reachOf().isSuspected() {
 			r.send(id, c, best, purpose, e)
 			return
 		}
@@ -216,6 +217,11 @@
 // concludeProbing sends the call to the target that is now the best, if that is suitable. Otherwise
 // the call probes again after an interval, as long as it can wait.
 func (r *Router) concludeProbing(id CallID, c *call, e *Effects) {
+	r.recordSilentProbes(c.service, e)
+	if c.isCutOff() {
+		r.relayOrRefuse(id, c, e)
+		return
+	}
 	wasOnNewVersion := c.onNewVersion
 	t := r.choose(c.service, c)
 	if wasOnNewVersion && (!c.onNewVersion || !r.isSuitable(c, t)) {
@@ -286,6 +292,11 @@
 	if r.sendUnprobed(id, c, e) {
 		return
 	}
+	r.recordSilentProbes(c.service, e)
+	if c.isCutOff() {
+		r.relayOrRefuse(id, c, e)
+		return
+	}
 	r.dropFinishedWaiting(c.service)
 	if c.probeRound.pending > 0 || !c.service.mayProbe(id) || !r.sendProbes(id, c, e) {
 		r.concludeProbing(id, c, e)
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -50,6 +50,13 @@
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
 	r.handleNotice(v.Target, v.Report, v.Misdirected, unknownLimitVersion, e)
 	t := r.findTarget(v.Target)
+	switch {
+	case t == nil || v.Withheld:
+	case v.Answered || v.Healthy:
+		r.recordHeard(t, e)
+	default:
+		r.recordContactFailed(t, e)
+	}
 	if t != nil && v.Refused {
 		r.recordConnectionRefused(t, e)
 	}
@@ -57,6 +64,10 @@
 		r.crashProbeEnded(t, v)
 		return
 	}
+	if v.Call == 0 && v.Attempt == reachProbe {
+		r.updateFromReachProbe(t, v)
+		return
+	}
 	if v.Call != 0 {
 		r.updateFromProbe(t, v, e)
 		r.probeAnswered(v, t, e)
@@ -82,6 +93,20 @@
 	}
 }
 
+// updateFromReachProbe updates a target's state from the answer to a check of the box's link to it.
+func (r *Router) updateFromReachProbe(t *target, v *ProbeEnded) {
+	if t != nil {
+		t.reachCheckOpen = false
+	}
+	if t == nil || !v.Answered && !v.Healthy {
+		return
+	}
+	t.recordReport(r.now, v.Report)
+	if v.Healthy {
+		r.updateColdState(t, v.Report.Cold)
+	}
+}
+
 // updateFromProbe updates a target's state from the answer to a probe for a call. The health that
 // the target reports doesn't change its ejection: the results of calls are better evidence.
 func (r *Router) updateFromProbe(t *target, v *ProbeEnded, e *Effects) {
--- /dev/null
+++ b/pkg/core/routing/reach.go
@@ -0,0 +1,326 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A box may lose its links to targets that other boxes still reach. It can't tell that from targets
+// that are down: in both cases contacts fail. So it counts the targets at which contacts failed
+// since any target of the service was last heard, and takes itself to be cut off after a few
+// different ones. Its calls then go to other boxes (relay.go), whose answers show which of the two
+// it is. While it is cut off it sends targets nothing but probes on new connections; their answers
+// end the cut.
+
+const (
+	// contactsToCutOff is how many contacts in a row must have failed, at as many different targets
+	// if there are so many: a single target may have crashed, and two fail together more often than
+	// three.
+	contactsToCutOff = 3
+	// contactsToSuspect is the same for a call that would be refused otherwise.
+	contactsToSuspect = 2
+	// targetsToRejoin is how many different targets must have answered to end a cut.
+	targetsToRejoin = 2
+	// probeSilence is the time after which an unanswered probe counts as a failed contact, if no
+	// target of the service has been heard for as long. Idle targets answer within a few
+	// milliseconds, those behind large answers on the same link within about 0.1 s.
+	probeSilence = 100 * time.Millisecond
+	// unreachableDuration is for how long calls are refused at once after no other box could reach
+	// the targets either.
+	unreachableDuration = 500 * time.Millisecond
+	// maxDeclines is the number of boxes that must have declined for all boxes to be taken as cut
+	// off, if there are so many.
+	maxDeclines = 8
+	// maxDeferredFailures bounds the failures of a rollout's versions that wait until the box knows
+	// whether it is cut off.
+	maxDeferredFailures = 64
+)
+
+// reach is a box's evidence on whether it can reach those targets of a service that some of its
+// routes may use.
+type reach struct {
+	service *service
+	regions *table.AllowedRegions
+	// heardAt is when a target was last heard: any complete answer, whatever its status.
+	heardAt units.Instant
+	// lost are the targets at which contacts have failed since, failures the number of these contacts.
+	lost     []*target
+	failures int
+	// cutOff is set while the box takes itself to be cut off, since cutSince.
+	cutOff   bool
+	cutSince units.Instant
+	// regained are the targets heard during the cut.
+	regained []*target
+	// othersReach is set once another box has served a call during the cut. The targets are up
+	// then, and the failures are the box's own.
+	othersReach bool
+	// declined holds the boxes that couldn't reach the targets either, with the end of the time for
+	// which they aren't asked again.
+	declined map[units.BoxID]units.Instant
+	// unreachableUntil is until when calls are refused at once, as no box seems to reach the
+	// targets.
+	unreachableUntil units.Instant
+	// nextCheckAt is when targets are probed next during the cut.
+	nextCheckAt units.Instant
+	// deferredFailures are failures of a rollout's versions that aren't counted yet.
+	deferredFailures []versionFailure
+}
+
+// versionFailure is a failed attempt at a target of a rollout's old or new version.
+type versionFailure struct {
+	rollout      *rolloutState
+	isNew        bool
+	host, prefix string
+}
+
+// countEligible returns how many targets may serve calls, regardless of their health and limits.
+func (x *reach) countEligible() int {
+	n := 0
+	for _, t := range x.service.targets {
+		if x.regions.Allows(t.region) && t.isEligible() {
+			n++
+		}
+	}
+	return n
+}
+
+// isSuspected reports whether enough targets were lost to look for another way for a call that would
+// be refused otherwise.
+func (x *reach) isSuspected() bool {
+	return x.cutOff || x.hasFailed(contactsToSuspect)
+}
+
+// hasFailed reports whether a number of contacts have failed in a row, at as many different targets
+// if there are so many.
+func (x *reach) hasFailed(contacts int) bool {
+	return x.failures >= contacts && len(x.lost) >= min(contacts, x.countEligible())
+}
+
+// recordLost records a failed contact with a target, and reports whether the box is newly cut off.
+// needed is the number of failed contacts that it takes.
+func (x *reach) recordLost(now units.Instant, t *target, needed int) bool {
+	x.failures++
+	if len(x.lost) < contactsToCutOff && !slices.Contains(x.lost, t) {
+		x.lost = append(x.lost, t)
+	}
+	x.regained = slices.DeleteFunc(x.regained, func(o *target) bool { return o == t })
+	if x.cutOff || !x.hasFailed(needed) {
+		return false
+	}
+	x.cutOff, x.cutSince, x.nextCheckAt = true, now, now
+	x.regained, x.othersReach, x.declined, x.unreachableUntil = nil, false, map[units.BoxID]units.Instant{}, 0
+	return true
+}
+
+// recordHeard records an answer of a target, and reports whether that ends a cut.
+func (x *reach) recordHeard(now units.Instant, t *target) bool {
+	x.heardAt = now
+	x.lost, x.failures = x.lost[:0], 0
+	if !x.cutOff {
+		return false
+	}
+	if !slices.Contains(x.regained, t) {
+		x.regained = append(x.regained, t)
+	}
+	if len(x.regained) < min(targetsToRejoin, x.countEligible()) {
+		return false
+	}
+	x.cutOff, x.regained, x.declined = false, nil, nil
+	return true
+}
+
+// recordDeclined records that another box couldn't reach the targets either.
+func (x *reach) recordDeclined(now units.Instant, box units.BoxID) {
+	if x.cutOff {
+		x.declined[box] = now.Add(unreachableDuration)
+	}
+}
+
+// isDeclined reports whether a box has lately declined a call for this reason.
+func (x *reach) isDeclined(now units.Instant, box units.BoxID) bool { return now < x.declined[box] }
+
+// allDeclined reports whether enough boxes have lately declined to take the targets as unreachable
+// for every box.
+func (x *reach) allDeclined(now units.Instant) bool {
+	n := 0
+	for _, until := range x.declined {
+		if now < until {
+			n++
+		}
+	}
+	return n >= maxDeclines
+}
+
+// isUnreachable reports whether no box seems to reach the targets.
+func (x *reach) isUnreachable(now units.Instant) bool { return x.cutOff && now < x.unreachableUntil }
+
+// reachOf returns the evidence for the targets that a call may use; nil for a call without a service.
+func (c *call) reachOf() *reach {
+	s := c.service
+	if s == nil || c.route == nil {
+		return nil
+	}
+	for _, x := range s.reaches {
+		if x.regions.Equal(c.regions) {
+			return x
+		}
+	}
+	x := &reach{service: s, regions: c.regions}
+	s.reaches = append(s.reaches, x)
+	return x
+}
+
+// isCutOff reports whether the box is cut off from the targets that a call may use.
+func (c *call) isCutOff() bool {
+	x := c.reachOf()
+	return x != nil && x.cutOff
+}
+
+// contactsNeeded is the number of failed contacts from which on the box is cut off from a service: a
+// single one if it is already cut off from another and has heard no target of this one since.
+func (r *Router) contactsNeeded(x *reach) int {
+	if r.lastCutAt != 0 && x.heardAt < r.lastCutAt && r.hasCut() {
+		return 1
+	}
+	return contactsToCutOff
+}
+
+// hasCut reports whether the box is cut off from any service.
+func (r *Router) hasCut() bool {
+	return slices.ContainsFunc(r.sortedServices, (*service).hasCut)
+}
+
+func (s *service) hasCut() bool {
+	return slices.ContainsFunc(s.reaches, func(x *reach) bool { return x.cutOff })
+}
+
+// recordContactFailed records that a target couldn't be reached, or fell silent.
+func (r *Router) recordContactFailed(t *target, e *Effects) {
+	if !r.canRelay() || t == nil || t.removed || !t.isEligible() {
+		return
+	}
+	for _, x := range t.service.reachesOrDefault() {
+		if x.regions.Allows(t.region) && x.recordLost(r.now, t, r.contactsNeeded(x)) {
+			r.cutBegan(x, e)
+		}
+	}
+}
+
+// recordHeard records that a target was heard. On most days it only stores the time.
+func (r *Router) recordHeard(t *target, e *Effects) {
+	for _, x := range t.service.reachesOrDefault() {
+		if !x.regions.Allows(t.region) {
+			continue
+		}
+		if x.recordHeard(r.now, t) {
+			r.cutEnded(x, e)
+		}
+		if !x.cutOff {
+			r.countDeferredFailures(x, e)
+		}
+	}
+}
+
+// reachesOrDefault returns the service's evidence; that for all of its targets always exists.
+func (s *service) reachesOrDefault() []*reach {
+	if len(s.reaches) == 0 {
+		s.reaches = []*reach{{service: s}}
+	}
+	return s.reaches
+}
+
+// recordSilentProbes records the targets that leave probes unanswered while no target of the service
+// is heard. Large answers that are being received delay the answers to probes.
+func (r *Router) recordSilentProbes(s *service, e *Effects) {
+	heardAt := s.reachesOrDefault()[0].heardAt
+	if !r.canRelay() || r.now.Sub(heardAt) < probeSilence || r.inbound.remaining(r.now) > 0 {
+		return
+	}
+	for _, t := range s.targets {
+		silence := t.probeTimeout() - probeTimeout + probeSilence
+		if t.probesInFlight > 0 && t.silenceCountedFor != t.probesInFlightSince && r.now.Sub(t.probesInFlightSince) >= silence {
+			t.silenceCountedFor = t.probesInFlightSince
+			r.recordContactFailed(t, e)
+		}
+	}
+}
+
+// cutBegan has the calls relayed, at the end of the event, that wait for targets that the box can't
+// reach any more.
+func (r *Router) cutBegan(x *reach, e *Effects) {
+	r.lastCutAt = r.now
+	r.relays.status.Cuts++
+	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
+	r.scheduleSweep(x.service, r.now)
+	r.newCuts = append(r.newCuts, x)
+	r.checkOtherServices(x.service, e)
+}
+
+// cutEnded sends calls to the targets again. What was held against them during the cut was the
+// box's own fault.
+func (r *Router) cutEnded(x *reach, e *Effects) {
+	for _, t := range x.service.targets {
+		if x.regions.Allows(t.region) && t.health.ejected {
+			t.health = health{}
+			t.failureRate = 0
+			r.healthChanged(t, e)
+		}
+	}
+	r.freedServices = append(r.freedServices, x.service)
+	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
+}
+
+// ReachChange reports, for the log, that the box lost or regained its links to a service's targets.
+type ReachChange struct {
+	Service units.ServiceName
+	Regions []units.Region
+	CutOff  bool
+	// Lost are targets that couldn't be reached. OthersReach is set if other boxes served calls
+	// meanwhile. Duration is how long a cut that has ended lasted.
+	Lost        []units.TargetID
+	OthersReach bool
+	Duration    time.Duration
+}
+
+func (x *reach) describe(now units.Instant) *ReachChange {
+	d := &ReachChange{Service: x.service.row.Name, CutOff: x.cutOff, OthersReach: x.othersReach, Duration: now.Sub(x.cutSince)}
+	if x.regions != nil {
+		d.Regions = x.regions.Names
+	}
+	for _, t := range x.lost {
+		d.Lost = append(d.Lost, t.row.Target)
+	}
+	return d
+}
+
+// deferFailure keeps a failure of a rollout's version until the box has heard a target, and so knows
+// that the failure isn't its own.
+func (r *Router) deferFailure(t *target, f versionFailure, e *Effects) {
+	x := t.service.reachesOrDefault()[0]
+	if !r.canRelay() || len(x.deferredFailures) >= maxDeferredFailures {
+		r.countVersionFailure(f, e)
+		return
+	}
+	x.deferredFailures = append(x.deferredFailures, f)
+}
+
+// countDeferredFailures counts the failures that were deferred.
+func (r *Router) countDeferredFailures(x *reach, e *Effects) {
+	for _, f := range x.deferredFailures {
+		r.countVersionFailure(f, e)
+	}
+	x.deferredFailures = x.deferredFailures[:0]
+}
+
+// dropStaleReaches removes targets that the table no longer contains, and evidence that may belong
+// to restrictions that are no longer in use.
+func (s *service) dropStaleReaches() {
+	for _, x := range s.reaches {
+		x.lost = slices.DeleteFunc(x.lost, func(t *target) bool { return t.removed })
+		x.regained = slices.DeleteFunc(x.regained, func(t *target) bool { return t.removed })
+	}
+	s.reaches = slices.DeleteFunc(s.reaches, func(x *reach) bool { return x.regions != nil && !x.cutOff && len(x.lost) == 0 })
+}
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -54,6 +54,8 @@
 	UnknownKey
 	StaleKeys
 	QuotaExceeded
+	Unreachable
+	RelayLimit
 	reasonCount
 )
 
@@ -90,6 +92,8 @@
 	UnknownKey:         {"unknown-key", 401, "send one API key of a workspace, in the documented header"},
 	StaleKeys:          {"keys-in-doubt", 503, "try another box; this one has lost contact with the control replicas and can't know which keys are valid"},
 	QuotaExceeded:      {"quota-spent", 429, "retry after the given time; the workspace's calls have used up its quota"},
+	Unreachable:        {"unreachable", 503, "retry after the given time; neither this box nor others that it asked can reach a target of this service"},
+	RelayLimit:         {"relay-limit", 503, "retry later; this box serves as many calls of other boxes as it may"},
 	CallerDisconnected: {"caller-gone", 499, "none; the caller disconnected"},
 }
 
@@ -124,10 +128,22 @@
 	return all
 }
 
+// ReasonNamed returns the reason of a name; zero if there is none.
+func ReasonNamed(name string) Reason {
+	for _, r := range Reasons() {
+		if r.String() == name {
+			return r
+		}
+	}
+	return 0
+}
+
 // Refusal is an answer of the box itself in place of one from a target. It is final.
 type Refusal struct {
 	Reason  Reason
 	Outcome Outcome
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
+	// Arrivals is the number of sends that may have reached a target.
+	Arrivals int
 }
--- /dev/null
+++ b/pkg/core/routing/relay.go
@@ -0,0 +1,361 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// A box that is cut off from the targets of a call relays the call to another box. That one admits
+// it like a call of its own: it chooses the target, keeps to limits, rests, regions and the retry
+// budget, and returns a whole answer or a refusal. It never relays the call further. The relaying
+// box has already checked the key, charged the quota and waited for a canary grant.
+
+const (
+	// maxRelays bounds the boxes that one call is relayed to. Boxes that are cut off as well decline
+	// within a round trip.
+	maxRelays = 6
+	// relayTrialRate and relayTrialBurst bound the calls per second that are relayed before the box
+	// takes itself to be cut off.
+	relayTrialRate  = 20
+	relayTrialBurst = 20
+	// minRelayTime is the least time that a call must have left to be relayed.
+	minRelayTime = 5 * time.Millisecond
+)
+
+// RelayedCall is what a box that relays a call tells about it.
+type RelayedCall struct {
+	From units.BoxID
+	// Elapsed is the time since the call arrived at that box.
+	Elapsed time.Duration
+	// Attempts is the number of targets that the call may still be sent to.
+	Attempts int
+}
+
+// relaySend is a relay of a call that is in flight. Its number is zero where there is none.
+type relaySend struct {
+	number AttemptNumber
+	helper *helper
+	sent   units.Instant
+	// attempts is how many targets the other box may send the call to.
+	attempts int
+}
+
+// relayState is a box's state on relayed calls, its own and those of other boxes.
+type relayState struct {
+	helpers map[units.BoxID]*helper
+	trials  tokenBucket
+	// inFlight counts other boxes' calls that this box has accepted.
+	inFlight int
+	status   RelayStatus
+}
+
+// RelayStatus counts relayed calls.
+type RelayStatus struct {
+	// Cuts counts how often the box was cut off from a service's targets.
+	Cuts uint64 `json:"cuts"`
+	// Sent counts the calls relayed to other boxes, by how they ended: Served, Declined by a box
+	// that couldn't serve them either, or Failed on the way.
+	Sent     uint64 `json:"sent"`
+	Served   uint64 `json:"served"`
+	Declined uint64 `json:"declined"`
+	Failed   uint64 `json:"failed"`
+	// Accepted counts other boxes' calls that were accepted here, Refused those that weren't.
+	Accepted uint64 `json:"accepted"`
+	Refused  uint64 `json:"refused"`
+	// InFlight is the number of other boxes' calls that are in flight here.
+	InFlight int `json:"inFlight"`
+}
+
+// relayIfCutOff relays a call that has just arrived, or refuses it, if the box is cut off from its
+// targets. It reports whether it did. A call of another box is refused on suspicion: a further box
+// serves it sooner than this one finds out.
+func (r *Router) relayIfCutOff(id CallID, c *call, e *Effects) bool {
+	x := c.reachOf()
+	if !x.cutOff && !(c.isRelayed() && x.isSuspected()) {
+		return false
+	}
+	r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
+	if r.relay(id, c, x, e) {
+		return true
+	}
+	if c.route.work == table.Patient && !c.isRelayed() {
+		r.holdOrRefuse(id, c, e)
+		return true
+	}
+	r.refuseUnreachable(id, c, x, e)
+	return true
+}
+
+// refuseUnreachable refuses a call whose targets neither this box nor others seem to reach.
+func (r *Router) refuseUnreachable(id CallID, c *call, x *reach, e *Effects) {
+	after := max(minRetryAfter, x.unreachableUntil.Sub(r.now))
+	jitter := 1 + retryAfterJitter*r.random.Float64()
+	retryAfter := time.Duration(jitter * float64(after)).Round(time.Millisecond)
+	r.refuseFinally(id, c, Refusal{Reason: Unreachable, Outcome: c.outcome(), RetryAfter: retryAfter}, e)
+}
+
+// relayInsteadOfRefusal relays a call that would be refused for a reason that another box may not
+// have, if targets have been lost.
+func (r *Router) relayInsteadOfRefusal(id CallID, c *call, reason Reason, e *Effects) bool {
+	if !relayableReasons[reason] {
+		return false
+	}
+	x := c.reachOf()
+	if x == nil || !x.isSuspected() && !(reason == NoTargetReached && c.unreachableSends >= contactsToSuspect) {
+		return false
+	}
+	if !x.cutOff && !r.relays.trials.take(r.now, relayTrialRate, relayTrialBurst) {
+		return false
+	}
+	return r.relay(id, c, x, e)
+}
+
+// relayableReasons are the reasons for a refusal that a box may give because it has lost targets.
+var relayableReasons = [reasonCount]bool{
+	TargetsBusy: true, NoTargetReached: true, WaitTooLong: true, HoldExpired: true, TooManyHeld: true, AttemptBroken: true,
+}
+
+// mayRelay reports whether a call may be relayed now.
+func (r *Router) mayRelay(c *call) bool {
+	switch {
+	case !r.canRelay(), c.isRelayed(), c.relay.number != 0, c.streaming, c.isQuarantineTrial():
+		return false
+	case c.relays >= maxRelays, c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
+		return false
+	case !r.leased(), r.now.Add(minRelayTime) >= c.deadline:
+		return false
+	}
+	return c.outcome() == NotRun || c.route.work == table.Repeatable
+}
+
+// relay relays a call to another box. It returns false if the call may not be relayed, or no box
+// seems to reach its targets.
+func (r *Router) relay(id CallID, c *call, x *reach, e *Effects) bool {
+	if x.isUnreachable(r.now) || !r.mayRelay(c) || !r.mayResend(c) {
+		return false
+	}
+	h := r.chooseHelper(x, c)
+	if h == nil || x.allDeclined(r.now) {
+		r.markUnreachable(x, e)
+		return false
+	}
+	if c.outcome() != NotRun && !c.service.spendRetry() {
+		return false
+	}
+	c.held = false
+	c.onNewVersion = false
+	c.endProbing()
+	c.sends++
+	c.relays++
+	c.relay = relaySend{number: c.sends, helper: h, sent: r.now, attempts: c.maxAttempts() - c.possibleArrivals}
+	h.inFlight++
+	r.relays.status.Sent++
+	e.add(Effect{
+		Kind: Send, Call: id, Owner: c.owner, Attempt: c.relay.number, Purpose: RelaySend, Workspace: c.workspaceName(),
+		Endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
+		Relay:    RelayedCall{From: r.settings.Box, Elapsed: r.now.Sub(c.arrived), Attempts: c.relay.attempts},
+		Deadline: c.deadline, NotAfter: r.selectionExpiry(), AtMostOnce: c.route.work == table.AtMostOnce,
+		LatencyObjective: c.route.latencyObjective, LargeAnswer: c.route.largeAnswers,
+	})
+	return true
+}
+
+// markUnreachable takes the targets as unreachable for every box for a while. Failures that were
+// deferred are theirs, unless another box has served calls during the cut.
+func (r *Router) markUnreachable(x *reach, e *Effects) {
+	if !x.cutOff {
+		return
+	}
+	x.unreachableUntil = r.now.Add(unreachableDuration)
+	if !x.othersReach {
+		r.countDeferredFailures(x, e)
+	}
+}
+
+// relayAfterCuts relays the calls that the cuts which an event began concern.
+func (r *Router) relayAfterCuts(e *Effects) {
+	for len(r.newCuts) > 0 {
+		x := r.newCuts[len(r.newCuts)-1]
+		r.newCuts = r.newCuts[:len(r.newCuts)-1]
+		r.relayPending(x, e)
+	}
+}
+
+// relayPending relays the calls that wait for targets that the box is cut off from, and repeatable
+// calls in flight there. Waiting calls that can't be relayed are refused, except patient ones.
+func (r *Router) relayPending(x *reach, e *Effects) {
+	var pending []CallID
+	r.calls.Each(func(id CallID, c *call) {
+		waits := c.held || c.probeRound.active && c.inFlight() == 0
+		silent := c.route != nil && c.route.work == table.Repeatable && c.inFlight() == 1
+		if c.service == x.service && (waits || silent) && c.regions.Equal(x.regions) {
+			pending = append(pending, id)
+		}
+	})
+	slices.Sort(pending)
+	for _, id := range pending {
+		if c := r.calls.Get(id); c != nil {
+			r.relayOrRefuse(id, c, e)
+		}
+	}
+}
+
+// relayOrRefuse relays a call that waits for targets that the box is cut off from, or refuses it. It
+// leaves a patient call held, and one in flight where it is.
+func (r *Router) relayOrRefuse(id CallID, c *call, e *Effects) {
+	x := c.reachOf()
+	switch {
+	case r.relay(id, c, x, e):
+	case c.inFlight() > 0:
+		c.endProbing()
+	case !c.held || c.route.work != table.Patient:
+		r.refuseUnreachable(id, c, x, e)
+	}
+}
+
+// relayEnded handles the end of a relay.
+func (r *Router) relayEnded(v *AttemptEnded, c *call, e *Effects) {
+	sent := c.relay
+	x := c.reachOf()
+	r.endRelay(c)
+	if c.streaming {
+		r.streamEnded(v, c)
+		return
+	}
+	switch v.Result {
+	case Answered:
+		r.recordRelayServed(x, sent.helper)
+		r.deliver(v, c, v.Endpoint, e)
+	case Declined:
+		r.relays.status.Declined++
+		c.possibleArrivals += v.Declined.Arrivals
+		c.mayHaveRun = c.mayHaveRun || v.Declined.Outcome == Unknown
+		r.relayDeclined(v, c, x, sent.helper, e)
+	case NotSent, Withheld:
+		r.relays.status.Failed++
+		sent.helper.avoidUntil = r.now.Add(helperFailureTime)
+		r.relayAgain(v.Call, c, x, Refusal{Reason: Unreachable}, e)
+	default:
+		r.relays.status.Failed++
+		sent.helper.avoidUntil = r.now.Add(helperFailureTime)
+		c.mayHaveRun = true
+		c.possibleArrivals += sent.attempts
+		r.relayAgain(v.Call, c, x, Refusal{Reason: AttemptBroken}, e)
+	}
+}
+
+// relayDeclined continues with a call that another box refused: with a further box if the reason is
+// that box's own, else with its refusal.
+func (r *Router) relayDeclined(v *AttemptEnded, c *call, x *reach, h *helper, e *Effects) {
+	reason := v.Declined.Reason
+	switch {
+	case reason == Unreachable:
+		x.recordDeclined(r.now, h.box.ID)
+	case helperReasons[reason]:
+		h.avoidUntil = r.now.Add(helperBusyTime)
+	default:
+		if c.inFlight() == 0 {
+			r.refuseFinally(v.Call, c, Refusal{Reason: reason, Outcome: c.outcome(), RetryAfter: v.Declined.RetryAfter}, e)
+		}
+		return
+	}
+	r.relayAgain(v.Call, c, x, v.Declined, e)
+}
+
+// relayAgain relays a call to a further box, or refuses it.
+func (r *Router) relayAgain(id CallID, c *call, x *reach, last Refusal, e *Effects) {
+	if c.inFlight() > 0 || r.relay(id, c, x, e) {
+		return
+	}
+	if last.Reason == Unreachable && x.cutOff {
+		r.refuseUnreachable(id, c, x, e)
+		return
+	}
+	r.refuseFinally(id, c, Refusal{Reason: last.Reason, Outcome: c.outcome(), RetryAfter: max(last.RetryAfter, minRetryAfter)}, e)
+}
+
+// recordRelayServed records that another box reached the targets.
+func (r *Router) recordRelayServed(x *reach, h *helper) {
+	r.relays.status.Served++
+	h.servedAt = r.now
+	if x.cutOff {
+		x.othersReach = true
+		x.unreachableUntil = 0
+		x.deferredFailures = x.deferredFailures[:0]
+	}
+}
+
+// relayStarted starts streaming the answer to a relayed call.
+func (r *Router) relayStarted(v *AttemptStarted, c *call, e *Effects) {
+	c.streaming = true
+	c.identity = nil
+	r.recordRelayServed(c.reachOf(), c.relay.helper)
+	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: v.Endpoint})
+	for i := range c.attempts {
+		if a := &c.attempts[i]; a.target != nil {
+			r.cancel(v.Call, c, a, e)
+		}
+	}
+	c.endProbing()
+}
+
+// endRelay ends the relay in flight of a call, if there is one.
+func (r *Router) endRelay(c *call) {
+	if c.relay.number == 0 {
+		return
+	}
+	c.relay.helper.inFlight--
+	c.relay = relaySend{}
+}
+
+// cancelRelay cancels the relay in flight of a call, if there is one.
+func (r *Router) cancelRelay(id CallID, c *call, e *Effects) {
+	if c.relay.number == 0 {
+		return
+	}
+	b := c.relay.helper.box
+	e.add(Effect{Kind: Cancel, Call: id, Owner: c.owner, Attempt: c.relay.number, Endpoint: &Endpoint{Service: c.service.row.Name, Relay: b.ID}})
+	r.endRelay(c)
+}
+
+// isRelayed reports whether another box relayed the call to this one.
+func (c *call) isRelayed() bool { return c.relayedBy != "" }
+
+// maxAttempts is the number of targets that the call may be sent to.
+func (c *call) maxAttempts() int {
+	if c.isRelayed() {
+		return min(c.route.maxAttempts, c.grantedAttempts)
+	}
+	return c.route.maxAttempts
+}
+
+// acceptRelayed admits a call that another box has relayed, or refuses it.
+func (r *Router) acceptRelayed(id CallID, c *call, v *CallArrived, e *Effects) {
+	c.relayedBy, c.grantedAttempts = v.Relayed.From, v.Relayed.Attempts
+	c.arrived = r.now.Add(-v.Relayed.Elapsed)
+	r.relays.inFlight++
+	r.recordPeerCutOff(v.Relayed.From)
+	switch {
+	case r.tableIsEmpty():
+		r.refuse(id, c, Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noTableRetryAfter}, e)
+	case !r.leased():
+		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, e)
+	case !r.enabled(Relaying) || r.relays.inFlight > r.settings.MaxRelayed:
+		r.refuse(id, c, Refusal{Reason: RelayLimit, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
+	default:
+		r.relays.status.Accepted++
+		r.admit(id, c, v, e)
+	}
+}
+
+// releaseCall removes a call that has ended.
+func (r *Router) releaseCall(id CallID, c *call) {
+	if c.isRelayed() {
+		r.relays.inFlight--
+	}
+	c.reset()
+	r.calls.Release(id)
+}
--- /dev/null
+++ b/pkg/core/routing/relayhelper.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+const (
+	// helperSamples is the number of boxes, in each of this box's own failure domain and the others,
+	// that are compared for a relay.
+	helperSamples = 3
+	// otherDomainCost is the cost of a box in another failure domain, in calls in flight.
+	otherDomainCost = 2
+	// unprovenCost is the cost of a box that hasn't lately served a relayed call, in calls in
+	// flight.
+	unprovenCost = 4
+	// provenTime is for how long a box counts as proven after it served a relayed call.
+	provenTime = time.Second
+	// helperFailureTime is for how long a box that a relay didn't reach isn't chosen, and one that
+	// relays calls itself. helperBusyTime is the same for a box that declined for a reason of its
+	// own.
+	helperFailureTime = time.Second
+	helperBusyTime    = 100 * time.Millisecond
+)
+
+// helper is another box to which calls are relayed.
+type helper struct {
+	box      table.Box
+	inFlight int
+	servedAt units.Instant
+	// cutOffUntil is until when the box isn't chosen because it relays calls itself, avoidUntil until
+	// when it isn't because a relay failed or it declined for a reason of its own, unless no other
+	// box is left.
+	cutOffUntil units.Instant
+	avoidUntil  units.Instant
+}
+
+// helperReasons are the reasons for which a box declines a relayed call that another box may serve.
+var helperReasons = [reasonCount]bool{
+	RelayLimit: true, NoTable: true, NoLease: true, Stopping: true, StaleKeys: true, UnknownVersion: true, NoService: true, UnknownKey: true, NoTarget: true,
+}
+
+// canRelay reports whether calls can be relayed at all.
+func (r *Router) canRelay() bool { return r.hasHelpers && r.enabled(Relaying) }
+
+// updateHelpers applies a new list of boxes.
+func (r *Router) updateHelpers() {
+	r.hasHelpers = slices.ContainsFunc(r.rank.boxes, func(b table.Box) bool { return b.ID != r.settings.Box && b.Address != "" })
+	for id, h := range r.relays.helpers {
+		if h.inFlight == 0 && indexOf(id, r.rank.boxes) < 0 {
+			delete(r.relays.helpers, id)
+		}
+	}
+}
+
+// helperFor returns the state of another box.
+func (r *Router) helperFor(b table.Box) *helper {
+	h := r.relays.helpers[b.ID]
+	if h == nil {
+		h = &helper{}
+		r.relays.helpers[b.ID] = h
+	}
+	h.box = b
+	return h
+}
+
+// recordPeerCutOff records that another box relays calls, so that it is no help itself.
+func (r *Router) recordPeerCutOff(id units.BoxID) {
+	if i := indexOf(id, r.rank.boxes); i >= 0 {
+		r.helperFor(r.rank.boxes[i]).cutOffUntil = r.now.Add(helperFailureTime)
+	}
+}
+
+// chooseHelper returns the box to relay a call to; nil if none is left.
+func (r *Router) chooseHelper(x *reach, c *call) *helper {
+	if h := r.sampleHelpers(x, c, false); h != nil {
+		return h
+	}
+	return r.sampleHelpers(x, c, true)
+}
+
+// sampleHelpers returns the best of some boxes that may help. Because it compares samples, boxes that
+// are cut off at the same time spread their calls.
+func (r *Router) sampleHelpers(x *reach, c *call, includeAvoided bool) *helper {
+	boxes := r.rank.boxes
+	if len(boxes) == 0 {
+		return nil
+	}
+	var best *helper
+	bestCost := 0
+	own, others := 0, 0
+	start := r.random.IntN(len(boxes))
+	for k := range boxes {
+		b := boxes[(start+k)%len(boxes)]
+		isOwn := b.Domain == r.settings.Domain
+		if isOwn && own >= helperSamples || !isOwn && others >= helperSamples || !r.mayHelp(x, c, b, includeAvoided) {
+			continue
+		}
+		if isOwn {
+			own++
+		} else {
+			others++
+		}
+		h := r.helperFor(b)
+		if cost := h.cost(r.now, isOwn); best == nil || cost < bestCost {
+			best, bestCost = h, cost
+		}
+		if own+others >= 2*helperSamples {
+			break
+		}
+	}
+	return best
+}
+
+// cost ranks the box for a relay; lower is better.
+func (h *helper) cost(now units.Instant, isOwnDomain bool) int {
+	cost := h.inFlight
+	if !isOwnDomain {
+		cost += otherDomainCost
+	}
+	if h.servedAt == 0 || now.Sub(h.servedAt) > provenTime {
+		cost += unprovenCost
+	}
+	return cost
+}
+
+// mayHelp reports whether a call may be relayed to a box. A call that is restricted to regions
+// doesn't leave them, except within this box's own region, where it is already.
+func (r *Router) mayHelp(x *reach, c *call, b table.Box, includeAvoided bool) bool {
+	if b.ID == r.settings.Box || b.Leaving || b.Address == "" || x.isDeclined(r.now, b.ID) {
+		return false
+	}
+	if h := r.relays.helpers[b.ID]; h != nil && (r.now < h.cutOffUntil || !includeAvoided && r.now < h.avoidUntil) {
+		return false
+	}
+	region := r.settings.Regions[b.Domain]
+	return c.regions.Allows(region) || region != "" && region == r.settings.Regions[r.settings.Domain]
+}
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -36,6 +36,8 @@
 	MaxDeadline time.Duration
 	// LinkRate is the bandwidth of the box's link in bytes per second; zero means unlimited.
 	LinkRate float64
+	// MaxRelayed is the number of calls relayed by other boxes that may be in flight here.
+	MaxRelayed int
 	// QuotaSlack is the number of calls by which a workspace may exceed its rate and burst.
 	QuotaSlack int
 	// MaxKeyStaleness is how long the box accepts keys after its table was last known to be
@@ -51,6 +53,7 @@
 	DefaultProbeCost         = 5 * time.Millisecond
 	DefaultAssumedColdPeriod = 2 * time.Second
 	DefaultMaxDeadline       = 5 * time.Minute
+	DefaultMaxRelayed        = 256
 	DefaultQuotaSlack        = 2 * quota.HoldersPerGroup
 )
 
@@ -133,6 +136,13 @@
 	notices     noticeMap
 	permits     PermitStatus
 	quotas      quotaState
+	relays      relayState
+	// hasHelpers is set if calls could be relayed to another box.
+	hasHelpers bool
+	// newCuts is the evidence for the cuts that this event began.
+	newCuts []*reach
+	// lastCutAt is when the box last found itself cut off from a service's targets.
+	lastCutAt units.Instant
 	// declinedServices are the services for which a coordinator had no permit during this event.
 	declinedServices []*service
 }
@@ -178,6 +188,7 @@
 		crashes:              newCrashState(),
 		notices:              noticeMap{},
 		quotas:               newQuotaState(),
+		relays:               relayState{helpers: map[units.BoxID]*helper{}},
 	}, nil
 }
 
@@ -224,6 +235,7 @@
 	r.admitEarly(e)
 	r.retryDeclined(e)
 	r.serveFreed(e)
+	r.relayAfterCuts(e)
 }
 
 // serveFreed gives capacity that became available during an event to waiting calls, then to other
@@ -286,6 +298,7 @@
 	}
 	s.updateWeights(r.now)
 	r.sweepPermits(s, e)
+	r.sweepReach(s, e)
 	if s.held.length == 0 {
 		return
 	}
@@ -324,13 +337,22 @@
 	return r.leaseUntil
 }
 
-// refuse ends a call with a refusal, or delivers an answer kept from an earlier attempt.
+// refuse ends a call with a refusal, or delivers an answer kept from an earlier attempt. A call that
+// another box may serve is relayed instead.
 func (r *Router) refuse(id CallID, c *call, refusal Refusal, e *Effects) {
+	if c.kept.endpoint != nil || !r.relayInsteadOfRefusal(id, c, refusal.Reason, e) {
+		r.refuseFinally(id, c, refusal, e)
+	}
+}
+
+// refuseFinally is refuse without a relay.
+func (r *Router) refuseFinally(id CallID, c *call, refusal Refusal, e *Effects) {
 	if c.kept.endpoint != nil && refusal.Reason != CallerDisconnected {
 		r.deliverKept(id, c, e)
 		return
 	}
 	r.explainBlocked(c, &refusal)
+	refusal.Arrivals = c.possibleArrivals
 	r.returnQuarantineTrial(c)
 	e.add(Effect{Kind: Refuse, Call: id, Owner: c.owner, Refusal: refusal, Workspace: c.workspaceName()})
 	r.refusals[refusal.Reason]++
@@ -347,7 +369,7 @@
 			r.cancel(id, c, a, e)
 		}
 	}
+	r.cancelRelay(id, c, e)
 	r.restoreCredit(c, e)
-	c.reset()
-	r.calls.Release(id)
+	r.releaseCall(id, c)
 }
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"sort"
 	"strconv"
@@ -57,6 +58,8 @@
 	"regions":   (*script).regions,
 	"limit":     (*script).peerLimit,
 
+	"reached":   (*script).reached,
+	"declined":  (*script).declined,
 	"key-doubt": (*script).setMaxKeyStaleness,
 	"quota":     (*script).quota,
 	"canary":    (*script).canary,
@@ -71,7 +74,7 @@
 		router, err := NewRouter(Settings{
 			Box: "me", Domain: "here", Seed: 1, ShareDelay: time.Second, AssumedColdPeriod: DefaultAssumedColdPeriod, ProbeCost: 5 * time.Millisecond,
 			Loans: true, MaxDeadline: time.Minute,
-			LinkRate: 875_000,
+			LinkRate: 875_000, MaxRelayed: 2,
 		}, s.now)
 		if err != nil {
 			t.Fatal(err)
@@ -116,6 +119,9 @@
 	switch x.Kind {
 	case Send:
 		s.calls[name] = x.Call
+		if x.Endpoint.Relay != "" {
+			return s.describeRelay(name, x)
+		}
 		if s.sent[name] == nil || x.Attempt == 1 {
 			s.sent[name] = map[AttemptNumber]*Endpoint{}
 		}
@@ -135,12 +141,15 @@
 	case Keep:
 		return fmt.Sprintf("keep %s #%d", name, x.Attempt)
 	case Cancel:
-		return fmt.Sprintf("cancel %s #%d at %s", name, x.Attempt, x.Endpoint.Target)
+		return fmt.Sprintf("cancel %s #%d at %s", name, x.Attempt, cmp.Or(string(x.Endpoint.Target), string(x.Endpoint.Relay)))
 	case Probe:
 		s.probes[string(x.Endpoint.Target)] = x.Endpoint
 		if x.Attempt == crashProbeNumber && x.Call == 0 {
 			return "check " + string(x.Endpoint.Target)
 		}
+		if x.Attempt == reachProbe && x.Call == 0 {
+			return describeCheck(x)
+		}
 		if x.Call == 0 {
 			return "probe " + string(x.Endpoint.Target)
 		}
@@ -151,6 +160,8 @@
 		return ""
 	case ExposureSwitched:
 		return describeSwitch(x.ExposureSwitch)
+	case ReachChanged:
+		return describeReach(x.Reach)
 	case RegionUnknown:
 		return "the region of " + string(x.Endpoint.Domain) + " isn't known"
 	case ServiceHangs:
@@ -194,7 +205,7 @@
 	return fmt.Sprintf("%s, %d to spare", text, m.SpareSlots)
 }
 
-// setTable applies a table: lines of "boxes NAME[@DOMAIN[,leaving]]...", "service NAME
+// setTable applies a table: lines of "boxes NAME[@DOMAIN[,leaving][,peer]]...", "service NAME
 // COLUMN=VALUE...", "row SERVICE TARGET COLUMN=VALUE...", "registered SERVICE TARGET [DOMAIN]
 // [leaving] [silent] [cold=TIME] [software=V]", "in-force SERVICE V", "rollout SERVICE FROM TO
 // STAGE ORDER SINCE SHARE [TARGET,TARGET...]", "evacuated DOMAIN", "restored DOMAIN REVISION" and
@@ -230,8 +241,13 @@
 func (s *script) addBoxes(t *table.Table, words []string) {
 	for _, w := range words {
 		id, domain, _ := strings.Cut(w, "@")
+		domain, peer := strings.CutSuffix(domain, ",peer")
 		domain, leaving := strings.CutSuffix(domain, ",leaving")
-		t.Boxes = append(t.Boxes, table.Box{ID: units.BoxID(id), Domain: units.Domain(domain), Leaving: leaving})
+		b := table.Box{ID: units.BoxID(id), Domain: units.Domain(domain), Leaving: leaving}
+		if peer {
+			b.Address = id + ":1"
+		}
+		t.Boxes = append(t.Boxes, b)
 	}
 }
 
@@ -379,8 +395,8 @@
 	return text
 }
 
-// call NAME service=S [path=P] [deadline=D] [like=X] [key=K]: calls with the same X have the same
-// content.
+// call NAME service=S [path=P] [deadline=D] [like=X] [key=K] [from=BOX] [elapsed=D] [attempts=N]: calls
+// with the same X have the same content; one with from is relayed by another box.
 func (s *script) call(d *datadriven.TestData) {
 	path := "/"
 	d.MaybeScanArgs(s.t, "path", &path)
@@ -393,6 +409,9 @@
 	if d.HasArg("key") {
 		v.Credential = apikey.CredentialFromHeader([][]byte{[]byte(s.word(d, "key"))})
 	}
+	if d.HasArg("from") {
+		v.Relayed = s.relayedCall(d)
+	}
 	s.reduce(v)
 }
 
@@ -451,7 +470,7 @@
 	"withheld": Withheld,
 }
 
-// end NAME attempt=N result=R [load=N] [refused] [rest=D] [leaving] ends an attempt. With a load
+// end NAME attempt=N result=R [load=N] [refused] [unreachable] [rest=D] [leaving] ends an attempt. With a load
 // the answer reports it, at the usual pace.
 func (s *script) end(d *datadriven.TestData) {
 	var n int
@@ -463,6 +482,7 @@
 		v.Report = TargetReport{HasLoad: true, InFlight: float64(load), Slots: 3, Pace: 1}
 	}
 	v.Refused = d.HasArg("refused")
+	v.Unreachable = d.HasArg("unreachable")
 	v.Endpoint = s.sent[d.CmdArgs[0].Key][v.Attempt]
 	s.setNotice(d, &v.Report)
 	s.reduce(v)
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -71,6 +71,9 @@
 	// nextLimitCheckAt is when a permit of a limited target may next be requested for a call that
 	// has other targets.
 	nextLimitCheckAt units.Instant
+	// reaches is the evidence on whether the box can reach the targets: first that for all of them,
+	// then that for the regions that routes are restricted to.
+	reaches []*reach
 	// rollout is the active rollout, or nil.
 	rollout *rolloutState
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -30,6 +30,8 @@
 	Quotas []QuotaStatus `json:"quotas,omitempty"`
 	// Canaries is the state on requests that were in flight at recent crashes of targets.
 	Canaries CanaryStatus `json:"canaries"`
+	// Relays counts calls relayed to other boxes and by them.
+	Relays RelayStatus `json:"relays"`
 }
 
 // InboundStatus is the state of large answers that the box is receiving.
@@ -87,6 +89,13 @@
 	Leaving int    `json:"leaving"`
 	// Limited is the number of targets that announce a limit.
 	Limited int `json:"limited"`
+	// CutOff is set while the box can't reach the targets, or those that some routes are restricted
+	// to. CutOffMs is for how long, in milliseconds. OthersReach is set if other boxes have served
+	// its calls meanwhile, Unreachable while none seems to.
+	CutOff      bool  `json:"cutOff,omitempty"`
+	CutOffMs    int64 `json:"cutOffMs,omitempty"`
+	OthersReach bool  `json:"othersReach,omitempty"`
+	Unreachable bool  `json:"unreachable,omitempty"`
 	// Rollout is the state of the active rollout.
 	Rollout *RolloutStatus `json:"rollout,omitempty"`
 }
@@ -161,6 +170,7 @@
 		Listed: r.rank.listed, Calls: r.calls.Len(), Refusals: map[string]uint64{},
 		Evacuated: r.table.EvacuatedDomains(), Region: r.settings.Regions[r.settings.Domain], Restricted: r.restrictedRoutes(),
 		Inbound: r.inboundStatus(now), Permits: r.permits, Quotas: r.quotaStatuses(), Canaries: r.crashes.canaries.status,
+		Relays: r.relayStatus(),
 		Loans: LoanStatus{
 			Requested: r.loans.requestTotal, Lent: r.loans.lentTotal, Borrowed: r.loans.borrowedTotal,
 			LentNow: len(r.loans.lent), BorrowedNow: len(r.loans.borrowed),
@@ -186,6 +196,14 @@
 	if s.rollout != nil {
 		status.Rollout = s.rollout.status(now)
 	}
+	for _, x := range s.reaches {
+		if !x.cutOff {
+			continue
+		}
+		status.CutOff, status.CutOffMs = true, max(status.CutOffMs, now.Sub(x.cutSince).Milliseconds())
+		status.OthersReach = status.OthersReach || x.othersReach
+		status.Unreachable = status.Unreachable || x.isUnreachable(now)
+	}
 	for _, t := range s.targets {
 		status.Targets = append(status.Targets, r.targetStatus(t, now))
 		if t.notice.isResting(now) {
@@ -276,6 +294,23 @@
 	return ""
 }
 
+// CutOff returns the services whose targets the box can't reach.
+func (s *Status) CutOff() []units.ServiceName {
+	names := []units.ServiceName{}
+	for _, x := range s.Services {
+		if x.CutOff {
+			names = append(names, x.Service)
+		}
+	}
+	return names
+}
+
+func (r *Router) relayStatus() RelayStatus {
+	s := r.relays.status
+	s.InFlight = r.relays.inFlight
+	return s
+}
+
 // InFlight returns the number of calls that haven't been answered.
 func (r *Router) InFlight() int { return r.calls.Len() }
 
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -83,6 +83,7 @@
 	clear(r.domainBoxes)
 	r.domainBoxCounts = nil
 	r.dropUnlistedLoans(boxes)
+	r.updateHelpers()
 	return true
 }
 
@@ -122,6 +123,7 @@
 		r.attachNotices(s)
 		r.applyColdRows(s)
 	}
+	s.dropStaleReaches()
 	r.assignRegions(s, e)
 	r.applyEvacuations(s)
 	r.updateVersionRoles(s)
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -56,6 +56,13 @@
 	probeBucket         tokenBucket
 	healthProbeInFlight bool
 	lastObservedAt      units.Instant
+	// silenceCountedFor is the probesInFlightSince for which silence has been counted as a failed
+	// contact.
+	silenceCountedFor units.Instant
+	// reachCheckedAt is when the target was last probed to find out whether the box can reach it;
+	// reachCheckOpen is set until that is answered or has been counted as a failed contact.
+	reachCheckedAt units.Instant
+	reachCheckOpen bool
 
 	health  health
 	latency latencyEstimate
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -27,7 +27,13 @@
 	if closing {
 		out.SetConnectionClose()
 	}
-	out.Header.Set(targetHeader, string(a.endpoint.Target))
+	removeRelayHeaders(&out.Header)
+	if relayedBy(ctx) != "" {
+		out.Header.Set(target.RelayResultHeader, target.RelayAnswered)
+	}
+	if a.endpoint.Relay == "" {
+		out.Header.Set(targetHeader, string(a.endpoint.Target))
+	}
 	if from.BodyStream() == nil || a.attempt.IsComplete() {
 		out.SkipBody = from.SkipBody
 		e.writeWhole(ctx, a)
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -36,6 +36,8 @@
 	// steps are the decisions on the call so far, for the trace in the log.
 	steps    []step
 	identity identity
+	// relayed is set if another box relayed the call to this one.
+	relayed *routing.RelayedCall
 }
 
 // send is one attempt of a call.
@@ -110,7 +112,11 @@
 	c := x.Owner.(*call)
 	c.id = x.Call
 	a := e.pools.NewAttempt(&x)
-	e.fillRequest(a.Request, c.request, x.Workspace)
+	if x.Endpoint.Relay != "" {
+		e.fillRelayed(a.Request, c, &x.Relay)
+	} else {
+		e.fillRequest(a.Request, c.request, x.Workspace)
+	}
 	s := send{number: x.Attempt, attempt: a}
 	c.sends = append(c.sends, s)
 	if c.inline && c.inlineSend.attempt == nil && e.runningAttempts.Load() < int64(e.Settings.Entry.MaxCalls) {
@@ -138,6 +144,7 @@
 	} else {
 		e.reduce(&routing.AttemptEnded{
 			Call: id, Attempt: number, Endpoint: a.Endpoint(), Result: result, Report: a.Report, Refused: a.Refused,
+			Unreachable: a.Unreachable, Declined: a.Declined,
 		})
 	}
 	if e.endSend(c, number, a) {
@@ -172,7 +179,7 @@
 		e.reduce(&ended)
 	})
 	if err != nil {
-		ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt}
+		ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, Withheld: true}
 		e.core.Reduce(e.Clock.Now(), &ended, &e.effects)
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -84,12 +84,12 @@
 		core:         core,
 		wakeAt:       noWakeSet,
 		waitingCalls: map[*call]bool{},
-		pools:        target.NewPools(targetSettings(s), c.Clock),
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
 		pacer:        pacing.NewPacer(pacing.RateFromMegabits(s.LinkMbps), c.Clock),
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
 	}
+	e.pools = target.NewPools(e.targetSettings(), c.Clock)
 	e.control = newControlClient(e)
 	e.peers = newPeerLinks(e)
 	e.server = e.newServer()
@@ -121,6 +121,7 @@
 		LinkRate:          float64(pacing.RateFromMegabits(s.Entry.LinkMbps)),
 		MaxKeyStaleness:   s.Entry.KeyDoubt.Std(),
 		QuotaSlack:        s.Entry.QuotaSlack,
+		MaxRelayed:        s.Entry.MaxRelayed,
 		Disable:           s.Entry.Disable,
 	}, c.Clock.Now())
 }
@@ -243,6 +244,8 @@
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Quota{Quota: wire.FromQuota(x.Quota)}})
 	case routing.SendCanaryMessage:
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Canary{Canary: wire.FromCanary(x.Canary)}})
+	case routing.ReachChanged:
+		e.logReach(x.Reach)
 	case routing.RegionUnknown:
 		e.logUnknownRegion(&x)
 	}
@@ -350,7 +353,8 @@
 	}
 }
 
-func targetSettings(s *entrySettings) target.Settings {
+func (e *Entry) targetSettings() target.Settings {
+	s := &e.Settings.Entry
 	// The settings have been checked; an empty address parses to the zero address.
 	source, _ := netip.ParseAddr(s.TargetSource)
 	return target.Settings{
@@ -361,5 +365,6 @@
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
 		LimitHeader:              s.LimitHeader,
 		StatusMayMeanNotExecuted: s.PromiseStatus, AllowUnframed: s.Unframed,
+		DialRelay: e.dialRelay,
 	}
 }
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -52,6 +52,7 @@
 	from.Header.CopyTo(&out.Header)
 	removeHopByHop(&out.Header)
 	out.Header.Del("Expect")
+	removeRelayHeaders(&out.Header)
 	out.Header.Del(e.Settings.Entry.KeyHeader)
 	out.Header.Del(e.Settings.Entry.WorkspaceHeader)
 	if w != "" {
--- a/pkg/entry/identity.go
+++ b/pkg/entry/identity.go
@@ -36,7 +36,9 @@
 // Caller returns a digest of the caller's identity.
 func (i *identity) Caller() uint64 {
 	if i.caller == 0 {
-		i.caller = crash.Digest(i.callerName())
+		if i.caller = relayedCaller(i.ctx); i.caller == 0 || relayedBy(i.ctx) == "" {
+			i.caller = crash.Digest(i.callerName())
+		}
 	}
 	return i.caller
 }
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -44,6 +44,9 @@
 // observe records how long a call took from its arrival to its answer.
 func (m *metrics) observe(e *routing.Endpoint, took time.Duration) {
 	m.services.Observe(e.Service, took)
+	if e.Relay != "" {
+		return
+	}
 	m.targets.Observe(targetKey{service: e.Service, target: e.Target}, took)
 }
 
@@ -83,6 +86,8 @@
 		"inFlight":    s.Routing.Calls,
 		"services":    s.Routing.Services,
 		"loans":       s.Routing.Loans,
+		"relays":      s.Routing.Relays,
+		"cutOff":      s.Routing.CutOff(),
 		"connections": s.Connections,
 		"leaving":     s.Leaving,
 	}
--- /dev/null
+++ b/pkg/entry/relay.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/target"
+	"github.com/madderpond/madderpond/pkg/transport"
+	"github.com/madderpond/madderpond/pkg/units"
+	"github.com/madderpond/madderpond/pkg/wire"
+)
+
+// ServeRelay serves the calls that another box relays on a connection, until that ends.
+func (e *Entry) ServeRelay(hello *wire.Hello, c *transport.RelayConn) {
+	if err := e.server.ServeConn(c); err != nil {
+		e.Log.WithError(err).WithFields(logrus.Fields{"kind": "relay-ended", "from": hello.Box}).Debug("a connection of relayed calls ended with an error")
+	}
+}
+
+// dialRelay connects to another box to relay calls to it.
+func (e *Entry) dialRelay(ctx context.Context, address string) (net.Conn, error) {
+	return transport.DialRelay(ctx, address, e.Security, e.hello())
+}
+
+// relayHeaders are the headers between boxes; callers and targets get none of them.
+var relayHeaders = []string{target.RelayElapsedHeader, target.RelayAttemptsHeader, target.RelayCallerHeader, target.RelayResultHeader}
+
+func removeRelayHeaders(h headerSet) {
+	for _, name := range relayHeaders {
+		h.Del(name)
+	}
+}
+
+// fillRelayed copies a caller's request into one that is relayed to another box, which checks the
+// caller's key itself.
+func (e *Entry) fillRelayed(out *fasthttp.Request, c *call, x *routing.RelayedCall) {
+	c.request.Header.CopyTo(&out.Header)
+	removeHopByHop(&out.Header)
+	out.Header.Del("Expect")
+	out.SetBody(c.request.Body())
+	out.Header.SetNoDefaultContentType(true)
+	out.Header.Set(target.RelayElapsedHeader, strconv.FormatInt(x.Elapsed.Microseconds(), 10))
+	out.Header.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Attempts))
+	out.Header.Set(target.RelayCallerHeader, strconv.FormatUint(c.identity.Caller(), 16))
+}
+
+// relayedBy returns the box that relays a request; empty for a caller's own.
+func relayedBy(ctx *fasthttp.RequestCtx) units.BoxID {
+	if c, ok := ctx.Conn().(*transport.RelayConn); ok {
+		return units.BoxID(c.Box)
+	}
+	return ""
+}
+
+// relayedCall reads what the relaying box tells about a call; nil for a caller's own.
+func relayedCall(ctx *fasthttp.RequestCtx) *routing.RelayedCall {
+	from := relayedBy(ctx)
+	if from == "" {
+		return nil
+	}
+	h := &ctx.Request.Header
+	x := &routing.RelayedCall{From: from, Attempts: 1}
+	if us, err := strconv.ParseInt(string(h.Peek(target.RelayElapsedHeader)), 10, 64); err == nil && us > 0 {
+		x.Elapsed = time.Duration(min(us, maxDeadlineMillis)) * time.Microsecond
+	}
+	if n, err := strconv.Atoi(string(h.Peek(target.RelayAttemptsHeader))); err == nil && n > 0 {
+		x.Attempts = n
+	}
+	return x
+}
+
+// relayedCaller returns the digest of a relayed call's caller; zero if there is none.
+func relayedCaller(ctx *fasthttp.RequestCtx) uint64 {
+	digest, err := strconv.ParseUint(string(ctx.Request.Header.Peek(target.RelayCallerHeader)), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return digest
+}
+
+// markDeclined marks the refusal of a relayed call for the box that relayed it.
+func (e *Entry) markDeclined(ctx *fasthttp.RequestCtx, x routing.Refusal) {
+	h := &ctx.Response.Header
+	h.Set(target.RelayResultHeader, target.RelayDeclined)
+	h.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Arrivals))
+	if name := e.Settings.Entry.CallIDHeader; name != "" {
+		h.SetBytesV(name, ctx.Request.Header.Peek(name))
+	}
+}
+
+// isCallerConnected reports whether the other end of a connection hasn't closed it.
+func isCallerConnected(c net.Conn) bool {
+	relay, ok := c.(*transport.RelayConn)
+	if !ok {
+		return target.IsOpen(c)
+	}
+	raw, encrypted := relay.Raw()
+	// The end of an encrypted connection is announced by a message. Nothing else is sent while a call
+	// is in flight.
+	return target.IsOpen(raw) && !(encrypted && target.HasInput(raw))
+}
+
+// logReach logs that this box lost or regained its links to a service's targets.
+func (e *Entry) logReach(x *routing.ReachChange) {
+	f := logrus.Fields{"service": x.Service}
+	if x.Regions != nil {
+		f["regions"] = x.Regions
+	}
+	if x.CutOff {
+		f["kind"], f["lost"] = "targets-lost", x.Lost
+		e.Log.WithFields(f).Warning("this box can't reach a service's targets; it relays the calls to other boxes")
+		return
+	}
+	f["kind"], f["cutOffMs"], f["othersReach"] = "targets-regained", millis(x.Duration), x.OthersReach
+	e.Log.WithFields(f).Info("this box reaches a service's targets again")
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -14,9 +14,9 @@
 
 // The headers in which a box reports the outcome of a call.
 const (
-	outcomeHeader      = "X-Madderpond-Outcome"
-	reasonHeader       = "X-Madderpond-Reason"
-	retryAfterMsHeader = "X-Madderpond-Retry-After-Ms"
+	outcomeHeader      = target.OutcomeHeader
+	reasonHeader       = target.ReasonHeader
+	retryAfterMsHeader = target.RetryAfterMsHeader
 	targetHeader       = "X-Madderpond-Target"
 )
 
@@ -87,9 +87,12 @@
 	if a.attempt == nil {
 		e.logTrace(c, false)
 		e.writeRefusal(ctx, a.refusal)
+		if c.relayed != nil {
+			e.markDeclined(ctx, a.refusal)
+		}
 		return
 	}
-	e.logTrace(c, a.number == 1)
+	e.logTrace(c, a.number == 1 && a.endpoint.Relay == "")
 	e.writeAnswer(ctx, a)
 	e.metrics.observe(a.endpoint, time.Since(started))
 }
@@ -121,13 +124,19 @@
 // submitCall passes the call to the core and waits for its answer.
 func (e *Entry) submitCall(ctx *fasthttp.RequestCtx) (answer, *call) {
 	c := newCall(ctx, e.Clock.Now())
+	c.relayed = relayedCall(ctx)
+	if c.relayed != nil {
+		// The steps of the call are shown with the time since its arrival at the first box.
+		c.arrivedAt = c.arrivedAt.Add(-c.relayed.Elapsed)
+		c.recordStep(step{at: e.Clock.Now(), kind: stepRelayReceived, box: c.relayed.From})
+	}
 	c.identity = identity{ctx: ctx, callerHeader: e.Settings.Entry.CallerHeader}
 	e.lock.Lock()
 	e.waitingCalls[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
 		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Credential: e.credentialOf(ctx), Deadline: e.requestedDeadline(ctx),
-		Identity: &c.identity,
+		Identity: &c.identity, Relayed: c.relayed,
 	})
 	c.inline = false
 	inlineSend, id := c.inlineSend, c.id
@@ -146,7 +155,7 @@
 // reportDisconnectedCallers reports the calls to the core whose callers have disconnected.
 func (e *Entry) reportDisconnectedCallers() {
 	for _, c := range e.longWaitingCalls() {
-		if target.IsOpen(c.conn) {
+		if isCallerConnected(c.conn) {
 			continue
 		}
 		e.lock.Lock()
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -40,6 +40,10 @@
 	result    routing.AttemptResult
 	refusal   routing.Refusal
 	probe     routing.ProbeEnded
+	// box is the box that relayed the call to this one, declined the refusal of the box that it was
+	// relayed to.
+	box      units.BoxID
+	declined routing.Refusal
 	// report is what the target reported in its answer. unreadRest and unreadLimit are the values it
 	// sent for its rest and its limit if they couldn't be parsed.
 	report                  routing.TargetReport
@@ -59,6 +63,8 @@
 	stepCanceled      = "attempt-canceled"
 	stepDelivered     = "call-delivered"
 	stepRefused       = "call-refused"
+	stepRelayed       = "call-relayed"
+	stepRelayReceived = "relay-received"
 )
 
 func (c *call) recordStep(s step) {
@@ -76,7 +82,7 @@
 	a := finished.attempt
 	s := step{
 		at: now, kind: stepEnded, attempt: finished.number, result: result,
-		report: a.Report, unreadRest: a.UnreadableRest, unreadLimit: a.UnreadableLimit,
+		declined: a.Declined, report: a.Report, unreadRest: a.UnreadableRest, unreadLimit: a.UnreadableLimit,
 	}
 	if result == routing.Broken && !c.answered {
 		s.fingerprint = crash.FingerprintOf(&c.identity).String()
@@ -94,6 +100,9 @@
 	switch x.Kind {
 	case routing.Send:
 		s.kind, s.purpose, s.selection, s.workspace = stepSent, x.Purpose, x.Selection, x.Workspace
+		if x.Endpoint.Relay != "" {
+			s.kind = stepRelayed
+		}
 	case routing.Refuse:
 		s.kind, s.refusal, s.workspace = stepRefused, x.Refusal, x.Workspace
 		if x.Refusal.Reason == routing.Quarantined && !c.answered {
@@ -251,7 +260,15 @@
 func (s *step) fields(id string, arrived units.Instant) logrus.Fields {
 	f := logrus.Fields{"kind": s.kind, "call": id, "afterMs": millis(s.at.Sub(arrived))}
 	if s.endpoint != nil {
-		f["service"], f["target"] = s.endpoint.Service, s.endpoint.Target
+		f["service"] = s.endpoint.Service
+		if s.endpoint.Relay != "" {
+			f["via"] = s.endpoint.Relay
+		} else {
+			f["target"] = s.endpoint.Target
+		}
+	}
+	if s.box != "" {
+		f["from"] = s.box
 	}
 	if s.attempt > 0 {
 		f["attempt"] = s.attempt
@@ -271,6 +288,9 @@
 		addReportFields(f, &s.probe.Report)
 	case stepEnded:
 		f["result"] = s.result.String()
+		if s.result == routing.Declined {
+			f["reason"], f["outcome"] = s.declined.Reason.String(), s.declined.Outcome.String()
+		}
 		addReportFields(f, &s.report)
 		if s.unreadRest != "" {
 			f["unreadRest"] = s.unreadRest
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -46,6 +46,7 @@
 var stateKinds = map[string]bool{
 	"table-in-force": false, "control-attach": false, "control-lost": false,
 	"target-ejected": true, "target-back": true,
+	"targets-lost": false, "targets-regained": false,
 	"exposure-began": false, "exposure-ended": false, "exposure-stopped": false,
 }
 
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -46,9 +46,13 @@
 		if err := r.ReadLimitBody(c.reader, 0); err != nil {
 			return false
 		}
-		a.readNotice()
+		if a.endpoint.Relay == "" {
+			a.readNotice()
+		}
 		if a.isOwnResponse() {
-			a.readLoad()
+			if a.endpoint.Relay == "" {
+				a.readLoad()
+			}
 			return true
 		}
 		a.unusable = true
@@ -144,6 +148,9 @@
 
 // classify returns the result of the attempt by the status and headers of the response.
 func (a *Attempt) classify() routing.AttemptResult {
+	if a.endpoint.Relay != "" {
+		return a.classifyRelayed()
+	}
 	s := &a.pools.settings
 	code := a.Response.StatusCode()
 	marked := len(a.Response.Header.Peek(s.ShedHeader)) > 0
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -43,6 +43,10 @@
 	UnreadableLimit string
 	// Refused is set if the target's host refused the connection.
 	Refused bool
+	// Unreachable is set if no connection could be made.
+	Unreachable bool
+	// Declined is the refusal of the other box, if the call was relayed to one that declined it.
+	Declined routing.Refusal
 
 	lock     sync.Mutex
 	conn     *conn
@@ -54,6 +58,8 @@
 	complete      bool
 	// isProbe is set for a probe of load and health.
 	isProbe bool
+	// newConnection is set if no open connection may be used.
+	newConnection bool
 	// unusable is set if the connection can't be reused: it carried a response to another
 	// call, or it ends with this response.
 	unusable bool
@@ -150,8 +156,10 @@
 // connect returns an idle connection or opens a new one. It returns nil if dialing fails or the
 // attempt is canceled.
 func (a *Attempt) connect(remaining time.Duration) *conn {
-	if c := a.pools.takeIdle(a.endpoint.Address, a.idleTimeout); c != nil {
-		return c
+	if !a.newConnection {
+		if c := a.pools.takeIdle(a.endpoint.Address, a.idleTimeout); c != nil {
+			return c
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(remaining, a.pools.settings.ConnectTimeout))
 	defer cancel()
@@ -162,9 +170,10 @@
 	if canceled {
 		return nil
 	}
-	c, err := a.pools.open(ctx, a.endpoint.Address)
+	c, err := a.pools.open(ctx, a.endpoint)
 	if err != nil {
 		a.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		a.Unreachable = !a.Canceled()
 		return nil
 	}
 	return c
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -79,6 +79,9 @@
 // longer reused: a request sent in the last moment could meet the target's close.
 const keepAliveMargin = time.Second
 
+// HasInput reports whether received bytes of a connection haven't been read.
+func HasInput(c net.Conn) bool { return hasInput(c) }
+
 // IsOpen reports whether the peer hasn't closed a connection.
 func IsOpen(c net.Conn) bool { return isOpen(c) }
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,8 @@
 	StatusMayMeanNotExecuted bool
 	// AllowUnframed accepts responses whose end is the end of their connection.
 	AllowUnframed bool
+	// DialRelay connects to another box to which calls are relayed.
+	DialRelay func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Pools keeps idle connections, in a pool for each address.
@@ -100,18 +103,29 @@
 	return c
 }
 
-// open dials a new connection.
-func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
-	c, err := dial(ctx, p.settings.Source, address)
+// open dials a new connection to a target, or to the box that calls are relayed to.
+func (p *Pools) open(ctx context.Context, x *routing.Endpoint) (*conn, error) {
+	c, err := p.dial(ctx, x)
 	if err != nil {
 		return nil, err
 	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.pool(address).openCount++
+	p.pool(x.Address).openCount++
 	return c, nil
 }
 
+func (p *Pools) dial(ctx context.Context, x *routing.Endpoint) (*conn, error) {
+	if x.Relay == "" {
+		return dial(ctx, p.settings.Source, x.Address)
+	}
+	raw, err := p.settings.DialRelay(ctx, x.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
 func (p *Pools) pool(address string) *pool {
 	x := p.byAddress[address]
 	if x == nil {
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -15,12 +15,16 @@
 	a.Request.SetRequestURI(p.probePath(x))
 	a.Request.Header.SetNoDefaultContentType(true)
 	a.Request.Header.SetUserAgentBytes(nil)
+	if x.ConnectOnly {
+		return a.checkConnection(x)
+	}
 	a.isProbe = true
+	a.newConnection = x.NewConnection
 	a.Request.Header.SetHost(string(x.Endpoint.Service))
 	result, streaming := a.Run()
 	ended := routing.ProbeEnded{
 		Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, Report: a.Report,
-		Unreachable: result == routing.NotSent, Refused: a.Refused, Misdirected: a.isFromOtherTarget(),
+		Unreachable: result == routing.NotSent, Withheld: result == routing.Withheld, Refused: a.Refused, Misdirected: a.isFromOtherTarget(),
 		Answered: result == routing.Answered || result == routing.Failed || result == routing.Shed || result == routing.Misdirected,
 	}
 	if streaming {
@@ -31,6 +35,20 @@
 	return ended
 }
 
+// checkConnection opens a connection, and keeps it for later calls.
+func (a *Attempt) checkConnection(x *routing.Effect) routing.ProbeEnded {
+	ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt}
+	a.newConnection = true
+	c := a.connect(a.pools.clock.Until(a.deadline))
+	if c == nil {
+		ended.Unreachable, ended.Refused = true, a.Refused
+		return ended
+	}
+	a.pools.putIdle(a.endpoint, c, a.maxConnections)
+	ended.Answered = true
+	return ended
+}
+
 func (p *Pools) probePath(x *routing.Effect) string {
 	if x.ProbePath != "" {
 		return x.ProbePath
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -108,7 +108,11 @@
 // kind Protocol or Unauthorized.
 func accept(raw net.Conn, security *Security) (*Conn, *wire.Hello, error) {
 	raw.SetDeadline(time.Now().Add(helloTimeout))
-	wrapped := security.wrapServer(raw)
+	return acceptSession(raw, security.wrapServer(raw), security)
+}
+
+// acceptSession is accept for a connection that is already wrapped, and has a deadline for the hello.
+func acceptSession(raw, wrapped net.Conn, security *Security) (*Conn, *wire.Hello, error) {
 	underlying := &sessionConn{Conn: wrapped}
 	session, err := yamux.Server(underlying, yamuxSettings())
 	if err != nil {
@@ -133,7 +137,7 @@
 		c.Close()
 		return nil, nil, fault.New(fault.Protocol, "run the same version of madderpond on both sides", "the first message is not a hello of protocol version %d", protocolVersion)
 	}
-	if err := security.verifyName(wrapped, hello); err != nil {
+	if err := security.verifyName(unprefixed(wrapped), hello); err != nil {
 		c.Close()
 		return nil, nil, err
 	}
--- a/pkg/transport/listener.go
+++ b/pkg/transport/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -30,10 +31,12 @@
 	security *Security
 	listener net.Listener
 	handler  Handler
-	gate     Gate
-	lock     sync.Mutex
-	conns    map[net.Conn]bool
-	closed   bool
+	// relayHandler serves relay connections; nil refuses them.
+	relayHandler RelayHandler
+	gate         Gate
+	lock         sync.Mutex
+	conns        map[net.Conn]bool
+	closed       bool
 }
 
 // maxConns is the largest number of open connections; further ones are closed at once.
@@ -95,7 +98,18 @@
 	if from, ok := raw.RemoteAddr().(*net.TCPAddr); ok && l.gate != nil {
 		l.gate.Wait(from.AddrPort().Addr().Unmap())
 	}
-	c, hello, err := accept(raw, l.security)
+	raw.SetDeadline(time.Now().Add(helloTimeout))
+	wrapped := l.security.wrapServer(raw)
+	first, err := readFirst(wrapped)
+	if err != nil {
+		l.logRefusal(raw, handshakeError(err))
+		return
+	}
+	if first == relayPreface[0] {
+		l.serveRelay(raw, wrapped)
+		return
+	}
+	c, hello, err := acceptSession(raw, &prefixedConn{Conn: wrapped, first: first, unread: true}, l.security)
 	if err != nil {
 		l.logRefusal(raw, err)
 		return
@@ -108,6 +122,30 @@
 	l.handler(hello, c)
 }
 
+// ServeRelays sets the handler of relay connections; until then they are refused.
+func (l *Listener) ServeRelays(handler RelayHandler) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.relayHandler = handler
+}
+
+func (l *Listener) serveRelay(raw, wrapped net.Conn) {
+	l.lock.Lock()
+	handler := l.relayHandler
+	l.lock.Unlock()
+	if handler == nil {
+		l.logRefusal(raw, fault.New(fault.Protocol, "relay calls to entry boxes only", "this process accepts no relayed calls"))
+		return
+	}
+	c, hello, err := acceptRelay(raw, wrapped, l.security)
+	if err != nil {
+		l.logRefusal(raw, err)
+		return
+	}
+	raw.SetDeadline(time.Time{})
+	handler(hello, c)
+}
+
 // logRefusal logs why a connection isn't served. A connection that ends before its first
 // message usually belongs to a process that dialed several addresses and chose another one;
 // after a restart there may be hundreds, so these are logged at debug level.
--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -54,6 +54,7 @@
 	x := &lossCluster{testCluster: startCluster(t, clusterOptions{
 		replicas: 1, boxes: lossBoxes, targets: 3 * len(lossServices), adjust: func(s *config.Settings) {
 			useShortLeases(s)
+			s.Entry.CallIDHeader = lab.RequestHeader
 			s.Domain = "north"
 			if s.Box > "box-3" {
 				s.Domain = "south"
