Relays: admit by the first box's knowledge, and leave out stale evidence

Relayed calls aren't checked again, and a cut box doesn't go by what it knew of the load. After the end of a cut, contacts that had begun during it and failed late began another one for some 8 ms: a contact that takes long to fail counts only if no target has been heard since it began. A box that can't be used for a moment no longer makes the targets count as unreachable, nor do eight boxes that decline while another one serves.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -82,7 +82,9 @@
 	if !s.isBusy(r.now) && !c.isRelayed() {
 		c.route.callerDeadline.observe(c.requestedDeadline)
 	}
-	if r.wouldMissObjective(c, c.requestedDeadline) {
+	// What a box that is cut off knows of the load is no longer true, and a relayed call has been
+	// admitted by another box.
+	if !c.isRelayed() && !c.isCutOff() && r.wouldMissObjective(c, c.requestedDeadline) {
 		r.refuse(id, c, Refusal{Reason: TooLate, Outcome: NotRun, RetryAfter: r.busyRetryAfter(s)}, e)
 		return
 	}
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -192,7 +192,7 @@
 	if v.Result == NotSent || v.Result == Withheld {
 		r.restorePermit(t, a.permitUntil, e)
 	}
-	r.recordContact(v, t, e)
+	r.recordContact(v, a, e)
 	wasEjected := t.health.ejected
 	if v.Result == Broken && r.recordIfUnanswered(c, a, e) {
 		t.lastObservedAt = r.now
@@ -240,12 +240,15 @@
 
 // recordContact records what the result of an attempt shows about the box's link to a target. A call
 // at its deadline shows nothing: its target may be slow.
-func (r *Router) recordContact(v *AttemptEnded, t *target, e *Effects) {
+func (r *Router) recordContact(v *AttemptEnded, a *attempt, e *Effects) {
+	t := a.target
 	switch {
 	case v.Result == Answered, v.Result == Failed, v.Result == Shed, v.Result == Misdirected:
 		r.recordHeard(t, e)
-	case v.Result == Broken, v.Unreachable:
-		r.recordContactFailed(t, e)
+	case v.Result == Broken:
+		r.recordContactFailed(t, r.now, e)
+	case v.Unreachable:
+		r.recordContactFailed(t, a.sent, e)
 	}
 }
 
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -322,7 +322,7 @@
 			continue
 		}
 		if x := a.target.service.reachesOrDefault()[0]; x.heardAt <= a.sent {
-			r.recordContactFailed(a.target, e)
+			r.recordContactFailed(a.target, a.sent, e)
 		}
 		if a.target.health.recordFailure(r.now) {
 			r.healthChanged(a.target, e)
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -87,7 +87,7 @@
 	}
 	t.service.probeBudget.overdraw(1)
 	e.add(Effect{
-		Kind: Probe, PermitUntil: r.usePermit(t), Attempt: crashProbeNumber, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t), Connections: t.maxConnections,
+		Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Attempt: crashProbeNumber, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t), Connections: t.maxConnections,
 		ProbePath: t.service.row.ProbePath,
 	})
 }
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -108,6 +108,8 @@
 	Answered bool
 	// Misdirected is set when another target answered at the address.
 	Misdirected bool
+	// SentAt is copied from the Probe effect.
+	SentAt units.Instant
 	// Withheld is set if the probe wasn't sent for a reason of the box's own.
 	Withheld bool
 }
@@ -314,6 +316,8 @@
 	LargeAnswer      bool
 	// ProbePath is the path that a probe requests; empty means the box's default.
 	ProbePath string
+	// SentAt is the time of a Probe.
+	SentAt units.Instant
 	// NewConnection is set for a Probe that must not use an open connection, ConnectOnly for one that
 	// only opens it.
 	NewConnection, ConnectOnly bool
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -125,7 +125,7 @@
 func (r *Router) probe(id CallID, c *call, t *target, number AttemptNumber, e *Effects) {
 	t.recordProbeSent(r.now)
 	e.add(Effect{
-		Kind: Probe, PermitUntil: r.usePermit(t), Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
+		Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
 		Connections: t.maxConnections, ProbePath: c.service.row.ProbePath,
 	})
 }
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -44,7 +44,7 @@
 	}
 	t.healthProbeInFlight = true
 	t.probesSent++
-	e.add(Effect{Kind: Probe, PermitUntil: r.usePermit(t), Endpoint: t.endpoint, NotAfter: r.selectionExpiry(), Connections: t.maxConnections})
+	e.add(Effect{Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Endpoint: t.endpoint, NotAfter: r.selectionExpiry(), Connections: t.maxConnections})
 }
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
@@ -55,7 +55,7 @@
 	case v.Answered || v.Healthy:
 		r.recordHeard(t, e)
 	default:
-		r.recordContactFailed(t, e)
+		r.recordContactFailed(t, v.SentAt, e)
 	}
 	if t != nil && v.Refused {
 		r.recordConnectionRefused(t, e)
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -31,8 +31,8 @@
 	// unreachableDuration is for how long calls are refused at once after no other box could reach
 	// the targets either.
 	unreachableDuration = 500 * time.Millisecond
-	// maxDeclines is the number of boxes that must have declined for all boxes to be taken as cut
-	// off, if there are so many.
+	// maxDeclines is the number of boxes that must have declined, while none served a call, for all
+	// boxes to be taken as cut off, if there are so many.
 	maxDeclines = 8
 	// maxDeferredFailures bounds the failures of a rollout's versions that wait until the box knows
 	// whether it is cut off.
@@ -54,9 +54,10 @@
 	cutSince units.Instant
 	// regained are the targets heard during the cut.
 	regained []*target
-	// othersReach is set once another box has served a call during the cut. The targets are up
-	// then, and the failures are the box's own.
+	// othersReach is set once another box has served a call during the cut, last at servedAt. The
+	// targets are up then, and the failures are the box's own.
 	othersReach bool
+	servedAt    units.Instant
 	// declined holds the boxes that couldn't reach the targets either, with the end of the time for
 	// which they aren't asked again.
 	declined map[units.BoxID]units.Instant
@@ -111,7 +112,7 @@
 		return false
 	}
 	x.cutOff, x.cutSince, x.nextCheckAt = true, now, now
-	x.regained, x.othersReach, x.declined, x.unreachableUntil = nil, false, map[units.BoxID]units.Instant{}, 0
+	x.regained, x.othersReach, x.declined, x.unreachableUntil, x.servedAt = nil, false, map[units.BoxID]units.Instant{}, 0, 0
 	return true
 }
 
@@ -151,7 +152,7 @@
 			n++
 		}
 	}
-	return n >= maxDeclines
+	return n >= maxDeclines && (x.servedAt == 0 || now.Sub(x.servedAt) >= unreachableDuration)
 }
 
 // isUnreachable reports whether no box seems to reach the targets.
@@ -197,12 +198,16 @@
 	return slices.ContainsFunc(s.reaches, func(x *reach) bool { return x.cutOff })
 }
 
-// recordContactFailed records that a target couldn't be reached, or fell silent.
-func (r *Router) recordContactFailed(t *target, e *Effects) {
+// recordContactFailed records that a target couldn't be reached, or fell silent. A contact that took
+// long to fail shows nothing if a target has been heard since it began.
+func (r *Router) recordContactFailed(t *target, began units.Instant, e *Effects) {
 	if !r.canRelay() || t == nil || t.removed || !t.isEligible() {
 		return
 	}
 	for _, x := range t.service.reachesOrDefault() {
+		if r.now.Sub(began) >= probeSilence && began <= x.heardAt {
+			continue
+		}
 		if x.regions.Allows(t.region) && x.recordLost(r.now, t, r.contactsNeeded(x)) {
 			r.cutBegan(x, e)
 		}
@@ -243,7 +248,7 @@
 		silence := t.probeTimeout() - probeTimeout + probeSilence
 		if t.probesInFlight > 0 && t.silenceCountedFor != t.probesInFlightSince && r.now.Sub(t.probesInFlightSince) >= silence {
 			t.silenceCountedFor = t.probesInFlightSince
-			r.recordContactFailed(t, e)
+			r.recordContactFailed(t, t.probesInFlightSince, e)
 		}
 	}
 }
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -33,7 +33,7 @@
 			t.probesSent++
 		}
 		e.add(Effect{
-			Kind: Probe, PermitUntil: r.usePermit(t), Attempt: reachProbe, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
+			Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Attempt: reachProbe, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
 			Connections: t.maxConnections, ProbePath: x.service.row.ProbePath, NewConnection: true, ConnectOnly: connectOnly,
 		})
 	}
@@ -62,7 +62,7 @@
 	for _, t := range x.service.targets {
 		if t.reachCheckOpen && r.now.Sub(t.reachCheckedAt) >= probeSilence {
 			t.reachCheckOpen = false
-			r.recordContactFailed(t, e)
+			r.recordContactFailed(t, t.reachCheckedAt, e)
 		}
 	}
 }
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -137,17 +137,19 @@
 	if x.isUnreachable(r.now) || !r.mayRelay(c) || !r.mayResend(c) {
 		return false
 	}
-	h := r.chooseHelper(x, c)
-	if h == nil || x.allDeclined(r.now) {
+	h, allDeclined := r.chooseHelper(x, c)
+	if allDeclined {
 		r.markUnreachable(x, e)
+	}
+	if h == nil {
 		return false
 	}
-	if c.outcome() != NotRun && !c.service.spendRetry() {
+	if c.outcome() != NotRun && !c.hasPaidForSend() && !c.service.spendRetry() {
 		return false
 	}
 	c.held = false
 	c.onNewVersion = false
-	c.endProbing()
+	c.probeRound.active = false
 	c.sends++
 	c.relays++
 	c.relay = relaySend{number: c.sends, helper: h, sent: r.now, attempts: c.maxAttempts() - c.possibleArrivals}
@@ -163,6 +165,9 @@
 	return true
 }
 
+// hasPaidForSend reports whether the call is probing for a retry or hedge, whose token it has spent.
+func (c *call) hasPaidForSend() bool { return c.probeRound.active && c.probeRound.purpose != FirstSend }
+
 // markUnreachable takes the targets as unreachable for every box for a while. Failures that were
 // deferred are theirs, unless another box has served calls during the cut.
 func (r *Router) markUnreachable(x *reach, e *Effects) {
@@ -282,7 +287,7 @@
 	r.relays.status.Served++
 	h.servedAt = r.now
 	if x.cutOff {
-		x.othersReach = true
+		x.othersReach, x.servedAt = true, r.now
 		x.unreachableUntil = 0
 		x.deferredFailures = x.deferredFailures[:0]
 	}
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -32,8 +32,8 @@
 	inFlight int
 	servedAt units.Instant
 	// cutOffUntil is until when the box isn't chosen because it relays calls itself, avoidUntil until
-	// when it isn't because a relay failed or it declined for a reason of its own, unless no other
-	// box is left.
+	// when it isn't because a relay failed or it declined for a reason of its own. A call that no box
+	// has been tried for yet may go to an avoided one if no other is left.
 	cutOffUntil units.Instant
 	avoidUntil  units.Instant
 }
@@ -74,12 +74,23 @@
 	}
 }
 
-// chooseHelper returns the box to relay a call to; nil if none is left.
-func (r *Router) chooseHelper(x *reach, c *call) *helper {
+// chooseHelper returns the box to relay a call to; nil if none is left. allDeclined is set if none can
+// reach the targets, as far as this box knows.
+func (r *Router) chooseHelper(x *reach, c *call) (h *helper, allDeclined bool) {
+	if x.allDeclined(r.now) {
+		return nil, true
+	}
 	if h := r.sampleHelpers(x, c, false); h != nil {
-		return h
+		return h, false
+	}
+	h = r.sampleHelpers(x, c, true)
+	if h == nil {
+		return nil, true
+	}
+	if c.relays > 0 {
+		return nil, false
 	}
-	return r.sampleHelpers(x, c, true)
+	return h, false
 }
 
 // sampleHelpers returns the best of some boxes that may help. Because it compares samples, boxes that
--- a/pkg/core/routing/script_relay_test.go
+++ b/pkg/core/routing/script_relay_test.go
@@ -49,7 +49,7 @@
 // reached TARGET [silent] ends a check of the box's link to a target.
 func (s *script) reached(d *datadriven.TestData) {
 	silent := d.HasArg("silent")
-	s.reduce(&ProbeEnded{Target: s.probes[d.CmdArgs[0].Key], Attempt: reachProbe, Answered: !silent, Healthy: !silent})
+	s.reduce(&ProbeEnded{Target: s.probes[d.CmdArgs[0].Key], Attempt: reachProbe, SentAt: s.now, Answered: !silent, Healthy: !silent})
 }
 
 // declined NAME attempt=N reason=R [outcome=unknown] [arrivals=N] ends a relay that the other box
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -23,7 +23,7 @@
 	a.Request.Header.SetHost(string(x.Endpoint.Service))
 	result, streaming := a.Run()
 	ended := routing.ProbeEnded{
-		Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, Report: a.Report,
+		Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, SentAt: x.SentAt, Report: a.Report,
 		Unreachable: result == routing.NotSent, Withheld: result == routing.Withheld, Refused: a.Refused, Misdirected: a.isFromOtherTarget(),
 		Answered: result == routing.Answered || result == routing.Failed || result == routing.Shed || result == routing.Misdirected,
 	}
@@ -37,7 +37,7 @@
 
 // checkConnection opens a connection, and keeps it for later calls.
 func (a *Attempt) checkConnection(x *routing.Effect) routing.ProbeEnded {
-	ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt}
+	ended := routing.ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, SentAt: x.SentAt}
 	a.newConnection = true
 	c := a.connect(a.pools.clock.Until(a.deadline))
 	if c == nil {
