Soak: boxes are cut off from targets; a relay needs a table that isn't out of date

A box that declines a relayed call for a reason of its own no longer lends its reason to the caller: without the route in its table that would have been a 404. A box whose table is older than the relaying one's, and may be out of date, declines.

--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -56,6 +56,7 @@
 	QuotaExceeded
 	Unreachable
 	RelayLimit
+	StaleTable
 	reasonCount
 )
 
@@ -94,6 +95,7 @@
 	QuotaExceeded:      {"quota-spent", 429, "retry after the given time; the workspace's calls have used up its quota"},
 	Unreachable:        {"unreachable", 503, "retry after the given time; neither this box nor others that it asked can reach a target of this service"},
 	RelayLimit:         {"relay-limit", 503, "retry later; this box serves as many calls of other boxes as it may"},
+	StaleTable:         {"stale-table", 503, "try another box; this one has an older table than the box that relayed the call"},
 	CallerDisconnected: {"caller-gone", 499, "none; the caller disconnected"},
 }
 
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -21,6 +21,9 @@
 	// takes itself to be cut off.
 	relayTrialRate  = 20
 	relayTrialBurst = 20
+	// maxRelayStaleness is for how long a box with an older table than the relaying one may be without
+	// word that it is current.
+	maxRelayStaleness = time.Second
 	// minRelayTime is the least time that a call must have left to be relayed.
 	minRelayTime = 5 * time.Millisecond
 )
@@ -32,6 +35,8 @@
 	Elapsed time.Duration
 	// Attempts is the number of targets that the call may still be sent to.
 	Attempts int
+	// Revision is that of the table by which the relaying box has admitted the call.
+	Revision units.Revision
 }
 
 // relaySend is a relay of a call that is in flight. Its number is zero where there is none.
@@ -158,7 +163,7 @@
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: c.relay.number, Purpose: RelaySend, Workspace: c.workspaceName(),
 		Endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
-		Relay:    RelayedCall{From: r.settings.Box, Elapsed: r.now.Sub(c.arrived), Attempts: c.relay.attempts},
+		Relay:    RelayedCall{From: r.settings.Box, Elapsed: r.now.Sub(c.arrived), Attempts: c.relay.attempts, Revision: r.table.Revision},
 		Deadline: c.deadline, NotAfter: r.selectionExpiry(), AtMostOnce: c.route.work == table.AtMostOnce,
 		LatencyObjective: c.route.latencyObjective, LargeAnswer: c.route.largeAnswers,
 	})
@@ -275,7 +280,8 @@
 	if c.inFlight() > 0 || r.relay(id, c, x, e) {
 		return
 	}
-	if last.Reason == Unreachable && x.cutOff {
+	// What another box lacks is no answer to the caller: its table may not even have the route.
+	if last.Reason == Unreachable || helperReasons[last.Reason] {
 		r.refuseUnreachable(id, c, x, e)
 		return
 	}
@@ -348,6 +354,8 @@
 		r.refuse(id, c, Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noTableRetryAfter}, e)
 	case !r.leased():
 		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, e)
+	case r.isBehind(v.Relayed.Revision):
+		r.refuse(id, c, Refusal{Reason: StaleTable, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
 	case !r.enabled(Relaying) || r.relays.inFlight > r.settings.MaxRelayed:
 		r.refuse(id, c, Refusal{Reason: RelayLimit, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
 	default:
@@ -356,6 +364,12 @@
 	}
 }
 
+// isBehind reports whether the box may have missed changes that another box has. One that has lately
+// heard that its table is current gets them within moments.
+func (r *Router) isBehind(revision units.Revision) bool {
+	return r.table.Revision < revision && r.now.Sub(r.leaseConfirmedAt) > maxRelayStaleness
+}
+
 // releaseCall removes a call that has ended.
 func (r *Router) releaseCall(id CallID, c *call) {
 	if c.isRelayed() {
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -41,6 +41,7 @@
 // helperReasons are the reasons for which a box declines a relayed call that another box may serve.
 var helperReasons = [reasonCount]bool{
 	RelayLimit: true, NoTable: true, NoLease: true, Stopping: true, StaleKeys: true, UnknownVersion: true, NoService: true, UnknownKey: true, NoTarget: true,
+	StaleTable: true,
 }
 
 // canRelay reports whether calls can be relayed at all.
--- a/pkg/core/routing/script_relay_test.go
+++ b/pkg/core/routing/script_relay_test.go
@@ -39,10 +39,12 @@
 	return fmt.Sprintf("%s is reached again, others did: %t", text, x.OthersReach)
 }
 
-// relayedCall returns what a relaying box tells, from the arguments from=BOX [elapsed=D] [attempts=N].
+// relayedCall returns what a relaying box tells, from the arguments from=BOX [elapsed=D] [attempts=N]
+// [revision=N].
 func (s *script) relayedCall(d *datadriven.TestData) *RelayedCall {
 	x := &RelayedCall{From: units.BoxID(s.word(d, "from")), Elapsed: s.duration(d, "elapsed"), Attempts: maxSends}
 	d.MaybeScanArgs(s.t, "attempts", &x.Attempts)
+	d.MaybeScanArgs(s.t, "revision", (*uint64)(&x.Revision))
 	return x
 }
 
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -395,7 +395,8 @@
 	return text
 }
 
-// call NAME service=S [path=P] [deadline=D] [like=X] [key=K] [from=BOX] [elapsed=D] [attempts=N]: calls
+// call NAME service=S [path=P] [deadline=D] [like=X] [key=K] [from=BOX] [elapsed=D] [attempts=N]
+// [revision=N]: calls
 // with the same X have the same content; one with from is relayed by another box.
 func (s *script) call(d *datadriven.TestData) {
 	path := "/"
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -29,7 +29,7 @@
 }
 
 // relayHeaders are the headers between boxes; callers and targets get none of them.
-var relayHeaders = []string{target.RelayElapsedHeader, target.RelayAttemptsHeader, target.RelayCallerHeader, target.RelayResultHeader}
+var relayHeaders = []string{target.RelayElapsedHeader, target.RelayAttemptsHeader, target.RelayRevisionHeader, target.RelayCallerHeader, target.RelayResultHeader}
 
 func removeRelayHeaders(h headerSet) {
 	for _, name := range relayHeaders {
@@ -47,6 +47,7 @@
 	out.Header.SetNoDefaultContentType(true)
 	out.Header.Set(target.RelayElapsedHeader, strconv.FormatInt(x.Elapsed.Microseconds(), 10))
 	out.Header.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Attempts))
+	out.Header.Set(target.RelayRevisionHeader, strconv.FormatUint(uint64(x.Revision), 10))
 	out.Header.Set(target.RelayCallerHeader, strconv.FormatUint(c.identity.Caller(), 16))
 }
 
@@ -72,6 +73,9 @@
 	if n, err := strconv.Atoi(string(h.Peek(target.RelayAttemptsHeader))); err == nil && n > 0 {
 		x.Attempts = n
 	}
+	if n, err := strconv.ParseUint(string(h.Peek(target.RelayRevisionHeader)), 10, 64); err == nil {
+		x.Revision = units.Revision(n)
+	}
 	return x
 }
 
--- a/pkg/target/relayed.go
+++ b/pkg/target/relayed.go
@@ -12,9 +12,11 @@
 // The headers of relayed calls and their responses, and those of refusals.
 const (
 	// RelayElapsedHeader carries the microseconds since the call's arrival, RelayAttemptsHeader the
-	// number of targets it may be sent to, RelayCallerHeader a digest of its caller.
+	// number of targets it may be sent to, RelayRevisionHeader the revision of the relaying box's
+	// table, RelayCallerHeader a digest of the caller.
 	RelayElapsedHeader  = "X-Madderpond-Relay-Elapsed-Us"
 	RelayAttemptsHeader = "X-Madderpond-Relay-Attempts"
+	RelayRevisionHeader = "X-Madderpond-Relay-Revision"
 	RelayCallerHeader   = "X-Madderpond-Relay-Caller"
 	// RelayResultHeader marks the response to a relayed call: RelayAnswered for that of a target,
 	// RelayDeclined for a refusal.
--- a/test/soak_crash_test.go
+++ b/test/soak_crash_test.go
@@ -22,7 +22,10 @@
 )
 
 // hasCrashes reports whether the seed has a request that crashes targets.
-func (x *soak) hasCrashes() bool { return x.seed >= firstCrashSeed }
+func (x *soak) hasCrashes() bool { return x.restartsTargets() && !x.hasCuts() }
+
+// restartsTargets reports whether targets may go down and are restarted.
+func (x *soak) restartsTargets() bool { return x.seed >= firstCrashSeed }
 
 // targetArguments are the command-line arguments of the stand-in targets.
 func (x *soak) targetArguments() []string {
--- /dev/null
+++ b/test/soak_cut_test.go
@@ -0,0 +1,84 @@
+package test
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/lab"
+)
+
+const (
+	// firstCutSeed is the first seed whose boxes are cut off from targets. Its targets don't crash,
+	// since boxes connect to them through proxies.
+	firstCutSeed = 80_000
+	// soakCutSettleTime is how long a box may take to find out that it is cut off.
+	soakCutSettleTime = 3 * time.Second
+)
+
+func (x *soak) hasCuts() bool { return x.seed >= firstCutSeed }
+
+// cutClaim is the claim on a box's links to targets; the box itself may be killed or paused meanwhile.
+type cutClaim struct{ box *lab.Node }
+
+// cutOffBoxes cuts boxes off from all targets for a while.
+func (x *soak) cutOffBoxes(boxes ...*lab.Node) bool {
+	mode := []lab.CutMode{lab.CutSilent, lab.CutReset, lab.CutNew}[x.draw(3)]
+	things := make([]any, 0, len(boxes))
+	for _, n := range boxes {
+		things = append(things, cutClaim{box: n})
+	}
+	return x.withClaim(func() {
+		defer x.cutOff(mode, boxes...)()
+		x.pause(500, 2500)
+	}, things...)
+}
+
+// cutOffMostBoxes cuts all boxes but one off.
+func (x *soak) cutOffMostBoxes() bool {
+	kept := x.draw(len(x.cluster.Boxes))
+	var others []*lab.Node
+	for i, n := range x.cluster.Boxes {
+		if i != kept {
+			others = append(others, n)
+		}
+	}
+	return x.cutOffBoxes(others...)
+}
+
+// cutOff cuts boxes off from all targets, and returns a function that ends the cut.
+func (x *soak) cutOff(mode lab.CutMode, boxes ...*lab.Node) (reconnect func()) {
+	for _, n := range boxes {
+		for _, p := range x.targetProxies {
+			p.CutOff(lossSource(n.Settings.Box), mode)
+		}
+	}
+	return func() {
+		for _, n := range boxes {
+			for _, p := range x.targetProxies {
+				p.Reconnect(lossSource(n.Settings.Box))
+			}
+		}
+	}
+}
+
+// checkCutOffBox cuts one box off once all faults have ended: it must still serve its callers.
+func (x *soak) checkCutOffBox() {
+	n := x.cluster.Boxes[x.draw(len(x.cluster.Boxes))]
+	x.reportAll(x.cluster.Replicas[1])
+	defer x.cutOff([]lab.CutMode{lab.CutSilent, lab.CutReset}[x.draw(2)], n)()
+	caller := lab.NewCaller(n.Entry)
+	caller.SetKey(soakOwnKey)
+	for end := time.Now().Add(soakCutSettleTime); time.Now().Before(end); {
+		caller.Do(lab.CallSpec{Host: "shop.test"})
+		time.Sleep(soakCallPause)
+	}
+	served := 0
+	before := len(caller.Calls())
+	for range soakLastCalls {
+		if caller.Do(lab.CallSpec{Host: "shop.test"}).Verdict == lab.Complete {
+			served++
+		}
+	}
+	if served < soakLastCalls*9/10 {
+		x.Errorf("a box that was cut off from all targets served %d of %d first tries: %v", served, soakLastCalls, lab.Summarize(caller.Calls()[before:], x.runs()).Reasons)
+	}
+}
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -81,6 +81,8 @@
 	{"have a target leave by its answers", (*soak).announceLeaving},
 	{"have a target name limits", (*soak).limitOneTarget},
 	{"have targets name limits together", (*soak).limitMostTargets},
+	{"cut a box off from the targets", func(x *soak) bool { return x.cutOffBoxes(x.anyBox()) }},
+	{"cut most boxes off from the targets", (*soak).cutOffMostBoxes},
 }
 
 const (
@@ -99,6 +101,8 @@
 	fourthFaultsSeed = 20_000
 	// fifthFaultCount is the same for the seeds from firstNoticeSeed on.
 	fifthFaultCount = 24
+	// sixthFaultCount is the same for the seeds from firstLimitSeed on.
+	sixthFaultCount = 26
 )
 
 // drawFault draws one of the faults of the seed's range.
@@ -115,6 +119,9 @@
 	case x.seed < firstLimitSeed:
 		return x.draw(fifthFaultCount)
 	}
+	if !x.hasCuts() {
+		return x.draw(sixthFaultCount)
+	}
 	return x.draw(len(soakFaults))
 }
 
@@ -199,7 +206,7 @@
 // setBehaviorUnlessDown changes how a target behaves. A target that crashed is down for a while and
 // restarts without faults, so errors are ignored if the seed has crashes.
 func (x *soak) setBehaviorUnlessDown(t *lab.TargetProcess, query string) {
-	if err := requestBehavior(t, query); err != nil && !x.hasCrashes() {
+	if err := requestBehavior(t, query); err != nil && !x.restartsTargets() {
 		x.Error(err)
 	}
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -39,6 +39,7 @@
 	{50_002, "two boxes sent calls to a target that had asked them for rest 1.7 and 1.8 s before, since it seemed to have spare capacity"},
 	{71_009, "covers boxes that are down: calls that reached no box had been counted as run by guests"},
 	{70_001, "covers what seeds from firstKeySeed on add"},
+	{80_000, "covers boxes that are cut off from targets: they refused calls that other boxes served"},
 	{60_005, "boxes dropped the permit requests of other boxes, so that limits that had ended still blocked calls"},
 }
 
@@ -148,8 +149,10 @@
 	if x.hasKeys() {
 		x.repeat(x.callAsGuest)
 	}
-	if x.hasCrashes() {
+	if x.restartsTargets() {
 		x.repeat(x.restartTargets)
+	}
+	if x.hasCrashes() {
 		x.repeat(x.sendCrashing)
 	}
 	for range 1 + seed%soakMaxFaultLanes {
@@ -158,6 +161,9 @@
 	time.Sleep(*soakTime)
 	x.stop()
 	x.endFaults()
+	if x.restartsTargets() {
+		x.restartTargets()
+	}
 	x.checkDocument()
 	if x.hasKeys() {
 		x.checkKeys()
@@ -172,6 +178,9 @@
 	if x.hasNotices() {
 		x.checkNotices()
 	}
+	if x.hasCuts() {
+		x.checkCutOffBox()
+	}
 	x.checkLeaving()
 	x.checkEvacuation()
 	x.checkCalls()
@@ -200,6 +209,9 @@
 			s.Regions = soakRegions
 			s.Entry.LeavingHeader = lab.LeavingHeader
 			s.Entry.LimitHeader = lab.LimitHeader
+			if x.hasCuts() {
+				s.Entry.TargetSource = lossSource(s.Box).String()
+			}
 		},
 	})
 	x.must(err)
