--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -6,14 +6,11 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/target"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-type entrySettings = config.Entry
-
 // call is the state of a caller's call in this box. Its fields change only under the
 // entry's lock, until the answer is handed to the caller's goroutine.
 type call struct {
--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -22,7 +22,7 @@
 func TestABoxThatLosesItsTargetsServesFirstTries(t *testing.T) {
 	datadriven.Walk(t, "testdata/lost-targets", func(t *testing.T, path string) {
 		t.Parallel()
-		x := startLossCluster(t)
+		x := startLossCluster(t, nil)
 		datadriven.RunTest(t, path, x.command)
 		x.mustBeClean()
 	})
@@ -49,8 +49,8 @@
 }
 
 // startLossCluster starts a cluster whose boxes connect to the targets through proxies, each box from
-// an address of its own.
-func startLossCluster(t *testing.T) *lossCluster {
+// an address of its own. adjust changes their settings; nil for none.
+func startLossCluster(t *testing.T, adjust func(*config.Settings)) *lossCluster {
 	x := &lossCluster{testCluster: startCluster(t, clusterOptions{
 		replicas: 1, boxes: lossBoxes, targets: 3 * len(lossServices), adjust: func(s *config.Settings) {
 			useShortLeases(s)
@@ -60,6 +60,9 @@
 				s.Domain = "south"
 			}
 			s.Entry.TargetSource = lossSource(s.Box).String()
+			if adjust != nil {
+				adjust(s)
+			}
 		},
 		targetArguments: []string{"--slots", "4", "--queue", "8", "--work", "5ms"},
 	})}
