--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -18,11 +18,18 @@
 			t.Errorf("the call got %+v", c)
 		}
 	})
-	t.Run("an answer that is cut short doesn't look whole", func(t *testing.T) {
-		if c := x.caller.Do(lab.CallSpec{Host: "shop.test", AnswerBytes: 1 << 20, Truncation: "length"}); c.Verdict == lab.Complete {
-			t.Errorf("the call got %+v", c)
+	for _, cut := range lab.Truncations() {
+		for _, service := range lossServices {
+			for _, size := range []int{100, 400_000} {
+				t.Run(fmt.Sprintf("an answer that is cut short doesn't look whole: %s %s %d", cut, service, size), func(t *testing.T) {
+					c := x.caller.Do(lab.CallSpec{Host: string(service) + ".test", AtMostOnce: service == "pay", Truncation: cut, AnswerBytes: size})
+					if c.Verdict == lab.Complete || c.Verdict == lab.Wrong || c.Verdict == lab.NotRun {
+						t.Errorf("the call got %+v", c)
+					}
+				})
+			}
 		}
-	})
+	}
 	t.Run("a caller that hangs up frees its slot", x.hangUp)
 }
 
