Relays: failures during a cut count against no version, and declines before a cut keep a box out

Failures of a rollout's versions that were deferred after another box had served a call were counted at the end of the cut. A box that declined before this one took itself to be cut off could be asked again at once by the same call.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -260,7 +260,7 @@
 
 // serveHeld sends held calls, oldest first, while targets accept them.
 func (r *Router) serveHeld(s *service, e *Effects) {
-	for s.held.length > 0 && r.leased() && !s.hasCut() {
+	for s.held.length > 0 && r.leased() {
 		i, t := r.nextServable(s)
 		if t == nil {
 			return
@@ -280,7 +280,7 @@
 	var blocked *table.AllowedRegions
 	for i, id := range s.held.waiting() {
 		c := r.calls.Get(id)
-		if c == nil || !c.held || blocked != nil && blocked.Equal(c.regions) {
+		if c == nil || !c.held || c.isCutOff() || blocked != nil && blocked.Equal(c.regions) {
 			continue
 		}
 		if t := r.choose(s, c); t != nil {
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -133,11 +133,9 @@
 	return true
 }
 
-// recordDeclined records that another box couldn't reach the targets either.
+// recordDeclined records that another box couldn't reach the targets either. The box must be cut off.
 func (x *reach) recordDeclined(now units.Instant, box units.BoxID) {
-	if x.cutOff {
-		x.declined[box] = now.Add(unreachableDuration)
-	}
+	x.declined[box] = now.Add(unreachableDuration)
 }
 
 // isDeclined reports whether a box has lately declined a call for this reason.
@@ -274,6 +272,7 @@
 			r.healthChanged(t, e)
 		}
 	}
+	x.deferredFailures = x.deferredFailures[:0]
 	r.freedServices = append(r.freedServices, x.service)
 	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
 }
@@ -302,7 +301,7 @@
 }
 
 // deferFailure keeps a failure of a rollout's version until the box has heard a target, and so knows
-// that the failure isn't its own.
+// that the failure isn't its own. Failures during a cut are dropped at its end.
 func (r *Router) deferFailure(t *target, f versionFailure, e *Effects) {
 	x := t.service.reachesOrDefault()[0]
 	if !r.canRelay() || len(x.deferredFailures) >= maxDeferredFailures {
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -173,8 +173,8 @@
 // hasPaidForSend reports whether the call is probing for a retry or hedge, whose token it has spent.
 func (c *call) hasPaidForSend() bool { return c.probeRound.active && c.probeRound.purpose != FirstSend }
 
-// markUnreachable takes the targets as unreachable for every box for a while. Failures that were
-// deferred are theirs, unless another box has served calls during the cut.
+// markUnreachable takes the targets as unreachable for every box for a while. Deferred failures are
+// then the targets' own, unless another box has served calls during the cut.
 func (r *Router) markUnreachable(x *reach, e *Effects) {
 	if !x.cutOff {
 		return
@@ -262,8 +262,10 @@
 func (r *Router) relayDeclined(v *AttemptEnded, c *call, x *reach, h *helper, e *Effects) {
 	reason := v.Declined.Reason
 	switch {
-	case reason == Unreachable:
+	case reason == Unreachable && x.cutOff:
 		x.recordDeclined(r.now, h.box.ID)
+	case reason == Unreachable:
+		h.avoidUntil = r.now.Add(helperBusyTime)
 	case helperReasons[reason]:
 		h.avoidUntil = r.now.Add(helperBusyTime)
 	default:
@@ -295,7 +297,6 @@
 	if x.cutOff {
 		x.othersReach, x.servedAt = true, r.now
 		x.unreachableUntil = 0
-		x.deferredFailures = x.deferredFailures[:0]
 	}
 }
 
