Relays: spread calls over the boxes of a failure domain

Each domain's boxes are now sampled from a random one of them, and a box that hasn't served yet costs one call, not four.

--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -50,8 +50,11 @@
 
 // relayState is a box's state on relayed calls, its own and those of other boxes.
 type relayState struct {
-	helpers map[units.BoxID]*helper
-	trials  tokenBucket
+	// ownDomain and otherDomains are the other boxes that may take calls, by whether they are in this
+	// box's failure domain.
+	ownDomain, otherDomains []table.Box
+	helpers                 map[units.BoxID]*helper
+	trials                  tokenBucket
 	// inFlight counts other boxes' calls that this box has accepted.
 	inFlight int
 	status   RelayStatus
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -9,14 +8,14 @@
 )
 
 const (
-	// helperSamples is the number of boxes, in each of this box's own failure domain and the others,
-	// that are compared for a relay.
+	// helperSamples is the number of boxes in this box's own failure domain that are compared for a
+	// relay, and of those in others.
 	helperSamples = 3
 	// otherDomainCost is the cost of a box in another failure domain, in calls in flight.
 	otherDomainCost = 2
 	// unprovenCost is the cost of a box that hasn't lately served a relayed call, in calls in
 	// flight.
-	unprovenCost = 4
+	unprovenCost = 1
 	// provenTime is for how long a box counts as proven after it served a relayed call.
 	provenTime = time.Second
 	// helperFailureTime is for how long a box that a relay didn't reach isn't chosen, and one that
@@ -45,11 +44,22 @@
 }
 
 // canRelay reports whether calls can be relayed at all.
-func (r *Router) canRelay() bool { return r.hasHelpers && r.enabled(Relaying) }
+func (r *Router) canRelay() bool {
+	return len(r.relays.ownDomain)+len(r.relays.otherDomains) > 0 && r.enabled(Relaying)
+}
 
 // updateHelpers applies a new list of boxes.
 func (r *Router) updateHelpers() {
-	r.hasHelpers = slices.ContainsFunc(r.rank.boxes, func(b table.Box) bool { return b.ID != r.settings.Box && b.Address != "" })
+	r.relays.ownDomain, r.relays.otherDomains = nil, nil
+	for _, b := range r.rank.boxes {
+		switch {
+		case b.ID == r.settings.Box || b.Leaving || b.Address == "":
+		case b.Domain == r.settings.Domain:
+			r.relays.ownDomain = append(r.relays.ownDomain, b)
+		default:
+			r.relays.otherDomains = append(r.relays.otherDomains, b)
+		}
+	}
 	for id, h := range r.relays.helpers {
 		if h.inFlight == 0 && indexOf(id, r.rank.boxes) < 0 {
 			delete(r.relays.helpers, id)
@@ -97,31 +107,21 @@
 // sampleHelpers returns the best of some boxes that may help. Because it compares samples, boxes that
 // are cut off at the same time spread their calls.
 func (r *Router) sampleHelpers(x *reach, c *call, includeAvoided bool) *helper {
-	boxes := r.rank.boxes
-	if len(boxes) == 0 {
-		return nil
-	}
 	var best *helper
 	bestCost := 0
-	own, others := 0, 0
-	start := r.random.IntN(len(boxes))
-	for k := range boxes {
-		b := boxes[(start+k)%len(boxes)]
-		isOwn := b.Domain == r.settings.Domain
-		if isOwn && own >= helperSamples || !isOwn && others >= helperSamples || !r.mayHelp(x, c, b, includeAvoided) {
-			continue
-		}
-		if isOwn {
-			own++
-		} else {
-			others++
-		}
-		h := r.helperFor(b)
-		if cost := h.cost(r.now, isOwn); best == nil || cost < bestCost {
-			best, bestCost = h, cost
-		}
-		if own+others >= 2*helperSamples {
-			break
+	for _, list := range [][]table.Box{r.relays.ownDomain, r.relays.otherDomains} {
+		sampled := 0
+		start := r.random.IntN(max(1, len(list)))
+		for k := 0; k < len(list) && sampled < helperSamples; k++ {
+			b := list[(start+k)%len(list)]
+			if !r.mayHelp(x, c, b, includeAvoided) {
+				continue
+			}
+			sampled++
+			h := r.helperFor(b)
+			if cost := h.cost(r.now, b.Domain == r.settings.Domain); best == nil || cost < bestCost {
+				best, bestCost = h, cost
+			}
 		}
 	}
 	return best
@@ -142,7 +142,7 @@
 // mayHelp reports whether a call may be relayed to a box. A call that is restricted to regions
 // doesn't leave them, except within this box's own region, where it is already.
 func (r *Router) mayHelp(x *reach, c *call, b table.Box, includeAvoided bool) bool {
-	if b.ID == r.settings.Box || b.Leaving || b.Address == "" || x.isDeclined(r.now, b.ID) {
+	if x.isDeclined(r.now, b.ID) {
 		return false
 	}
 	if h := r.relays.helpers[b.ID]; h != nil && (r.now < h.cutOffUntil || !includeAvoided && r.now < h.avoidUntil) {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -137,8 +137,6 @@
 	permits     PermitStatus
 	quotas      quotaState
 	relays      relayState
-	// hasHelpers is set if calls could be relayed to another box.
-	hasHelpers bool
 	// newCuts is the evidence for the cuts that this event began.
 	newCuts []*reach
 	// lastCutAt is when the box last found itself cut off from a service's targets.
