--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -22,6 +22,8 @@
 	Kind   string    `json:"kind"`
 	Call   string    `json:"call,omitempty"`
 	Target string    `json:"target,omitempty"`
+	// Service is that of the call, or of a line about targets.
+	Service string `json:"service,omitempty"`
 	// AfterMillis is the time of a step in milliseconds since the call arrived. Time is that
 	// of the log line, which is written when the call has ended.
 	AfterMillis float64 `json:"afterMs"`
@@ -41,13 +43,24 @@
 	Unreadable int `json:"unreadable"`
 }
 
-// stateKinds are the kinds of line that record a process's view of the system; true for those
-// about one target.
-var stateKinds = map[string]bool{
-	"table-in-force": false, "control-attach": false, "control-lost": false,
-	"target-ejected": true, "target-back": true,
-	"targets-lost": false, "targets-regained": false,
-	"exposure-began": false, "exposure-ended": false, "exposure-stopped": false,
+// subject is what a line about a process's view of the system is about.
+type subject int
+
+// The subjects.
+const (
+	aboutProcess subject = iota
+	// aboutTarget is the health of one target.
+	aboutTarget
+	// aboutReach is whether a box can reach the targets of one service.
+	aboutReach
+)
+
+// stateKinds are the kinds of line that record a process's view of the system.
+var stateKinds = map[string]subject{
+	"table-in-force": aboutProcess, "control-attach": aboutProcess, "control-lost": aboutProcess,
+	"target-ejected": aboutTarget, "target-back": aboutTarget,
+	"targets-lost": aboutReach, "targets-regained": aboutReach,
+	"exposure-began": aboutProcess, "exposure-ended": aboutProcess, "exposure-stopped": aboutProcess,
 }
 
 // maxLineBytes is the maximum length of a log line.
@@ -128,24 +141,33 @@
 }
 
 // lastStateLines returns, for each box of the timeline, the last line of each kind, and the
-// last one about each target that the call used, logged up to the end of the call.
+// last one about each target and service that the call used, logged up to the end of the call.
 func (t *Timeline) lastStateLines(all []Line) []Line {
 	endTimes := map[string]time.Time{}
-	targets := map[string]bool{}
+	targets, services := map[string]bool{}, map[string]bool{}
 	for _, step := range t.Steps {
 		endTimes[step.Box] = step.Time
 		targets[step.Target] = true
+		services[step.Service] = true
 	}
 	last := map[string]Line{}
 	for _, b := range all {
 		end, inTimeline := endTimes[b.Box]
-		aboutTarget := stateKinds[b.Kind]
-		if !inTimeline || b.Time.After(end) || aboutTarget && !targets[b.Target] {
+		if !inTimeline || b.Time.After(end) {
 			continue
 		}
 		key := b.Box + " " + b.Kind
-		if aboutTarget {
+		switch stateKinds[b.Kind] {
+		case aboutTarget:
+			if !targets[b.Target] {
+				continue
+			}
 			key = b.Box + " health " + b.Target
+		case aboutReach:
+			if !services[b.Service] {
+				continue
+			}
+			key = b.Box + " reach " + b.Service
 		}
 		if known, ok := last[key]; !ok || b.Time.After(known.Time) {
 			last[key] = b
