A box that is cut off from one service doesn't send blindly to another

By the logs box-6 had known for three seconds that it was cut off from one service; of the other one it had no call in flight, and then sent five, its own and four relayed ones, to silent targets without a probe, since its callers had used up the probe budget. A service that hasn't been heard since the box was cut off from another is now in doubt: its calls are relayed while its targets are checked. Checks may overdraw the probe budget by eight; services without calls in flight aren't checked at once, so that a first cut costs the same with many services.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -238,8 +238,7 @@
 	}
 }
 
-// recordContact records what the result of an attempt shows about the box's link to a target. A call
-// at its deadline shows nothing: its target may be slow.
+// recordContact records what the result of an attempt shows about the box's link to a target.
 func (r *Router) recordContact(v *AttemptEnded, a *attempt, e *Effects) {
 	t := a.target
 	switch {
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -111,9 +111,14 @@
 	if x.cutOff || !x.hasFailed(needed) {
 		return false
 	}
+	x.begin(now)
+	return true
+}
+
+// begin begins a cut.
+func (x *reach) begin(now units.Instant) {
 	x.cutOff, x.cutSince, x.nextCheckAt = true, now, now
 	x.regained, x.othersReach, x.declined, x.unreachableUntil, x.servedAt = nil, false, map[units.BoxID]units.Instant{}, 0, 0
-	return true
 }
 
 // recordHeard records an answer of a target, and reports whether that ends a cut.
@@ -178,15 +183,20 @@
 	return x != nil && x.cutOff
 }
 
-// contactsNeeded is the number of failed contacts from which on the box is cut off from a service: a
-// single one if it is already cut off from another and has heard no target of this one since.
+// contactsNeeded is the number of failed contacts from which on the box is cut off from a service.
 func (r *Router) contactsNeeded(x *reach) int {
-	if r.lastCutAt != 0 && x.heardAt < r.lastCutAt && r.hasCut() {
+	if r.isInDoubt(x) {
 		return 1
 	}
 	return contactsToCutOff
 }
 
+// isInDoubt reports whether the box is cut off from another service and has heard no target of this
+// one since.
+func (r *Router) isInDoubt(x *reach) bool {
+	return r.canRelay() && r.lastCutAt != 0 && x.heardAt < r.lastCutAt && r.hasCut()
+}
+
 // hasCut reports whether the box is cut off from any service.
 func (r *Router) hasCut() bool {
 	return slices.ContainsFunc(r.sortedServices, (*service).hasCut)
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -11,6 +11,8 @@
 	// probesPerReachCheck is the number of targets probed in a round, so that a single round can end
 	// a cut.
 	probesPerReachCheck = targetsToRejoin
+	// maxOverdrawnChecks is the number of probes by which checks may overdraw a service's budget.
+	maxOverdrawnChecks = 8
 )
 
 // reachProbe is the attempt number of probes that check whether targets can be reached.
@@ -24,7 +26,7 @@
 	connectOnly := r.probeBudgetRate(x.service) <= 0
 	for range probesPerReachCheck {
 		t := r.nextToCheck(x)
-		if t == nil || !r.leased() || !connectOnly && !r.spendProbeBudget(x.service, 1) {
+		if t == nil || !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
 			return
 		}
 		t.reachCheckedAt = r.now
@@ -39,6 +41,19 @@
 	}
 }
 
+// spendForReachCheck takes a probe from the service's probe budget, which may be overdrawn by some:
+// calls that wait for silent targets may have used it up.
+func (r *Router) spendForReachCheck(s *service) bool {
+	if r.spendProbeBudget(s, 1) {
+		return true
+	}
+	if s.probeBudget.tokens < 1-maxOverdrawnChecks {
+		return false
+	}
+	s.probeBudget.overdraw(1)
+	return true
+}
+
 // nextToCheck returns the target whose last check is the longest ago. Before a cut, those that are
 // lost already aren't checked.
 func (r *Router) nextToCheck(x *reach) *target {
@@ -67,11 +82,18 @@
 	}
 }
 
-// checkOtherServices checks the links to the targets of the other services once the box is cut off
-// from one: their calls may all wait for answers that won't come.
+// checkOtherServices checks the links to the targets of the other services with calls in flight when
+// the box is first cut off from one: these calls may all wait for answers that won't come. Services
+// without any are checked by their next calls.
 func (r *Router) checkOtherServices(cut *service, e *Effects) {
+	if slices.ContainsFunc(r.sortedServices, func(s *service) bool { return s != cut && s.hasCut() }) {
+		return
+	}
 	for _, s := range r.sortedServices {
-		if x := s.reachesOrDefault()[0]; s != cut && !x.cutOff && r.now >= x.nextCheckAt {
+		if s == cut || !slices.ContainsFunc(s.targets, func(t *target) bool { return t.inFlight > 0 }) {
+			continue
+		}
+		if x := s.reachesOrDefault()[0]; r.now >= x.nextCheckAt {
 			r.checkReach(x, e)
 		}
 	}
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -82,6 +82,11 @@
 // serves it sooner than this one finds out.
 func (r *Router) relayIfCutOff(id CallID, c *call, e *Effects) bool {
 	x := c.reachOf()
+	if !x.cutOff && r.isInDoubt(x) {
+		// The call may not be able to bear being sent to a silent target to find out.
+		x.begin(r.now)
+		r.cutBegan(x, e)
+	}
 	if !x.cutOff && !(c.isRelayed() && x.isSuspected()) {
 		return false
 	}
