Tests: a target isn't told to stop while it starts; a process that exits early has started

TestAReleasedCallIsServed failed twice in a few runs: "target-1 exited during startup" with an empty log. It stops all targets, also one that is just starting again after a crash, which the signal then ends before it says anything. The test now waits until all targets serve. Beside it, a target whose first call ended it could be taken for one that hadn't started, since it served before it said so, and since AwaitStarted chose at random between the two.

--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -100,11 +100,11 @@
 func (c *runTarget) Execute([]string) error {
 	t, err := lab.StartTarget(lab.TargetSettings{
 		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Journal: c.Journal, CrashBody: c.Crash,
+		OnListen: printStarted,
 	})
 	if err != nil {
 		return err
 	}
-	printStarted()
 	awaitSignal()
 	t.Stop()
 	return nil
--- a/pkg/lab/process.go
+++ b/pkg/lab/process.go
@@ -84,7 +84,13 @@
 	case s := <-p.started:
 		return s, nil
 	case <-p.exited:
-		return Started{}, fmt.Errorf("%s exited during startup:\n%s", p.Name, p.Log())
+		// A process may have started and exited since.
+		select {
+		case s := <-p.started:
+			return s, nil
+		default:
+		}
+		return Started{}, fmt.Errorf("%s exited during startup (%v):\n%s", p.Name, p.err, p.Log())
 	case <-time.After(timeout):
 		return Started{}, fmt.Errorf("%s did not start within %s:\n%s", p.Name, timeout, p.Log())
 	}
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -47,6 +47,9 @@
 	Journal string
 	// CrashBody is the prefix of call bodies that make the process exit; empty for none.
 	CrashBody string
+	// OnListen, if set, is called once the target listens and before it serves: the first call may
+	// end the process.
+	OnListen func()
 }
 
 // Target is a stand-in target with slots, a bounded queue, shedding and injected faults.
@@ -124,6 +127,9 @@
 	t.server = &fasthttp.Server{
 		Handler: t.handle, MaxRequestBodySize: 64 << 20, NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
+	if s.OnListen != nil {
+		s.OnListen()
+	}
 	go t.server.Serve(listener)
 	return t, nil
 }
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/lab"
@@ -101,6 +103,18 @@
 	}
 }
 
+// awaitRestarts waits until all targets that crashed serve again; calls must have been stopped.
+func (x *crashCluster) awaitRestarts() {
+	x.Helper()
+	time.Sleep(2 * targetRestartDelay)
+	for _, target := range x.targets {
+		x.must(lab.Eventually(waitTimeout, func() error {
+			_, _, err := fasthttp.Get(nil, "http://"+target.Address+"/stats")
+			return err
+		}))
+	}
+}
+
 // sleep waits for a duration and returns false if the test ends first.
 func (x *crashCluster) sleep(d time.Duration) bool {
 	select {
@@ -300,6 +314,8 @@
 	x.spawn(func() { x.keepCallingCrashing(crashRequestBody) })
 	name := x.awaitQuarantine()
 	x.callsStopped.Store(true)
+	// A target that is told to stop while it starts ends without a word.
+	x.awaitRestarts()
 	x.targetsFixed.Store(true)
 	for _, target := range x.targets {
 		target.Process.Terminate()
