--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -43,7 +43,6 @@
 type relaySend struct {
 	number AttemptNumber
 	helper *helper
-	sent   units.Instant
 	// attempts is how many targets the other box may send the call to.
 	attempts int
 }
@@ -165,7 +164,7 @@
 	c.probeRound.active = false
 	c.sends++
 	c.relays++
-	c.relay = relaySend{number: c.sends, helper: h, sent: r.now, attempts: c.maxAttempts() - c.possibleArrivals}
+	c.relay = relaySend{number: c.sends, helper: h, attempts: c.maxAttempts() - c.possibleArrivals}
 	h.inFlight++
 	r.relays.status.Sent++
 	e.add(Effect{
@@ -358,19 +357,28 @@
 	c.arrived = r.now.Add(-v.Relayed.Elapsed)
 	r.relays.inFlight++
 	r.recordPeerCutOff(v.Relayed.From)
+	if reason, retryAfter := r.reasonToDecline(v.Relayed); reason != 0 {
+		r.relays.status.Refused++
+		r.refuse(id, c, Refusal{Reason: reason, Outcome: NotRun, RetryAfter: retryAfter}, e)
+		return
+	}
+	r.relays.status.Accepted++
+	r.admit(id, c, v, e)
+}
+
+// reasonToDecline returns why a relayed call isn't accepted, and when to retry; zero if it is.
+func (r *Router) reasonToDecline(x *RelayedCall) (Reason, time.Duration) {
 	switch {
 	case r.tableIsEmpty():
-		r.refuse(id, c, Refusal{Reason: NoTable, Outcome: NotRun, RetryAfter: noTableRetryAfter}, e)
+		return NoTable, noTableRetryAfter
 	case !r.leased():
-		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, e)
-	case r.isBehind(v.Relayed.Revision):
-		r.refuse(id, c, Refusal{Reason: StaleTable, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
+		return NoLease, noLeaseRetryAfter
+	case r.isBehind(x.Revision):
+		return StaleTable, minRetryAfter
 	case !r.enabled(Relaying) || r.relays.inFlight > r.settings.MaxRelayed:
-		r.refuse(id, c, Refusal{Reason: RelayLimit, Outcome: NotRun, RetryAfter: minRetryAfter}, e)
-	default:
-		r.relays.status.Accepted++
-		r.admit(id, c, v, e)
+		return RelayLimit, minRetryAfter
 	}
+	return 0, 0
 }
 
 // isBehind reports whether the box may have missed changes that another box has. One that has lately
