Relays: a cut ends also where targets name limits, and needs a target that calls may use

A service whose targets were all gone, or had all named limits since the cut began, stayed cut off: the targets that checks may probe need permits, and none were asked for. Checks ask for permits; calls without an eligible target aren't affected by a cut.

--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -177,10 +177,11 @@
 	return x
 }
 
-// isCutOff reports whether the box is cut off from the targets that a call may use.
+// isCutOff reports whether the box is cut off from the targets that a call may use. Without any there
+// is nothing to reach.
 func (c *call) isCutOff() bool {
 	x := c.reachOf()
-	return x != nil && x.cutOff
+	return x != nil && x.cutOff && c.service.hasEligibleTarget(c)
 }
 
 // contactsNeeded is the number of failed contacts from which on the box is cut off from a service.
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -25,7 +25,7 @@
 	r.scheduleSweep(x.service, x.nextCheckAt)
 	connectOnly := r.probeBudgetRate(x.service) <= 0
 	for range probesPerReachCheck {
-		t := r.nextToCheck(x)
+		t := r.nextToCheck(x, e)
 		if t == nil || !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
 			return
 		}
@@ -55,11 +55,17 @@
 }
 
 // nextToCheck returns the target whose last check is the longest ago. Before a cut, those that are
-// lost already aren't checked.
-func (r *Router) nextToCheck(x *reach) *target {
+// lost already aren't checked. For a target that announces a limit it requests a permit first.
+func (r *Router) nextToCheck(x *reach, e *Effects) *target {
 	var next *target
 	for _, t := range x.service.targets {
-		if !x.cutOff && slices.Contains(x.lost, t) || !x.regions.Allows(t.region) || !t.isEligible() || t.notice.forbidsSending(r.now) || t.lacksPermit(r.now) {
+		if !x.cutOff && slices.Contains(x.lost, t) || !x.regions.Allows(t.region) || !t.isEligible() || t.notice.forbidsSending(r.now) {
+			continue
+		}
+		if t.lacksPermit(r.now) {
+			if t.notice.limit.mayRequest(r.now) {
+				r.requestTargetPermits(t, 1, e)
+			}
 			continue
 		}
 		if t.reachCheckedAt != 0 && r.now.Sub(t.reachCheckedAt) < reachCheckInterval {
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -81,6 +81,10 @@
 // serves it sooner than this one finds out.
 func (r *Router) relayIfCutOff(id CallID, c *call, e *Effects) bool {
 	x := c.reachOf()
+	if (x.cutOff || r.isInDoubt(x)) && !c.service.hasEligibleTarget(c) {
+		// No box has a target for the call.
+		return false
+	}
 	if !x.cutOff && r.isInDoubt(x) {
 		// The call may not be able to bear being sent to a silent target to find out.
 		x.begin(r.now)
@@ -214,7 +218,7 @@
 	})
 	slices.Sort(pending)
 	for _, id := range pending {
-		if c := r.calls.Get(id); c != nil {
+		if c := r.calls.Get(id); c != nil && c.isCutOff() {
 			r.relayOrRefuse(id, c, e)
 		}
 	}
