A service's evidence on all of its targets exists from the start

A box kept what shows whether it can reach a service's targets in a list whose first element was taken to be for all targets. It was made on first use: where the first call of a service came by a route that is restricted to regions, the first element was that restriction's. Failures of a rollout's versions at targets elsewhere were then deferred with the wrong evidence, and not counted when a target there answered; crash notes and checks used it too.

The evidence on all targets is now made with the service.

--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -213,7 +213,7 @@
 	if !r.canRelay() || t == nil || t.removed || !t.isEligible() {
 		return
 	}
-	for _, x := range t.service.reachesOrDefault() {
+	for _, x := range t.service.reaches {
 		if r.now.Sub(began) >= probeSilence && began <= x.heardAt {
 			continue
 		}
@@ -225,7 +225,7 @@
 
 // recordHeard records that a target was heard. On most days it only stores the time.
 func (r *Router) recordHeard(t *target, e *Effects) {
-	for _, x := range t.service.reachesOrDefault() {
+	for _, x := range t.service.reaches {
 		if !x.regions.Allows(t.region) {
 			continue
 		}
@@ -238,18 +238,13 @@
 	}
 }
 
-// reachesOrDefault returns the service's evidence; that for all of its targets always exists.
-func (s *service) reachesOrDefault() []*reach {
-	if len(s.reaches) == 0 {
-		s.reaches = []*reach{{service: s}}
-	}
-	return s.reaches
-}
+// reach returns the evidence for all of the service's targets.
+func (s *service) reach() *reach { return s.reaches[0] }
 
 // recordSilentProbes records the targets that leave probes unanswered while no target of the service
 // is heard. Large answers that are being received delay the answers to probes.
 func (r *Router) recordSilentProbes(s *service, e *Effects) {
-	heardAt := s.reachesOrDefault()[0].heardAt
+	heardAt := s.reach().heardAt
 	if !r.canRelay() || r.now.Sub(heardAt) < probeSilence || r.inbound.remaining(r.now) > 0 {
 		return
 	}
@@ -314,7 +309,7 @@
 // deferFailure keeps a failure of a rollout's version until the box has heard a target, and so knows
 // that the failure isn't its own. Failures during a cut are dropped at its end.
 func (r *Router) deferFailure(t *target, f versionFailure, e *Effects) {
-	x := t.service.reachesOrDefault()[0]
+	x := t.service.reach()
 	if !r.canRelay() || len(x.deferredFailures) >= maxDeferredFailures {
 		r.countVersionFailure(f, e)
 		return
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -99,7 +99,7 @@
 		if s == cut || !slices.ContainsFunc(s.targets, func(t *target) bool { return t.inFlight > 0 }) {
 			continue
 		}
-		if x := s.reachesOrDefault()[0]; r.now >= x.nextCheckAt {
+		if x := s.reach(); r.now >= x.nextCheckAt {
 			r.checkReach(x, e)
 		}
 	}
@@ -137,7 +137,7 @@
 // checkOthers checks whether the box reaches other targets when one may have crashed under its calls
 // and none was heard since.
 func (r *Router) checkOthers(t *target, e *Effects) {
-	x := t.service.reachesOrDefault()[0]
+	x := t.service.reach()
 	if r.canRelay() && !x.cutOff && x.heardAt <= t.crash.broken[0].at && r.now >= x.nextCheckAt {
 		r.checkReach(x, e)
 	}
@@ -146,6 +146,6 @@
 // isBoxAtFault reports whether failures of a target may be the box's own, as other targets fail too
 // and none is heard.
 func (r *Router) isBoxAtFault(t *target) bool {
-	x := t.service.reachesOrDefault()[0]
+	x := t.service.reach()
 	return r.canRelay() && x.isSuspected() && x.countEligible() >= contactsToSuspect
 }
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -72,7 +72,7 @@
 	// has other targets.
 	nextLimitCheckAt units.Instant
 	// reaches is the evidence on whether the box can reach the targets: first that for all of them,
-	// then that for the regions that routes are restricted to.
+	// which always exists, then that for the regions that routes are restricted to.
 	reaches []*reach
 	// rollout is the active rollout, or nil.
 	rollout *rolloutState
@@ -84,7 +84,9 @@
 		// The cap for all boxes together applies from the start.
 		tokens = 0
 	}
-	return &service{row: row, retries: budget{tokens: tokens}, hedges: budget{tokens: tokens}, loans: serviceLoans{spareByPeer: map[units.BoxID]spareReport{}}}
+	s := &service{row: row, retries: budget{tokens: tokens}, hedges: budget{tokens: tokens}, loans: serviceLoans{spareByPeer: map[units.BoxID]spareReport{}}}
+	s.reaches = []*reach{{service: s}}
+	return s
 }
 
 // initialRetryTokens allows retries of the first calls of a service.
