Relays: one constructor of probes, one check for silence, no state that follows from other state

Four places built the effect of a probe alike: newProbe does. checkSilence and checkOthers asked the same of two times: checkIfUnheard does. That other boxes reach the targets follows from when one last served a call. finish and relayStarted canceled attempts by the same loop. A box that declines as unreachable stands among the other reasons to ask a further one, where two places named it apart; a relay keeps its endpoint in place of making it twice. Whether a service is in doubt, a loop over all services, is asked once for a call.

sweepReach kept two meanings of nextCheckAt apart by three conditions.

--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -321,7 +321,7 @@
 		if r.isInconclusive(a) || r.recordIfUnanswered(c, a, e) {
 			continue
 		}
-		if x := a.target.service.reach(); x.heardAt <= a.sent {
+		if a.target.service.reach().heardAt <= a.sent {
 			r.recordContactFailed(a.target, a.sent, e)
 		}
 		if a.target.health.recordFailure(r.now) {
--- a/pkg/core/routing/crash.go
+++ b/pkg/core/routing/crash.go
@@ -86,10 +86,9 @@
 		return
 	}
 	t.service.probeBudget.overdraw(1)
-	e.add(Effect{
-		Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Attempt: crashProbeNumber, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t), Connections: t.maxConnections,
-		ProbePath: t.service.row.ProbePath,
-	})
+	x := r.newProbe(t)
+	x.Attempt, x.ProbePath = crashProbeNumber, t.service.row.ProbePath
+	e.add(x)
 }
 
 func (r *Router) scheduleCrashProbe(t *target) {
@@ -132,7 +131,7 @@
 	case len(w.broken) == 0:
 	case w.refusedAt == 0:
 		w.refusedAt = r.now
-		r.checkOthers(t, e)
+		r.checkIfUnheard(t.service.reach(), w.broken[0].at, e)
 	case r.now.Sub(w.refusedAt) >= crashCheckInterval && !r.isBoxAtFault(t):
 		r.recordCrash(t, e)
 	}
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -124,10 +124,9 @@
 // probe sends a probe to a target for a call.
 func (r *Router) probe(id CallID, c *call, t *target, number AttemptNumber, e *Effects) {
 	t.recordProbeSent(r.now)
-	e.add(Effect{
-		Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Call: id, Owner: c.owner, Attempt: number, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
-		Connections: t.maxConnections, ProbePath: c.service.row.ProbePath,
-	})
+	x := r.newProbe(t)
+	x.Call, x.Owner, x.Attempt, x.ProbePath = id, c.owner, number, c.service.row.ProbePath
+	e.add(x)
 }
 
 // spendProbeBudget takes n probes from the service's probe budget, or none if there aren't as many
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -44,7 +44,16 @@
 	}
 	t.healthProbeInFlight = true
 	t.probesSent++
-	e.add(Effect{Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Endpoint: t.endpoint, NotAfter: r.selectionExpiry(), Connections: t.maxConnections})
+	x := r.newProbe(t)
+	x.NotAfter = r.selectionExpiry()
+	e.add(x)
+}
+
+// newProbe returns a probe of a target, which uses a permit where the target announces a limit.
+func (r *Router) newProbe(t *target) Effect {
+	return Effect{
+		Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t), Connections: t.maxConnections,
+	}
 }
 
 func (r *Router) probeEnded(v *ProbeEnded, e *Effects) {
@@ -52,7 +61,7 @@
 	t := r.findTarget(v.Target)
 	switch {
 	case t == nil || v.Withheld:
-	case v.Answered || v.Healthy:
+	case v.isHeard():
 		r.recordHeard(t, e)
 	default:
 		r.recordContactFailed(t, v.SentAt, e)
@@ -98,7 +107,7 @@
 	if t != nil {
 		t.reachCheckOpen = false
 	}
-	if t == nil || !v.Answered && !v.Healthy {
+	if t == nil || !v.isHeard() {
 		return
 	}
 	t.recordReport(r.now, v.Report)
@@ -150,6 +159,9 @@
 	}
 }
 
+// isHeard reports whether the target answered.
+func (v *ProbeEnded) isHeard() bool { return v.Answered || v.Healthy }
+
 func (r *Router) findTarget(x *Endpoint) *target {
 	s := r.services[x.Service]
 	if s == nil {
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -54,17 +54,16 @@
 	cutSince units.Instant
 	// regained are the targets heard during the cut.
 	regained []*target
-	// othersReach is set once another box has served a call during the cut, last at servedAt. The
-	// targets are up then, and the failures are the box's own.
-	othersReach bool
-	servedAt    units.Instant
+	// servedAt is when another box last served a call during the cut; zero if none has.
+	servedAt units.Instant
 	// declined holds the boxes that couldn't reach the targets either, with the end of the time for
 	// which they aren't asked again.
 	declined map[units.BoxID]units.Instant
 	// unreachableUntil is until when calls are refused at once, as no box seems to reach the
 	// targets.
 	unreachableUntil units.Instant
-	// nextCheckAt is when targets are probed next during the cut.
+	// nextCheckAt is when the last round of checks is evaluated and the next one may begin; zero if
+	// there is none to evaluate.
 	nextCheckAt units.Instant
 	// deferredFailures are failures of a rollout's versions that aren't counted yet.
 	deferredFailures []versionFailure
@@ -118,7 +117,7 @@
 // begin begins a cut.
 func (x *reach) begin(now units.Instant) {
 	x.cutOff, x.cutSince, x.nextCheckAt = true, now, now
-	x.regained, x.othersReach, x.declined, x.unreachableUntil, x.servedAt = nil, false, map[units.BoxID]units.Instant{}, 0, 0
+	x.regained, x.declined, x.unreachableUntil, x.servedAt = nil, map[units.BoxID]units.Instant{}, 0, 0
 }
 
 // recordHeard records an answer of a target, and reports whether that ends a cut.
@@ -155,9 +154,13 @@
 			n++
 		}
 	}
-	return n >= maxDeclines && (x.servedAt == 0 || now.Sub(x.servedAt) >= unreachableDuration)
+	return n >= maxDeclines && (!x.othersReach() || now.Sub(x.servedAt) >= unreachableDuration)
 }
 
+// othersReach reports whether another box has served a call during the cut. The targets are up then,
+// and the failures are the box's own.
+func (x *reach) othersReach() bool { return x.servedAt != 0 }
+
 // isUnreachable reports whether no box seems to reach the targets.
 func (x *reach) isUnreachable(now units.Instant) bool { return x.cutOff && now < x.unreachableUntil }
 
@@ -210,7 +213,7 @@
 // recordContactFailed records that a target couldn't be reached, or fell silent. A contact that took
 // long to fail shows nothing if a target has been heard since it began.
 func (r *Router) recordContactFailed(t *target, began units.Instant, e *Effects) {
-	if !r.canRelay() || t == nil || t.removed || !t.isEligible() {
+	if !r.canRelay() || t.removed || !t.isEligible() {
 		return
 	}
 	for _, x := range t.service.reaches {
@@ -296,7 +299,7 @@
 }
 
 func (x *reach) describe(now units.Instant) *ReachChange {
-	d := &ReachChange{Service: x.service.row.Name, CutOff: x.cutOff, OthersReach: x.othersReach, Duration: now.Sub(x.cutSince)}
+	d := &ReachChange{Service: x.service.row.Name, CutOff: x.cutOff, OthersReach: x.othersReach(), Duration: now.Sub(x.cutSince)}
 	if x.regions != nil {
 		d.Regions = x.regions.Names
 	}
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 const (
@@ -34,10 +36,10 @@
 		if !connectOnly {
 			t.probesSent++
 		}
-		e.add(Effect{
-			Kind: Probe, SentAt: r.now, PermitUntil: r.usePermit(t), Attempt: reachProbe, Endpoint: t.endpoint, NotAfter: r.targetSelectionExpiry(t),
-			Connections: t.maxConnections, ProbePath: x.service.row.ProbePath, NewConnection: true, ConnectOnly: connectOnly,
-		})
+		p := r.newProbe(t)
+		p.Attempt, p.ProbePath = reachProbe, x.service.row.ProbePath
+		p.NewConnection, p.ConnectOnly = true, connectOnly
+		e.add(p)
 	}
 }
 
@@ -105,40 +107,32 @@
 	}
 }
 
-// sweepReach checks the targets that the box is cut off from, and finds a way for held calls.
+// sweepReach continues the checks that are due, and finds a way for calls that wait during a cut.
 func (r *Router) sweepReach(s *service, e *Effects) {
 	for _, x := range s.reaches {
-		if r.now >= x.nextCheckAt && x.nextCheckAt != 0 {
-			r.recordSilentChecks(x, e)
-		}
-		if !x.cutOff {
-			if r.now >= x.nextCheckAt {
-				x.nextCheckAt = 0
-			}
-			continue
+		if x.nextCheckAt != 0 && r.now >= x.nextCheckAt {
+			r.continueChecks(x, e)
 		}
-		if r.now >= x.nextCheckAt {
-			r.checkReach(x, e)
-			r.newCuts = append(r.newCuts, x)
+		if x.nextCheckAt != 0 {
+			s.sweepAt = min(s.sweepAt, x.nextCheckAt)
 		}
-		s.sweepAt = min(s.sweepAt, x.nextCheckAt)
 	}
 }
 
-// checkSilence checks whether the box is cut off when a target is silent for longer than a call
-// should take and no other one was heard meanwhile.
-func (r *Router) checkSilence(c *call, a *attempt, e *Effects) {
-	x := c.reachOf()
-	if r.canRelay() && !x.cutOff && x.heardAt <= a.sent && r.now >= x.nextCheckAt {
+// continueChecks evaluates the last round of checks, and begins another one during a cut.
+func (r *Router) continueChecks(x *reach, e *Effects) {
+	r.recordSilentChecks(x, e)
+	x.nextCheckAt = 0
+	if x.cutOff {
 		r.checkReach(x, e)
+		r.newCuts = append(r.newCuts, x)
 	}
 }
 
-// checkOthers checks whether the box reaches other targets when one may have crashed under its calls
-// and none was heard since.
-func (r *Router) checkOthers(t *target, e *Effects) {
-	x := t.service.reach()
-	if r.canRelay() && !x.cutOff && x.heardAt <= t.crash.broken[0].at && r.now >= x.nextCheckAt {
+// checkIfUnheard checks whether the box is cut off if no target has been heard since a time at which
+// a contact began or failed.
+func (r *Router) checkIfUnheard(x *reach, since units.Instant, e *Effects) {
+	if r.canRelay() && !x.cutOff && x.heardAt <= since && r.now >= x.nextCheckAt {
 		r.checkReach(x, e)
 	}
 }
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -17,8 +17,8 @@
 	// maxRelays bounds the boxes that one call is relayed to. Boxes that are cut off as well decline
 	// within a round trip.
 	maxRelays = 6
-	// relayTrialRate and relayTrialBurst bound the calls per second that are relayed before the box
-	// takes itself to be cut off.
+	// relayTrialRate, in calls per second, and relayTrialBurst, in calls, bound the calls that are
+	// relayed before the box takes itself to be cut off.
 	relayTrialRate  = 20
 	relayTrialBurst = 20
 	// maxRelayStaleness is for how long a box with an older table than the relaying one may be without
@@ -41,8 +41,9 @@
 
 // relaySend is a relay of a call that is in flight. Its number is zero where there is none.
 type relaySend struct {
-	number AttemptNumber
-	helper *helper
+	number   AttemptNumber
+	helper   *helper
+	endpoint *Endpoint
 	// attempts is how many targets the other box may send the call to.
 	attempts int
 }
@@ -81,11 +82,12 @@
 // serves it sooner than this one finds out.
 func (r *Router) relayIfCutOff(id CallID, c *call, e *Effects) bool {
 	x := c.reachOf()
-	if (x.cutOff || r.isInDoubt(x)) && !c.service.hasEligibleTarget(c) {
+	inDoubt := !x.cutOff && r.isInDoubt(x)
+	if (x.cutOff || inDoubt) && !c.service.hasEligibleTarget(c) {
 		// No box has a target for the call.
 		return false
 	}
-	if !x.cutOff && r.isInDoubt(x) {
+	if inDoubt {
 		// The call may not be able to bear being sent to a silent target to find out.
 		x.begin(r.now)
 		r.cutBegan(x, e)
@@ -168,12 +170,15 @@
 	c.probeRound.active = false
 	c.sends++
 	c.relays++
-	c.relay = relaySend{number: c.sends, helper: h, attempts: c.maxAttempts() - c.possibleArrivals}
+	c.relay = relaySend{
+		number: c.sends, helper: h, attempts: c.maxAttempts() - c.possibleArrivals,
+		endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
+	}
 	h.inFlight++
 	r.relays.status.Sent++
 	e.add(Effect{
 		Kind: Send, Call: id, Owner: c.owner, Attempt: c.relay.number, Purpose: RelaySend, Workspace: c.workspaceName(),
-		Endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
+		Endpoint: c.relay.endpoint,
 		Relay:    RelayedCall{From: r.settings.Box, Elapsed: r.now.Sub(c.arrived), Attempts: c.relay.attempts, Revision: r.table.Revision},
 		Deadline: c.deadline, NotAfter: r.selectionExpiry(), AtMostOnce: c.route.work == table.AtMostOnce,
 		LatencyObjective: c.route.latencyObjective, LargeAnswer: c.route.largeAnswers,
@@ -191,7 +196,7 @@
 		return
 	}
 	x.unreachableUntil = r.now.Add(unreachableDuration)
-	if !x.othersReach {
+	if !x.othersReach() {
 		r.countDeferredFailures(x, e)
 	}
 }
@@ -256,12 +261,10 @@
 		c.mayHaveRun = c.mayHaveRun || v.Declined.Outcome == Unknown
 		r.relayDeclined(v, c, x, sent.helper, e)
 	case NotSent, Withheld:
-		r.relays.status.Failed++
-		sent.helper.avoidUntil = r.now.Add(helperFailureTime)
+		r.recordRelayFailed(sent.helper)
 		r.relayAgain(v.Call, c, x, Refusal{Reason: Unreachable}, e)
 	default:
-		r.relays.status.Failed++
-		sent.helper.avoidUntil = r.now.Add(helperFailureTime)
+		r.recordRelayFailed(sent.helper)
 		c.mayHaveRun = true
 		c.possibleArrivals += sent.attempts
 		r.relayAgain(v.Call, c, x, Refusal{Reason: AttemptBroken}, e)
@@ -275,8 +278,6 @@
 	switch {
 	case reason == Unreachable && x.cutOff:
 		x.recordDeclined(r.now, h.box.ID)
-	case reason == Unreachable:
-		h.avoidUntil = r.now.Add(helperBusyTime)
 	case helperReasons[reason]:
 		h.avoidUntil = r.now.Add(helperBusyTime)
 	default:
@@ -294,19 +295,25 @@
 		return
 	}
 	// What another box lacks is no answer to the caller: its table may not even have the route.
-	if last.Reason == Unreachable || helperReasons[last.Reason] {
+	if helperReasons[last.Reason] {
 		r.refuseUnreachable(id, c, x, e)
 		return
 	}
 	r.refuseFinally(id, c, Refusal{Reason: last.Reason, Outcome: c.outcome(), RetryAfter: max(last.RetryAfter, minRetryAfter)}, e)
 }
 
+// recordRelayFailed records that a relay failed on the way to another box or back.
+func (r *Router) recordRelayFailed(h *helper) {
+	r.relays.status.Failed++
+	h.avoidUntil = r.now.Add(helperFailureTime)
+}
+
 // recordRelayServed records that another box reached the targets.
 func (r *Router) recordRelayServed(x *reach, h *helper) {
 	r.relays.status.Served++
 	h.servedAt = r.now
 	if x.cutOff {
-		x.othersReach, x.servedAt = true, r.now
+		x.servedAt = r.now
 		x.unreachableUntil = 0
 	}
 }
@@ -317,11 +324,7 @@
 	c.identity = nil
 	r.recordRelayServed(c.reachOf(), c.relay.helper)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: v.Endpoint})
-	for i := range c.attempts {
-		if a := &c.attempts[i]; a.target != nil {
-			r.cancel(v.Call, c, a, e)
-		}
-	}
+	r.cancelAttempts(v.Call, c, e)
 	c.endProbing()
 }
 
@@ -339,8 +342,7 @@
 	if c.relay.number == 0 {
 		return
 	}
-	b := c.relay.helper.box
-	e.add(Effect{Kind: Cancel, Call: id, Owner: c.owner, Attempt: c.relay.number, Endpoint: &Endpoint{Service: c.service.row.Name, Relay: b.ID}})
+	e.add(Effect{Kind: Cancel, Call: id, Owner: c.owner, Attempt: c.relay.number, Endpoint: c.relay.endpoint})
 	r.endRelay(c)
 }
 
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -19,10 +19,10 @@
 	// provenTime is for how long a box counts as proven after it served a relayed call.
 	provenTime = time.Second
 	// helperFailureTime is for how long a box that a relay didn't reach isn't chosen, and one that
-	// relays calls itself. helperBusyTime is the same for a box that declined for a reason of its
-	// own.
+	// relays calls itself.
 	helperFailureTime = time.Second
-	helperBusyTime    = 100 * time.Millisecond
+	// helperBusyTime is for how long a box isn't chosen that declined for a reason of its own.
+	helperBusyTime = 100 * time.Millisecond
 )
 
 // helper is another box to which calls are relayed.
@@ -40,7 +40,7 @@
 // helperReasons are the reasons for which a box declines a relayed call that another box may serve.
 var helperReasons = [reasonCount]bool{
 	RelayLimit: true, NoTable: true, NoLease: true, Stopping: true, StaleKeys: true, UnknownVersion: true, NoService: true, UnknownKey: true, NoTarget: true,
-	StaleTable: true,
+	StaleTable: true, Unreachable: true,
 }
 
 // canRelay reports whether calls can be relayed at all.
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -362,12 +362,17 @@
 
 // finish removes a call; attempts still in flight are canceled.
 func (r *Router) finish(id CallID, c *call, e *Effects) {
+	r.cancelAttempts(id, c, e)
+	r.cancelRelay(id, c, e)
+	r.restoreCredit(c, e)
+	r.releaseCall(id, c)
+}
+
+// cancelAttempts cancels the call's attempts in flight at targets.
+func (r *Router) cancelAttempts(id CallID, c *call, e *Effects) {
 	for i := range c.attempts {
 		if a := &c.attempts[i]; a.target != nil {
 			r.cancel(id, c, a, e)
 		}
 	}
-	r.cancelRelay(id, c, e)
-	r.restoreCredit(c, e)
-	r.releaseCall(id, c)
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		status.CutOff, status.CutOffMs = true, max(status.CutOffMs, now.Sub(x.cutSince).Milliseconds())
-		status.OthersReach = status.OthersReach || x.othersReach
+		status.OthersReach = status.OthersReach || x.othersReach()
 		status.Unreachable = status.Unreachable || x.isUnreachable(now)
 	}
 	for _, t := range s.targets {
