Relays: no work on headers for calls that aren't relayed

Each request to a target and each answer to a caller had five headers removed that only relayed calls carry. Requests have them removed only where another box relayed the call; from an answer goes the one mark that the other box set. A caller's or target's own header of such a name passes as it did before relays: boxes read them on their own connections only. Copying a request stood twice, in fillRequest and fillRelayed; copyRequest does it. The second names of three header constants go.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -27,13 +27,14 @@
 	if closing {
 		out.SetConnectionClose()
 	}
-	removeRelayHeaders(&out.Header)
+	if a.endpoint.Relay != "" {
+		out.Header.Del(target.RelayResultHeader)
+	} else {
+		out.Header.Set(targetHeader, string(a.endpoint.Target))
+	}
 	if relayedBy(ctx) != "" {
 		out.Header.Set(target.RelayResultHeader, target.RelayAnswered)
 	}
-	if a.endpoint.Relay == "" {
-		out.Header.Set(targetHeader, string(a.endpoint.Target))
-	}
 	if from.BodyStream() == nil || a.attempt.IsComplete() {
 		out.SkipBody = from.SkipBody
 		e.writeWhole(ctx, a)
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -114,6 +114,9 @@
 	} else {
 		e.fillRequest(a.Request, c.request, x.Workspace)
 	}
+	if c.relayed != nil {
+		removeRelayHeaders(&a.Request.Header)
+	}
 	s := send{number: x.Attempt, attempt: a}
 	c.sends = append(c.sends, s)
 	if c.inline && c.inlineSend.attempt == nil && e.runningAttempts.Load() < int64(e.Settings.Entry.MaxCalls) {
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -49,15 +49,19 @@
 // and the workspace header is set to the workspace that the key belongs to, whatever the caller
 // sent in it.
 func (e *Entry) fillRequest(out, from *fasthttp.Request, w units.WorkspaceName) {
-	from.Header.CopyTo(&out.Header)
-	removeHopByHop(&out.Header)
-	out.Header.Del("Expect")
-	removeRelayHeaders(&out.Header)
+	copyRequest(out, from)
 	out.Header.Del(e.Settings.Entry.KeyHeader)
 	out.Header.Del(e.Settings.Entry.WorkspaceHeader)
 	if w != "" {
 		out.Header.Set(e.Settings.Entry.WorkspaceHeader, string(w))
 	}
+}
+
+// copyRequest copies a request without the headers that apply to its connection only.
+func copyRequest(out, from *fasthttp.Request) {
+	from.Header.CopyTo(&out.Header)
+	removeHopByHop(&out.Header)
+	out.Header.Del("Expect")
 	out.SetBody(from.Body())
 	out.Header.SetNoDefaultContentType(true)
 }
--- a/pkg/entry/identity.go
+++ b/pkg/entry/identity.go
@@ -36,9 +36,10 @@
 // Caller returns a digest of the caller's identity.
 func (i *identity) Caller() uint64 {
 	if i.caller == 0 {
-		if i.caller = relayedCaller(i.ctx); i.caller == 0 || relayedBy(i.ctx) == "" {
-			i.caller = crash.Digest(i.callerName())
-		}
+		i.caller = relayedCaller(i.ctx)
+	}
+	if i.caller == 0 {
+		i.caller = crash.Digest(i.callerName())
 	}
 	return i.caller
 }
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -28,10 +28,10 @@
 	return transport.DialRelay(ctx, address, e.Security, e.hello())
 }
 
-// relayHeaders are the headers between boxes; callers and targets get none of them.
-var relayHeaders = []string{target.RelayElapsedHeader, target.RelayAttemptsHeader, target.RelayRevisionHeader, target.RelayCallerHeader, target.RelayResultHeader}
+// relayHeaders are the headers by which a box describes a relayed call; targets get none of them.
+var relayHeaders = []string{target.RelayElapsedHeader, target.RelayAttemptsHeader, target.RelayRevisionHeader, target.RelayCallerHeader}
 
-func removeRelayHeaders(h headerSet) {
+func removeRelayHeaders(h *fasthttp.RequestHeader) {
 	for _, name := range relayHeaders {
 		h.Del(name)
 	}
@@ -40,11 +40,7 @@
 // fillRelayed copies a caller's request into one that is relayed to another box, which checks the
 // caller's key itself.
 func (e *Entry) fillRelayed(out *fasthttp.Request, c *call, x *routing.RelayedCall) {
-	c.request.Header.CopyTo(&out.Header)
-	removeHopByHop(&out.Header)
-	out.Header.Del("Expect")
-	out.SetBody(c.request.Body())
-	out.Header.SetNoDefaultContentType(true)
+	copyRequest(out, c.request)
 	out.Header.Set(target.RelayElapsedHeader, strconv.FormatInt(x.Elapsed.Microseconds(), 10))
 	out.Header.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Attempts))
 	out.Header.Set(target.RelayRevisionHeader, strconv.FormatUint(uint64(x.Revision), 10))
@@ -79,8 +75,12 @@
 	return x
 }
 
-// relayedCaller returns the digest of a relayed call's caller; zero if there is none.
+// relayedCaller returns the digest of a relayed call's caller; zero if there is none, and for a
+// caller's own call.
 func relayedCaller(ctx *fasthttp.RequestCtx) uint64 {
+	if relayedBy(ctx) == "" {
+		return 0
+	}
 	digest, err := strconv.ParseUint(string(ctx.Request.Header.Peek(target.RelayCallerHeader)), 16, 64)
 	if err != nil {
 		return 0
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -12,13 +12,8 @@
 	"github.com/madderpond/madderpond/pkg/target"
 )
 
-// The headers in which a box reports the outcome of a call.
-const (
-	outcomeHeader      = target.OutcomeHeader
-	reasonHeader       = target.ReasonHeader
-	retryAfterMsHeader = target.RetryAfterMsHeader
-	targetHeader       = "X-Madderpond-Target"
-)
+// targetHeader names the target that answered a call.
+const targetHeader = "X-Madderpond-Target"
 
 const problemType = "application/problem+json"
 
@@ -186,11 +181,11 @@
 	if r.Reason == routing.AttemptBroken && r.Outcome == routing.Unknown {
 		e.metrics.unknownOutcomes.Add(1)
 	}
-	ctx.Response.Header.Set(outcomeHeader, r.Outcome.String())
-	ctx.Response.Header.Set(reasonHeader, r.Reason.String())
+	ctx.Response.Header.Set(target.OutcomeHeader, r.Outcome.String())
+	ctx.Response.Header.Set(target.ReasonHeader, r.Reason.String())
 	if r.RetryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, e.retryAfterText(r.RetryAfter))
-		ctx.Response.Header.Set(retryAfterMsHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+		ctx.Response.Header.Set(target.RetryAfterMsHeader, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
 	writeProblem(ctx, &problem{
 		Type: "madderpond:" + r.Reason.String(), Title: r.Reason.String(), Status: r.Status(),
