Transport: one check of a hello, for sessions and relay connections

The accepting sides of both checked the first message by code of their own; acceptHello does. The two-step accept was left for tests alone once the listener had to read a first byte; accept takes the wrapped connection now, and two tests pass it. What they check is unchanged.

--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -104,15 +104,9 @@
 	return fault.Wrap(err, fault.Unavailable, "check that the process runs there and that the network lets it through", "can't connect to %s", address)
 }
 
-// accept is the accepting side of Dial: it receives the peer's hello. Errors are of
-// kind Protocol or Unauthorized.
-func accept(raw net.Conn, security *Security) (*Conn, *wire.Hello, error) {
-	raw.SetDeadline(time.Now().Add(helloTimeout))
-	return acceptSession(raw, security.wrapServer(raw), security)
-}
-
-// acceptSession is accept for a connection that is already wrapped, and has a deadline for the hello.
-func acceptSession(raw, wrapped net.Conn, security *Security) (*Conn, *wire.Hello, error) {
+// accept is the accepting side of Dial: it receives the peer's hello, until the connection's deadline,
+// which it clears. Errors are of kind Protocol or Unauthorized.
+func accept(raw, wrapped net.Conn, security *Security) (*Conn, *wire.Hello, error) {
 	underlying := &sessionConn{Conn: wrapped}
 	session, err := yamux.Server(underlying, yamuxSettings())
 	if err != nil {
@@ -132,12 +126,8 @@
 		return nil, nil, err
 	}
 	raw.SetDeadline(time.Time{})
-	hello := m.GetHello()
-	if hello == nil || hello.Protocol != protocolVersion {
-		c.Close()
-		return nil, nil, fault.New(fault.Protocol, "run the same version of madderpond on both sides", "the first message is not a hello of protocol version %d", protocolVersion)
-	}
-	if err := security.verifyName(unprefixed(wrapped), hello); err != nil {
+	hello, err := security.acceptHello(unprefixed(wrapped), m)
+	if err != nil {
 		c.Close()
 		return nil, nil, err
 	}
--- a/pkg/transport/listener.go
+++ b/pkg/transport/listener.go
@@ -109,7 +109,7 @@
 		l.serveRelay(raw, wrapped)
 		return
 	}
-	c, hello, err := acceptSession(raw, &prefixedConn{Conn: wrapped, first: first, unread: true}, l.security)
+	c, hello, err := accept(raw, &prefixedConn{Conn: wrapped, first: first, unread: true}, l.security)
 	if err != nil {
 		l.logRefusal(raw, err)
 		return
--- a/pkg/transport/relay.go
+++ b/pkg/transport/relay.go
@@ -101,13 +101,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	hello := m.GetHello()
-	if hello == nil || hello.Protocol != protocolVersion || hello.Box == "" {
-		return nil, nil, fault.New(fault.Protocol, "run the same version of madderpond on both sides", "a relay connection doesn't begin with a box's hello of protocol version %d", protocolVersion)
-	}
-	if err := security.verifyName(wrapped, hello); err != nil {
+	hello, err := security.acceptHello(wrapped, m)
+	if err != nil {
 		return nil, nil, err
 	}
+	if hello.Box == "" {
+		return nil, nil, fault.New(fault.Protocol, "run the same version of madderpond on both sides", "the hello of a relay connection names no box")
+	}
 	if _, err := wrapped.Write([]byte{relayConfirmation}); err != nil {
 		return nil, nil, handshakeError(err)
 	}
--- a/pkg/transport/security.go
+++ b/pkg/transport/security.go
@@ -83,6 +83,16 @@
 	return tls.Server(raw, s.tlsConfig())
 }
 
+// acceptHello returns the hello in the first message of a connection, once it is verified. Errors are
+// of kind Protocol or Unauthorized.
+func (s *Security) acceptHello(conn net.Conn, m *wire.Envelope) (*wire.Hello, error) {
+	hello := m.GetHello()
+	if hello == nil || hello.Protocol != protocolVersion {
+		return nil, fault.New(fault.Protocol, "run the same version of madderpond on both sides", "the first message is not a hello of protocol version %d", protocolVersion)
+	}
+	return hello, s.verifyName(conn, hello)
+}
+
 // verifyName verifies that the peer's certificate contains the replica name in its hello or,
 // without one, the box name. The error is an Unauthorized fault.
 func (s *Security) verifyName(conn net.Conn, hello *wire.Hello) error {
--- a/pkg/transport/session_conn_test.go
+++ b/pkg/transport/session_conn_test.go
@@ -41,7 +41,8 @@
 		t.Fatal(err)
 	}
 	release := make(chan struct{})
-	c, _, err := accept(&slowClosingConn{Conn: raw, release: release}, nil)
+	conn := &slowClosingConn{Conn: raw, release: release}
+	c, _, err := accept(conn, conn, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -153,7 +153,7 @@
 		a.Write(m.Bytes())
 		io.Copy(io.Discard, a)
 	}()
-	_, _, err := accept(b, nil)
+	_, _, err := accept(b, b, nil)
 	if fault.KindOf(err) != fault.Protocol {
 		t.Fatalf("unexpected error: %v", err)
 	}
