--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -24,7 +24,7 @@
 		t.Parallel()
 		x := startLossCluster(t, nil)
 		datadriven.RunTest(t, path, x.command)
-		x.mustBeClean()
+		x.mustAllBeClean(x.calls)
 	})
 }
 
@@ -161,18 +161,14 @@
 }
 
 func (x *lossCluster) boxesOf(d *datadriven.TestData) []*lab.Node {
-	if !d.HasArg("boxes") {
+	named, ok := d.Arg("boxes")
+	if !ok {
 		return x.cluster.Boxes
 	}
 	var nodes []*lab.Node
-	for _, a := range d.CmdArgs {
-		if a.Key != "boxes" {
-			continue
-		}
-		for _, n := range x.cluster.Boxes {
-			if slices.Contains(a.Vals, strings.TrimPrefix(n.Settings.Box, "box-")) {
-				nodes = append(nodes, n)
-			}
+	for _, n := range x.cluster.Boxes {
+		if slices.Contains(named.Vals, strings.TrimPrefix(n.Settings.Box, "box-")) {
+			nodes = append(nodes, n)
 		}
 	}
 	return nodes
@@ -215,34 +211,20 @@
 // describeFirstTries reports whether calls were served, but for the fraction that may fail, or how
 // many were and why the others weren't.
 func describeFirstTries(calls []lab.Call) string {
-	served := 0
-	reasons := map[string]bool{}
-	for _, c := range calls {
-		if c.Verdict == lab.Complete {
-			served++
-			continue
-		}
-		reasons[c.Reason+c.Detail] = true
-	}
+	served := countServed(calls)
 	if float64(len(calls)-served) <= maxFailedFirstTries*float64(len(calls)) {
 		return "served\n"
 	}
-	names := []string{}
-	for r := range reasons {
-		names = append(names, r)
+	var reasons []string
+	for _, c := range calls {
+		if c.Verdict != lab.Complete {
+			reasons = append(reasons, c.Reason+c.Detail)
+		}
 	}
-	slices.Sort(names)
+	slices.Sort(reasons)
+	names := strings.Join(slices.Compact(reasons), ", ")
 	if served == 0 {
-		return fmt.Sprintf("none served: %s\n", strings.Join(names, ", "))
-	}
-	return fmt.Sprintf("served %d of %d: %s\n", served, len(calls), strings.Join(names, ", "))
-}
-
-// mustBeClean fails if any call was lost, run twice or answered wrongly.
-func (x *lossCluster) mustBeClean() {
-	s := lab.Summarize(x.calls, x.runs())
-	x.Log(s.String(), s.Reasons)
-	if !s.Clean() {
-		x.Errorf("calls were lost, run twice or answered wrongly: %s", s)
+		return fmt.Sprintf("none served: %s\n", names)
 	}
+	return fmt.Sprintf("served %d of %d: %s\n", served, len(calls), names)
 }
--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -57,7 +57,7 @@
 			x.awaitServed(lab.CallSpec{Host: "pay.test", AtMostOnce: true})
 		})
 	}
-	x.testCluster.mustBeClean()
+	x.mustBeClean()
 }
 
 // cutOffFirstBox cuts the first box off from all targets, waits until it relays calls, and has the
--- a/test/soak_cut_test.go
+++ b/test/soak_cut_test.go
@@ -68,17 +68,15 @@
 	caller := lab.NewCaller(n.Entry)
 	caller.SetKey(soakOwnKey)
 	for end := time.Now().Add(soakCutSettleTime); time.Now().Before(end); {
-		caller.Do(lab.CallSpec{Host: "shop.test"})
+		caller.Do(shopCall)
 		time.Sleep(soakCallPause)
 	}
-	served := 0
 	before := len(caller.Calls())
 	for range soakLastCalls {
-		if caller.Do(lab.CallSpec{Host: "shop.test"}).Verdict == lab.Complete {
-			served++
-		}
+		caller.Do(shopCall)
 	}
-	if served < soakLastCalls*9/10 {
-		x.Errorf("a box that was cut off from all targets served %d of %d first tries: %v", served, soakLastCalls, lab.Summarize(caller.Calls()[before:], x.runs()).Reasons)
+	calls := caller.Calls()[before:]
+	if served := countServed(calls); served < soakLastCalls*9/10 {
+		x.Errorf("a box that was cut off from all targets served %d of %d first tries: %v", served, len(calls), lab.Summarize(calls, x.runs()).Reasons)
 	}
 }
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -310,16 +310,16 @@
 	return runs
 }
 
-// summary compares what callers received with what targets ran.
-func (x *testCluster) summary() lab.Summary {
+// mustBeClean fails if any of the caller's calls was lost, run twice or answered wrongly.
+func (x *testCluster) mustBeClean() lab.Summary {
 	x.Helper()
-	return lab.Summarize(x.caller.Calls(), x.runs())
+	return x.mustAllBeClean(x.caller.Calls())
 }
 
-// mustBeClean fails if any call was lost, run twice or answered wrongly.
-func (x *testCluster) mustBeClean() lab.Summary {
+// mustAllBeClean is mustBeClean for the calls of any callers.
+func (x *testCluster) mustAllBeClean(calls []lab.Call) lab.Summary {
 	x.Helper()
-	s := x.summary()
+	s := lab.Summarize(calls, x.runs())
 	x.Log(s.String(), s.Reasons)
 	if !s.Clean() {
 		x.Fatalf("calls were lost, run twice or answered wrongly: %+v", s)
