Relays: logs and status say why other boxes were passed over

Nothing told a box that was tried from one that wasn't looked at, so that a search that ends too early couldn't be told from targets that nobody reaches. Each relay, and each refusal as unreachable, now counts the other boxes by standing (reaches, unknown, cut-off, avoided, outside-regions), by whether they are in the box's own failure domain; the status has the same for each service.

--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -321,8 +321,10 @@
 	// NewConnection is set for a Probe that must not use an open connection, ConnectOnly for one that
 	// only opens it.
 	NewConnection, ConnectOnly bool
-	// Relay describes the call to the box that a Send relays it to.
-	Relay RelayedCall
+	// Relay describes the call to the box that a Send relays it to, Helpers are the standings of the
+	// other boxes then.
+	Relay   RelayedCall
+	Helpers *HelperSurvey
 	// Ejected is set for an EjectionChanged if the target was ejected. Failures is the number of
 	// consecutive failures, or for a ServiceHangs the number of unanswered calls.
 	Ejected  bool
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -148,4 +148,6 @@
 	RetryAfter time.Duration
 	// Arrivals is the number of sends that may have reached a target.
 	Arrivals int
+	// Helpers are the standings of the other boxes, for a call that is refused as unreachable.
+	Helpers *HelperSurvey
 }
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -112,7 +112,7 @@
 	after := max(minRetryAfter, x.unreachableUntil.Sub(r.now))
 	jitter := 1 + retryAfterJitter*r.random.Float64()
 	retryAfter := time.Duration(jitter * float64(after)).Round(time.Millisecond)
-	r.refuseFinally(id, c, Refusal{Reason: Unreachable, Outcome: c.outcome(), RetryAfter: retryAfter}, e)
+	r.refuseFinally(id, c, Refusal{Reason: Unreachable, Outcome: c.outcome(), RetryAfter: retryAfter, Helpers: r.survey(x)}, e)
 }
 
 // relayInsteadOfRefusal relays a call that would be refused for a reason that another box may not
@@ -174,10 +174,11 @@
 		number: c.sends, helper: h, attempts: c.maxAttempts() - c.possibleArrivals,
 		endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
 	}
+	survey := r.survey(x)
 	h.inFlight++
 	r.relays.status.Sent++
 	e.add(Effect{
-		Kind: Send, Call: id, Owner: c.owner, Attempt: c.relay.number, Purpose: RelaySend, Workspace: c.workspaceName(),
+		Kind: Send, Call: id, Helpers: survey, Owner: c.owner, Attempt: c.relay.number, Purpose: RelaySend, Workspace: c.workspaceName(),
 		Endpoint: c.relay.endpoint,
 		Relay:    RelayedCall{From: r.settings.Box, Elapsed: r.now.Sub(c.arrived), Attempts: c.relay.attempts, Revision: r.table.Revision},
 		Deadline: c.deadline, NotAfter: r.selectionExpiry(), AtMostOnce: c.route.work == table.AtMostOnce,
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -139,15 +139,27 @@
 	return cost
 }
 
-// mayHelp reports whether a call may be relayed to a box. A call that is restricted to regions
-// doesn't leave them, except within this box's own region, where it is already.
-func (r *Router) mayHelp(x *reach, c *call, b table.Box, includeAvoided bool) bool {
-	if x.isDeclined(r.now, b.ID) {
-		return false
+// standing returns what is known of a box as a helper for calls. A call that is restricted to
+// regions doesn't leave them, except within this box's own region, where it is already.
+func (r *Router) standing(x *reach, b table.Box) HelperStanding {
+	region := r.settings.Regions[b.Domain]
+	if !x.regions.Allows(region) && (region == "" || region != r.settings.Regions[r.settings.Domain]) {
+		return HelperOutsideRegions
 	}
-	if h := r.relays.helpers[b.ID]; h != nil && (r.now < h.cutOffUntil || !includeAvoided && r.now < h.avoidUntil) {
-		return false
+	h := r.relays.helpers[b.ID]
+	switch {
+	case x.isDeclined(r.now, b.ID), h != nil && r.now < h.cutOffUntil:
+		return HelperCutOff
+	case h != nil && r.now < h.avoidUntil:
+		return HelperAvoided
+	case h != nil && h.servedAt != 0 && r.now.Sub(h.servedAt) <= provenTime:
+		return HelperReaches
 	}
-	region := r.settings.Regions[b.Domain]
-	return c.regions.Allows(region) || region != "" && region == r.settings.Regions[r.settings.Domain]
+	return HelperUnknown
+}
+
+// mayHelp reports whether a call may be relayed to a box.
+func (r *Router) mayHelp(x *reach, c *call, b table.Box, includeAvoided bool) bool {
+	s := r.standing(x, b)
+	return s == HelperReaches || s == HelperUnknown || includeAvoided && s == HelperAvoided
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -96,6 +96,8 @@
 	CutOffMs    int64 `json:"cutOffMs,omitempty"`
 	OthersReach bool  `json:"othersReach,omitempty"`
 	Unreachable bool  `json:"unreachable,omitempty"`
+	// Helpers are the standings of the other boxes during a cut.
+	Helpers *HelperSurvey `json:"helpers,omitempty"`
 	// Rollout is the state of the active rollout.
 	Rollout *RolloutStatus `json:"rollout,omitempty"`
 }
@@ -203,6 +205,7 @@
 		status.CutOff, status.CutOffMs = true, max(status.CutOffMs, now.Sub(x.cutSince).Milliseconds())
 		status.OthersReach = status.OthersReach || x.othersReach()
 		status.Unreachable = status.Unreachable || x.isUnreachable(now)
+		status.Helpers = r.survey(x)
 	}
 	for _, t := range s.targets {
 		status.Targets = append(status.Targets, r.targetStatus(t, now))
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -44,6 +44,8 @@
 	// relayed to.
 	box      units.BoxID
 	declined routing.Refusal
+	// helpers are the standings of the other boxes, for a relay and for a refusal as unreachable.
+	helpers *routing.HelperSurvey
 	// report is what the target reported in its answer. unreadRest and unreadLimit are the values it
 	// sent for its rest and its limit if they couldn't be parsed.
 	report                  routing.TargetReport
@@ -101,10 +103,10 @@
 	case routing.Send:
 		s.kind, s.purpose, s.selection, s.workspace = stepSent, x.Purpose, x.Selection, x.Workspace
 		if x.Endpoint.Relay != "" {
-			s.kind = stepRelayed
+			s.kind, s.helpers = stepRelayed, x.Helpers
 		}
 	case routing.Refuse:
-		s.kind, s.refusal, s.workspace = stepRefused, x.Refusal, x.Workspace
+		s.kind, s.refusal, s.workspace, s.helpers = stepRefused, x.Refusal, x.Workspace, x.Refusal.Helpers
 		if x.Refusal.Reason == routing.Quarantined && !c.answered {
 			c.addRequestDetails(&s)
 		}
@@ -276,6 +278,9 @@
 	if s.workspace != "" {
 		f["workspace"] = s.workspace
 	}
+	if s.helpers != nil {
+		f["ownDomain"], f["otherDomains"] = s.helpers.OwnDomain.String(), s.helpers.OtherDomains.String()
+	}
 	switch s.kind {
 	case stepSent:
 		f["purpose"] = s.purpose.String()
