Boxes cut off from targets ask others whom they reach, and keep the answers

Eight that declined stood for all. In a domain of 24 that is cut off the near ones are cut off too, and at one call a second and service the next call knows nothing any more. The class: a sample from one place taken for the whole, and evidence that expires before the next rare call. Evidence: 2555 of 2555 relays of 37 logged boxes stayed in their own domain.

Change: evidence belongs to the box asked, for all services, and holds until newer evidence replaces it. A box that is cut off sends queries to others, at a bounded rate and spread evenly over failure domains; an answer says which of the targets that box reaches, since when, how many relayed calls it bears, and whom it knows to help. A box that is asked and has heard nothing since checks its own links, so that it knows before a call meets them. Relays go to the best standing; unknown boxes are tried in domains with the fewest known to be cut off. Targets count as unreachable only after 24 answers from boxes that this one chose, one of each domain among them. Checks of targets are paced for all services of a box together. Boxes that reach their targets send nothing.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -314,7 +314,7 @@
 
 func (r *Router) deliver(v *AttemptEnded, c *call, x *Endpoint, e *Effects) {
 	r.recordVersionOvertaken(c, nil)
-	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: x})
+	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: x, RelaysInFlight: r.relays.inFlight})
 	r.finish(v.Call, c, e)
 }
 
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -96,13 +96,16 @@
 	// when the credit that it took would have expired; zero for none.
 	awaitsCredit     bool
 	creditValidUntil units.Instant
-	// relayedBy is the box that relayed the call to this one, grantedAttempts the number of targets
-	// that it may be sent to; empty and zero for a call of a caller.
+	// relayedBy is the box that relayed the call to this one at relayReceivedAt, grantedAttempts the
+	// number of targets that it may be sent to; empty and zero for a call of a caller.
 	relayedBy       units.BoxID
+	relayReceivedAt units.Instant
 	grantedAttempts int
-	// relay is the relay of the call that is in flight, relays the number of all.
-	relay  relaySend
-	relays int
+	// relay is the relay of the call that is in flight, relays the number of all, firstRelayAt the
+	// time of the first.
+	relay        relaySend
+	relays       int
+	firstRelayAt units.Instant
 	// unreachableSends counts the sends for which no connection could be made.
 	unreachableSends int
 	// service is the one that was picked among the route's services.
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -78,6 +78,9 @@
 	Unreachable bool
 	// Declined is the refusal of the other box, for a relay that it declined.
 	Declined Refusal
+	// HelperLoad is the number of other boxes' calls in flight at the box that the call was relayed
+	// to, by its answer; negative if it isn't known.
+	HelperLoad int
 }
 
 // AttemptStarted reports that the headers of an answer have arrived whose body will be streamed;
@@ -277,6 +280,8 @@
 	SendQuotaMessage
 	// SendCanaryMessage sends Canary to the box Peer.
 	SendCanaryMessage
+	// SendReachMessage sends ReachMessage to the box Peer.
+	SendReachMessage
 	// ExposureSwitched reports, for the log, that the box's exposure to a new version began or
 	// ended; see ExposureSwitch.
 	ExposureSwitched
@@ -325,6 +330,9 @@
 	// other boxes then.
 	Relay   RelayedCall
 	Helpers *HelperSurvey
+	// RelaysInFlight is the number of other boxes' calls in flight here, with the answer or refusal of
+	// one of them.
+	RelaysInFlight int
 	// Ejected is set for an EjectionChanged if the target was ejected. Failures is the number of
 	// consecutive failures, or for a ServiceHangs the number of unanswered calls.
 	Ejected  bool
@@ -339,6 +347,7 @@
 	Limit          *LimitMessage
 	Quota          *QuotaMessage
 	Canary         *CanaryMessage
+	ReachMessage   *ReachMessage
 	ExposureSwitch *ExposureSwitch
 	Crash          *crash.Note
 	Verdict        *crash.Verdict
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -28,12 +28,10 @@
 	// target of the service has been heard for as long. Idle targets answer within a few
 	// milliseconds, those behind large answers on the same link within about 0.1 s.
 	probeSilence = 100 * time.Millisecond
-	// unreachableDuration is for how long calls are refused at once after no other box could reach
-	// the targets either.
-	unreachableDuration = 500 * time.Millisecond
-	// maxDeclines is the number of boxes that must have declined, while none served a call, for all
-	// boxes to be taken as cut off, if there are so many.
-	maxDeclines = 8
+	// suspicionMemory is for how long evidence on other boxes counts where this one isn't cut off.
+	suspicionMemory = time.Second
+	// peerCutMemory is for how long the cuts of other boxes make this one's more likely.
+	peerCutMemory = time.Second
 	// maxDeferredFailures bounds the failures of a rollout's versions that wait until the box knows
 	// whether it is cut off.
 	maxDeferredFailures = 64
@@ -49,21 +47,18 @@
 	// lost are the targets at which contacts have failed since, failures the number of these contacts.
 	lost     []*target
 	failures int
-	// cutOff is set while the box takes itself to be cut off, since cutSince.
-	cutOff   bool
-	cutSince units.Instant
+	// cutOff is set while the box takes itself to be cut off, since cutSince. assumed is set if no
+	// contact had failed then.
+	cutOff, assumed bool
+	cutSince        units.Instant
 	// regained are the targets heard during the cut.
 	regained []*target
 	// servedAt is when another box last served a call during the cut; zero if none has.
 	servedAt units.Instant
-	// declined holds the boxes that couldn't reach the targets either, with the end of the time for
-	// which they aren't asked again.
-	declined map[units.BoxID]units.Instant
-	// unreachableUntil is until when calls are refused at once, as no box seems to reach the
-	// targets.
-	unreachableUntil units.Instant
+	// unreachable is set while no box seems to reach the targets, as far as the last call showed.
+	unreachable bool
 	// nextCheckAt is when the last round of checks is evaluated and the next one may begin; zero if
-	// there is none to evaluate.
+	// there is none to evaluate, and during a cut.
 	nextCheckAt units.Instant
 	// deferredFailures are failures of a rollout's versions that aren't counted yet.
 	deferredFailures []versionFailure
@@ -116,8 +111,16 @@
 
 // begin begins a cut.
 func (x *reach) begin(now units.Instant) {
-	x.cutOff, x.cutSince, x.nextCheckAt = true, now, now
-	x.regained, x.declined, x.unreachableUntil, x.servedAt = nil, map[units.BoxID]units.Instant{}, 0, 0
+	x.cutOff, x.cutSince, x.nextCheckAt, x.assumed = true, now, 0, false
+	x.regained, x.unreachable, x.servedAt = nil, false, 0
+}
+
+// evidenceFrom is the instant from which on it counts that another box has reached the targets.
+func (x *reach) evidenceFrom(now units.Instant) units.Instant {
+	if x.cutOff {
+		return x.cutSince
+	}
+	return now.Add(-suspicionMemory)
 }
 
 // recordHeard records an answer of a target, and reports whether that ends a cut.
@@ -133,37 +136,14 @@
 	if len(x.regained) < min(targetsToRejoin, x.countEligible()) {
 		return false
 	}
-	x.cutOff, x.regained, x.declined = false, nil, nil
+	x.cutOff, x.regained = false, nil
 	return true
 }
 
-// recordDeclined records that another box couldn't reach the targets either. The box must be cut off.
-func (x *reach) recordDeclined(now units.Instant, box units.BoxID) {
-	x.declined[box] = now.Add(unreachableDuration)
-}
-
-// isDeclined reports whether a box has lately declined a call for this reason.
-func (x *reach) isDeclined(now units.Instant, box units.BoxID) bool { return now < x.declined[box] }
-
-// allDeclined reports whether enough boxes have lately declined to take the targets as unreachable
-// for every box.
-func (x *reach) allDeclined(now units.Instant) bool {
-	n := 0
-	for _, until := range x.declined {
-		if now < until {
-			n++
-		}
-	}
-	return n >= maxDeclines && (!x.othersReach() || now.Sub(x.servedAt) >= unreachableDuration)
-}
-
 // othersReach reports whether another box has served a call during the cut. The targets are up then,
 // and the failures are the box's own.
 func (x *reach) othersReach() bool { return x.servedAt != 0 }
 
-// isUnreachable reports whether no box seems to reach the targets.
-func (x *reach) isUnreachable(now units.Instant) bool { return x.cutOff && now < x.unreachableUntil }
-
 // reachOf returns the evidence for the targets that a call may use; nil for a call without a service.
 func (c *call) reachOf() *reach {
 	s := c.service
@@ -189,8 +169,11 @@
 
 // contactsNeeded is the number of failed contacts from which on the box is cut off from a service.
 func (r *Router) contactsNeeded(x *reach) int {
-	if r.isInDoubt(x) {
+	switch {
+	case r.isInDoubt(x):
 		return 1
+	case r.relays.peerCutAt != 0 && r.now.Sub(r.relays.peerCutAt) < peerCutMemory:
+		return contactsToSuspect
 	}
 	return contactsToCutOff
 }
@@ -202,13 +185,7 @@
 }
 
 // hasCut reports whether the box is cut off from any service.
-func (r *Router) hasCut() bool {
-	return slices.ContainsFunc(r.sortedServices, (*service).hasCut)
-}
-
-func (s *service) hasCut() bool {
-	return slices.ContainsFunc(s.reaches, func(x *reach) bool { return x.cutOff })
-}
+func (r *Router) hasCut() bool { return len(r.relays.cuts) > 0 }
 
 // recordContactFailed records that a target couldn't be reached, or fell silent. A contact that took
 // long to fail shows nothing if a target has been heard since it began.
@@ -221,6 +198,7 @@
 			continue
 		}
 		if x.regions.Allows(t.region) && x.recordLost(r.now, t, r.contactsNeeded(x)) {
+			r.lastCutAt = r.now
 			r.cutBegan(x, e)
 		}
 	}
@@ -228,6 +206,7 @@
 
 // recordHeard records that a target was heard. On most days it only stores the time.
 func (r *Router) recordHeard(t *target, e *Effects) {
+	r.relays.heardAt = r.now
 	for _, x := range t.service.reaches {
 		if !x.regions.Allows(t.region) {
 			continue
@@ -235,7 +214,9 @@
 		if x.recordHeard(r.now, t) {
 			r.cutEnded(x, e)
 		}
-		if !x.cutOff {
+		if x.cutOff {
+			r.checkReach(x, targetsToRejoin-len(x.regained), e)
+		} else {
 			r.countDeferredFailures(x, e)
 		}
 	}
@@ -263,12 +244,21 @@
 // cutBegan has the calls relayed, at the end of the event, that wait for targets that the box can't
 // reach any more.
 func (r *Router) cutBegan(x *reach, e *Effects) {
-	r.lastCutAt = r.now
 	r.relays.status.Cuts++
 	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
-	r.scheduleSweep(x.service, r.now)
 	r.newCuts = append(r.newCuts, x)
-	r.checkOtherServices(x.service, e)
+	isFirst := !r.hasCut()
+	r.relays.cuts = append(r.relays.cuts, x)
+	if isFirst {
+		r.relays.checks.begin(r.now)
+		r.relays.search.begin(r.now)
+		r.checkOtherServices(x.service, e)
+	}
+	if !x.assumed || !r.hearsNothing() {
+		r.checkReach(x, 1, e)
+	}
+	r.searchHelpers(e)
+	r.checkCuts(e)
 }
 
 // cutEnded sends calls to the targets again. What was held against them during the cut was the
@@ -284,6 +274,16 @@
 	x.deferredFailures = x.deferredFailures[:0]
 	r.freedServices = append(r.freedServices, x.service)
 	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
+	r.removeCut(x)
+	if !x.assumed {
+		r.relays.checks.hurry(r.now, len(r.relays.cuts))
+		r.checkCuts(e)
+	}
+}
+
+// removeCut removes a cut that has ended from the list of cuts.
+func (r *Router) removeCut(x *reach) {
+	r.relays.cuts = slices.DeleteFunc(r.relays.cuts, func(o *reach) bool { return o == x })
 }
 
 // ReachChange reports, for the log, that the box lost or regained its links to a service's targets.
@@ -300,9 +300,7 @@
 
 func (x *reach) describe(now units.Instant) *ReachChange {
 	d := &ReachChange{Service: x.service.row.Name, CutOff: x.cutOff, OthersReach: x.othersReach(), Duration: now.Sub(x.cutSince)}
-	if x.regions != nil {
-		d.Regions = x.regions.Names
-	}
+	d.Regions = x.regionNames()
 	for _, t := range x.lost {
 		d.Lost = append(d.Lost, t.row.Target)
 	}
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strconv"
@@ -33,18 +34,23 @@
 	maxMessages = 60
 )
 
+var reachSeeds = flag.Int("reach-seeds", 1, "number of seeds with which each script of a fleet is run")
+
 // Boxes in large failure domains that had lost their links to all targets only asked each other.
 func TestBoxesCutOffFromTargetsFindThoseThatReachThem(t *testing.T) {
 	datadriven.Walk(t, "testdata/reach", func(t *testing.T, path string) {
 		t.Parallel()
-		s := &reachScript{t: t}
-		datadriven.RunTest(t, path, s.command)
+		for seed := range uint64(*reachSeeds) {
+			s := &reachScript{t: t, seed: 1 + seed}
+			datadriven.RunTest(t, path, s.command)
+		}
 	})
 }
 
 // reachScript runs the commands of a file on a fleet.
 type reachScript struct {
 	t     *testing.T
+	seed  uint64
 	fleet *reachFleet
 	// cutAt is when the last cut began.
 	cutAt units.Instant
@@ -92,12 +98,11 @@
 // Every box gets a call of each service at the interval; boxes and targets are those of a domain and
 // of a service.
 func (s *reachScript) newFleet(d *datadriven.TestData) {
-	o := reachFleetOptions{seed: 1, regions: d.HasArg("regions"), maxRelayed: DefaultMaxRelayed}
+	o := reachFleetOptions{seed: s.seed, regions: d.HasArg("regions"), maxRelayed: DefaultMaxRelayed}
 	d.ScanArgs(s.t, "domains", &o.domains)
 	d.ScanArgs(s.t, "boxes", &o.boxes)
 	d.ScanArgs(s.t, "services", &o.services)
 	d.ScanArgs(s.t, "targets", &o.targets)
-	d.MaybeScanArgs(s.t, "seed", &o.seed)
 	d.MaybeScanArgs(s.t, "limit", &o.maxRelayed)
 	s.fleet = newReachFleet(o)
 	for _, b := range s.fleet.boxes {
@@ -230,18 +235,21 @@
 // numbers.
 func (w *reachWindow) fraction(include func(c *reachCall) bool) (float64, string) {
 	served, all := 0, 0
+	reasons := map[string]int{}
 	for _, c := range w.fleet.calls {
 		if w.contains(c) && include(c) {
 			all++
 			if c.served {
 				served++
+			} else {
+				reasons[c.refusal.Reason.String()]++
 			}
 		}
 	}
 	if all == 0 {
 		return 1, "none"
 	}
-	return float64(served) / float64(all), fmt.Sprintf("%d of %d", served, all)
+	return float64(served) / float64(all), fmt.Sprintf("%d of %d, refused %v", served, all, reasons)
 }
 
 func (w *reachWindow) misses() []string {
--- a/pkg/core/routing/reach_fleet_test.go
+++ b/pkg/core/routing/reach_fleet_test.go
@@ -97,7 +97,7 @@
 func newReachFleet(o reachFleetOptions) *reachFleet {
 	f := &reachFleet{
 		timeline: newTimeline(units.Instant(time.Minute)), random: rand.New(rand.NewPCG(o.seed, 21)), byID: map[units.BoxID]*reachBox{},
-		targets: map[units.TargetID]*reachTarget{}, regions: map[units.Domain]units.Region{}, maxRelayed: o.maxRelayed,
+		targets: map[units.TargetID]*reachTarget{}, regions: map[units.Domain]units.Region{}, maxRelayed: o.maxRelayed, revision: 1,
 	}
 	for d := range o.domains {
 		if o.regions {
@@ -166,7 +166,6 @@
 
 func (f *reachFleet) table() *table.Table {
 	t := table.NewTable()
-	f.revision++
 	t.Revision, t.Document, t.Boxes = f.revision, 1, slices.Clone(f.listed)
 	for i, entry := range f.services {
 		t.Services[entry.Service.Name] = entry
@@ -192,6 +191,7 @@
 
 // publish sends a new table to all boxes, each at a different time.
 func (f *reachFleet) publish() {
+	f.revision++
 	t := f.table()
 	for _, b := range f.boxes {
 		f.later(b, f.upTo(300*time.Millisecond), func() { f.deliver(b, &TableChanged{Table: t}) })
@@ -253,6 +253,8 @@
 		f.contact(b, x.Endpoint, false, func(r contactResult) { f.sendArrives(b, x, r) })
 	case Probe:
 		f.contact(b, x.Endpoint, x.NewConnection, func(r contactResult) { f.probeArrives(b, x, r) })
+	case SendReachMessage:
+		f.post(b, x)
 	case Deliver:
 		f.end(b, c, true, Refusal{})
 	case Refuse:
@@ -393,6 +395,14 @@
 	return TargetReport{HasLoad: true, InFlight: float64(t.inFlight), Slots: reachSlots, Pace: 1}
 }
 
+// post carries a message to another box.
+func (f *reachFleet) post(from *reachBox, x Effect) {
+	f.messages++
+	f.sentAt = append(f.sentAt, f.now)
+	to := f.byID[x.Peer]
+	f.later(to, f.tripTime(from.domain, to.domain), func() { f.deliver(to, &PeerReach{From: from.id, Message: *x.ReachMessage}) })
+}
+
 // relay carries a call to another box, and its end back.
 func (f *reachFleet) relay(from *reachBox, c *reachCall, x Effect) {
 	to := f.byID[x.Endpoint.Relay]
@@ -407,7 +417,7 @@
 			return
 		}
 		relayed := &reachCall{box: to, service: c.service, arrived: f.now, done: func(served bool, refusal Refusal) {
-			ended.Result = Answered
+			ended.Result, ended.HelperLoad = Answered, to.relaysInFlight
 			if !served {
 				ended.Result, ended.Declined = Declined, refusal
 			}
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -8,11 +8,15 @@
 )
 
 const (
-	// reachCheckInterval is the time between two rounds of probes of a box that is cut off.
+	// reachCheckInterval is the time after which a round of checks is evaluated, and the least time
+	// between checks of one target.
 	reachCheckInterval = 100 * time.Millisecond
-	// probesPerReachCheck is the number of targets probed in a round, so that a single round can end
-	// a cut.
-	probesPerReachCheck = targetsToRejoin
+	// minCheckDelay and maxCheckDelay are the shortest and longest time between two checks of a box
+	// that is cut off, of the targets of all services together. A check opens a connection.
+	minCheckDelay = 50 * time.Millisecond
+	maxCheckDelay = 300 * time.Millisecond
+	// hurriedCheckDelay is that delay once the targets of a service have answered again.
+	hurriedCheckDelay = 10 * time.Millisecond
 	// maxOverdrawnChecks is the number of probes by which checks may overdraw a service's budget.
 	maxOverdrawnChecks = 8
 )
@@ -20,13 +24,65 @@
 // reachProbe is the attempt number of probes that check whether targets can be reached.
 const reachProbe AttemptNumber = 2
 
-// checkReach probes targets that haven't been probed lately on new connections: open ones may have
-// gone silent alone. At a service without a budget for probes it only opens connections.
-func (r *Router) checkReach(x *reach, e *Effects) {
-	x.nextCheckAt = r.now.Add(reachCheckInterval)
-	r.scheduleSweep(x.service, x.nextCheckAt)
+// linkChecks paces the checks of a box that is cut off.
+type linkChecks struct {
+	// nextAt is when the next check is due, delay the time between the last two.
+	nextAt units.Instant
+	delay  time.Duration
+	// hurried is the number of cuts still to be checked at once because another one has ended.
+	hurried int
+}
+
+// begin begins the checks with the first cut.
+func (k *linkChecks) begin(now units.Instant) {
+	*k = linkChecks{nextAt: now.Add(minCheckDelay), delay: minCheckDelay}
+}
+
+// hurry has the next checks follow soon.
+func (k *linkChecks) hurry(now units.Instant, cuts int) { k.nextAt, k.hurried = now, cuts }
+
+// next schedules the check after one that is made now.
+func (k *linkChecks) next(now units.Instant) {
+	if k.hurried > 0 {
+		k.hurried--
+		k.nextAt = now.Add(hurriedCheckDelay)
+		return
+	}
+	k.delay = min(2*k.delay, maxCheckDelay)
+	k.nextAt = now.Add(k.delay)
+}
+
+// checkCuts makes the check that is due, of the cut whose last one is the longest ago, and finds a way
+// for calls that wait during it.
+func (r *Router) checkCuts(e *Effects) {
+	k := &r.relays.checks
+	if !r.hasCut() {
+		return
+	}
+	if r.now >= k.nextAt {
+		x := r.relays.cuts[0]
+		r.relays.cuts = append(slices.Delete(r.relays.cuts, 0, 1), x)
+		r.recordSilentChecks(x, e)
+		n := 1
+		if k.hurried > 0 {
+			n = targetsToRejoin
+		}
+		k.next(r.now)
+		r.checkReach(x, n, e)
+		r.newCuts = append(r.newCuts, x)
+	}
+	r.sweepAt = min(r.sweepAt, k.nextAt)
+}
+
+// checkReach probes some targets that haven't been probed lately, on new connections: open ones may
+// have gone silent alone. At a service without a budget for probes it only opens connections.
+func (r *Router) checkReach(x *reach, n int, e *Effects) {
+	if !x.cutOff {
+		x.nextCheckAt = r.now.Add(reachCheckInterval)
+		r.scheduleSweep(x.service, x.nextCheckAt)
+	}
 	connectOnly := r.probeBudgetRate(x.service) <= 0
-	for range probesPerReachCheck {
+	for range n {
 		t := r.nextToCheck(x, e)
 		if t == nil || !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
 			return
@@ -94,24 +150,22 @@
 // the box is first cut off from one: these calls may all wait for answers that won't come. Services
 // without any are checked by their next calls.
 func (r *Router) checkOtherServices(cut *service, e *Effects) {
-	if slices.ContainsFunc(r.sortedServices, func(s *service) bool { return s != cut && s.hasCut() }) {
-		return
-	}
 	for _, s := range r.sortedServices {
 		if s == cut || !slices.ContainsFunc(s.targets, func(t *target) bool { return t.inFlight > 0 }) {
 			continue
 		}
 		if x := s.reach(); r.now >= x.nextCheckAt {
-			r.checkReach(x, e)
+			r.checkReach(x, targetsToRejoin, e)
 		}
 	}
 }
 
-// sweepReach continues the checks that are due, and finds a way for calls that wait during a cut.
+// sweepReach evaluates the checks of a box that may be cut off.
 func (r *Router) sweepReach(s *service, e *Effects) {
 	for _, x := range s.reaches {
 		if x.nextCheckAt != 0 && r.now >= x.nextCheckAt {
-			r.continueChecks(x, e)
+			x.nextCheckAt = 0
+			r.recordSilentChecks(x, e)
 		}
 		if x.nextCheckAt != 0 {
 			s.sweepAt = min(s.sweepAt, x.nextCheckAt)
@@ -119,21 +173,11 @@
 	}
 }
 
-// continueChecks evaluates the last round of checks, and begins another one during a cut.
-func (r *Router) continueChecks(x *reach, e *Effects) {
-	r.recordSilentChecks(x, e)
-	x.nextCheckAt = 0
-	if x.cutOff {
-		r.checkReach(x, e)
-		r.newCuts = append(r.newCuts, x)
-	}
-}
-
 // checkIfUnheard checks whether the box is cut off if no target has been heard since a time at which
 // a contact began or failed.
 func (r *Router) checkIfUnheard(x *reach, since units.Instant, e *Effects) {
 	if r.canRelay() && !x.cutOff && x.heardAt <= since && r.now >= x.nextCheckAt {
-		r.checkReach(x, e)
+		r.checkReach(x, targetsToRejoin, e)
 	}
 }
 
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -14,9 +14,6 @@
 // box has already checked the key, charged the quota and waited for a canary grant.
 
 const (
-	// maxRelays bounds the boxes that one call is relayed to. Boxes that are cut off as well decline
-	// within a round trip.
-	maxRelays = 6
 	// relayTrialRate, in calls per second, and relayTrialBurst, in calls, bound the calls that are
 	// relayed before the box takes itself to be cut off.
 	relayTrialRate  = 20
@@ -24,6 +21,9 @@
 	// maxRelayStaleness is for how long a box with an older table than the relaying one may be without
 	// word that it is current.
 	maxRelayStaleness = time.Second
+	// unreachableRetryAfter is the least retry delay reported for a call that no box seems able to
+	// serve.
+	unreachableRetryAfter = 500 * time.Millisecond
 	// minRelayTime is the least time that a call must have left to be relayed.
 	minRelayTime = 5 * time.Millisecond
 )
@@ -50,11 +50,21 @@
 
 // relayState is a box's state on relayed calls, its own and those of other boxes.
 type relayState struct {
-	// ownDomain and otherDomains are the other boxes that may take calls, by whether they are in this
-	// box's failure domain.
-	ownDomain, otherDomains []table.Box
-	helpers                 map[units.BoxID]*helper
-	trials                  tokenBucket
+	// others is the number of other boxes that may take calls.
+	others int
+	// helpers are the other boxes of which something is known. candidates are all those that may take
+	// calls, domains their failure domains; nil until they are needed with the present list of boxes.
+	helpers    map[units.BoxID]*helper
+	candidates []*helper
+	domains    []helperDomain
+	// cuts are the targets that this box is cut off from, those least recently checked first.
+	cuts   []*reach
+	checks linkChecks
+	search helperSearch
+	// heardAt is when any target was last heard. peerCutAt is when another box last showed that it is
+	// cut off, nextVerifyAt when this one may check its links again on request of others.
+	heardAt, peerCutAt, nextVerifyAt units.Instant
+	trials                           tokenBucket
 	// inFlight counts other boxes' calls that this box has accepted.
 	inFlight int
 	status   RelayStatus
@@ -73,6 +83,8 @@
 	// Accepted counts other boxes' calls that were accepted here, Refused those that weren't.
 	Accepted uint64 `json:"accepted"`
 	Refused  uint64 `json:"refused"`
+	// Queries counts the boxes asked which targets they reach.
+	Queries uint64 `json:"queries"`
 	// InFlight is the number of other boxes' calls that are in flight here.
 	InFlight int `json:"inFlight"`
 }
@@ -82,6 +94,9 @@
 // serves it sooner than this one finds out.
 func (r *Router) relayIfCutOff(id CallID, c *call, e *Effects) bool {
 	x := c.reachOf()
+	if c.isRelayed() {
+		r.recordPeerCutOff(c.relayedBy, x)
+	}
 	inDoubt := !x.cutOff && r.isInDoubt(x)
 	if (x.cutOff || inDoubt) && !c.service.hasEligibleTarget(c) {
 		// No box has a target for the call.
@@ -90,6 +105,7 @@
 	if inDoubt {
 		// The call may not be able to bear being sent to a silent target to find out.
 		x.begin(r.now)
+		x.assumed = true
 		r.cutBegan(x, e)
 	}
 	if !x.cutOff && !(c.isRelayed() && x.isSuspected()) {
@@ -109,7 +125,10 @@
 
 // refuseUnreachable refuses a call whose targets neither this box nor others seem to reach.
 func (r *Router) refuseUnreachable(id CallID, c *call, x *reach, e *Effects) {
-	after := max(minRetryAfter, x.unreachableUntil.Sub(r.now))
+	after := minRetryAfter
+	if x.unreachable {
+		after = unreachableRetryAfter
+	}
 	jitter := 1 + retryAfterJitter*r.random.Float64()
 	retryAfter := time.Duration(jitter * float64(after)).Round(time.Millisecond)
 	r.refuseFinally(id, c, Refusal{Reason: Unreachable, Outcome: c.outcome(), RetryAfter: retryAfter, Helpers: r.survey(x)}, e)
@@ -131,6 +150,17 @@
 	return r.relay(id, c, x, e)
 }
 
+// declinesAsUnreachable reports whether a call of another box is refused as unreachable in place of a
+// reason. A box that hasn't heard the targets since the call came can't tell busy ones from those that
+// it doesn't reach.
+func (c *call) declinesAsUnreachable(reason Reason) bool {
+	if !c.isRelayed() || !relayableReasons[reason] || c.outcome() != NotRun {
+		return false
+	}
+	x := c.reachOf()
+	return x != nil && (x.cutOff || x.heardAt <= c.relayReceivedAt)
+}
+
 // relayableReasons are the reasons for a refusal that a box may give because it has lost targets.
 var relayableReasons = [reasonCount]bool{
 	TargetsBusy: true, NoTargetReached: true, WaitTooLong: true, HoldExpired: true, TooManyHeld: true, AttemptBroken: true,
@@ -141,7 +171,7 @@
 	switch {
 	case !r.canRelay(), c.isRelayed(), c.relay.number != 0, c.streaming, c.isQuarantineTrial():
 		return false
-	case c.relays >= maxRelays, c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
+	case c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
 		return false
 	case !r.leased(), r.now.Add(minRelayTime) >= c.deadline:
 		return false
@@ -152,13 +182,12 @@
 // relay relays a call to another box. It returns false if the call may not be relayed, or no box
 // seems to reach its targets.
 func (r *Router) relay(id CallID, c *call, x *reach, e *Effects) bool {
-	if x.isUnreachable(r.now) || !r.mayRelay(c) || !r.mayResend(c) {
+	if !r.mayRelay(c) || !r.mayResend(c) {
 		return false
 	}
-	h, allDeclined := r.chooseHelper(x, c)
-	if allDeclined {
-		r.markUnreachable(x, e)
-	}
+	survey := r.survey(x)
+	r.setUnreachable(x, r.nobodyReaches(survey), e)
+	h := r.chooseHelper(survey, c)
 	if h == nil {
 		return false
 	}
@@ -169,12 +198,14 @@
 	c.onNewVersion = false
 	c.probeRound.active = false
 	c.sends++
+	if c.relays == 0 {
+		c.firstRelayAt = r.now
+	}
 	c.relays++
 	c.relay = relaySend{
 		number: c.sends, helper: h, attempts: c.maxAttempts() - c.possibleArrivals,
 		endpoint: &Endpoint{Service: c.service.row.Name, Address: h.box.Address, Domain: h.box.Domain, Relay: h.box.ID},
 	}
-	survey := r.survey(x)
 	h.inFlight++
 	r.relays.status.Sent++
 	e.add(Effect{
@@ -190,14 +221,11 @@
 // hasPaidForSend reports whether the call is probing for a retry or hedge, whose token it has spent.
 func (c *call) hasPaidForSend() bool { return c.probeRound.active && c.probeRound.purpose != FirstSend }
 
-// markUnreachable takes the targets as unreachable for every box for a while. Deferred failures are
-// then the targets' own, unless another box has served calls during the cut.
-func (r *Router) markUnreachable(x *reach, e *Effects) {
-	if !x.cutOff {
-		return
-	}
-	x.unreachableUntil = r.now.Add(unreachableDuration)
-	if !x.othersReach() {
+// setUnreachable sets whether the targets are taken as unreachable for every box. Deferred failures
+// are then the targets' own, unless another box has served calls during the cut.
+func (r *Router) setUnreachable(x *reach, unreachable bool, e *Effects) {
+	x.unreachable = x.cutOff && unreachable
+	if x.unreachable && !x.othersReach() {
 		r.countDeferredFailures(x, e)
 	}
 }
@@ -252,6 +280,9 @@
 		r.streamEnded(v, c)
 		return
 	}
+	if v.HelperLoad >= 0 && (v.Result == Answered || v.Result == Declined) {
+		sent.helper.load = v.HelperLoad
+	}
 	switch v.Result {
 	case Answered:
 		r.recordRelayServed(x, sent.helper)
@@ -277,8 +308,12 @@
 func (r *Router) relayDeclined(v *AttemptEnded, c *call, x *reach, h *helper, e *Effects) {
 	reason := v.Declined.Reason
 	switch {
-	case reason == Unreachable && x.cutOff:
-		x.recordDeclined(r.now, h.box.ID)
+	case reason == Unreachable:
+		h.recordDeclined(r.now, x.key())
+	case reason == RelayLimit:
+		h.fullUntil = r.now.Add(helperBusyTime)
+	case reason == StaleTable:
+		h.avoidUntil = r.now.Add(helperFailureTime)
 	case helperReasons[reason]:
 		h.avoidUntil = r.now.Add(helperBusyTime)
 	default:
@@ -306,16 +341,15 @@
 // recordRelayFailed records that a relay failed on the way to another box or back.
 func (r *Router) recordRelayFailed(h *helper) {
 	r.relays.status.Failed++
-	h.avoidUntil = r.now.Add(helperFailureTime)
+	h.recordFailed(r.now)
 }
 
 // recordRelayServed records that another box reached the targets.
 func (r *Router) recordRelayServed(x *reach, h *helper) {
 	r.relays.status.Served++
-	h.servedAt = r.now
+	h.recordServed(r.now, x.key())
 	if x.cutOff {
-		x.servedAt = r.now
-		x.unreachableUntil = 0
+		x.servedAt, x.unreachable = r.now, false
 	}
 }
 
@@ -361,9 +395,9 @@
 // acceptRelayed admits a call that another box has relayed, or refuses it.
 func (r *Router) acceptRelayed(id CallID, c *call, v *CallArrived, e *Effects) {
 	c.relayedBy, c.grantedAttempts = v.Relayed.From, v.Relayed.Attempts
+	c.relayReceivedAt = r.now
 	c.arrived = r.now.Add(-v.Relayed.Elapsed)
 	r.relays.inFlight++
-	r.recordPeerCutOff(v.Relayed.From)
 	if reason, retryAfter := r.reasonToDecline(v.Relayed); reason != 0 {
 		r.relays.status.Refused++
 		r.refuse(id, c, Refusal{Reason: reason, Outcome: NotRun, RetryAfter: retryAfter}, e)
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -229,6 +229,8 @@
 		r.receiveQuotaMessage(v.From, &v.Message, e)
 	case *PeerCanary:
 		r.receiveCanaryMessage(v.From, &v.Message, e)
+	case *PeerReach:
+		r.receiveReachMessage(v.From, &v.Message, e)
 	}
 	r.admitEarly(e)
 	r.retryDeclined(e)
@@ -264,6 +266,8 @@
 		r.sweep(s, e)
 		r.sweepAt = min(r.sweepAt, s.sweepAt)
 	}
+	r.checkCuts(e)
+	r.searchHelpers(e)
 	r.sweepLoans(e)
 	r.expireQuarantines(e)
 	r.expireNotices()
@@ -338,6 +342,10 @@
 // refuse ends a call with a refusal, or delivers an answer kept from an earlier attempt. A call that
 // another box may serve is relayed instead.
 func (r *Router) refuse(id CallID, c *call, refusal Refusal, e *Effects) {
+	if c.declinesAsUnreachable(refusal.Reason) {
+		r.refuseUnreachable(id, c, c.reachOf(), e)
+		return
+	}
 	if c.kept.endpoint != nil || !r.relayInsteadOfRefusal(id, c, refusal.Reason, e) {
 		r.refuseFinally(id, c, refusal, e)
 	}
@@ -352,7 +360,7 @@
 	r.explainBlocked(c, &refusal)
 	refusal.Arrivals = c.possibleArrivals
 	r.returnQuarantineTrial(c)
-	e.add(Effect{Kind: Refuse, Call: id, Owner: c.owner, Refusal: refusal, Workspace: c.workspaceName()})
+	e.add(Effect{Kind: Refuse, Call: id, Owner: c.owner, Refusal: refusal, Workspace: c.workspaceName(), RelaysInFlight: r.relays.inFlight})
 	r.refusals[refusal.Reason]++
 	if c.service != nil {
 		c.service.refused++
--- a/pkg/core/routing/script_relay_test.go
+++ b/pkg/core/routing/script_relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -48,6 +49,65 @@
 	return x
 }
 
+func describeReachMessage(x Effect) string {
+	m := x.ReachMessage
+	if m.Kind == ReachQuery {
+		return fmt.Sprintf("ask %s for %s", x.Peer, describeScopes(m.Scopes))
+	}
+	text := fmt.Sprintf("answer %s: %s", x.Peer, describeScopes(m.Scopes))
+	if m.Full {
+		text += ", full"
+	}
+	if len(m.Helpers) > 0 {
+		text += fmt.Sprintf(", helped by %v", m.Helpers)
+	}
+	return text
+}
+
+func describeScopes(scopes []ReachScope) string {
+	var parts []string
+	for _, x := range scopes {
+		text := string(x.Service)
+		if len(x.Regions) > 0 {
+			text += fmt.Sprintf(" in %v", x.Regions)
+		}
+		switch {
+		case x.CutOff:
+			text += " (cut off)"
+		case x.HeardAge < 0:
+			text += " (never heard)"
+		default:
+			text += fmt.Sprintf(" (heard %s ago)", x.HeardAge)
+		}
+		parts = append(parts, text)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// reach BOX query|answer service=S [cut-off] [heard=D] [cut=D] [full] [load=N] [helpers=(B,...)] is a
+// message of another box about the targets that it reaches.
+func (s *script) peerReach(d *datadriven.TestData) {
+	scope := ReachScope{Service: units.ServiceName(s.word(d, "service")), CutOff: d.HasArg("cut-off"), HeardAge: -1}
+	if d.HasArg("heard") {
+		scope.HeardAge = s.duration(d, "heard")
+	}
+	scope.CutAge = s.duration(d, "cut")
+	m := ReachMessage{
+		Kind: ReachAnswer, HeardAge: scope.HeardAge, HearsNothing: scope.CutOff, Full: d.HasArg("full"),
+		Scopes: []ReachScope{scope},
+	}
+	if d.HasArg("query") {
+		m.Kind = ReachQuery
+	}
+	d.MaybeScanArgs(s.t, "load", &m.Relayed)
+	if named, ok := d.Arg("helpers"); ok {
+		for _, name := range named.Vals {
+			m.Helpers = append(m.Helpers, units.BoxID(name))
+		}
+	}
+	s.reduce(&PeerReach{From: units.BoxID(d.CmdArgs[0].Key), Message: m})
+}
+
 // reached TARGET [silent] ends a check of the box's link to a target.
 func (s *script) reached(d *datadriven.TestData) {
 	silent := d.HasArg("silent")
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -58,6 +58,7 @@
 	"regions":   (*script).regions,
 	"limit":     (*script).peerLimit,
 
+	"reach":     (*script).peerReach,
 	"reached":   (*script).reached,
 	"declined":  (*script).declined,
 	"key-doubt": (*script).setMaxKeyStaleness,
@@ -178,6 +179,8 @@
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeQuota(x.Quota))
 	case SendCanaryMessage:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeCanary(x.Canary))
+	case SendReachMessage:
+		return describeReachMessage(x)
 	case SendLimitMessage:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeLimit(x.Limit))
 	}
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -204,7 +204,7 @@
 		}
 		status.CutOff, status.CutOffMs = true, max(status.CutOffMs, now.Sub(x.cutSince).Milliseconds())
 		status.OthersReach = status.OthersReach || x.othersReach()
-		status.Unreachable = status.Unreachable || x.isUnreachable(now)
+		status.Unreachable = status.Unreachable || x.unreachable
 		status.Helpers = r.survey(x)
 	}
 	for _, t := range s.targets {
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -140,6 +140,9 @@
 // dropService removes a service and refuses its held calls; calls that have been sent continue.
 func (r *Router) dropService(s *service, e *Effects) {
 	delete(r.services, s.row.Name)
+	for _, x := range s.reaches {
+		r.removeCut(x)
+	}
 	r.updateRollout(s, nil)
 	for _, id := range s.held.drain() {
 		if c := r.calls.Get(id); c != nil && c.held {
--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -29,11 +29,13 @@
 	}
 	if a.endpoint.Relay != "" {
 		out.Header.Del(target.RelayResultHeader)
+		out.Header.Del(target.RelayLoadHeader)
 	} else {
 		out.Header.Set(targetHeader, string(a.endpoint.Target))
 	}
 	if relayedBy(ctx) != "" {
 		out.Header.Set(target.RelayResultHeader, target.RelayAnswered)
+		setHelperLoad(&out.Header, a.relaysInFlight)
 	}
 	if from.BodyStream() == nil || a.attempt.IsComplete() {
 		out.SkipBody = from.SkipBody
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -50,6 +50,8 @@
 	number   routing.AttemptNumber
 	endpoint *routing.Endpoint
 	refusal  routing.Refusal
+	// relaysInFlight is the number of other boxes' calls in flight here; zero if it isn't known.
+	relaysInFlight int
 }
 
 func newCall(ctx *fasthttp.RequestCtx, now units.Instant) *call {
@@ -74,7 +76,7 @@
 }
 
 func (c *call) refuse(x routing.Effect) {
-	c.setAnswer(answer{refusal: x.Refusal})
+	c.setAnswer(answer{refusal: x.Refusal, relaysInFlight: x.RelaysInFlight})
 }
 
 func (c *call) deliver(x routing.Effect) {
@@ -82,7 +84,7 @@
 		return
 	}
 	c.deliveredAttempt = c.findAttempt(x.Attempt)
-	c.setAnswer(answer{id: x.Call, attempt: c.deliveredAttempt, number: x.Attempt, endpoint: x.Endpoint})
+	c.setAnswer(answer{id: x.Call, attempt: c.deliveredAttempt, number: x.Attempt, endpoint: x.Endpoint, relaysInFlight: x.RelaysInFlight})
 }
 
 func (c *call) keepAnswer(x routing.Effect) { c.keptAttempt = c.findAttempt(x.Attempt) }
@@ -144,7 +146,7 @@
 	} else {
 		e.reduce(&routing.AttemptEnded{
 			Call: id, Attempt: number, Endpoint: a.Endpoint(), Result: result, Report: a.Report, Refused: a.Refused,
-			Unreachable: a.Unreachable, Declined: a.Declined,
+			Unreachable: a.Unreachable, Declined: a.Declined, HelperLoad: a.HelperLoad,
 		})
 	}
 	if e.endSend(c, number, a) {
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -108,6 +108,8 @@
 		e.reduce(&routing.PeerQuota{From: from, Message: wire.ToQuota(m.GetQuota())})
 	case m.GetCanary() != nil:
 		e.reduce(&routing.PeerCanary{From: from, Message: wire.ToCanary(m.GetCanary())})
+	case m.GetReach() != nil:
+		e.reduce(&routing.PeerReach{From: from, Message: wire.ToReach(m.GetReach())})
 	default:
 		return false
 	}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -89,15 +89,24 @@
 }
 
 // markDeclined marks the refusal of a relayed call for the box that relayed it.
-func (e *Entry) markDeclined(ctx *fasthttp.RequestCtx, x routing.Refusal) {
+func (e *Entry) markDeclined(ctx *fasthttp.RequestCtx, a answer) {
 	h := &ctx.Response.Header
 	h.Set(target.RelayResultHeader, target.RelayDeclined)
-	h.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Arrivals))
+	h.Set(target.RelayAttemptsHeader, strconv.Itoa(a.refusal.Arrivals))
+	setHelperLoad(h, a.relaysInFlight)
 	if name := e.Settings.Entry.CallIDHeader; name != "" {
 		h.SetBytesV(name, ctx.Request.Header.Peek(name))
 	}
 }
 
+// setHelperLoad tells the relaying box how many calls of other boxes are in flight here, if that is
+// known.
+func setHelperLoad(h *fasthttp.ResponseHeader, relaysInFlight int) {
+	if relaysInFlight > 0 {
+		h.Set(target.RelayLoadHeader, strconv.Itoa(relaysInFlight))
+	}
+}
+
 // isCallerConnected reports whether the other end of a connection hasn't closed it.
 func isCallerConnected(c net.Conn) bool {
 	relay, ok := c.(*transport.RelayConn)
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -83,7 +83,7 @@
 		e.logTrace(c, false)
 		e.writeRefusal(ctx, a.refusal)
 		if c.relayed != nil {
-			e.markDeclined(ctx, a.refusal)
+			e.markDeclined(ctx, a)
 		}
 		return
 	}
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -47,6 +47,9 @@
 	Unreachable bool
 	// Declined is the refusal of the other box, if the call was relayed to one that declined it.
 	Declined routing.Refusal
+	// HelperLoad is the number of other boxes' calls in flight at the box that the call was relayed
+	// to; negative if that didn't say.
+	HelperLoad int
 
 	lock     sync.Mutex
 	conn     *conn
--- a/pkg/target/relayed.go
+++ b/pkg/target/relayed.go
@@ -23,6 +23,9 @@
 	RelayResultHeader = "X-Madderpond-Relay-Result"
 	RelayAnswered     = "answered"
 	RelayDeclined     = "declined"
+	// RelayLoadHeader carries, in the response to a relayed call, the number of other boxes' calls in
+	// flight at the box that responds.
+	RelayLoadHeader = "X-Madderpond-Relay-Load"
 
 	// OutcomeHeader, ReasonHeader and RetryAfterMsHeader describe a refusal.
 	OutcomeHeader      = "X-Madderpond-Outcome"
@@ -34,6 +37,7 @@
 // a box.
 func (a *Attempt) classifyRelayed() routing.AttemptResult {
 	h := &a.Response.Header
+	a.HelperLoad = parseHelperLoad(h)
 	switch string(h.Peek(RelayResultHeader)) {
 	case RelayAnswered:
 		return routing.Answered
@@ -44,6 +48,15 @@
 	return routing.Broken
 }
 
+// parseHelperLoad reads the load of the box that a call was relayed to; negative if it isn't stated.
+func parseHelperLoad(h *fasthttp.ResponseHeader) int {
+	n, err := strconv.Atoi(string(h.Peek(RelayLoadHeader)))
+	if err != nil || n < 0 {
+		return -1
+	}
+	return n
+}
+
 // parseDeclined reads another box's refusal. A call whose outcome isn't stated may have run.
 func parseDeclined(h *fasthttp.ResponseHeader) routing.Refusal {
 	x := routing.Refusal{Reason: routing.ReasonNamed(string(h.Peek(ReasonHeader))), Outcome: routing.Unknown}
--- a/pkg/wire/convert_quota_test.go
+++ b/pkg/wire/convert_quota_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 func TestQuotaMessagesComeAsTheyWereSent(t *testing.T) {
@@ -30,3 +31,18 @@
 		t.Errorf("converted to %+v", m)
 	}
 }
+
+func TestReachMessagesComeAsTheyWereSent(t *testing.T) {
+	m := routing.ReachMessage{
+		Kind: routing.ReachAnswer, HeardAge: -1, HearsNothing: true, Relayed: 3, Full: true, Helpers: []units.BoxID{"b"},
+		Scopes: []routing.ReachScope{{Service: "s", Regions: []units.Region{"r"}, CutOff: true, CutAge: time.Second, HeardAge: time.Minute}},
+	}
+	if d := cmp.Diff(m, ToReach(FromReach(&m))); d != "" {
+		t.Error(d)
+	}
+	for _, kind := range []int32{-1, 3, 257} {
+		if x := ToReach(&Reach{Kind: kind, Relayed: -1}); x.Kind != 0 || x.Relayed != 0 {
+			t.Errorf("kind %d was read as %+v", kind, x)
+		}
+	}
+}
--- a/pkg/wire/kind.go
+++ b/pkg/wire/kind.go
@@ -22,6 +22,7 @@
 	KindLimit          Kind = "limit"
 	KindQuota          Kind = "quota"
 	KindCanary         Kind = "canary"
+	KindReach          Kind = "reach"
 )
 
 // KindOf returns the kind of message that an envelope carries.
@@ -59,6 +60,8 @@
 		return KindQuota
 	case *Envelope_Canary:
 		return KindCanary
+	case *Envelope_Reach:
+		return KindReach
 	}
 	return KindOther
 }
