--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -15,12 +15,17 @@
 const (
 	// wantedHelpers is the number of boxes that should be known to reach the targets of a cut.
 	wantedHelpers = 6
-	// searchBurst is the number of queries in a turn of a search that has just begun, searchInterval
-	// the time between its turns.
+	// searchBurst is the number of queries in a turn of a search that has found no box yet,
+	// searchInterval the time between its turns.
 	searchBurst    = 8
 	searchInterval = 25 * time.Millisecond
-	// minSlowInterval and maxSlowInterval are the shortest and longest time between queries once many
-	// boxes were asked and too few help. The boxes that search tell each other of those that help.
+	// queryRate, in queries per second, and queryBurst, in queries, bound those of all searches. Each
+	// may open a connection between boxes, which several short cuts in a row must not multiply.
+	queryRate  = 8
+	queryBurst = 32
+	// minSlowInterval and maxSlowInterval are the shortest and longest time between queries while some
+	// boxes help, and once many were asked and none helps. The boxes that search tell each other of
+	// those that help.
 	minSlowInterval = 50 * time.Millisecond
 	maxSlowInterval = 500 * time.Millisecond
 	// refreshInterval is the time between queries while enough boxes help.
@@ -46,11 +51,14 @@
 	queries int
 	// hints are boxes that others named.
 	hints []*helper
+	// budget bounds the queries.
+	budget tokenBucket
 }
 
-// begin begins a search with the first cut.
+// begin prepares a search with the first cut. It starts once a check has failed too, or hasn't been
+// answered in time: most cuts that aren't one end before.
 func (s *helperSearch) begin(now units.Instant) {
-	*s = helperSearch{nextAt: now, interval: minSlowInterval, hints: s.hints[:0]}
+	*s = helperSearch{nextAt: now.Add(probeSilence), interval: minSlowInterval, hints: s.hints[:0], budget: s.budget}
 }
 
 // searchHelpers takes the turn of the search that is due.
@@ -65,12 +73,12 @@
 	}
 	r.helperCandidates()
 	r.queryHinted(e)
-	switch lacking := r.surveyNeediest(); {
+	switch found, lacking := r.surveyNeediest(); {
 	case !lacking:
 		s.queries, s.interval = 0, minSlowInterval
 		s.nextAt = r.now.Add(refreshInterval)
 		r.query(r.nextToRefresh(), e)
-	case s.queries < r.searchSamples():
+	case found == 0 && s.queries < r.searchSamples():
 		s.nextAt = r.now.Add(searchInterval)
 		for range searchBurst {
 			r.query(r.nextToQuery(), e)
@@ -90,9 +98,9 @@
 // namedCuts returns the cuts that messages name, those least recently checked first.
 func (r *Router) namedCuts() []*reach { return r.relays.cuts[:min(len(r.relays.cuts), maxNamedScopes)] }
 
-// surveyNeediest surveys the cut for which the fewest boxes are known to help, and reports whether
-// these are too few.
-func (r *Router) surveyNeediest() (lacking bool) {
+// surveyNeediest surveys the cut for which the fewest boxes are known to help. It returns how many
+// these are, and whether they are too few.
+func (r *Router) surveyNeediest() (found int, lacking bool) {
 	var neediest *reach
 	most := 0
 	for _, x := range r.namedCuts() {
@@ -101,8 +109,7 @@
 			neediest, most = x, missing
 		}
 	}
-	r.survey(neediest)
-	return most > 0
+	return r.survey(neediest).found(), most > 0
 }
 
 // nextToQuery returns the box to ask next, after a survey; nil for none. Those that may have verified
@@ -115,7 +122,7 @@
 		if h.standing == HelperOutsideRegions || h.standing == HelperReaches || !r.mayQuery(h) {
 			continue
 		}
-		rank := queryRank{standing: h.standing, queried: r.relays.domains[h.domain].queried}
+		rank := queryRank{standing: h.standing, queried: r.relays.domains[h.domain].queried, isNew: h.answeredAt == 0}
 		if sample.seen == 0 || rank.isBefore(best) {
 			best, sample = rank, helperSample{}
 		}
@@ -126,17 +133,22 @@
 	return sample.chosen[0]
 }
 
-// queryRank orders the boxes to ask by standing, then by how many of their domain were asked.
+// queryRank orders the boxes to ask by standing, then by how many of their domain were asked. Those
+// that were asked in an earlier cut come first, as there may still be a connection.
 type queryRank struct {
 	standing HelperStanding
 	queried  int
+	isNew    bool
 }
 
 func (k queryRank) isBefore(o queryRank) bool {
-	if k.standing != o.standing {
+	switch {
+	case k.standing != o.standing:
 		return k.standing < o.standing
+	case k.queried != o.queried:
+		return k.queried < o.queried
 	}
-	return k.queried < o.queried
+	return !k.isNew && o.isNew
 }
 
 // mayQuery reports whether the box may be asked again.
@@ -181,7 +193,7 @@
 
 // query asks a box which targets it reaches; nil for none.
 func (r *Router) query(h *helper, e *Effects) {
-	if h == nil {
+	if h == nil || !r.relays.search.budget.take(r.now, queryRate, queryBurst) {
 		return
 	}
 	h.queriedAt = r.now
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -28,11 +28,14 @@
 }
 
 // probeIfDue probes a target that gets no calls. Targets that get calls are measured by these and
-// need no probe.
+// need no probe, and those that the box is cut off from are checked otherwise.
 func (r *Router) probeIfDue(s *service, t *target, e *Effects) {
 	if !t.needsHealthProbe(r.now) || t.evacuated || t.role > trialVersion || t.healthProbeInFlight || r.now.Sub(t.lastObservedAt) < healthProbeDelay || !r.leased() {
 		return
 	}
+	if s.isCutOffFrom(t) {
+		return
+	}
 	if t.lacksPermit(r.now) {
 		if t.notice.limit.mayRequest(r.now) {
 			r.requestTargetPermits(t, 1, e)
@@ -74,7 +77,7 @@
 		return
 	}
 	if v.Call == 0 && v.Attempt == reachProbe {
-		r.updateFromReachProbe(t, v)
+		r.updateFromReachProbe(t, v, e)
 		return
 	}
 	if v.Call != 0 {
@@ -103,11 +106,15 @@
 }
 
 // updateFromReachProbe updates a target's state from the answer to a check of the box's link to it.
-func (r *Router) updateFromReachProbe(t *target, v *ProbeEnded) {
+func (r *Router) updateFromReachProbe(t *target, v *ProbeEnded, e *Effects) {
 	if t != nil {
 		t.reachCheckOpen = false
 	}
-	if t == nil || !v.isHeard() {
+	if t == nil || v.Withheld {
+		return
+	}
+	if !v.isHeard() {
+		r.recordCheckFailed(e)
 		return
 	}
 	t.recordReport(r.now, v.Report)
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -222,6 +222,11 @@
 	}
 }
 
+// isCutOffFrom reports whether the box is cut off from the targets of calls that may use a target.
+func (s *service) isCutOffFrom(t *target) bool {
+	return slices.ContainsFunc(s.reaches, func(x *reach) bool { return x.cutOff && x.regions.Allows(t.region) })
+}
+
 // reach returns the evidence for all of the service's targets.
 func (s *service) reach() *reach { return s.reaches[0] }
 
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -207,11 +207,15 @@
 	return strings.Join(misses, "\n") + "\n"
 }
 
-// calm passes time and reports messages and relays, of which there must be none: calm for=D.
+// calm passes time and reports messages and relays, of which there must be none, or how many messages a
+// box sends if that isn't within a number: calm for=D [within=N].
 func (s *reachScript) calm(d *datadriven.TestData) string {
 	f := s.fleet
 	begin, messages := f.now, f.messages
 	f.run(s.duration(d, "for"))
+	if d.HasArg("within") {
+		return s.few(d, f.messages-messages)
+	}
 	w := reachWindow{fleet: f, begin: begin, end: f.now, later: begin}
 	relays := 0
 	for _, c := range f.calls {
@@ -222,6 +226,16 @@
 	return fmt.Sprintf("%d messages, %d relays\n", f.messages-messages, relays)
 }
 
+// few reports whether the mean number of messages of a box is within the bound.
+func (s *reachScript) few(d *datadriven.TestData, messages int) string {
+	within := 0
+	d.ScanArgs(s.t, "within", &within)
+	if mean := float64(messages) / float64(len(s.fleet.boxes)); mean > float64(within) {
+		return fmt.Sprintf("%.1f messages a box, at most %d are wanted\n", mean, within)
+	}
+	return "few messages\n"
+}
+
 // reachWindow evaluates the calls that arrived in a period. Those before later are of a cut's first
 // second.
 type reachWindow struct {
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -136,6 +136,15 @@
 	return next
 }
 
+// recordCheckFailed starts the search for boxes that reach the targets: the box has been cut off, and
+// has checked that.
+func (r *Router) recordCheckFailed(e *Effects) {
+	if s := &r.relays.search; r.hasCut() && s.queries == 0 {
+		s.nextAt = r.now
+		r.searchHelpers(e)
+	}
+}
+
 // recordSilentChecks records the targets that leave checks unanswered.
 func (r *Router) recordSilentChecks(x *reach, e *Effects) {
 	for _, t := range x.service.targets {
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -61,8 +61,8 @@
 	cuts   []*reach
 	checks linkChecks
 	search helperSearch
-	// heardAt is when any target was last heard. peerCutAt is when another box last showed that it is
-	// cut off, nextVerifyAt when this one may check its links again on request of others.
+	// heardAt is when any target was last heard. peerCutAt is when another box last said that it is cut
+	// off, nextVerifyAt when this one may check its links again on request of others.
 	heardAt, peerCutAt, nextVerifyAt units.Instant
 	trials                           tokenBucket
 	// inFlight counts other boxes' calls that this box has accepted.
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -14,7 +14,9 @@
 	otherDomainCost = 2
 	// relaySearchTime is for how long after its first relay a call may go to boxes of which nothing
 	// is known. Boxes that are cut off as well decline within a round trip.
-	relaySearchTime = 80 * time.Millisecond
+	relaySearchTime = 400 * time.Millisecond
+	// maxRelaySearch is the number of relays after which a call doesn't go to such a box any more.
+	maxRelaySearch = 8
 )
 
 // recordPeerCutOff records that another box relays calls, so that it can't reach their targets.
@@ -22,7 +24,6 @@
 	if h := r.helperFor(id); h != nil {
 		h.recordLost(r.now, x.key())
 	}
-	r.relays.peerCutAt = r.now
 }
 
 // chooseHelper returns the box to relay a call to, of the best standing there is; nil if none is left.
@@ -31,7 +32,7 @@
 	for best < HelperFull && v.count(best) == 0 {
 		best++
 	}
-	searching := c.relays == 0 || r.now.Sub(c.firstRelayAt) < relaySearchTime
+	searching := c.relays == 0 || c.relays < maxRelaySearch && r.now.Sub(c.firstRelayAt) < relaySearchTime
 	switch {
 	case best <= HelperPlausible:
 		return r.leastLoadedHelper(best)
--- a/pkg/lab/faultproxy.go
+++ b/pkg/lab/faultproxy.go
@@ -21,6 +21,8 @@
 	closed bool
 	// cuts holds the clients that are cut off from the target.
 	cuts map[netip.Addr]CutMode
+	// opened counts the connections that each client has opened.
+	opened map[netip.Addr]int
 	// generation is incremented by each BlackholeOpenConns; connections of earlier
 	// generations stay blackholed.
 	generation int
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &FaultProxy{listener: listener, target: target, conns: map[net.Conn]netip.Addr{}, cuts: map[netip.Addr]CutMode{}}
+	p := &FaultProxy{listener: listener, target: target, conns: map[net.Conn]netip.Addr{}, cuts: map[netip.Addr]CutMode{}, opened: map[netip.Addr]int{}}
 	p.changed = sync.NewCond(&p.lock)
 	go p.run()
 	return p, nil
@@ -109,6 +111,13 @@
 	}
 }
 
+// Opened returns how many connections the client at an address has opened.
+func (p *FaultProxy) Opened(client netip.Addr) int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.opened[client]
+}
+
 // Reconnect ends the cut of a client.
 func (p *FaultProxy) Reconnect(client netip.Addr) {
 	p.lock.Lock()
@@ -165,6 +174,7 @@
 func (p *FaultProxy) forward(in net.Conn) {
 	defer p.closeConn(in)
 	client := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	p.countOpened(client)
 	generation, open := p.addConn(in, client)
 	if !open {
 		reset(in)
@@ -234,6 +244,12 @@
 	return !closed
 }
 
+func (p *FaultProxy) countOpened(client netip.Addr) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.opened[client]++
+}
+
 // addConn registers a connection of a client; it returns the connection's generation and whether
 // the proxy forwards the client's new connections.
 func (p *FaultProxy) addConn(c net.Conn, client netip.Addr) (generation int, open bool) {
--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -22,14 +22,25 @@
 func TestABoxThatLosesItsTargetsServesFirstTries(t *testing.T) {
 	datadriven.Walk(t, "testdata/lost-targets", func(t *testing.T, path string) {
 		t.Parallel()
-		x := startLossCluster(t, nil)
+		x := startLossCluster(t, smallLoss(nil))
 		datadriven.RunTest(t, path, x.command)
 		x.mustAllBeClean(x.calls)
 	})
 }
 
+// lossOptions are the size and settings of a lossCluster.
+type lossOptions struct {
+	domains, boxes, targets int
+	// adjust changes the boxes' settings; nil for none.
+	adjust func(*config.Settings)
+}
+
+// smallLoss is a cluster of six boxes in two failure domains, with three targets a service.
+func smallLoss(adjust func(*config.Settings)) lossOptions {
+	return lossOptions{domains: 2, boxes: 3, targets: 3, adjust: adjust}
+}
+
 const (
-	lossBoxes = 6
 	// lossCallers is how many callers call each box at a time.
 	lossCallers = 3
 	// maxFailedFirstTries is the fraction of first tries that may fail.
@@ -42,6 +53,7 @@
 // lossCluster is a cluster in which single boxes can be cut off from targets.
 type lossCluster struct {
 	*testCluster
+	options lossOptions
 	paths []*lab.FaultProxy
 	// calls are those made by commands.
 	calls    []lab.Call
@@ -49,19 +61,16 @@
 }
 
 // startLossCluster starts a cluster whose boxes connect to the targets through proxies, each box from
-// an address of its own. adjust changes their settings; nil for none.
-func startLossCluster(t *testing.T, adjust func(*config.Settings)) *lossCluster {
-	x := &lossCluster{testCluster: startCluster(t, clusterOptions{
-		replicas: 1, boxes: lossBoxes, targets: 3 * len(lossServices), adjust: func(s *config.Settings) {
+// an address of its own.
+func startLossCluster(t *testing.T, o lossOptions) *lossCluster {
+	x := &lossCluster{options: o, testCluster: startCluster(t, clusterOptions{
+		replicas: 1, boxes: o.domains * o.boxes, targets: o.targets * len(lossServices), adjust: func(s *config.Settings) {
 			useShortLeases(s)
 			s.Entry.CallIDHeader = lab.RequestHeader
-			s.Domain = "north"
-			if s.Box > "box-3" {
-				s.Domain = "south"
-			}
+			s.Domain = string(lossDomain((boxNumber(s.Box) - 1) / o.boxes))
 			s.Entry.TargetSource = lossSource(s.Box).String()
-			if adjust != nil {
-				adjust(s)
+			if o.adjust != nil {
+				o.adjust(s)
 			}
 		},
 		targetArguments: []string{"--slots", "4", "--queue", "8", "--work", "5ms"},
@@ -84,15 +93,23 @@
 
 // lossSource is the address from which a box connects to targets.
 func lossSource(box string) netip.Addr {
-	var n byte
+	return netip.AddrFrom4([4]byte{127, 0, 0, 10 + byte(boxNumber(box))})
+}
+
+// boxNumber is the number in a box's name, from 1.
+func boxNumber(box string) int {
+	var n int
 	fmt.Sscanf(box, "box-%d", &n)
-	return netip.AddrFrom4([4]byte{127, 0, 0, 10 + n})
+	return n
 }
 
+// lossDomain is the name of a failure domain, by its number.
+func lossDomain(i int) units.Domain { return []units.Domain{"north", "south", "east", "west"}[i] }
+
 func (x *lossCluster) registration(i int) *table.Registration {
 	return &table.Registration{
 		Target: units.TargetID(x.targets[i].Name), Service: x.services[i], Address: x.paths[i].Address(), Slots: 4, State: table.Active,
-		Sequence: 1, Born: 1000, Domain: []units.Domain{"north", "south"}[i%4/2],
+		Sequence: 1, Born: 1000, Domain: lossDomain(i / len(lossServices) % x.options.domains),
 	}
 }
 
@@ -161,6 +178,9 @@
 }
 
 func (x *lossCluster) boxesOf(d *datadriven.TestData) []*lab.Node {
+	if domains, ok := d.Arg("domains"); ok {
+		return x.boxesOfDomains(d, domains.Vals)
+	}
 	named, ok := d.Arg("boxes")
 	if !ok {
 		return x.cluster.Boxes
@@ -174,6 +194,19 @@
 	return nodes
 }
 
+// boxesOfDomains returns the boxes of failure domains, but for the first spare=N of each.
+func (x *lossCluster) boxesOfDomains(d *datadriven.TestData, domains []string) []*lab.Node {
+	spare := 0
+	d.MaybeScanArgs(x.T, "spare", &spare)
+	var nodes []*lab.Node
+	for i, n := range x.cluster.Boxes {
+		if slices.Contains(domains, n.Settings.Domain) && i%x.options.boxes >= spare {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 func (x *lossCluster) servicesOf(d *datadriven.TestData) []units.ServiceName {
 	if !d.HasArg("services") {
 		return lossServices
--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -11,7 +11,7 @@
 
 // What holds for a box's own calls holds for those that it relays over an encrypted connection.
 func TestRelayedCallsKeepTheirGuarantees(t *testing.T) {
-	x := startLossCluster(t, withCertificates(t, newAuthority(t, "ours")))
+	x := startLossCluster(t, smallLoss(withCertificates(t, newAuthority(t, "ours"))))
 	x.cutOffFirstBox()
 	t.Run("a long answer arrives whole", func(t *testing.T) {
 		if c := x.caller.Do(lab.CallSpec{Host: "shop.test", AnswerBytes: 1 << 20}); c.Verdict != lab.Complete {
@@ -36,7 +36,7 @@
 // A box that is about to stop finishes the calls that it has taken over, and one that is killed leaves
 // their outcome unknown.
 func TestABoxThatServesRelayedCallsStops(t *testing.T) {
-	x := startLossCluster(t, nil)
+	x := startLossCluster(t, smallLoss(nil))
 	x.cutOffFirstBox()
 	call := lab.CallSpec{Host: "pay.test", AtMostOnce: true, Work: 800 * time.Millisecond}
 	for _, scenario := range []struct {
