Checks of targets begin at a random one

Boxes that were cut off together all checked the targets that are listed first, and judged by them. Among targets whose last check is equally long ago a random one is taken (TestBoxesCheckDifferentTargetsFirst: 96 of 96 boxes took the same one).

--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -112,10 +112,13 @@
 	return true
 }
 
-// nextToCheck returns the target whose last check is the longest ago. Before a cut, those that are
-// lost already aren't checked. For a target that announces a limit it requests a permit first.
+// nextToCheck returns the target whose last check is the longest ago, a random one of several: boxes
+// that are cut off together must neither check the same ones nor judge by those that are listed first.
+// Before a cut, those that are lost already aren't checked. For a target that announces a limit it
+// requests a permit first.
 func (r *Router) nextToCheck(x *reach, e *Effects) *target {
 	var next *target
+	equal := 0
 	for _, t := range x.service.targets {
 		if !x.cutOff && slices.Contains(x.lost, t) || !x.regions.Allows(t.region) || !t.isEligible() || t.notice.forbidsSending(r.now) {
 			continue
@@ -129,8 +132,14 @@
 		if t.reachCheckedAt != 0 && r.now.Sub(t.reachCheckedAt) < reachCheckInterval {
 			continue
 		}
-		if next == nil || t.reachCheckedAt < next.reachCheckedAt {
-			next = t
+		switch {
+		case next == nil || t.reachCheckedAt < next.reachCheckedAt:
+			next, equal = t, 1
+		case t.reachCheckedAt == next.reachCheckedAt:
+			equal++
+			if r.random.IntN(equal) == 0 {
+				next = t
+			}
 		}
 	}
 	return next
