--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -288,6 +288,9 @@
 	// ReachChanged reports, for the log, that the box lost or regained its links to targets; see
 	// Reach.
 	ReachChanged
+	// SearchEnded reports, for the log, that other boxes were found to reach targets that this one is
+	// cut off from, or that none seems to; see Reach.
+	SearchEnded
 	// RegionUnknown reports, for the log and once for each failure domain, that the region of
 	// Endpoint's failure domain isn't known.
 	RegionUnknown
--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -74,6 +74,7 @@
 func (h *helper) recordServed(now units.Instant, key scopeKey) {
 	h.setEvidence(key, reachEvidence{reachedAt: now})
 	h.heardAt, h.hearsNothingAt = now, 0
+	h.avoidUntil, h.fullUntil = 0, 0
 }
 
 // recordFailed records that a relay didn't reach the box. What was known of it no longer holds.
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -301,6 +301,10 @@
 	Lost        []units.TargetID
 	OthersReach bool
 	Duration    time.Duration
+	// Unreachable is set for a SearchEnded if no box seems to reach the targets. Boxes names other
+	// boxes by standing then.
+	Unreachable bool
+	Boxes       map[string]string
 }
 
 func (x *reach) describe(now units.Instant) *ReachChange {
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -85,6 +85,11 @@
 	Refused  uint64 `json:"refused"`
 	// Queries counts the boxes asked which targets they reach.
 	Queries uint64 `json:"queries"`
+	// PassedOver counts the boxes that weren't chosen for a relay, by the reason, summed over all
+	// choices.
+	PassedOver StandingCounts `json:"passedOver"`
+	// Boxes are the other boxes during a cut.
+	Boxes []HelperStatus `json:"boxes,omitempty"`
 	// InFlight is the number of other boxes' calls that are in flight here.
 	InFlight int `json:"inFlight"`
 }
@@ -186,7 +191,8 @@
 		return false
 	}
 	survey := r.survey(x)
-	r.setUnreachable(x, r.nobodyReaches(survey), e)
+	r.recordPassedOver(survey)
+	r.setUnreachable(x, survey, e)
 	h := r.chooseHelper(survey, c)
 	if h == nil {
 		return false
@@ -223,8 +229,12 @@
 
 // setUnreachable sets whether the targets are taken as unreachable for every box. Deferred failures
 // are then the targets' own, unless another box has served calls during the cut.
-func (r *Router) setUnreachable(x *reach, unreachable bool, e *Effects) {
-	x.unreachable = x.cutOff && unreachable
+func (r *Router) setUnreachable(x *reach, v *HelperSurvey, e *Effects) {
+	before := x.unreachable
+	x.unreachable = x.cutOff && r.nobodyReaches(v)
+	if x.unreachable && !before {
+		e.add(Effect{Kind: SearchEnded, Reach: r.describeSearch(x)})
+	}
 	if x.unreachable && !x.othersReach() {
 		r.countDeferredFailures(x, e)
 	}
@@ -285,7 +295,7 @@
 	}
 	switch v.Result {
 	case Answered:
-		r.recordRelayServed(x, sent.helper)
+		r.recordRelayServed(x, sent.helper, e)
 		r.deliver(v, c, v.Endpoint, e)
 	case Declined:
 		r.relays.status.Declined++
@@ -345,11 +355,17 @@
 }
 
 // recordRelayServed records that another box reached the targets.
-func (r *Router) recordRelayServed(x *reach, h *helper) {
+func (r *Router) recordRelayServed(x *reach, h *helper, e *Effects) {
 	r.relays.status.Served++
 	h.recordServed(r.now, x.key())
-	if x.cutOff {
-		x.servedAt, x.unreachable = r.now, false
+	if !x.cutOff {
+		return
+	}
+	isFirst := x.unreachable || !x.othersReach()
+	x.servedAt, x.unreachable = r.now, false
+	if isFirst {
+		r.survey(x)
+		e.add(Effect{Kind: SearchEnded, Reach: r.describeSearch(x)})
 	}
 }
 
@@ -357,7 +373,7 @@
 func (r *Router) relayStarted(v *AttemptStarted, c *call, e *Effects) {
 	c.streaming = true
 	c.identity = nil
-	r.recordRelayServed(c.reachOf(), c.relay.helper)
+	r.recordRelayServed(c.reachOf(), c.relay.helper, e)
 	e.add(Effect{Kind: Deliver, Call: v.Call, Owner: c.owner, Attempt: v.Attempt, Endpoint: v.Endpoint})
 	r.cancelAttempts(v.Call, c, e)
 	c.endProbing()
--- a/pkg/core/routing/script_relay_test.go
+++ b/pkg/core/routing/script_relay_test.go
@@ -40,6 +40,13 @@
 	return fmt.Sprintf("%s is reached again, others did: %t", text, x.OthersReach)
 }
 
+func describeSearch(x *ReachChange) string {
+	if x.Unreachable {
+		return fmt.Sprintf("no box reaches %s: %v", x.Service, x.Boxes)
+	}
+	return fmt.Sprintf("others reach %s: %v", x.Service, x.Boxes)
+}
+
 // relayedCall returns what a relaying box tells, from the arguments from=BOX [elapsed=D] [attempts=N]
 // [revision=N].
 func (s *script) relayedCall(d *datadriven.TestData) *RelayedCall {
@@ -111,7 +118,11 @@
 // reached TARGET [silent] ends a check of the box's link to a target.
 func (s *script) reached(d *datadriven.TestData) {
 	silent := d.HasArg("silent")
-	s.reduce(&ProbeEnded{Target: s.probes[d.CmdArgs[0].Key], Attempt: reachProbe, SentAt: s.now, Answered: !silent, Healthy: !silent})
+	checked := s.probes[d.CmdArgs[0].Key]
+	if checked == nil {
+		d.Fatalf(s.t, "target %q wasn't checked", d.CmdArgs[0].Key)
+	}
+	s.reduce(&ProbeEnded{Target: checked, Attempt: reachProbe, SentAt: s.now, Answered: !silent, Healthy: !silent})
 }
 
 // declined NAME attempt=N reason=R [outcome=unknown] [arrivals=N] ends a relay that the other box
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -163,6 +163,8 @@
 		return describeSwitch(x.ExposureSwitch)
 	case ReachChanged:
 		return describeReach(x.Reach)
+	case SearchEnded:
+		return describeSearch(x.Reach)
 	case RegionUnknown:
 		return "the region of " + string(x.Endpoint.Domain) + " isn't known"
 	case ServiceHangs:
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -311,6 +311,9 @@
 func (r *Router) relayStatus() RelayStatus {
 	s := r.relays.status
 	s.InFlight = r.relays.inFlight
+	if r.hasCut() {
+		s.Boxes = r.helperStatuses()
+	}
 	return s
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -248,6 +248,8 @@
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Reach{Reach: wire.FromReach(x.ReachMessage)}})
 	case routing.ReachChanged:
 		e.logReach(x.Reach)
+	case routing.SearchEnded:
+		e.logSearch(x.Reach)
 	case routing.RegionUnknown:
 		e.logUnknownRegion(&x)
 	}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -133,3 +133,19 @@
 	f["kind"], f["cutOffMs"], f["othersReach"] = "targets-regained", millis(x.Duration), x.OthersReach
 	e.Log.WithFields(f).Info("this box reaches a service's targets again")
 }
+
+// logSearch logs which other boxes were found to reach targets that this one is cut off from, and why
+// others were passed over.
+func (e *Entry) logSearch(x *routing.ReachChange) {
+	f := logrus.Fields{"service": x.Service, "cutOffMs": millis(x.Duration), "boxes": x.Boxes}
+	if x.Regions != nil {
+		f["regions"] = x.Regions
+	}
+	if x.Unreachable {
+		f["kind"] = "no-helper"
+		e.Log.WithFields(f).Warning("no box seems to reach a service's targets; calls are refused")
+		return
+	}
+	f["kind"] = "helper-found"
+	e.Log.WithFields(f).Info("another box has served a call to targets that this box can't reach")
+}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -53,13 +53,15 @@
 	aboutTarget
 	// aboutReach is whether a box can reach the targets of one service.
 	aboutReach
+	// aboutHelpers is which other boxes reach the targets of a service that a box is cut off from.
+	aboutHelpers
 )
 
 // stateKinds are the kinds of line that record a process's view of the system.
 var stateKinds = map[string]subject{
 	"table-in-force": aboutProcess, "control-attach": aboutProcess, "control-lost": aboutProcess,
 	"target-ejected": aboutTarget, "target-back": aboutTarget,
-	"targets-lost": aboutReach, "targets-regained": aboutReach,
+	"targets-lost": aboutReach, "targets-regained": aboutReach, "helper-found": aboutHelpers, "no-helper": aboutHelpers,
 	"exposure-began": aboutProcess, "exposure-ended": aboutProcess, "exposure-stopped": aboutProcess,
 }
 
@@ -168,6 +170,11 @@
 				continue
 			}
 			key = b.Box + " reach " + b.Service
+		case aboutHelpers:
+			if !services[b.Service] {
+				continue
+			}
+			key = b.Box + " helpers " + b.Service
 		}
 		if known, ok := last[key]; !ok || b.Time.After(known.Time) {
 			last[key] = b
--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -54,7 +54,7 @@
 type lossCluster struct {
 	*testCluster
 	options lossOptions
-	paths []*lab.FaultProxy
+	paths   []*lab.FaultProxy
 	// calls are those made by commands.
 	calls    []lab.Call
 	services []units.ServiceName
