A hint of a box that has left is dropped, and unknown messages are ignored

A box that is cut off keeps the boxes which others named until its next turn. If the list changed before, it asked one that had left, and the index of that one's failure domain could lie outside of the new list: the process ended with an index out of range. Fleet scripts now also check that no call runs twice that can't be repeated, and none that was refused as not run.

--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -144,7 +144,7 @@
 
 // updateHelpers applies a new list of boxes.
 func (r *Router) updateHelpers() {
-	r.relays.others, r.relays.candidates = 0, nil
+	r.relays.others, r.relays.candidates, r.relays.search.hints = 0, nil, nil
 	for i := range r.rank.boxes {
 		if r.mayTakeCalls(&r.rank.boxes[i]) {
 			r.relays.others++
--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -55,10 +55,14 @@
 	budget tokenBucket
 }
 
-// begin prepares a search with the first cut. It starts once a check has failed too, or hasn't been
-// answered in time: most cuts that aren't one end before.
-func (s *helperSearch) begin(now units.Instant) {
-	*s = helperSearch{nextAt: now.Add(probeSilence), interval: minSlowInterval, hints: s.hints[:0], budget: s.budget}
+// beginSearch prepares a search with the first cut. It starts once a check has failed too, or hasn't
+// been answered in time: most cuts that aren't one end before.
+func (r *Router) beginSearch() {
+	s := &r.relays.search
+	*s = helperSearch{nextAt: r.now.Add(probeSilence), interval: minSlowInterval, hints: s.hints[:0], budget: s.budget}
+	for i := range r.relays.domains {
+		r.relays.domains[i].queried = 0
+	}
 }
 
 // searchHelpers takes the turn of the search that is due.
@@ -223,9 +227,10 @@
 // receiveReachMessage handles a message of another box about the targets that it reaches.
 func (r *Router) receiveReachMessage(from units.BoxID, m *ReachMessage, e *Effects) {
 	h := r.helperFor(from)
-	if h == nil {
+	if h == nil || m.Kind != ReachQuery && m.Kind != ReachAnswer {
 		return
 	}
+	m.Scopes = m.Scopes[:min(len(m.Scopes), maxNamedScopes)]
 	h.heardAt = max(h.heardAt, r.before(m.HeardAge))
 	h.hearsNothingAt = 0
 	if m.HearsNothing {
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -256,7 +256,7 @@
 	r.relays.cuts = append(r.relays.cuts, x)
 	if isFirst {
 		r.relays.checks.begin(r.now)
-		r.relays.search.begin(r.now)
+		r.beginSearch()
 		r.checkOtherServices(x.service, e)
 	}
 	if !x.assumed || !r.hearsNothing() {
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -201,6 +202,7 @@
 	default:
 		misses = w.misses()
 	}
+	misses = append(misses, w.brokenPromises()...)
 	if len(misses) == 0 {
 		return "meets the aim\n"
 	}
@@ -307,6 +309,25 @@
 	return append(misses, w.openingMisses()...)
 }
 
+// brokenPromises returns the calls that ran although their callers were told otherwise, and those that
+// ran twice although they can't be repeated.
+func (w *reachWindow) brokenPromises() []string {
+	var broken []string
+	for _, c := range w.fleet.calls {
+		if c.ended != 0 && !c.served && c.refusal.Outcome == NotRun && c.runs > 0 {
+			broken = append(broken, fmt.Sprintf("a call at %s was refused as %s and not run, but ran", c.box.id, c.refusal.Reason))
+		}
+		if w.fleet.isAtMostOnce(c.service) && c.runs > 1 {
+			broken = append(broken, fmt.Sprintf("a call at %s ran %d times", c.box.id, c.runs))
+		}
+	}
+	return broken
+}
+
+func (f *reachFleet) isAtMostOnce(name units.ServiceName) bool {
+	return slices.ContainsFunc(f.services, func(x *table.Entry) bool { return x.Service.Name == name && x.Service.Work == table.AtMostOnce })
+}
+
 func (w *reachWindow) meanRelays() float64 {
 	relays, calls := 0, 0
 	for _, c := range w.fleet.calls {
--- a/pkg/core/routing/reach_fleet_test.go
+++ b/pkg/core/routing/reach_fleet_test.go
@@ -79,6 +79,10 @@
 	served  bool
 	refusal Refusal
 	relays  int
+	// first is the caller's call that was relayed; nil for that itself. runs counts how often targets
+	// ran it.
+	first *reachCall
+	runs  int
 	// wasCut is set if the box was cut off from the service when the call arrived.
 	wasCut bool
 	// done reports the end of a relayed call to the box that relayed it; nil for a caller's own.
@@ -355,6 +359,7 @@
 		return
 	}
 	t.inFlight++
+	x.Owner.(*reachCall).countRun()
 	work := reachWork/2 + f.upTo(reachWork)
 	if t.inFlight > reachSlots {
 		work *= 2
@@ -370,6 +375,13 @@
 	})
 }
 
+func (c *reachCall) countRun() {
+	if c.first != nil {
+		c = c.first
+	}
+	c.runs++
+}
+
 func (f *reachFleet) probeArrives(b *reachBox, x Effect, r contactResult) {
 	ended := &ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, SentAt: x.SentAt}
 	switch r {
@@ -416,7 +428,7 @@
 			back()
 			return
 		}
-		relayed := &reachCall{box: to, service: c.service, arrived: f.now, done: func(served bool, refusal Refusal) {
+		relayed := &reachCall{first: c, box: to, service: c.service, arrived: f.now, done: func(served bool, refusal Refusal) {
 			ended.Result, ended.HelperLoad = Answered, to.relaysInFlight
 			if !served {
 				ended.Result, ended.Declined = Declined, refusal
--- a/pkg/core/routing/reachcheck_test.go
+++ b/pkg/core/routing/reachcheck_test.go
@@ -20,3 +20,23 @@
 		}
 	}
 }
+
+// A box that another one had named, and that has left since, was asked.
+func TestABoxThatHasLeftIsNotAsked(t *testing.T) {
+	f := newReachFleet(reachFleetOptions{domains: 3, boxes: 2, services: 1, targets: 6, seed: 1, maxRelayed: DefaultMaxRelayed})
+	b := f.boxes[0]
+	x := b.router.services["s0"].reach()
+	var e Effects
+	b.router.helperCandidates()
+	x.begin(f.now)
+	b.router.cutBegan(x, &e)
+	f.deliver(b, &PeerReach{From: f.boxes[1].id, Message: ReachMessage{Kind: ReachAnswer, Helpers: []units.BoxID{f.boxes[5].id}}})
+	f.listed = f.listed[:2]
+	f.revision++
+	f.deliver(b, &TableChanged{Table: f.table()})
+	before := f.messages
+	f.run(probeSilence / 2)
+	if f.messages > before {
+		t.Errorf("%d messages were sent, though the only other box has answered", f.messages-before)
+	}
+}
--- a/test/soak_cut_test.go
+++ b/test/soak_cut_test.go
@@ -4,18 +4,36 @@
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/units"
 )
 
 const (
 	// firstCutSeed is the first seed whose boxes are cut off from targets. Its targets don't crash,
 	// since boxes connect to them through proxies.
 	firstCutSeed = 80_000
+	// firstLargeDomainSeed is the first seed with a large failure domain, of soakLargeDomain boxes in
+	// soakDomain. The others are in soakOtherDomain.
+	firstLargeDomainSeed = 90_000
+	soakLargeDomain      = 24
 	// soakCutSettleTime is how long a box may take to find out that it is cut off.
 	soakCutSettleTime = 3 * time.Second
 )
 
 func (x *soak) hasCuts() bool { return x.seed >= firstCutSeed }
 
+func (x *soak) hasLargeDomain() bool { return x.seed >= firstLargeDomainSeed }
+
+// boxDomain is the failure domain of a box, in a seed with a large one.
+func boxDomain(box string) units.Domain {
+	if boxNumber(box) <= soakLargeDomain {
+		return soakDomain
+	}
+	return soakOtherDomain
+}
+
+// largeDomainBoxes are the boxes of the large failure domain.
+func (x *soak) largeDomainBoxes() []*lab.Node { return x.cluster.Boxes[:soakLargeDomain] }
+
 // cutClaim is the claim on a box's links to targets; the box itself may be killed or paused meanwhile.
 type cutClaim struct{ box *lab.Node }
 
@@ -60,11 +78,17 @@
 	}
 }
 
-// checkCutOffBox cuts one box off once all faults have ended: it must still serve its callers.
+// checkCutOffBox cuts one box off once all faults have ended, with all others of its failure domain if
+// that is large: it must still serve its callers.
 func (x *soak) checkCutOffBox() {
 	n := x.cluster.Boxes[x.draw(len(x.cluster.Boxes))]
+	cut := []*lab.Node{n}
+	if x.hasLargeDomain() {
+		cut = x.largeDomainBoxes()
+		n = cut[x.draw(len(cut))]
+	}
 	x.reportAll(x.cluster.Replicas[1])
-	defer x.cutOff([]lab.CutMode{lab.CutSilent, lab.CutReset}[x.draw(2)], n)()
+	defer x.cutOff([]lab.CutMode{lab.CutSilent, lab.CutReset}[x.draw(2)], cut...)()
 	caller := lab.NewCaller(n.Entry)
 	caller.SetKey(soakOwnKey)
 	for end := time.Now().Add(soakCutSettleTime); time.Now().Before(end); {
--- a/test/soak_faults_test.go
+++ b/test/soak_faults_test.go
@@ -83,6 +83,8 @@
 	{"have targets name limits together", (*soak).limitMostTargets},
 	{"cut a box off from the targets", func(x *soak) bool { return x.cutOffBoxes(x.anyBox()) }},
 	{"cut most boxes off from the targets", (*soak).cutOffMostBoxes},
+	{"cut a failure domain off from the targets", func(x *soak) bool { return x.cutOffBoxes(x.largeDomainBoxes()...) }},
+	{"cut most of a failure domain off from the targets", func(x *soak) bool { return x.cutOffBoxes(x.largeDomainBoxes()[1:]...) }},
 }
 
 const (
@@ -103,6 +105,8 @@
 	fifthFaultCount = 24
 	// sixthFaultCount is the same for the seeds from firstLimitSeed on.
 	sixthFaultCount = 26
+	// seventhFaultCount is the same for the seeds from firstCutSeed on.
+	seventhFaultCount = 28
 )
 
 // drawFault draws one of the faults of the seed's range.
@@ -119,8 +123,11 @@
 	case x.seed < firstLimitSeed:
 		return x.draw(fifthFaultCount)
 	}
-	if !x.hasCuts() {
+	switch {
+	case !x.hasCuts():
 		return x.draw(sixthFaultCount)
+	case !x.hasLargeDomain():
+		return x.draw(seventhFaultCount)
 	}
 	return x.draw(len(soakFaults))
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -40,6 +40,7 @@
 	{71_009, "covers boxes that are down: calls that reached no box had been counted as run by guests"},
 	{70_001, "covers what seeds from firstKeySeed on add"},
 	{80_000, "covers boxes that are cut off from targets: they refused calls that other boxes served"},
+	{90_000, "covers a large failure domain that is cut off from targets: its boxes only asked each other"},
 	{60_005, "boxes dropped the permit requests of other boxes, so that limits that had ended still blocked calls"},
 }
 
@@ -59,8 +60,11 @@
 // soakSize is how many processes and callers a seed has besides the replicas.
 type soakSize struct{ boxes, targets, callers int }
 
-// sizeForSeed makes one seed in eight a large one.
+// sizeForSeed makes one seed in eight a large one, and those from firstLargeDomainSeed on.
 func sizeForSeed(seed uint64) soakSize {
+	if seed >= firstLargeDomainSeed {
+		return soakSize{boxes: soakLargeDomain + 6, targets: 8, callers: 12}
+	}
 	if seed >= firstRolloutSeed {
 		// Each version needs targets in both failure domains.
 		return soakSize{boxes: 3, targets: 8, callers: 6}
@@ -212,6 +216,9 @@
 			if x.hasCuts() {
 				s.Entry.TargetSource = lossSource(s.Box).String()
 			}
+			if x.hasLargeDomain() {
+				s.Domain = string(boxDomain(s.Box))
+			}
 		},
 	})
 	x.must(err)
