A cut ends once checks are answered, and one that was only assumed with the others

Causes, by the logs: a cut ended only when two different targets had answered, which can't be where the others are down, rest, or lack a permit (a cut of 10 s with one target of two down); a permit for a check was requested and had expired by its turn 0.3 s later; a service taken as cut off only because another one was stayed so when that one was back (16 s).

Now two answered checks end a cut, a check that lacked a permit is made again after 50 ms, cuts that rest on others alone end with them, and boxes that said they were cut off are asked again after 0.5 s.

--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -170,6 +170,7 @@
 	DeadlineHeader  string              `json:"deadlineHeader" validate:"required" doc:"The header that carries the time left, in milliseconds, from callers and to targets."`
 	CallerHeader    string              `json:"callerHeader" doc:"The header that names the caller of a call, where a proxy in front of the box or the caller itself sets one. Together with method, host, path and body it tells whether two calls are the same one, sent again. Empty goes by the caller's IP number."`
 	KeyHeader       string              `json:"keyHeader" validate:"required" doc:"The header by which callers present the key of a workspace. Targets never get it."`
+	BoxHeader       string              `json:"boxHeader" doc:"The header that tells a target which box sends a call; empty for none."`
 	WorkspaceHeader string              `json:"workspaceHeader" validate:"required,nefield=KeyHeader" doc:"The header that tells a target which workspace calls. A caller's own is taken out."`
 	KeyDoubt        Duration            `json:"keyDoubt" validate:"min=0s,max=24h" doc:"How long a box that is out of touch with the control replicas lets calls in by their keys, some of which may have been taken away meanwhile. After it, calls that need a key are refused. 0s lets them in for as long as the box serves."`
 	MaxRelayed      int                 `json:"maxRelayed" validate:"min=0,max=1000000" doc:"How many calls may be under way here at once that other boxes relay because they can't reach targets; one more is declined, and the other box asks another."`
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -125,7 +125,7 @@
 	c.streaming = true
 	// The shell may release the request once its answer is streamed.
 	c.identity = nil
-	r.recordHeard(a.target, e)
+	r.recordHeard(a.target, false, e)
 	r.recordNoLimit(a, v.Report.Limit, e)
 	r.recordAnswerStart(c, a, v.Remaining)
 	a.target.recordReport(r.now, v.Report)
@@ -243,7 +243,7 @@
 	t := a.target
 	switch {
 	case v.Result == Answered, v.Result == Failed, v.Result == Shed, v.Result == Misdirected:
-		r.recordHeard(t, e)
+		r.recordHeard(t, false, e)
 	case v.Result == Broken:
 		r.recordContactFailed(t, r.now, e)
 	case v.Unreachable:
--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// helperFailureTime is for how long a box that a relay didn't reach isn't chosen.
+	// helperFailureTime is for how long a box isn't chosen that a relay didn't reach, or that lacks a
+	// table for the call.
 	helperFailureTime = time.Second
 	// helperBusyTime is for how long a box isn't chosen that declined for a reason of its own.
 	helperBusyTime = 100 * time.Millisecond
@@ -51,6 +52,9 @@
 	StaleTable: true, Unreachable: true,
 }
 
+// tableReasons are those that last until the box has a newer table.
+var tableReasons = [reasonCount]bool{NoTable: true, StaleKeys: true, UnknownVersion: true, NoService: true, UnknownKey: true, StaleTable: true}
+
 // setEvidence replaces the evidence on the box's links to some targets.
 func (h *helper) setEvidence(key scopeKey, v reachEvidence) {
 	if h.evidence == nil {
--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -27,13 +27,13 @@
 	// boxes help, and once many were asked and none helps. The boxes that search tell each other of
 	// those that help.
 	minSlowInterval = 50 * time.Millisecond
-	maxSlowInterval = 500 * time.Millisecond
+	maxSlowInterval = 250 * time.Millisecond
 	// refreshInterval is the time between queries while enough boxes help.
 	refreshInterval = 250 * time.Millisecond
 	// requeryInterval is the least time between queries to one box, and that after which evidence on
 	// a box that helps is renewed. A box that hadn't heard its targets since the cut began checks
 	// them when it is asked, and is asked again after verificationTime.
-	requeryInterval  = time.Second
+	requeryInterval  = 500 * time.Millisecond
 	verificationTime = 30 * time.Millisecond
 	// maxNamedScopes bounds the services in a message, maxNamedHelpers the boxes.
 	maxNamedScopes  = 16
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -65,7 +65,7 @@
 	switch {
 	case t == nil || v.Withheld:
 	case v.isHeard():
-		r.recordHeard(t, e)
+		r.recordHeard(t, v.Call == 0 && v.Attempt == reachProbe, e)
 	default:
 		r.recordContactFailed(t, v.SentAt, e)
 	}
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -22,7 +22,8 @@
 	contactsToCutOff = 3
 	// contactsToSuspect is the same for a call that would be refused otherwise.
 	contactsToSuspect = 2
-	// targetsToRejoin is how many different targets must have answered to end a cut.
+	// targetsToRejoin is how many different targets, or how many checks, must have been answered to end
+	// a cut.
 	targetsToRejoin = 2
 	// probeSilence is the time after which an unanswered probe counts as a failed contact, if no
 	// target of the service has been heard for as long. Idle targets answer within a few
@@ -53,6 +54,9 @@
 	cutSince        units.Instant
 	// regained are the targets heard during the cut.
 	regained []*target
+	// checksAnswered counts the checks answered during the cut: the other targets may be down, or may
+	// have asked for a rest.
+	checksAnswered int
 	// servedAt is when another box last served a call during the cut; zero if none has.
 	servedAt units.Instant
 	// unreachable is set while no box seems to reach the targets, as far as the last call showed.
@@ -112,7 +116,7 @@
 // begin begins a cut.
 func (x *reach) begin(now units.Instant) {
 	x.cutOff, x.cutSince, x.nextCheckAt, x.assumed = true, now, 0, false
-	x.regained, x.unreachable, x.servedAt = nil, false, 0
+	x.regained, x.checksAnswered, x.unreachable, x.servedAt = nil, 0, false, 0
 }
 
 // evidenceFrom is the instant from which on it counts that another box has reached the targets.
@@ -123,8 +127,9 @@
 	return now.Add(-suspicionMemory)
 }
 
-// recordHeard records an answer of a target, and reports whether that ends a cut.
-func (x *reach) recordHeard(now units.Instant, t *target) bool {
+// recordHeard records an answer of a target, and reports whether that ends a cut. An answer to a check
+// came on a connection that was opened for it.
+func (x *reach) recordHeard(now units.Instant, t *target, isCheck bool) bool {
 	x.heardAt = now
 	x.lost, x.failures = x.lost[:0], 0
 	if !x.cutOff {
@@ -133,7 +138,10 @@
 	if !slices.Contains(x.regained, t) {
 		x.regained = append(x.regained, t)
 	}
-	if len(x.regained) < min(targetsToRejoin, x.countEligible()) {
+	if isCheck {
+		x.checksAnswered++
+	}
+	if len(x.regained) < min(targetsToRejoin, x.countEligible()) && x.checksAnswered < targetsToRejoin {
 		return false
 	}
 	x.cutOff, x.regained = false, nil
@@ -205,13 +213,13 @@
 }
 
 // recordHeard records that a target was heard. On most days it only stores the time.
-func (r *Router) recordHeard(t *target, e *Effects) {
+func (r *Router) recordHeard(t *target, isCheck bool, e *Effects) {
 	r.relays.heardAt = r.now
 	for _, x := range t.service.reaches {
 		if !x.regions.Allows(t.region) {
 			continue
 		}
-		if x.recordHeard(r.now, t) {
+		if x.recordHeard(r.now, t, isCheck) {
 			r.cutEnded(x, e)
 		}
 		if x.cutOff {
@@ -280,9 +288,22 @@
 	r.freedServices = append(r.freedServices, x.service)
 	e.add(Effect{Kind: ReachChanged, Reach: x.describe(r.now)})
 	r.removeCut(x)
-	if !x.assumed {
-		r.relays.checks.hurry(r.now, len(r.relays.cuts))
-		r.checkCuts(e)
+	if x.assumed {
+		return
+	}
+	r.endAssumedCuts(e)
+	r.relays.checks.hurry(r.now, len(r.relays.cuts))
+	r.checkCuts(e)
+}
+
+// endAssumedCuts ends the cuts that rest on nothing but others, once the last of those has ended.
+func (r *Router) endAssumedCuts(e *Effects) {
+	if slices.ContainsFunc(r.relays.cuts, func(x *reach) bool { return !x.assumed || x.failures > 0 }) {
+		return
+	}
+	for _, x := range slices.Clone(r.relays.cuts) {
+		x.cutOff = false
+		r.cutEnded(x, e)
 	}
 }
 
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -31,6 +31,8 @@
 	delay  time.Duration
 	// hurried is the number of cuts still to be checked at once because another one has ended.
 	hurried int
+	// awaitsPermit is set if the last check wasn't made for want of a permit, which was requested.
+	awaitsPermit bool
 }
 
 // begin begins the checks with the first cut.
@@ -60,32 +62,48 @@
 		return
 	}
 	if r.now >= k.nextAt {
-		x := r.relays.cuts[0]
-		r.relays.cuts = append(slices.Delete(r.relays.cuts, 0, 1), x)
-		r.recordSilentChecks(x, e)
-		n := 1
-		if k.hurried > 0 {
-			n = targetsToRejoin
-		}
-		k.next(r.now)
-		r.checkReach(x, n, e)
-		r.newCuts = append(r.newCuts, x)
+		r.checkNextCut(e)
 	}
 	r.sweepAt = min(r.sweepAt, k.nextAt)
 }
 
+// checkNextCut checks the cut whose last check is the longest ago. One that lacks a permit is checked
+// again soon, as permits don't last until its next turn.
+func (r *Router) checkNextCut(e *Effects) {
+	k := &r.relays.checks
+	x := r.relays.cuts[0]
+	r.recordSilentChecks(x, e)
+	r.newCuts = append(r.newCuts, x)
+	n := 1
+	if k.hurried > 0 {
+		n = targetsToRejoin
+	}
+	if awaitsPermit := r.checkReach(x, n, e); awaitsPermit && !k.awaitsPermit {
+		k.awaitsPermit = true
+		k.nextAt = r.now.Add(minCheckDelay)
+		return
+	}
+	k.awaitsPermit = false
+	r.relays.cuts = append(slices.Delete(r.relays.cuts, 0, 1), x)
+	k.next(r.now)
+}
+
 // checkReach probes some targets that haven't been probed lately, on new connections: open ones may
-// have gone silent alone. At a service without a budget for probes it only opens connections.
-func (r *Router) checkReach(x *reach, n int, e *Effects) {
+// have gone silent alone. At a service without a budget for probes it only opens connections. It
+// reports whether it probed none, and requested a permit.
+func (r *Router) checkReach(x *reach, n int, e *Effects) (awaitsPermit bool) {
 	if !x.cutOff {
 		x.nextCheckAt = r.now.Add(reachCheckInterval)
 		r.scheduleSweep(x.service, x.nextCheckAt)
 	}
 	connectOnly := r.probeBudgetRate(x.service) <= 0
-	for range n {
-		t := r.nextToCheck(x, e)
-		if t == nil || !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
-			return
+	for i := range n {
+		t, requested := r.nextToCheck(x, e)
+		if t == nil {
+			return requested && i == 0
+		}
+		if !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
+			return false
 		}
 		t.reachCheckedAt = r.now
 		t.reachCheckOpen = true
@@ -97,6 +115,7 @@
 		p.NewConnection, p.ConnectOnly = true, connectOnly
 		e.add(p)
 	}
+	return false
 }
 
 // spendForReachCheck takes a probe from the service's probe budget, which may be overdrawn by some:
@@ -116,8 +135,7 @@
 // that are cut off together must neither check the same ones nor judge by those that are listed first.
 // Before a cut, those that are lost already aren't checked. For a target that announces a limit it
 // requests a permit first.
-func (r *Router) nextToCheck(x *reach, e *Effects) *target {
-	var next *target
+func (r *Router) nextToCheck(x *reach, e *Effects) (next *target, requested bool) {
 	equal := 0
 	for _, t := range x.service.targets {
 		if !x.cutOff && slices.Contains(x.lost, t) || !x.regions.Allows(t.region) || !t.isEligible() || t.notice.forbidsSending(r.now) {
@@ -127,6 +145,7 @@
 			if t.notice.limit.mayRequest(r.now) {
 				r.requestTargetPermits(t, 1, e)
 			}
+			requested = true
 			continue
 		}
 		if t.reachCheckedAt != 0 && r.now.Sub(t.reachCheckedAt) < reachCheckInterval {
@@ -142,7 +161,7 @@
 			}
 		}
 	}
-	return next
+	return next, requested
 }
 
 // recordCheckFailed starts the search for boxes that reach the targets: the box has been cut off, and
--- a/pkg/core/routing/reachcheck_test.go
+++ b/pkg/core/routing/reachcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -12,7 +13,8 @@
 	first := map[units.TargetID]int{}
 	for _, b := range f.boxes {
 		var e Effects
-		first[b.router.nextToCheck(b.router.services["s0"].reach(), &e).row.Target]++
+		t, _ := b.router.nextToCheck(b.router.services["s0"].reach(), &e)
+		first[t.row.Target]++
 	}
 	for id, n := range first {
 		if mean := len(f.boxes) / 24; n > 4*mean {
@@ -40,3 +42,19 @@
 		t.Errorf("%d messages were sent, though the only other box has answered", f.messages-before)
 	}
 }
+
+// A cut lasted for as long as all targets but one were down, or had asked for a rest.
+func TestACutEndsThoughOnlyOneTargetAnswers(t *testing.T) {
+	f := newReachFleet(reachFleetOptions{domains: 3, boxes: 2, services: 1, targets: 2, seed: 1, maxRelayed: DefaultMaxRelayed})
+	f.targets["s0-t0"].down = true
+	b := f.boxes[0]
+	x := b.router.services["s0"].reach()
+	var e Effects
+	x.begin(f.now)
+	b.router.cutBegan(x, &e)
+	f.wake(b)
+	f.run(2 * time.Second)
+	if x.cutOff {
+		t.Error("the box is still cut off although a target answers its checks")
+	}
+}
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -14,6 +14,9 @@
 // box has already checked the key, charged the quota and waited for a canary grant.
 
 const (
+	// maxRelays bounds the boxes that one call is relayed to, whatever their reasons to decline. Those
+	// that are known to reach the targets decline rarely.
+	maxRelays = 16
 	// relayTrialRate, in calls per second, and relayTrialBurst, in calls, bound the calls that are
 	// relayed before the box takes itself to be cut off.
 	relayTrialRate  = 20
@@ -176,7 +179,7 @@
 	switch {
 	case !r.canRelay(), c.isRelayed(), c.relay.number != 0, c.streaming, c.isQuarantineTrial():
 		return false
-	case c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
+	case c.relays >= maxRelays, c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
 		return false
 	case !r.leased(), r.now.Add(minRelayTime) >= c.deadline:
 		return false
@@ -322,7 +325,7 @@
 		h.recordDeclined(r.now, x.key())
 	case reason == RelayLimit:
 		h.fullUntil = r.now.Add(helperBusyTime)
-	case reason == StaleTable:
+	case tableReasons[reason]:
 		h.avoidUntil = r.now.Add(helperFailureTime)
 	case helperReasons[reason]:
 		h.avoidUntil = r.now.Add(helperBusyTime)
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -55,6 +55,9 @@
 	if w != "" {
 		out.Header.Set(e.Settings.Entry.WorkspaceHeader, string(w))
 	}
+	if name := e.Settings.Entry.BoxHeader; name != "" {
+		out.Header.Set(name, e.Settings.Box)
+	}
 }
 
 // copyRequest copies a request without the headers that apply to its connection only.
--- a/pkg/lab/rest.go
+++ b/pkg/lab/rest.go
@@ -23,7 +23,8 @@
 // Breach is a call that reached a target although the target had announced to its box that it
 // leaves, rests or has a limit.
 type Breach struct {
-	// Box is the entry address that the call came through; InformedAt is when the target first
+	// Box is the box that sent the call, if it names itself, or the entry address that the caller
+	// used; InformedAt is when the target first
 	// announced it to that box, At when the call arrived.
 	Box        string    `json:"box"`
 	InformedAt time.Time `json:"said"`
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -213,6 +213,7 @@
 			s.Regions = soakRegions
 			s.Entry.LeavingHeader = lab.LeavingHeader
 			s.Entry.LimitHeader = lab.LimitHeader
+			s.Entry.BoxHeader = lab.EntryHeader
 			if x.hasCuts() {
 				s.Entry.TargetSource = lossSource(s.Box).String()
 			}
--- a/test/soak_words_test.go
+++ b/test/soak_words_test.go
@@ -118,10 +118,10 @@
 	}
 }
 
-// boxByEntry returns the box whose entry listens at an address.
-func (x *soak) boxByEntry(entry string) *lab.Node {
+// boxNamed returns the box that named itself to a target.
+func (x *soak) boxNamed(name string) *lab.Node {
 	for _, b := range x.cluster.Boxes {
-		if b.Entry == entry {
+		if b.Settings.Box == name {
 			return b
 		}
 	}
@@ -139,7 +139,7 @@
 				x.checkLimit(t, b.Limit)
 				continue
 			}
-			if x.hadOutage(x.boxByEntry(b.Box), b.InformedAt, b.At) || x.hadOutage(t, b.InformedAt, b.At) {
+			if x.hadOutage(x.boxNamed(b.Box), b.InformedAt, b.At) || x.hadOutage(t, b.InformedAt, b.At) {
 				continue
 			}
 			x.Errorf("%s got a call from %s %s after it had told that box that it rests or leaves: %+v", t.Name, b.Box, b.At.Sub(b.InformedAt), b)
@@ -165,7 +165,7 @@
 	}
 	n := 0
 	for entry, calls := range b.Calls {
-		if !x.hadOutage(x.boxByEntry(entry), since, b.At) {
+		if !x.hadOutage(x.boxNamed(entry), since, b.At) {
 			n += calls
 		}
 	}
