--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -111,6 +111,9 @@
 	return v
 }
 
+// evidenceAt is when the box last showed what it reaches.
+func (h *helper) evidenceAt() units.Instant { return max(h.answeredAt, h.heardAt) }
+
 // isSilent reports whether the box has left a query unanswered, and hasn't shown since that it is
 // alive.
 func (h *helper) isSilent(now units.Instant) bool {
--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -14,7 +14,7 @@
 
 const (
 	// wantedHelpers is the number of boxes that should be known to reach the targets of a cut.
-	wantedHelpers = 6
+	wantedHelpers = 4
 	// searchBurst is the number of queries in a turn of a search that has found no box yet,
 	// searchInterval the time between its turns.
 	searchBurst    = 8
@@ -28,11 +28,12 @@
 	// those that help.
 	minSlowInterval = 50 * time.Millisecond
 	maxSlowInterval = 250 * time.Millisecond
-	// refreshInterval is the time between queries while enough boxes help.
+	// refreshInterval is the time between two looks at the evidence while enough boxes help, which is
+	// renewed after maxEvidenceAge. Relays that are served renew it, too.
 	refreshInterval = 250 * time.Millisecond
-	// requeryInterval is the least time between queries to one box, and that after which evidence on
-	// a box that helps is renewed. A box that hadn't heard its targets since the cut began checks
-	// them when it is asked, and is asked again after verificationTime.
+	maxEvidenceAge  = 2 * time.Second
+	// requeryInterval is the least time between queries to one box. A box that hadn't heard its targets
+	// since the cut began checks them when it is asked, and is asked again after verificationTime.
 	requeryInterval  = 500 * time.Millisecond
 	verificationTime = 30 * time.Millisecond
 	// maxNamedScopes bounds the services in a message, maxNamedHelpers the boxes.
@@ -164,24 +165,19 @@
 	return h.queriedAt == 0 || r.now.Sub(h.queriedAt) >= wait
 }
 
-// nextToRefresh returns the box whose evidence is the oldest of those that help; if that is recent, a
-// random other one.
+// nextToRefresh returns the box whose evidence is the oldest of those that help, if that is old; nil for
+// none. Further boxes aren't asked: each may cost a connection.
 func (r *Router) nextToRefresh() *helper {
 	var oldest *helper
-	var others helperSample
 	for _, h := range r.relays.candidates {
-		switch {
-		case h.standing == HelperOutsideRegions, !r.mayQuery(h):
-		case h.standing > HelperPlausible:
-			others.add(h, r)
-		case r.now.Sub(h.heardAt) >= requeryInterval && (oldest == nil || h.heardAt < oldest.heardAt):
+		if h.standing > HelperPlausible || !r.mayQuery(h) || r.now.Sub(h.evidenceAt()) < maxEvidenceAge {
+			continue
+		}
+		if oldest == nil || h.evidenceAt() < oldest.evidenceAt() {
 			oldest = h
 		}
 	}
-	if oldest != nil {
-		return oldest
-	}
-	return others.chosen[0]
+	return oldest
 }
 
 // queryHinted asks the boxes that others named.
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -27,6 +27,10 @@
 // one costs memory and a heartbeat a second at both boxes, and is needed for short times only.
 const peerIdleTimeout = 30 * time.Second
 
+// queryIdleTimeout is the same for connections on which only queries between boxes and their answers
+// were sent of late: a box that is cut off may ask many.
+const queryIdleTimeout = 5 * time.Second
+
 func newPeerLinks(e *Entry) *peerLinks {
 	return &peerLinks{entry: e, links: map[string]*peerLink{}}
 }
@@ -41,7 +45,11 @@
 		link = &peerLink{Link: transport.NewLink(address, p.entry.Security, p.entry.hello)}
 		p.links[address] = link
 	}
-	link.lastUsedAt = p.entry.Clock.Now()
+	usedAt := p.entry.Clock.Now()
+	if m.GetReach() != nil {
+		usedAt = usedAt.Add(queryIdleTimeout - peerIdleTimeout)
+	}
+	link.lastUsedAt = max(link.lastUsedAt, usedAt)
 	m.From, m.To = p.entry.Settings.Box, string(id)
 	link.Send(m)
 }
