--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -135,7 +135,7 @@
 			sample.add(h, r)
 		}
 	}
-	return sample.chosen[0]
+	return sample.pick(r)
 }
 
 // queryRank orders the boxes to ask by standing, then by how many of their domain were asked. Those
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// recordHeard records that a target was heard. On most days it only stores the time.
+// recordHeard records that a target was heard. On most days it only stores times.
 func (r *Router) recordHeard(t *target, isCheck bool, e *Effects) {
 	r.relays.heardAt = r.now
 	for _, x := range t.service.reaches {
--- a/pkg/core/routing/reachcheck_test.go
+++ b/pkg/core/routing/reachcheck_test.go
@@ -58,3 +58,26 @@
 		t.Error("the box is still cut off although a target answers its checks")
 	}
 }
+
+// The box listed first was picked three times as often as others, the next two never.
+func TestEachBoxIsPickedAlikeOften(t *testing.T) {
+	const boxes, rounds = 10, 10_000
+	r := newReachFleet(reachFleetOptions{domains: 1, boxes: 1, seed: 1}).boxes[0].router
+	picked := map[*helper]int{}
+	all := make([]*helper, boxes)
+	for i := range all {
+		all[i] = &helper{}
+	}
+	for range rounds {
+		var sample helperSample
+		for _, h := range all {
+			sample.add(h, r)
+		}
+		picked[sample.pick(r)]++
+	}
+	for i, h := range all {
+		if n := picked[h]; n < rounds/boxes*8/10 || n > rounds/boxes*12/10 {
+			t.Errorf("box %d of %d was picked %d times of %d", i, boxes, n, rounds)
+		}
+	}
+}
--- a/pkg/core/routing/relayhelper.go
+++ b/pkg/core/routing/relayhelper.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// pick returns one box of the sample; nil if it is empty.
+func (s *helperSample) pick(r *Router) *helper {
+	if s.seen == 0 {
+		return nil
+	}
+	return s.chosen[r.random.IntN(min(s.seen, helperSamples))]
+}
+
 // cost ranks the box for a relay; lower is better.
 func (h *helper) cost(isOwnDomain bool) int {
 	cost := max(h.inFlight, h.load)
@@ -117,5 +125,5 @@
 			sample.add(h, r)
 		}
 	}
-	return sample.chosen[0]
+	return sample.pick(r)
 }
