A cut that begins within the check of another one isn't lost from the list

Recording a check that fell silent may begin a cut for other regions of the same service, which made the check that was due a second time; the list of cuts then held one twice and lost the other, which was checked no more.

--- a/pkg/core/routing/reach_fleet_test.go
+++ b/pkg/core/routing/reach_fleet_test.go
@@ -225,9 +225,29 @@
 	for _, x := range e.List {
 		f.carryOut(b, x)
 	}
+	b.mustKnowCuts()
 	f.wake(b)
 }
 
+// mustKnowCuts panics unless the list of cuts holds each reach that is cut off once.
+func (b *reachBox) mustKnowCuts() {
+	cuts := 0
+	for _, s := range b.router.sortedServices {
+		for _, x := range s.reaches {
+			if !x.cutOff {
+				continue
+			}
+			cuts++
+			if !slices.Contains(b.router.relays.cuts, x) {
+				panic(fmt.Sprintf("%s lacks the cut of %s", b.id, s.row.Name))
+			}
+		}
+	}
+	if n := len(b.router.relays.cuts); n != cuts {
+		panic(fmt.Sprintf("%s lists %d cuts, but there are %d", b.id, n, cuts))
+	}
+}
+
 func (f *reachFleet) wake(b *reachBox) {
 	at := max(f.now.Add(time.Millisecond), b.router.NextWake())
 	if b.wakeAt > f.now && b.wakeAt <= at {
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -72,6 +72,8 @@
 func (r *Router) checkNextCut(e *Effects) {
 	k := &r.relays.checks
 	x := r.relays.cuts[0]
+	// Silent checks may begin further cuts, which must not be checked in this turn.
+	k.nextAt = r.now.Add(minCheckDelay)
 	r.recordSilentChecks(x, e)
 	r.newCuts = append(r.newCuts, x)
 	n := 1
@@ -80,11 +82,11 @@
 	}
 	if awaitsPermit := r.checkReach(x, n, e); awaitsPermit && !k.awaitsPermit {
 		k.awaitsPermit = true
-		k.nextAt = r.now.Add(minCheckDelay)
 		return
 	}
 	k.awaitsPermit = false
-	r.relays.cuts = append(slices.Delete(r.relays.cuts, 0, 1), x)
+	r.removeCut(x)
+	r.relays.cuts = append(r.relays.cuts, x)
 	k.next(r.now)
 }
 
--- a/pkg/core/routing/reachcheck_test.go
+++ b/pkg/core/routing/reachcheck_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -81,3 +82,25 @@
 		}
 	}
 }
+
+// A check that fell silent began another cut, whose checks began within those of the first: the list of
+// cuts lost one of them.
+func TestACutThatBeginsDuringAnothersCheckIsListedOnce(t *testing.T) {
+	f := newReachFleet(reachFleetOptions{domains: 2, boxes: 2, services: 2, targets: 8, seed: 1, maxRelayed: DefaultMaxRelayed, regions: true})
+	b := f.boxes[0]
+	s := b.router.services["s1"]
+	restricted := &reach{service: s, regions: &table.AllowedRegions{Names: []units.Region{"r0"}}}
+	s.reaches = append(s.reaches, restricted)
+	var e Effects
+	s.reach().begin(f.now)
+	b.router.cutBegan(s.reach(), &e)
+	b.router.lastCutAt = f.now
+	lost := s.targets[0]
+	lost.reachCheckOpen, lost.reachCheckedAt = true, f.now.Add(-probeSilence)
+	b.router.relays.checks.nextAt = f.now
+	b.router.checkCuts(&e)
+	if !restricted.cutOff {
+		t.Fatal("the second cut didn't begin")
+	}
+	b.mustKnowCuts()
+}
