--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -106,15 +106,19 @@
 // surveyNeediest surveys the cut for which the fewest boxes are known to help. It returns how many
 // these are, and whether they are too few.
 func (r *Router) surveyNeediest() (found int, lacking bool) {
-	var neediest *reach
+	var neediest, last *reach
 	most := 0
 	for _, x := range r.namedCuts() {
 		v := r.survey(x)
 		if missing := min(wantedHelpers, v.allowed()) - v.found(); neediest == nil || missing > most {
-			neediest, most = x, missing
+			neediest, most, found = x, missing, v.found()
 		}
+		last = x
 	}
-	return r.survey(neediest).found(), most > 0
+	if last != neediest {
+		r.survey(neediest)
+	}
+	return found, most > 0
 }
 
 // nextToQuery returns the box to ask next, after a survey; nil for none. Those that may have verified
--- a/pkg/core/routing/helperstanding.go
+++ b/pkg/core/routing/helperstanding.go
@@ -8,8 +8,8 @@
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
-// HelperStanding is what a box knows of another one as a helper for relayed calls. From HelperFull
-// on they are reasons to pass it over.
+// HelperStanding is what a box knows of another one as a helper for relayed calls. From HelperSilent
+// on they are reasons to pass it over, HelperSilent and HelperAvoided while any better box is left.
 type HelperStanding uint8
 
 // The standings, best first.
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -309,10 +309,15 @@
 	return append(misses, w.openingMisses()...)
 }
 
-// brokenPromises returns the calls that ran although their callers were told otherwise, and those that
-// ran twice although they can't be repeated.
+// brokenPromises returns the boxes that took more calls of others than they may, the calls that ran
+// although their callers were told otherwise, and those that ran twice although they can't be repeated.
 func (w *reachWindow) brokenPromises() []string {
 	var broken []string
+	for _, b := range w.fleet.boxes {
+		if b.mostRelayed > w.fleet.maxRelayed {
+			broken = append(broken, fmt.Sprintf("%s had %d calls of other boxes at a time, %d at most are allowed", b.id, b.mostRelayed, w.fleet.maxRelayed))
+		}
+	}
 	for _, c := range w.fleet.calls {
 		if c.ended != 0 && !c.served && c.refusal.Outcome == NotRun && c.runs > 0 {
 			broken = append(broken, fmt.Sprintf("a call at %s was refused as %s and not run, but ran", c.box.id, c.refusal.Reason))
--- a/pkg/core/routing/reach_fleet_test.go
+++ b/pkg/core/routing/reach_fleet_test.go
@@ -456,11 +456,11 @@
 			back()
 		}}
 		to.relaysInFlight++
-		to.mostRelayed = max(to.mostRelayed, to.relaysInFlight)
 		description := x.Relay
 		f.deliver(to, &CallArrived{
 			Owner: relayed, Host: []byte(c.service), Path: []byte("/"), Deadline: x.Deadline.Sub(f.now), Relayed: &description,
 		})
+		to.mostRelayed = max(to.mostRelayed, to.relaysInFlight)
 	})
 }
 
--- a/pkg/wire/convert_reach.go
+++ b/pkg/wire/convert_reach.go
@@ -26,9 +26,8 @@
 		Relayed: max(0, int(m.Relayed)), Full: m.Full,
 		Helpers: mapSlice(m.Helpers, func(id string) units.BoxID { return units.BoxID(id) }),
 	}
-	switch kind := routing.ReachMessageKind(m.Kind); {
-	case m.Kind == int32(routing.ReachQuery), m.Kind == int32(routing.ReachAnswer):
-		x.Kind = kind
+	if m.Kind == int32(routing.ReachQuery) || m.Kind == int32(routing.ReachAnswer) {
+		x.Kind = routing.ReachMessageKind(m.Kind)
 	}
 	return x
 }
