Bad evidence on other boxes doesn't outlive the cuts in which it was given

The boxes that had been cut off before were still held to be, so that no other seemed left and calls were refused at once.

Evidence that a box can't reach targets counts from a second before the present cuts began.

--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -18,7 +18,7 @@
 )
 
 // helper is another box, with what is known of it as one that calls are relayed to. Evidence holds
-// until newer evidence replaces it, whatever time has passed.
+// until newer evidence replaces it, or until this box reaches all targets again.
 type helper struct {
 	box table.Box
 	// domain is the index of the box's failure domain in relayState.domains.
@@ -87,18 +87,24 @@
 	h.evidence, h.heardAt, h.hearsNothingAt, h.answeredAt = nil, 0, 0, 0
 }
 
-// evidenceQuery is what a box wants to know of others: whether they reach some targets, by evidence
-// from an instant on.
+// evidenceQuery is what a box wants to know of others: whether they reach some targets. Evidence that
+// they do counts from since on, evidence that they don't from lostSince on.
 type evidenceQuery struct {
-	now, since units.Instant
-	key        scopeKey
+	now, since, lostSince units.Instant
+	key                   scopeKey
 	// anyService is set if evidence on the targets of any service counts: this box hears none at all,
 	// so that it is about its network and not about a service.
 	anyService bool
 }
 
 func (r *Router) evidenceQuery(x *reach) evidenceQuery {
-	return evidenceQuery{now: r.now, since: x.evidenceFrom(r.now), key: x.key(), anyService: r.hearsNothing()}
+	since := r.now
+	if r.hasCut() {
+		since = r.relays.cutsSince
+	}
+	return evidenceQuery{
+		now: r.now, since: x.evidenceFrom(r.now), lostSince: since.Add(-suspicionMemory), key: x.key(), anyService: r.hearsNothing(),
+	}
 }
 
 // evidenceFor returns the newest evidence on the box's links to the targets.
@@ -125,7 +131,7 @@
 	v := h.evidenceFor(q)
 	silent := h.isSilent(q.now)
 	switch {
-	case v.lostAt != 0 && v.lostAt >= v.reachedAt && !silent:
+	case v.lostAt != 0 && v.lostAt >= v.reachedAt && v.lostAt >= q.lostSince && !silent:
 		return HelperCutOff
 	case q.now < h.fullUntil:
 		return HelperFull
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -263,6 +263,7 @@
 	isFirst := !r.hasCut()
 	r.relays.cuts = append(r.relays.cuts, x)
 	if isFirst {
+		r.relays.cutsSince = r.now
 		r.relays.checks.begin(r.now)
 		r.beginSearch()
 		r.checkOtherServices(x.service, e)
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -60,10 +60,12 @@
 	helpers    map[units.BoxID]*helper
 	candidates []*helper
 	domains    []helperDomain
-	// cuts are the targets that this box is cut off from, those least recently checked first.
-	cuts   []*reach
-	checks linkChecks
-	search helperSearch
+	// cuts are the targets that this box is cut off from, those least recently checked first. cutsSince
+	// is when the first of them began, or one before that has ended since.
+	cuts      []*reach
+	cutsSince units.Instant
+	checks    linkChecks
+	search    helperSearch
 	// heardAt is when any target was last heard. peerCutAt is when another box last said that it is cut
 	// off, nextVerifyAt when this one may check its links again on request of others.
 	heardAt, peerCutAt, nextVerifyAt units.Instant
