A service doesn't stay cut off because the targets of another one are down

Calls of the other service were refused as unreachable for 0.12 to 0.35 s each time, until the paced checks came to it. Since checks are paced for a box as a whole, such a cut wasn't checked when it began.

Change: the first cut that is only assumed is checked at once. It shows whether one service is down or the box is cut off from all. One connection more for each cut of a box.

--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -263,7 +263,7 @@
 		r.beginSearch()
 		r.checkOtherServices(x.service, e)
 	}
-	if !x.assumed || !r.hearsNothing() {
+	if !x.assumed || !r.hearsNothing() || r.relays.checks.mayCheckAssumed() {
 		r.checkReach(x, 1, e)
 	}
 	r.searchHelpers(e)
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -31,6 +31,8 @@
 	delay  time.Duration
 	// hurried is the number of cuts still to be checked at once because another one has ended.
 	hurried int
+	// assumedChecked is set once a cut that is only assumed has been checked at its beginning.
+	assumedChecked bool
 	// awaitsPermit is set if the last check wasn't made for want of a permit, which was requested.
 	awaitsPermit bool
 }
@@ -40,6 +42,14 @@
 	*k = linkChecks{nextAt: now.Add(minCheckDelay), delay: minCheckDelay}
 }
 
+// mayCheckAssumed reports whether a cut that is only assumed may be checked at its beginning. The first one
+// may: it shows whether the targets of a single service are down, or the box is cut off from all.
+func (k *linkChecks) mayCheckAssumed() bool {
+	first := !k.assumedChecked
+	k.assumedChecked = true
+	return first
+}
+
 // hurry has the next checks follow soon.
 func (k *linkChecks) hurry(now units.Instant, cuts int) { k.nextAt, k.hurried = now, cuts }
 
