An assumed cut whose check awaits a permit is checked as soon as that has come

By the boxes' logs the targets of one service crashed, the other service was taken to be cut off with it, its targets had all named limits, and so the check at its beginning had no permit and came again in its turn only: the cut lasted 0.3 to 2.5 s.

--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -264,7 +264,9 @@
 		r.checkOtherServices(x.service, e)
 	}
 	if !x.assumed || !r.hearsNothing() || r.relays.checks.mayCheckAssumed() {
-		r.checkReach(x, 1, e)
+		if awaitsPermit := r.checkReach(x, 1, e); awaitsPermit {
+			r.checkNext(x)
+		}
 	}
 	r.searchHelpers(e)
 	r.checkCuts(e)
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -77,6 +77,14 @@
 	r.sweepAt = min(r.sweepAt, k.nextAt)
 }
 
+// checkNext has a cut checked next, and soon: the permit for that has been requested.
+func (r *Router) checkNext(x *reach) {
+	r.removeCut(x)
+	r.relays.cuts = slices.Insert(r.relays.cuts, 0, x)
+	k := &r.relays.checks
+	k.nextAt = min(k.nextAt, r.now.Add(hurriedCheckDelay))
+}
+
 // checkNextCut checks the cut whose last check is the longest ago. One that lacks a permit is checked
 // again soon, as permits don't last until its next turn.
 func (r *Router) checkNextCut(e *Effects) {
