--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -383,3 +383,45 @@
 	}
 	return nil
 }
+
+// A box opens most connections to targets in the first second in which it is cut off: calls that it hasn't
+// relayed yet probe targets, and its first checks follow each other quickly.
+func TestABoxOpensFewConnectionsInAnySecondOfACut(t *testing.T) {
+	f := newReachFleet(reachFleetOptions{domains: 4, boxes: 24, services: 3, targets: 32, seed: 1, maxRelayed: DefaultMaxRelayed})
+	for _, b := range f.boxes {
+		for _, entry := range f.services {
+			f.callSteadily(b, entry.Service.Name, 1200*time.Millisecond)
+		}
+	}
+	f.run(3 * time.Second)
+	began := f.now
+	for _, b := range f.boxes {
+		if b.domain == reachDomain(0) {
+			f.cutOff(b, "silent", nil)
+		}
+	}
+	f.run(8 * time.Second)
+	for _, b := range f.boxes {
+		if opened := b.mostOpened(began, time.Second); b.cut != "" && opened > openedPerSecond {
+			t.Errorf("%s opened %d connections to targets in a second, at most %d are wanted", b.id, opened, openedPerSecond)
+		}
+	}
+}
+
+// mostOpened is the most connections to targets that the box opened in any period of a length, from a time on.
+func (b *reachBox) mostOpened(from units.Instant, length time.Duration) int {
+	most := 0
+	for i, first := range b.opened {
+		if first < from {
+			continue
+		}
+		n := 0
+		for _, at := range b.opened[i:] {
+			if at < first.Add(length) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
