Links between boxes: plainer loop over messages, one place for log fields of targets

Cause: ServePeer converted its first message within the loop under two conditions, and two log lines built the same fields. Change: the first message is looked at before the loop; reachFields serves both lines. Behaviour is the same. Conclusion: tests of the entry, and of relays with real processes, pass.

--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -16,8 +16,8 @@
 type peerLinks struct {
 	entry *Entry
 	links map[string]*peerLink
-	// replyTo is the box whose message about reachable targets is being handled; empty for none. What
-	// it is sent meanwhile is collected in replies, and goes back on the connection of that message.
+	// replyTo is the box whose message is being handled; empty for none. What it is sent meanwhile
+	// about reachable targets is collected in replies, and goes back on the connection of that message.
 	replyTo units.BoxID
 	replies []*wire.Envelope
 }
@@ -102,18 +102,16 @@
 // the first message isn't one that boxes send each other.
 func (e *Entry) ServePeer(hello *wire.Hello, first *wire.Envelope, c *transport.Conn) {
 	from := units.BoxID(hello.Box)
-	for m := first; ; {
-		event := peerEvent(from, m)
-		if event == nil && m == first {
-			return
-		}
-		if event != nil && !e.replyOn(c, from, event) {
-			return
-		}
-		var err error
-		if m, err = c.Receive(); err != nil {
+	event := peerEvent(from, first)
+	if event == nil {
+		return
+	}
+	for event == nil || e.replyOn(c, from, event) {
+		m, err := c.Receive()
+		if err != nil {
 			return
 		}
+		event = peerEvent(from, m)
 	}
 }
 
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -119,12 +119,18 @@
 	return target.IsOpen(raw) && !(encrypted && target.HasInput(raw))
 }
 
-// logReach logs that this box lost or regained its links to a service's targets.
-func (e *Entry) logReach(x *routing.ReachChange) {
+// reachFields are the log fields that name the targets of a change.
+func reachFields(x *routing.ReachChange) logrus.Fields {
 	f := logrus.Fields{"service": x.Service}
 	if x.Regions != nil {
 		f["regions"] = x.Regions
 	}
+	return f
+}
+
+// logReach logs that this box lost or regained its links to a service's targets.
+func (e *Entry) logReach(x *routing.ReachChange) {
+	f := reachFields(x)
 	if x.CutOff {
 		f["kind"], f["lost"] = "targets-lost", x.Lost
 		e.Log.WithFields(f).Warning("this box can't reach a service's targets; it relays the calls to other boxes")
@@ -137,10 +143,8 @@
 // logSearch logs which other boxes were found to reach targets that this one is cut off from, and why
 // others were passed over.
 func (e *Entry) logSearch(x *routing.ReachChange) {
-	f := logrus.Fields{"service": x.Service, "cutOffMs": millis(x.Duration), "boxes": x.Boxes}
-	if x.Regions != nil {
-		f["regions"] = x.Regions
-	}
+	f := reachFields(x)
+	f["cutOffMs"], f["boxes"] = millis(x.Duration), x.Boxes
 	if x.Unreachable {
 		f["kind"] = "no-helper"
 		e.Log.WithFields(f).Warning("no box seems to reach a service's targets; calls are refused")
