Simulated boxes: one wake-up for the fleets of limits, quotas and links

Cause: the fleet of the links had a third copy of the wake-up that the fleets of limits and quotas have, and its newest test copies of its loop over callers and of the count of connections. Change: timeline.wake with what a box keeps of its process; callAllSteadily and openedBetween.

--- a/pkg/core/routing/limit_fleet_test.go
+++ b/pkg/core/routing/limit_fleet_test.go
@@ -58,17 +58,16 @@
 // limitBox is one box and its shell, which withholds sends without a permit from targets that
 // announce limits.
 type limitBox struct {
-	id          units.BoxID
-	domain      units.Domain
-	router      *Router
-	incarnation int
+	simulatedProcess
+	id     units.BoxID
+	domain units.Domain
+	router *Router
 	// limited are the endpoints that announce limits according to the router's notices.
 	limited map[*Endpoint]bool
 	// isolated is set while only targets and callers can reach the box, frozenUntil is when it
 	// resumes after a freeze.
 	isolated    bool
 	frozenUntil units.Instant
-	wakeAt      units.Instant
 	// disturbedAt is when the last fault of this box began or will end.
 	disturbedAt units.Instant
 }
@@ -142,18 +141,7 @@
 
 // wake schedules the box's next Tick.
 func (f *limitFleet) wake(b *limitBox) {
-	at := max(f.now.Add(time.Millisecond), b.router.NextWake())
-	if b.wakeAt > f.now && b.wakeAt <= at {
-		return
-	}
-	b.wakeAt = at
-	incarnation := b.incarnation
-	f.after(at.Sub(f.now), func() {
-		if b.incarnation == incarnation && b.wakeAt == at {
-			b.wakeAt = 0
-			f.deliver(b, &Tick{})
-		}
-	})
+	f.timeline.wake(&b.simulatedProcess, b.router.NextWake(), func() { f.deliver(b, &Tick{}) })
 }
 
 func (f *limitFleet) table() *table.Table {
--- a/pkg/core/routing/quota_fleet_test.go
+++ b/pkg/core/routing/quota_fleet_test.go
@@ -52,9 +52,9 @@
 
 // quotaBox is one box. Boxes reach only boxes of the same partition; the leader is in partition 0.
 type quotaBox struct {
+	simulatedProcess
 	id          units.BoxID
 	router      *Router
-	incarnation int
 	partition   int
 	frozenUntil units.Instant
 	revision    units.Revision
@@ -242,17 +242,7 @@
 }
 
 func (f *quotaFleet) wake(b *quotaBox) {
-	next := max(b.router.NextWake(), f.now.Add(time.Millisecond))
-	if b.wakeAt > f.now && b.wakeAt <= next {
-		return
-	}
-	b.wakeAt = next
-	incarnation := b.incarnation
-	f.after(next.Sub(f.now), func() {
-		if b.incarnation == incarnation && b.wakeAt == next {
-			f.deliver(b, &Tick{})
-		}
-	})
+	f.timeline.wake(&b.simulatedProcess, b.router.NextWake(), func() { f.deliver(b, &Tick{}) })
 }
 
 // quotaCall is a call in the simulation.
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -110,11 +110,7 @@
 	d.MaybeScanArgs(s.t, "limit", &o.maxRelayed)
 	d.MaybeScanArgs(s.t, "processors", &o.processors)
 	s.fleet = newReachFleet(o)
-	for _, b := range s.fleet.boxes {
-		for _, entry := range s.fleet.services {
-			s.fleet.callSteadily(b, entry.Service.Name, s.duration(d, "interval"))
-		}
-	}
+	s.fleet.callAllSteadily(s.duration(d, "interval"))
 }
 
 // cut cuts boxes off: cut how=silent|reset|live [services=...] and the boxes.
@@ -357,11 +353,7 @@
 			continue
 		}
 		boxes++
-		for _, at := range b.opened {
-			if at >= w.later && at < w.end {
-				opened++
-			}
-		}
+		opened += b.openedBetween(w.later, w.end)
 	}
 	rate := float64(opened) / float64(max(1, boxes)) / w.end.Sub(w.later).Seconds()
 	if rate > openedPerSecond {
@@ -388,11 +380,7 @@
 // relayed yet probe targets, and its first checks follow each other quickly.
 func TestABoxOpensFewConnectionsInAnySecondOfACut(t *testing.T) {
 	f := newReachFleet(reachFleetOptions{domains: 4, boxes: 24, services: 3, targets: 32, seed: 1, maxRelayed: DefaultMaxRelayed})
-	for _, b := range f.boxes {
-		for _, entry := range f.services {
-			f.callSteadily(b, entry.Service.Name, 1200*time.Millisecond)
-		}
-	}
+	f.callAllSteadily(1200 * time.Millisecond)
 	f.run(3 * time.Second)
 	began := f.now
 	for _, b := range f.boxes {
@@ -411,17 +399,22 @@
 // mostOpened is the most connections to targets that the box opened in any period of a length, from a time on.
 func (b *reachBox) mostOpened(from units.Instant, length time.Duration) int {
 	most := 0
-	for i, first := range b.opened {
-		if first < from {
-			continue
+	for _, first := range b.opened {
+		if first >= from {
+			most = max(most, b.openedBetween(first, first.Add(length)))
 		}
-		n := 0
-		for _, at := range b.opened[i:] {
-			if at < first.Add(length) {
-				n++
-			}
-		}
-		most = max(most, n)
 	}
 	return most
 }
+
+// openedBetween is the number of connections to targets that the box opened from a time on and before
+// another one.
+func (b *reachBox) openedBetween(from, to units.Instant) int {
+	n := 0
+	for _, at := range b.opened {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/core/routing/reach_fleet_test.go
+++ b/pkg/core/routing/reach_fleet_test.go
@@ -47,12 +47,11 @@
 
 // reachBox is a box with its connections to targets.
 type reachBox struct {
-	id          units.BoxID
-	domain      units.Domain
-	router      *Router
-	incarnation int
-	wakeAt      units.Instant
-	down        bool
+	simulatedProcess
+	id     units.BoxID
+	domain units.Domain
+	router *Router
+	down   bool
 	// cut is how the box is cut off from targets; empty if it isn't. services names those concerned;
 	// nil for all.
 	cut      string
@@ -252,17 +251,7 @@
 }
 
 func (f *reachFleet) wake(b *reachBox) {
-	at := max(f.now.Add(time.Millisecond), b.router.NextWake())
-	if b.wakeAt > f.now && b.wakeAt <= at {
-		return
-	}
-	b.wakeAt = at
-	f.later(b, at.Sub(f.now), func() {
-		if b.wakeAt == at {
-			b.wakeAt = 0
-			f.deliver(b, &Tick{})
-		}
-	})
+	f.timeline.wake(&b.simulatedProcess, b.router.NextWake(), func() { f.deliver(b, &Tick{}) })
 }
 
 func (f *reachFleet) carryOut(b *reachBox, x Effect) {
@@ -478,6 +467,15 @@
 	f.deliver(b, &CallArrived{Owner: c, Host: []byte(service), Path: []byte("/"), Deadline: reachDeadline})
 }
 
+// callAllSteadily makes calls of each service at each box.
+func (f *reachFleet) callAllSteadily(interval time.Duration) {
+	for _, b := range f.boxes {
+		for _, entry := range f.services {
+			f.callSteadily(b, entry.Service.Name, interval)
+		}
+	}
+}
+
 // callSteadily makes calls of a service at a box, at random times with a mean interval.
 func (f *reachFleet) callSteadily(b *reachBox, service units.ServiceName, interval time.Duration) {
 	f.after(f.upTo(2*interval), func() {
--- a/pkg/core/routing/timeline_test.go
+++ b/pkg/core/routing/timeline_test.go
@@ -25,6 +25,31 @@
 // after schedules an action after a delay.
 func (x *timeline) after(d time.Duration, do func()) { x.events.Push(scheduledEvent{x.now.Add(d), do}) }
 
+// simulatedProcess is what a simulated box keeps of its process.
+type simulatedProcess struct {
+	// incarnation is increased with each start.
+	incarnation int
+	// wakeAt is when the process is next woken; zero for never.
+	wakeAt units.Instant
+}
+
+// wake has tick called at a time, but in a millisecond at the earliest, unless the process is already woken
+// before or starts again.
+func (x *timeline) wake(p *simulatedProcess, at units.Instant, tick func()) {
+	at = max(at, x.now.Add(time.Millisecond))
+	if p.wakeAt > x.now && p.wakeAt <= at {
+		return
+	}
+	p.wakeAt = at
+	incarnation := p.incarnation
+	x.after(at.Sub(x.now), func() {
+		if p.incarnation == incarnation && p.wakeAt == at {
+			p.wakeAt = 0
+			tick()
+		}
+	})
+}
+
 // every schedules an action periodically.
 func (x *timeline) every(d time.Duration, do func()) {
 	x.after(d, func() {
