Refusals as targets-busy say what the box knew, and what kept it from probing

Logs showed that a refused call had sent no probe, but not why: a spent part of the probe budget, too many calls that probe, or nothing left to probe. Each such refusal now carries the probes of its call, the limit that stopped them, the budget left, whether the service counted as busy, and the targets by their last reports with the age of these; the status counts by limit how often calls weren't allowed to probe. No decision changes.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -52,8 +52,10 @@
 	purpose Purpose
 	// queued is set once the call is in its service's waiting list.
 	queued bool
-	// rounds counts the rounds in which probes were sent.
-	rounds int
+	// rounds counts the rounds in which probes were sent, probes the probes.
+	rounds, probes int
+	// limit is what last kept the call from probing.
+	limit SearchLimit
 }
 
 // sendOrProbe sends a call to the target that seems best, or probes a few targets first.
@@ -65,7 +67,7 @@
 	c.probeRound.purpose = purpose
 	c.probeRound.queued = false
 	r.dropFinishedWaiting(c.service)
-	if len(c.service.waiting) >= maxProbingCalls || !r.sendProbes(id, c, e) {
+	if !r.joinProbing(c) || !r.sendProbes(id, c, e) {
 		if !c.service.isBusy(r.now) && !best.hasFreshReport(r.now) && !r.requiresKnownFreeSlot(c) && !c.reachOf().isSuspected() {
 			r.send(id, c, best, purpose, e)
 			return
@@ -79,6 +81,21 @@
 	}
 }
 
+// joinProbing reports whether few enough other calls wait for the service that this one may probe.
+func (r *Router) joinProbing(c *call) bool {
+	if len(c.service.waiting) < maxProbingCalls {
+		return true
+	}
+	c.limitSearch(OthersProbe)
+	return false
+}
+
+// limitSearch records what keeps the call from probing now.
+func (c *call) limitSearch(l SearchLimit) {
+	c.probeRound.limit = l
+	c.service.limitedSearches[l]++
+}
+
 // maxUnreported is the number of consecutive answers without a load report after which a service's
 // targets are assumed to send none.
 const maxUnreported = 8
@@ -102,13 +119,19 @@
 // no budget for it.
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
 	probed := r.targetsToProbe(c, min(c.service.row.ProbeTargets, maxProbesPerSend))
-	if len(probed) < 1 || !r.spendProbeBudget(c.service, len(probed)) {
+	if len(probed) < 1 {
+		c.limitSearch(NothingToProbe)
+		return false
+	}
+	if !r.spendProbeBudget(c.service, len(probed)) {
+		c.limitSearch(ProbeBudgetSpent)
 		return false
 	}
 	c.probeRound.active = true
 	c.probeRound.number++
 	c.probeRound.pending = len(probed)
 	c.probeRound.rounds++
+	c.probeRound.probes += len(probed)
 	limit := probeTimeout
 	for _, t := range probed {
 		limit = max(limit, t.probeTimeout())
@@ -270,7 +293,7 @@
 		}
 		return
 	}
-	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: r.busyRetryAfter(c.service)}, e)
+	r.refuse(id, c, Refusal{Reason: TargetsBusy, Outcome: c.outcome(), RetryAfter: r.busyRetryAfter(c.service), Search: r.describeTargets(c)}, e)
 }
 
 // leaveNewVersion sends a call that finds no suitable target of a rollout's new version to the
@@ -311,7 +334,7 @@
 		return
 	}
 	r.dropFinishedWaiting(c.service)
-	if c.probeRound.pending > 0 || !c.service.mayProbe(id) || !r.sendProbes(id, c, e) {
+	if c.probeRound.pending > 0 || !r.mayProbeAgain(id, c) || !r.sendProbes(id, c, e) {
 		r.concludeProbing(id, c, e)
 	}
 }
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -150,4 +150,6 @@
 	Arrivals int
 	// Helpers are the standings of the other boxes, for a call that is refused as unreachable.
 	Helpers *HelperSurvey
+	// Search is what was known about the targets, for a call that is refused because they are busy.
+	Search *TargetSearch
 }
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -98,6 +98,15 @@
 	Unreachable bool  `json:"unreachable,omitempty"`
 	// Helpers are the standings of the other boxes during a cut.
 	Helpers *HelperSurvey `json:"helpers,omitempty"`
+	// LimitedSearches counts by limit how often a call wasn't allowed to probe targets. ProbesLeft is
+	// the number of probes that the box may send now, ProbeRate how many it gets a second. Busy is set
+	// while the service counts as busy, BusyFraction is the fraction of recent calls that found no
+	// target at once.
+	LimitedSearches map[string]uint64 `json:"limitedSearches,omitempty"`
+	ProbesLeft      float64           `json:"probesLeft"`
+	ProbeRate       float64           `json:"probeRate"`
+	Busy            bool              `json:"busy,omitempty"`
+	BusyFraction    float64           `json:"busyFraction"`
 	// Rollout is the state of the active rollout.
 	Rollout *RolloutStatus `json:"rollout,omitempty"`
 }
@@ -193,6 +202,7 @@
 	status := ServiceStatus{
 		Service: s.row.Name, Version: s.entry.Version, Calls: s.calls, Refused: s.refused, Held: s.held.length,
 		Retries: s.retries.spent, Hedges: s.hedges.spent, Latency: s.latency.mean(), HedgeDelay: s.hedgeDelay(),
+		LimitedSearches: s.searchStatus(), ProbesLeft: s.probeBudget.tokens, ProbeRate: r.probeBudgetRate(s), Busy: s.isBusy(now), BusyFraction: s.busyFraction,
 		Crashes: s.crashes, Rests: s.restRequests, Unanswered: s.unanswered.total, Hangs: s.unanswered.hangs(now), HangsFrom: s.unanswered.hangLoad,
 	}
 	if s.rollout != nil {
--- /dev/null
+++ b/pkg/core/routing/targetsearch.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// SearchLimit is what kept a waiting call from probing more targets.
+type SearchLimit uint8
+
+// The limits of a search.
+const (
+	// NoSearchLimit: the call probed whenever it was due.
+	NoSearchLimit SearchLimit = iota
+	// ProbeBudgetSpent: the box had used up its part of the probe budget.
+	ProbeBudgetSpent
+	// OthersProbe: enough other calls that wait for the service were probing.
+	OthersProbe
+	// NothingToProbe: each target was unavailable, or had a fresh report or a probe in flight.
+	NothingToProbe
+	searchLimits
+)
+
+var searchLimitNames = [searchLimits]string{"none", "probe-budget", "others-probe", "nothing-to-probe"}
+
+// String returns the limit as logs show it.
+func (l SearchLimit) String() string { return searchLimitNames[l] }
+
+// TargetSearch is what a box knew when it refused a call because targets were busy.
+type TargetSearch struct {
+	// Probes is the number of probes sent for the call, Limit what last kept it from sending more.
+	Probes int
+	Limit  SearchLimit
+	// ProbesLeft is the number of probes that the box could still send for the service, ProbeRate how
+	// many it gets a second.
+	ProbesLeft, ProbeRate float64
+	// BusyFraction is the fraction of recent calls that found no target at once. Busy is set if the
+	// service counted as busy for that reason.
+	BusyFraction float64
+	Busy         bool
+	// Free, Full and Slow count the targets by their last reports, Unknown those without a report that
+	// is recent enough to tell.
+	Free, Full, Slow, Unknown int
+	// NewestReport and OldestReport are the ages of the reports that were counted; negative if none was.
+	NewestReport, OldestReport time.Duration
+}
+
+// describeTargets returns what is known about the targets that a call could have been sent to.
+func (r *Router) describeTargets(c *call) *TargetSearch {
+	s := c.service
+	x := &TargetSearch{
+		Probes: c.probeRound.probes, Limit: c.probeRound.limit, ProbesLeft: s.probeBudget.tokens, ProbeRate: r.probeBudgetRate(s),
+		BusyFraction: s.busyFraction, Busy: s.isBusy(r.now), NewestReport: -1, OldestReport: -1,
+	}
+	for _, t := range s.targets {
+		if t.isEligible() && c.mayUse(t) {
+			x.add(r, c, t)
+		}
+	}
+	return x
+}
+
+func (x *TargetSearch) add(r *Router, c *call, t *target) {
+	if !t.hasUsableReport(r.now) {
+		x.Unknown++
+		return
+	}
+	age := r.now.Sub(t.report.receivedAt)
+	if x.NewestReport < 0 || age < x.NewestReport {
+		x.NewestReport = age
+	}
+	x.OldestReport = max(x.OldestReport, age)
+	switch {
+	case r.isSuitableByReport(c, t):
+		x.Free++
+	case t.expectedPace(r.now) >= maxGoodPace || r.isTooSlow(c, t):
+		x.Slow++
+	default:
+		x.Full++
+	}
+}
+
+// hasUsableReport reports whether the target's last report is recent enough to show its pace.
+func (t *target) hasUsableReport(now units.Instant) bool {
+	return t.report.HasLoad && now.Sub(t.report.receivedAt) < paceLifetime
+}
+
+// searchStatus returns how often calls weren't allowed to probe, by limit.
+func (s *service) searchStatus() map[string]uint64 {
+	counts := map[string]uint64{}
+	for l, n := range s.limitedSearches {
+		if n > 0 {
+			counts[SearchLimit(l).String()] = n
+		}
+	}
+	return counts
+}
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -151,11 +151,16 @@
 	}
 }
 
-// mayProbe reports whether a waiting call may probe now. Probe answers are shared, so only the
+// mayProbeAgain reports whether a waiting call may probe now. Probe answers are shared, so only the
 // first few calls probe.
-func (s *service) mayProbe(id CallID) bool {
-	first := s.waiting[:min(len(s.waiting), maxProbingCalls)]
-	return slices.ContainsFunc(first, func(w waitingCall) bool { return w.id == id })
+func (r *Router) mayProbeAgain(id CallID, c *call) bool {
+	waiting := c.service.waiting
+	first := waiting[:min(len(waiting), maxProbingCalls)]
+	if slices.ContainsFunc(first, func(w waitingCall) bool { return w.id == id }) {
+		return true
+	}
+	c.limitSearch(OthersProbe)
+	return false
 }
 
 // serveWaiting sends waiting calls, in order, while there is a suitable target. It is called when
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -308,6 +308,9 @@
 		}
 	case stepRefused:
 		f["reason"], f["outcome"], f["retryAfterMs"] = s.refusal.Reason.String(), s.refusal.Outcome.String(), millis(s.refusal.RetryAfter)
+		if s.refusal.Search != nil {
+			addSearchFields(f, s.refusal.Search)
+		}
 		if s.fingerprint != "" {
 			f["fingerprint"], f["request"], f["caller"] = s.fingerprint, s.request, s.caller
 		}
@@ -335,3 +338,13 @@
 
 // roundToHundredths truncates to two decimal places, to keep log lines short.
 func roundToHundredths(x float64) float64 { return float64(int64(x*100)) / 100 }
+
+// addSearchFields adds to a log line what was known about targets when a call was refused because
+// they were busy.
+func addSearchFields(f logrus.Fields, x *routing.TargetSearch) {
+	f["probes"], f["searchLimit"] = x.Probes, x.Limit.String()
+	f["probesLeft"], f["probeRate"] = roundToHundredths(x.ProbesLeft), roundToHundredths(x.ProbeRate)
+	f["busy"], f["busyFraction"] = x.Busy, roundToHundredths(x.BusyFraction)
+	f["free"], f["full"], f["slow"], f["unknown"] = x.Free, x.Full, x.Slow, x.Unknown
+	f["newestReportMs"], f["oldestReportMs"] = millis(x.NewestReport), millis(x.OldestReport)
+}
