A call whose time is up goes to any target with a free slot

Callers saw 503 targets-busy while targets had room: with 6 boxes and 200 calls a second at one of them, 351 of 411 refused calls knew of a free target. A call that had waited as long as it may looked at the target of the lowest cost alone, which may be one of which nothing is known, and was refused as that wasn't suitable. It now takes the best target that is suitable, as hedges and retries do. A call that may still wait goes on as before.

Script probing-late fails before (refused) and passes now.

--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -268,10 +268,10 @@
 		r.refuseWaitingCall(c.service, id, e)
 		return
 	}
-	if c.probeRound.purpose != FirstSend && t != nil && !r.isSuitable(c, t) {
+	late := c.objectiveFractionUsed(r.now) >= c.service.waitFraction(r.now) || !r.enabled(Waiting)
+	if (late || c.probeRound.purpose != FirstSend) && t != nil && !r.isSuitable(c, t) {
 		t = cmp.Or(r.bestSuitable(c), t)
 	}
-	late := c.objectiveFractionUsed(r.now) >= c.service.waitFraction(r.now) || !r.enabled(Waiting)
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.active = false
 		if !c.probeRound.queued {
