A service is busy by what targets answer, not by what a box can't ask

Callers of a box that got most new connections were refused as targets-busy, the more the more boxes share the probe budget: at 96 boxes and 200 calls a second 906 of 930 refusals had found the box's part spent, 897 had sent no probe, and all found the service busy. A call that waits without a probe counted as one for which there was no target. Once half of the calls did, the service was busy, nobody was sent without a probe any more, and it stayed so.

Now only answers to probes count: the fraction that shows no room. Measured over the fleets, it is 0.25 to 0.4 where targets have room and 0.75 to 0.95 in overload, at a box that gets most calls as at one among 250; so the bounds are 0.65 (busy) and 0.5 (late retries are refused), about what half and a quarter of the calls without a target were.

--- a/pkg/core/routing/clientretry.go
+++ b/pkg/core/routing/clientretry.go
@@ -27,10 +27,10 @@
 	// clientRetryThreshold is the fraction of the usual deadline below which a call is classified
 	// as a retry: the deadlines of first tries vary a little between callers.
 	clientRetryThreshold = 0.9
-	// overloadThreshold is the fraction of calls without an immediate target from which on late
-	// retries are refused. overloadDuration is how long that remains valid, since a box may get
+	// overloadThreshold is the fraction of probe answers without room from which on late retries are
+	// refused: one call in four finds no target at once then. overloadDuration is how long that remains valid, since a box may get
 	// only one call of a service each second.
-	overloadThreshold = 0.25
+	overloadThreshold = 0.5
 	overloadDuration  = 2 * time.Second
 )
 
@@ -76,9 +76,9 @@
 	return u.estimate - requested
 }
 
-// isOverloaded reports whether many recent calls found no target at once, so that a slot given to
-// one call is missing for another. It is the weaker condition beside isBusy, which requires a
-// larger fraction of such calls, and a more recent one.
+// isOverloaded reports whether recent probes found many targets full or slow, so that a slot given to
+// one call is missing for another. It is the weaker condition beside isBusy, which requires a larger
+// fraction, and more recent answers.
 func (s *service) isOverloaded(now units.Instant) bool {
 	return s.busyFraction >= overloadThreshold && now.Sub(s.busyUpdatedAt) < overloadDuration
 }
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -120,7 +120,7 @@
 func (r *Router) sendProbes(id CallID, c *call, e *Effects) bool {
 	probed := r.targetsToProbe(c, min(c.service.row.ProbeTargets, maxProbesPerSend))
 	if len(probed) < 1 {
-		c.limitSearch(NothingToProbe)
+		c.limitSearch(r.probeCandidateLimit)
 		return false
 	}
 	if !r.spendProbeBudget(c.service, len(probed)) {
@@ -187,8 +187,8 @@
 }
 
 // targetsToProbe returns up to n available targets of the lowest cost that have no recent load
-// report and no probe in flight, since probe answers are shared by all calls. The slice is reused
-// by the next call.
+// report and no probe in flight, since probe answers are shared by all calls. If it returns none,
+// probeCandidateLimit tells why. The slice is reused by the next call.
 func (r *Router) targetsToProbe(c *call, n int) []*target {
 	role := r.roleForCall(c.service, c)
 	set := candidates{
@@ -196,6 +196,7 @@
 		role: role,
 	}
 	r.probeCandidates = r.probeCandidates[:0]
+	r.probeCandidateLimit = AllReported
 	// Targets of the same cost are compared in a random order, so that the boxes don't all probe
 	// the same ones.
 	targets := c.service.targets
@@ -204,10 +205,11 @@
 		i := (start + k) % len(targets)
 		t := targets[i]
 		// At a target with an announced rate limit a probe would cost as much as the call.
-		if t.notice.isLimited() || !set.Available(i) && !set.availableIfWarm(i) || t.hasFreshReport(r.now) || t.hasProbeInFlight(r.now) {
+		if t.notice.isLimited() || !set.Available(i) && !set.availableIfWarm(i) || t.hasFreshReport(r.now) {
 			continue
 		}
-		if t.lastProbedAt != 0 && r.now.Sub(t.lastProbedAt) < t.probeTimeout() {
+		if t.hasProbeInFlight(r.now) || t.lastProbedAt != 0 && r.now.Sub(t.lastProbedAt) < t.probeTimeout() {
+			r.probeCandidateLimit = ProbesInFlight
 			continue
 		}
 		t.rankingCost = t.cost(r.now, c.route)
@@ -269,14 +271,14 @@
 		return
 	}
 	late := c.objectiveFractionUsed(r.now) >= c.service.waitFraction(r.now) || !r.enabled(Waiting)
-	if (late || c.probeRound.purpose != FirstSend) && t != nil && !r.isSuitable(c, t) {
+	if t != nil && !r.isSuitable(c, t) && (c.probeRound.purpose != FirstSend || late && !c.service.isBusy(r.now)) {
+		// While the service is busy, a slot that becomes free is better used for a call that has just
+		// arrived.
+
 		t = cmp.Or(r.bestSuitable(c), t)
 	}
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
 		c.probeRound.active = false
-		if !c.probeRound.queued {
-			c.service.recordTargetFound(r.now, true)
-		}
 		r.send(id, c, t, c.probeRound.purpose, e)
 		return
 	}
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -136,6 +136,9 @@
 		t.service.recordReport(v.Report)
 		r.updateColdState(t, v.Report.Cold)
 	}
+	if v.Healthy && v.Report.HasLoad {
+		t.service.recordRoom(r.now, r.isSuitableByReport(nil, t))
+	}
 	if v.Healthy || v.Unreachable {
 		t.recordReachability(r.now, v.Healthy)
 	}
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -66,8 +66,10 @@
 	candidates candidates
 	// probeCandidates is a reused buffer for the targets compared for a round of probes.
 	probeCandidates []*target
-	table           *table.Table
-	services        map[units.ServiceName]*service
+	// probeCandidateLimit is why probeCandidates is empty.
+	probeCandidateLimit SearchLimit
+	table               *table.Table
+	services            map[units.ServiceName]*service
 	// sortedServices lists the services sorted by name.
 	sortedServices []*service
 	routes         routeIndex
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -50,8 +50,8 @@
 	waiting []waitingCall
 	// limitedSearches counts by limit how often a call wasn't allowed to probe.
 	limitedSearches [searchLimits]uint64
-	// busyFraction is the moving average of the fraction of calls that find no suitable target at
-	// once, last updated at busyUpdatedAt.
+	// busyFraction is the moving average of the fraction of probe answers that show no room, last
+	// updated at busyUpdatedAt.
 	busyFraction  float64
 	busyUpdatedAt units.Instant
 	// busySince is when the service last became busy.
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -100,8 +100,8 @@
 	Helpers *HelperSurvey `json:"helpers,omitempty"`
 	// LimitedSearches counts by limit how often a call wasn't allowed to probe targets. ProbesLeft is
 	// the number of probes that the box may send now, ProbeRate how many it gets a second. Busy is set
-	// while the service counts as busy, BusyFraction is the fraction of recent calls that found no
-	// target at once.
+	// while the service counts as busy, BusyFraction is the fraction of recent probe answers that
+	// showed no room.
 	LimitedSearches map[string]uint64 `json:"limitedSearches,omitempty"`
 	ProbesLeft      float64           `json:"probesLeft"`
 	ProbeRate       float64           `json:"probeRate"`
--- a/pkg/core/routing/targetsearch.go
+++ b/pkg/core/routing/targetsearch.go
@@ -17,12 +17,14 @@
 	ProbeBudgetSpent
 	// OthersProbe: enough other calls that wait for the service were probing.
 	OthersProbe
-	// NothingToProbe: each target was unavailable, or had a fresh report or a probe in flight.
-	NothingToProbe
+	// ProbesInFlight: the targets without a fresh report had probes in flight, or just had one.
+	ProbesInFlight
+	// AllReported: each available target had a fresh report.
+	AllReported
 	searchLimits
 )
 
-var searchLimitNames = [searchLimits]string{"none", "probe-budget", "others-probe", "nothing-to-probe"}
+var searchLimitNames = [searchLimits]string{"none", "probe-budget", "others-probe", "probes-in-flight", "all-reported"}
 
 // String returns the limit as logs show it.
 func (l SearchLimit) String() string { return searchLimitNames[l] }
@@ -35,7 +37,7 @@
 	// ProbesLeft is the number of probes that the box could still send for the service, ProbeRate how
 	// many it gets a second.
 	ProbesLeft, ProbeRate float64
-	// BusyFraction is the fraction of recent calls that found no target at once. Busy is set if the
+	// BusyFraction is the fraction of recent probe answers that showed no room. Busy is set if the
 	// service counted as busy for that reason.
 	BusyFraction float64
 	Busy         bool
--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -21,12 +21,13 @@
 const (
 	// maxProbingCalls bounds the waiting calls of a service that probe at the same time.
 	maxProbingCalls = 8
-	// busyDuration is how long a service is considered busy after a call found no target.
+	// busyDuration is how long a service is considered busy after the last probe answer.
 	busyDuration = 500 * time.Millisecond
-	// busyThreshold is the fraction of calls without a target from which on a service is considered
-	// busy. busyGain is the weight of the newest call in that moving average.
-	busyThreshold = 0.5
-	busyGain      = 0.2
+	// busyThreshold is the fraction of probe answers without room from which on a service is
+	// considered busy: nearly half of the calls, which probe two targets each, find none with room
+	// then. busyGain is the weight of the newest answer in that moving average.
+	busyThreshold = 0.65
+	busyGain      = 0.1
 )
 
 const (
@@ -87,22 +88,23 @@
 	return float64(now.Sub(c.arrived)) / c.latencyObjective()
 }
 
-// isBusy reports whether most recent calls found no suitable target. Targets without a recent load
-// report are likely to be full as well then. A service that is overloaded (isOverloaded) needn't be
-// busy: a smaller fraction is enough there, and it remains valid for longer.
+// isBusy reports whether recent probes found most targets full or slow, so that two of them seldom
+// include one with room. Targets without a recent load report are likely to be full as well then. A
+// service that is overloaded (isOverloaded) needn't be busy: a smaller fraction is enough there, and it
+// remains valid for longer. Only what targets answer counts: that a box may not probe, or that its
+// calls wait, says nothing about the service.
 func (s *service) isBusy(now units.Instant) bool {
 	return s.busyFraction > busyThreshold && now.Sub(s.busyUpdatedAt) < busyDuration
 }
 
-// recordTargetFound updates the fraction of probing calls that find no target at their first
-// attempt.
-func (s *service) recordTargetFound(now units.Instant, found bool) {
-	miss := 1.0
-	if found {
-		miss = 0
+// recordRoom updates the fraction of probe answers that show no room at their target.
+func (s *service) recordRoom(now units.Instant, hasRoom bool) {
+	x := 1.0
+	if hasRoom {
+		x = 0
 	}
 	wasBusy := s.isBusy(now)
-	s.busyFraction += busyGain * (miss - s.busyFraction)
+	s.busyFraction += busyGain * (x - s.busyFraction)
 	s.busyUpdatedAt = now
 	if !wasBusy {
 		s.busySince = now
@@ -129,9 +131,6 @@
 		c.probeRound.queued = true
 		w := waitingCall{id: id, urgency: c.urgency()}
 		w.urgency.overdue = overdue
-		if !overdue {
-			c.service.recordTargetFound(r.now, false)
-		}
 		c.service.enqueueWaiting(w)
 	}
 	pause := probeRetryInterval
