A box that sends most of a service's calls relies on what it knows of its targets

Where one box gets most calls, the answers to these tell it all about the targets, but a report counted as fresh for 30 ms whoever sends the calls, so that the box needed as many probes as all boxes together need, out of an equal part of their budget. And a waiting call was sent only if the target of the lowest cost had room.

A box now estimates its share of a service's calls from the numbers in reports and its own calls in flight.

--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -257,6 +257,10 @@
 		return
 	}
 	t.recordReport(r.now, v.Report)
+	if v.Report.HasLoad {
+		// The attempt that has ended still counts as in flight here.
+		t.service.traffic.record(r.now, float64(t.inFlight-1), v.Report.InFlight)
+	}
 	if v.Report.Cold > 0 {
 		r.markCold(t, v.Report.Cold)
 	}
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -18,8 +18,6 @@
 	hedgeProbeTimeout = 100 * time.Millisecond
 	// maxProbesPerSend bounds the targets that are probed for one send.
 	maxProbesPerSend = 4
-	// freshReportAge is the age up to which a load report is as good as a new one.
-	freshReportAge = 30 * time.Millisecond
 	// probeBurstTime is the time for which a box may save up its share of the probe budget: probes
 	// are most useful in the seconds in which many calls arrive. minProbeBurst is the minimum size
 	// of that token bucket, in probes.
@@ -271,10 +269,7 @@
 		return
 	}
 	late := c.objectiveFractionUsed(r.now) >= c.service.waitFraction(r.now) || !r.enabled(Waiting)
-	if t != nil && !r.isSuitable(c, t) && (c.probeRound.purpose != FirstSend || late && !c.service.isBusy(r.now)) {
-		// While the service is busy, a slot that becomes free is better used for a call that has just
-		// arrived.
-
+	if t != nil && !r.isSuitable(c, t) && (c.probeRound.purpose != FirstSend || late && r.mayTakeAnySuitable(c.service)) {
 		t = cmp.Or(r.bestSuitable(c), t)
 	}
 	if t != nil && (r.isSuitable(c, t) || late && r.acceptsUnsuitable(c)) {
@@ -307,6 +302,13 @@
 	}
 }
 
+// mayTakeAnySuitable reports whether a call whose time is up may go to any suitable target. While the
+// service is busy, reports of targets at which other boxes send most calls are soon out of date, and a
+// slot that becomes free is better used for a call that has just arrived.
+func (r *Router) mayTakeAnySuitable(s *service) bool {
+	return !s.isBusy(r.now) || s.traffic.isMostlyOwn(r.now)
+}
+
 // bestSuitable returns the suitable target of the lowest cost for a call, or nil. A call that is
 // late is sent to a nearly full target with a known load rather than wait for a better one.
 func (r *Router) bestSuitable(c *call) *target {
--- a/pkg/core/routing/probing.go
+++ b/pkg/core/routing/probing.go
@@ -138,6 +138,7 @@
 	}
 	if v.Healthy && v.Report.HasLoad {
 		t.service.recordRoom(r.now, r.isSuitableByReport(nil, t))
+		t.service.traffic.record(r.now, float64(t.inFlight), v.Report.InFlight)
 	}
 	if v.Healthy || v.Unreachable {
 		t.recordReachability(r.now, v.Healthy)
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -48,6 +48,8 @@
 	// waiting are the calls that wait for a suitable target, sorted by urgency and then by age;
 	// calls that have since been served are removed lazily.
 	waiting []waitingCall
+	// traffic estimates the box's share of the service's calls.
+	traffic trafficShare
 	// limitedSearches counts by limit how often a call wasn't allowed to probe.
 	limitedSearches [searchLimits]uint64
 	// busyFraction is the moving average of the fraction of probe answers that show no room, last
--- a/pkg/core/routing/suitability.go
+++ b/pkg/core/routing/suitability.go
@@ -1,7 +1,5 @@
 package routing
 
-import "github.com/madderpond/madderpond/pkg/units"
-
 // isSuitable reports whether a target would serve the call about as well as any other: work runs at
 // its usual pace there, and a slot is free.
 func (r *Router) isSuitable(c *call, t *target) bool {
@@ -51,8 +49,3 @@
 	}
 	return c.mayHaveRun || c.probeRound.rounds == 0 && !c.service.isBusy(r.now)
 }
-
-// hasFreshReport reports whether the target's last load report is as good as a new one.
-func (t *target) hasFreshReport(now units.Instant) bool {
-	return t.report.HasLoad && now.Sub(t.report.receivedAt) <= freshReportAge
-}
