Retries and hedges follow the calls that earn them, not the number of boxes

The tokens that a box saves for retries and hedges are capped by its part of what all boxes may save. With 50 boxes or more most parts are nothing, so that a box that gets most calls could neither retry nor hedge, however much its calls had earned: these belong to the calls, only the savings are a total.

Tokens of the last second's calls aren't capped any more.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -76,7 +76,7 @@
 	c.service = s
 	s.calls++
 	if !c.isRelayed() {
-		s.earnExtraTokens()
+		s.earnExtraTokens(r.now)
 	}
 	c.deadline = c.arrived.Add(c.route.callDeadline(c.requestedDeadline, r.settings.MaxDeadline))
 	if !s.isBusy(r.now) && !c.isRelayed() {
--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/madderpond/madderpond/pkg/units"
+import (
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/units"
+)
 
 // budget limits extra sends to a share of the calls: each call earns a fraction of a token, and
 // each extra send costs one token.
@@ -13,6 +17,11 @@
 // defaultExtraBurst caps the tokens saved by one box if the table sets no total for all boxes.
 const defaultExtraBurst = 10
 
+// extraTokenAge is the age up to which the tokens of calls needn't be part of the tokens that boxes may
+// save. So a box that gets many calls can spend what these earn, however small its part of the savings
+// is; over a window of ten seconds all boxes together spend a tenth more than its calls earn at most.
+const extraTokenAge = time.Second
+
 // divideExtraBurst computes this box's part of the tokens that all boxes may save for a service's
 // retries and hedges. A part of less than one token would never allow a send, so small parts are
 // pooled for both kinds. If even the pool is less than one token, whole tokens go to some of the
@@ -41,17 +50,20 @@
 const extraKinds = 2
 
 // earnExtraTokens adds the tokens that one call earns for retries and hedges.
-func (s *service) earnExtraTokens() {
+func (s *service) earnExtraTokens(now units.Instant) {
+	s.ownCalls.record(now)
+	recentCalls := s.ownCalls.perSecond(now) * extraTokenAge.Seconds()
+	earn := func(b *budget, share units.Percent) { b.earn(share, s.extraBurst+share.Of(recentCalls)) }
 	if !s.pooledBudget {
-		s.retries.earn(s.row.RetryBudget, s.extraBurst)
-		s.hedges.earn(s.row.HedgeBudget, s.extraBurst)
+		earn(&s.retries, s.row.RetryBudget)
+		earn(&s.hedges, s.row.HedgeBudget)
 		return
 	}
 	pool := &s.hedges
 	if s.row.HedgeBudget == 0 {
 		pool = &s.retries
 	}
-	pool.earn(s.row.RetryBudget+s.row.HedgeBudget, s.extraBurst)
+	earn(pool, s.row.RetryBudget+s.row.HedgeBudget)
 }
 
 // spendRetry spends a token on a retry. Retrying a failed call matters more than hedging, so the
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -35,10 +35,12 @@
 	// counts.
 	recentSends float64
 	held        heldQueue
-	// extraBurst caps the tokens saved in each of the two budgets, or in the single one used for
-	// both if pooledBudget is set.
+	// extraBurst caps the tokens saved for longer than extraTokenAge in each of the two budgets, or in
+	// the single one used for both if pooledBudget is set.
 	extraBurst   float64
 	pooledBudget bool
+	// ownCalls estimates the rate of the calls of the box's own callers.
+	ownCalls eventRate
 	retries      budget
 	hedges       budget
 	latency      latencyEstimate
