Boxes lend each other saved probes and calls under rates

A box whose part won't last while calls arrive (10 a second for probes; calls that wait for a rate) asks the others, one after the other in random order, and they grant what they have saved and don't need. Tokens move, so the totals hold whatever is lost, crashes or disagrees on the list of boxes; nothing is sent while parts suffice (scripts calm-*: no message). It asks four at a time, each lender once in 250 ms at most, and pauses 50 ms to 1 s after four requests without a token. A borrowed call fills the box's own bucket, so that no more can be sent at once than before. Answers go back on the asker's connection. entry.disable with token-lending switches it off.

Further scripts: the skew moves, callers of one domain, a box killed, started again, stopped or new, silent and lost lenders, crowds, targets that are crashed, silent, slow, resting or limited, a cut, changes of the table.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -75,6 +75,7 @@
 	}
 	c.service = s
 	s.calls++
+	s.arrivals.record(r.now)
 	if !c.isRelayed() {
 		s.earnExtraTokens(r.now)
 	}
@@ -205,6 +206,7 @@
 	r.timers.Push(timer{at: c.deadline, call: id, kind: deadlineTimer})
 	e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
 	r.requestLoans(s, e)
+	r.borrowCalls(s, e)
 }
 
 func (r *Router) reasonNotToHold(s *service, c *call, until units.Instant) Reason {
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -282,6 +282,8 @@
 	SendCanaryMessage
 	// SendReachMessage sends ReachMessage to the box Peer.
 	SendReachMessage
+	// SendTokenMessage sends Tokens to the box Peer.
+	SendTokenMessage
 	// ExposureSwitched reports, for the log, that the box's exposure to a new version began or
 	// ended; see ExposureSwitch.
 	ExposureSwitched
@@ -351,6 +353,7 @@
 	Quota          *QuotaMessage
 	Canary         *CanaryMessage
 	ReachMessage   *ReachMessage
+	Tokens         *TokenMessage
 	ExposureSwitch *ExposureSwitch
 	Crash          *crash.Note
 	Verdict        *crash.Verdict
--- a/pkg/core/routing/mechanism.go
+++ b/pkg/core/routing/mechanism.go
@@ -55,12 +55,14 @@
 	Canaries Mechanism = "canaries"
 	// Relaying relays calls to other boxes while this one can't reach the targets.
 	Relaying Mechanism = "relaying"
+	// TokenLending borrows saved probes and calls under rates from other boxes.
+	TokenLending Mechanism = "token-lending"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	Probing, Waiting, Hedging, Retrying, SlowTargets, FailingTargets, Ejection, Ramping, OwnDomain, Concurrency, Subsetting,
-	EarlyCalls, DomainAvailability, FirstTries, SharedLink, UnansweredCalls, CrashSuspects, Canaries, Relaying,
+	EarlyCalls, DomainAvailability, FirstTries, SharedLink, UnansweredCalls, CrashSuspects, Canaries, Relaying, TokenLending,
 }
 
 // mechanismSet is a set of mechanisms that are switched off.
--- a/pkg/core/routing/probefirst.go
+++ b/pkg/core/routing/probefirst.go
@@ -73,6 +73,7 @@
 		c.probeRound.active = true
 		r.waitForTarget(id, c)
 		r.requestPermits(c.service, c, 1, e)
+		r.borrowCalls(c.service, e)
 	}
 	if purpose == FirstSend {
 		e.add(Effect{Kind: Hold, Call: id, Owner: c.owner, Deadline: c.deadline})
@@ -121,7 +122,7 @@
 		c.limitSearch(r.probeCandidateLimit)
 		return false
 	}
-	if !r.spendProbeBudget(c.service, len(probed)) {
+	if !r.spendProbeBudget(c.service, len(probed), e) {
 		c.limitSearch(ProbeBudgetSpent)
 		return false
 	}
@@ -166,10 +167,18 @@
 
 // spendProbeBudget takes n probes from the service's probe budget, or none if there aren't as many
 // left.
-func (r *Router) spendProbeBudget(s *service, n int) bool {
+func (r *Router) spendProbeBudget(s *service, n int, e *Effects) bool {
+	r.refillProbeBudget(s)
+	ok := s.spendProbes(r.now, n)
+	r.borrowProbes(s, e)
+	return ok
+}
+
+// refillProbeBudget adds what the box's part of the service's probe budget has gained since the last
+// time.
+func (r *Router) refillProbeBudget(s *service) {
 	rate := r.probeBudgetRate(s)
-	burst := max(minProbeBurst, rate*probeBurstTime.Seconds())
-	return s.probeBudget.takeN(r.now, float64(n), rate, burst)
+	s.probeBudget.refill(r.now, rate, max(minProbeBurst, rate*probeBurstTime.Seconds()))
 }
 
 // probeBudgetRate is the rate at which this box may probe a service's targets, in probes per
@@ -280,6 +289,7 @@
 	if !late || r.isOverdue(c) {
 		r.waitForTarget(id, c)
 		r.requestPermits(c.service, c, 1, e)
+		r.borrowCalls(c.service, e)
 		return
 	}
 	c.probeRound.active = false
--- a/pkg/core/routing/reachcheck.go
+++ b/pkg/core/routing/reachcheck.go
@@ -122,7 +122,7 @@
 		if t == nil {
 			return requested && i == 0
 		}
-		if !r.leased() || !connectOnly && !r.spendForReachCheck(x.service) {
+		if !r.leased() || !connectOnly && !r.spendForReachCheck(x.service, e) {
 			return false
 		}
 		t.reachCheckedAt = r.now
@@ -140,8 +140,8 @@
 
 // spendForReachCheck takes a probe from the service's probe budget, which may be overdrawn by some:
 // calls that wait for silent targets may have used it up.
-func (r *Router) spendForReachCheck(s *service) bool {
-	if r.spendProbeBudget(s, 1) {
+func (r *Router) spendForReachCheck(s *service, e *Effects) bool {
+	if r.spendProbeBudget(s, 1, e) {
 		return true
 	}
 	if s.probeBudget.tokens < 1-maxOverdrawnChecks {
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -105,6 +105,7 @@
 	calls            *container.Slab[call]
 	timers           *container.Heap[timer]
 	loans            loanState
+	lenders          lenderRing
 	// domainAvailabilities are the estimated shares of usable targets, by failure domain.
 	domainAvailabilities map[units.Domain]*domainAvailability
 	// startedAt is when the router was created; earlyCalls are calls that arrived before its first
@@ -231,6 +232,8 @@
 		r.receiveQuotaMessage(v.From, &v.Message, e)
 	case *PeerCanary:
 		r.receiveCanaryMessage(v.From, &v.Message, e)
+	case *PeerTokens:
+		r.receiveTokenMessage(v.From, &v.Message, e)
 	case *PeerReach:
 		r.receiveReachMessage(v.From, &v.Message, e)
 	}
@@ -310,6 +313,7 @@
 	r.serveHeld(s, e)
 	if s.held.length > 0 {
 		r.requestLoans(s, e)
+		r.borrowCalls(s, e)
 	}
 }
 
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -63,6 +63,7 @@
 	"declined":  (*script).declined,
 	"key-doubt": (*script).setMaxKeyStaleness,
 	"quota":     (*script).quota,
+	"tokens":    (*script).tokens,
 	"canary":    (*script).canary,
 }
 
@@ -181,6 +182,8 @@
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeQuota(x.Quota))
 	case SendCanaryMessage:
 		return fmt.Sprintf("tell %s: %s", x.Peer, describeCanary(x.Canary))
+	case SendTokenMessage:
+		return describeTokens(x)
 	case SendReachMessage:
 		return describeReachMessage(x)
 	case SendLimitMessage:
--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -41,12 +41,16 @@
 	pooledBudget bool
 	// ownCalls estimates the rate of the calls of the box's own callers.
 	ownCalls eventRate
-	retries      budget
-	hedges       budget
-	latency      latencyEstimate
-	loans        serviceLoans
-	// probeBudget is the token bucket for probes before sends.
+	retries  budget
+	hedges   budget
+	latency  latencyEstimate
+	loans    serviceLoans
+	// probeBudget is the token bucket for probes before sends, borrowing the state of the tokens that
+	// other boxes lend.
 	probeBudget tokenBucket
+	borrowing   tokenBorrowing
+	// arrivals estimates the rate of all calls, relayed ones included.
+	arrivals eventRate
 	// waiting are the calls that wait for a suitable target, sorted by urgency and then by age;
 	// calls that have since been served are removed lazily.
 	waiting []waitingCall
--- a/pkg/core/routing/status.go
+++ b/pkg/core/routing/status.go
@@ -107,6 +107,8 @@
 	ProbeRate       float64           `json:"probeRate"`
 	Busy            bool              `json:"busy,omitempty"`
 	BusyFraction    float64           `json:"busyFraction"`
+	// Tokens counts the tokens that other boxes lent to this one, and those that it lent.
+	Tokens TokenStatus `json:"tokens"`
 	// Rollout is the state of the active rollout.
 	Rollout *RolloutStatus `json:"rollout,omitempty"`
 }
@@ -202,7 +204,7 @@
 	status := ServiceStatus{
 		Service: s.row.Name, Version: s.entry.Version, Calls: s.calls, Refused: s.refused, Held: s.held.length,
 		Retries: s.retries.spent, Hedges: s.hedges.spent, Latency: s.latency.mean(), HedgeDelay: s.hedgeDelay(),
-		LimitedSearches: s.searchStatus(), ProbesLeft: s.probeBudget.tokens, ProbeRate: r.probeBudgetRate(s), Busy: s.isBusy(now), BusyFraction: s.busyFraction,
+		LimitedSearches: s.searchStatus(), ProbesLeft: s.availableProbes(now), ProbeRate: r.probeBudgetRate(s), Tokens: s.borrowing.status, Busy: s.isBusy(now), BusyFraction: s.busyFraction,
 		Crashes: s.crashes, Rests: s.restRequests, Unanswered: s.unanswered.total, Hangs: s.unanswered.hangs(now), HangsFrom: s.unanswered.hangLoad,
 	}
 	if s.rollout != nil {
--- a/pkg/core/routing/target.go
+++ b/pkg/core/routing/target.go
@@ -222,8 +222,7 @@
 	if t.row.MaxRate <= 0 {
 		return true
 	}
-	t.callBucket.refill(now, t.rateShare.value, rateBurst)
-	return t.callBucket.tokens >= 1
+	return t.hasCallToken(now)
 }
 
 // rateBurst is how many calls a box may send at once under a rate limit.
--- a/pkg/core/routing/targetsearch.go
+++ b/pkg/core/routing/targetsearch.go
@@ -35,8 +35,11 @@
 	Probes int
 	Limit  SearchLimit
 	// ProbesLeft is the number of probes that the box could still send for the service, ProbeRate how
-	// many it gets a second.
+	// many it gets a second. ProbesBorrowed is how many other boxes have lent it since its start,
+	// Fruitless how many requests for them in a row brought none.
 	ProbesLeft, ProbeRate float64
+	ProbesBorrowed        uint64
+	Fruitless             int
 	// BusyFraction is the fraction of recent probe answers that showed no room. Busy is set if the
 	// service counted as busy for that reason.
 	BusyFraction float64
@@ -52,7 +55,8 @@
 func (r *Router) describeTargets(c *call) *TargetSearch {
 	s := c.service
 	x := &TargetSearch{
-		Probes: c.probeRound.probes, Limit: c.probeRound.limit, ProbesLeft: s.probeBudget.tokens, ProbeRate: r.probeBudgetRate(s),
+		Probes: c.probeRound.probes, Limit: c.probeRound.limit, ProbesLeft: s.availableProbes(r.now), ProbeRate: r.probeBudgetRate(s),
+		ProbesBorrowed: s.borrowing.status.Probes, Fruitless: s.borrowing.fruitless,
 		BusyFraction: s.busyFraction, Busy: s.isBusy(r.now), NewestReport: -1, OldestReport: -1,
 	}
 	for _, t := range s.targets {
--- a/pkg/core/routing/unanswered.go
+++ b/pkg/core/routing/unanswered.go
@@ -225,7 +225,7 @@
 // probeOverdue probes the target of an overdue call to find out whether it still serves others.
 func (r *Router) probeOverdue(id CallID, c *call, a *attempt, e *Effects) {
 	t := a.target
-	if t.removed || !c.mayUse(t) || t.notice.forbidsSending(r.now) || !c.service.probesTargets() || t.hasProbeInFlight(r.now) || t.lacksPermit(r.now) || !r.spendProbeBudget(c.service, 1) {
+	if t.removed || !c.mayUse(t) || t.notice.forbidsSending(r.now) || !c.service.probesTargets() || t.hasProbeInFlight(r.now) || t.lacksPermit(r.now) || !r.spendProbeBudget(c.service, 1, e) {
 		return
 	}
 	r.probe(id, c, t, overdueProbe, e)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -244,6 +244,8 @@
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Quota{Quota: wire.FromQuota(x.Quota)}})
 	case routing.SendCanaryMessage:
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Canary{Canary: wire.FromCanary(x.Canary)}})
+	case routing.SendTokenMessage:
+		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Tokens{Tokens: wire.FromTokens(x.Tokens)}})
 	case routing.SendReachMessage:
 		e.peers.send(x.Peer, &wire.Envelope{Body: &wire.Envelope_Reach{Reach: wire.FromReach(x.ReachMessage)}})
 	case routing.ReachChanged:
--- a/pkg/entry/peer_links.go
+++ b/pkg/entry/peer_links.go
@@ -16,8 +16,8 @@
 type peerLinks struct {
 	entry *Entry
 	links map[string]*peerLink
-	// replyTo is the box whose message is being handled; empty for none. What it is sent meanwhile
-	// about reachable targets is collected in replies, and goes back on the connection of that message.
+	// replyTo is the box whose message is being handled; empty for none. The answers to queries that it
+	// is sent meanwhile are collected in replies, and go back on the connection of that message.
 	replyTo units.BoxID
 	replies []*wire.Envelope
 }
@@ -33,7 +33,7 @@
 const peerIdleTimeout = 30 * time.Second
 
 // queryIdleTimeout is the same for connections on which only queries between boxes and their answers
-// were sent of late: a box that is cut off may ask many.
+// were sent of late: a box that is cut off, or gets most calls, may query many.
 const queryIdleTimeout = 5 * time.Second
 
 func newPeerLinks(e *Entry) *peerLinks {
@@ -42,7 +42,7 @@
 
 func (p *peerLinks) send(id units.BoxID, m *wire.Envelope) {
 	m.From, m.To = p.entry.Settings.Box, string(id)
-	if id == p.replyTo && m.GetReach() != nil {
+	if id == p.replyTo && isQuery(m) {
 		p.replies = append(p.replies, m)
 		return
 	}
@@ -57,13 +57,17 @@
 		p.links[address] = link
 	}
 	usedAt := p.entry.Clock.Now()
-	if m.GetReach() != nil {
+	if isQuery(m) {
 		usedAt = usedAt.Add(queryIdleTimeout - peerIdleTimeout)
 	}
 	link.lastUsedAt = max(link.lastUsedAt, usedAt)
 	link.Send(m)
 }
 
+// isQuery reports whether a message is a query to another box or the answer to one. A box may query all
+// others, each seldom.
+func isQuery(m *wire.Envelope) bool { return m.GetReach() != nil || m.GetTokens() != nil }
+
 func (p *peerLinks) addressOf(id units.BoxID) string {
 	if b := p.entry.core.Subscription().Table().Box(id); b != nil {
 		return b.Address
@@ -144,11 +148,11 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	from := units.BoxID(m.From)
-	if m.GetReach() == nil || e.peers.addressOf(from) != address {
+	if !isQuery(m) || e.peers.addressOf(from) != address {
 		e.Log.WithField("box", from).Debug("a message that isn't a reply of the box at this address is dropped")
 		return
 	}
-	e.reduceLocked(&routing.PeerReach{From: from, Message: wire.ToReach(m.GetReach())})
+	e.reduceLocked(peerEvent(from, m))
 }
 
 // peerEvent returns the event that a message of another box is; nil if the message isn't one that
@@ -163,6 +167,8 @@
 		return &routing.PeerQuota{From: from, Message: wire.ToQuota(m.GetQuota())}
 	case m.GetCanary() != nil:
 		return &routing.PeerCanary{From: from, Message: wire.ToCanary(m.GetCanary())}
+	case m.GetTokens() != nil:
+		return &routing.PeerTokens{From: from, Message: wire.ToTokens(m.GetTokens())}
 	case m.GetReach() != nil:
 		return &routing.PeerReach{From: from, Message: wire.ToReach(m.GetReach())}
 	}
--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -344,6 +344,7 @@
 func addSearchFields(f logrus.Fields, x *routing.TargetSearch) {
 	f["probes"], f["searchLimit"] = x.Probes, x.Limit.String()
 	f["probesLeft"], f["probeRate"] = roundToHundredths(x.ProbesLeft), roundToHundredths(x.ProbeRate)
+	f["probesBorrowed"], f["fruitless"] = x.ProbesBorrowed, x.Fruitless
 	f["busy"], f["busyFraction"] = x.Busy, roundToHundredths(x.BusyFraction)
 	f["free"], f["full"], f["slow"], f["unknown"] = x.Free, x.Full, x.Slow, x.Unknown
 	f["newestReportMs"], f["oldestReportMs"] = millis(x.NewestReport), millis(x.OldestReport)
--- a/pkg/wire/convert_quota_test.go
+++ b/pkg/wire/convert_quota_test.go
@@ -25,11 +25,21 @@
 	}
 }
 
+func TestTokenMessagesComeAsTheyWereSent(t *testing.T) {
+	m := routing.TokenMessage{Kind: routing.GrantTokens, Service: "s", Nonce: 7, Probes: 3, Calls: []units.TargetID{"t1", "t2"}, MaxCalls: 2}
+	if d := cmp.Diff(m, ToTokens(FromTokens(&m))); d != "" {
+		t.Error(d)
+	}
+}
+
 // A peer's message can't make a count or a delay negative.
 func TestQuotaMessagesThatMakeNoSense(t *testing.T) {
 	if m := ToQuota(&Quota{Count: -5, Again: -1}); m.Count != 0 || m.RetryAfter != 0 {
 		t.Errorf("converted to %+v", m)
 	}
+	if m := ToTokens(&Tokens{Probes: -5, MaxCalls: -1}); m.Probes != 0 || m.MaxCalls != 0 {
+		t.Errorf("converted to %+v", m)
+	}
 }
 
 func TestReachMessagesComeAsTheyWereSent(t *testing.T) {
--- a/pkg/wire/kind.go
+++ b/pkg/wire/kind.go
@@ -23,6 +23,7 @@
 	KindQuota          Kind = "quota"
 	KindCanary         Kind = "canary"
 	KindReach          Kind = "reach"
+	KindTokens         Kind = "tokens"
 )
 
 // KindOf returns the kind of message that an envelope carries.
@@ -62,6 +63,8 @@
 		return KindCanary
 	case *Envelope_Reach:
 		return KindReach
+	case *Envelope_Tokens:
+		return KindTokens
 	}
 	return KindOther
 }
