Requests for tokens pause later and for less time

Now it pauses after twelve, for 10 ms to 0.5 s; each lender still gets at most four requests a second, and where nobody has a token all get 40 in 10 s.

--- a/pkg/core/routing/tokenlending.go
+++ b/pkg/core/routing/tokenlending.go
@@ -66,9 +66,9 @@
 	minLapTime = 250 * time.Millisecond
 	// fruitlessRequests is the number of requests in a row without a token after which a box pauses,
 	// for minBorrowPause at first and twice as long each time.
-	fruitlessRequests = 4
-	minBorrowPause    = 50 * time.Millisecond
-	maxBorrowPause    = time.Second
+	fruitlessRequests = 12
+	minBorrowPause    = 10 * time.Millisecond
+	maxBorrowPause    = 500 * time.Millisecond
 	// maxProbesPerRequest and maxCallsPerRequest cap the tokens of a request.
 	maxProbesPerRequest = 64
 	maxCallsPerRequest  = 16
