--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -94,13 +94,24 @@
 	Work    time.Duration `long:"work" default:"1ms" description:"how long a call takes"`
 	Journal string        `long:"journal" description:"the file of calls that were run"`
 	Crash   string        `long:"crash-body" description:"what the bodies of calls begin with that end the process"`
+
+	SlowShare  float64       `long:"slow-share" description:"the share of the time for which work is slow"`
+	SlowFactor float64       `long:"slow-factor" default:"5" description:"how many times longer work takes then"`
+	SlowSpan   time.Duration `long:"slow-span" default:"150ms" description:"for how long work is slow at a time"`
+	NearlyFull int64         `long:"nearly-full" description:"running calls from which on work takes longer"`
+	FullFactor float64       `long:"nearly-full-factor" default:"1.7" description:"how many times longer it takes then"`
+	Break      bool          `long:"break-when-full" description:"close the connection of a call that can't be queued"`
+	Pace       bool          `long:"report-pace" description:"report running and waiting calls, slots and pace"`
 }
 
 // Execute runs a stand-in target until a signal arrives.
 func (c *runTarget) Execute([]string) error {
 	t, err := lab.StartTarget(lab.TargetSettings{
 		Name: c.Name, Listen: c.Listen, Slots: c.Slots, Queue: c.Queue, Work: c.Work, Journal: c.Journal, CrashBody: c.Crash,
-		OnListen: printStarted,
+		Variation: lab.Variation{
+			SlowShare: c.SlowShare, SlowFactor: c.SlowFactor, Span: c.SlowSpan, NearlyFull: c.NearlyFull, NearlyFullFactor: c.FullFactor,
+		},
+		BreakWhenFull: c.Break, ReportPace: c.Pace, OnListen: printStarted,
 	})
 	if err != nil {
 		return err
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -47,6 +47,13 @@
 	Journal string
 	// CrashBody is the prefix of call bodies that make the process exit; empty for none.
 	CrashBody string
+	// Variation makes the work take different times.
+	Variation Variation
+	// BreakWhenFull closes the connection of a call that exceeds the queue, instead of shedding it.
+	BreakWhenFull bool
+	// ReportPace reports the running and waiting calls, the slots and the pace of work, instead of the
+	// calls in flight alone.
+	ReportPace bool
 	// OnListen, if set, is called once the target listens and before it serves: the first call may
 	// end the process.
 	OnListen func()
@@ -60,6 +67,7 @@
 	journal  *Journal
 	slots    chan struct{}
 	inFlight atomic.Int64
+	running  atomic.Int64
 	runs     atomic.Int64
 	peak     atomic.Int64
 	probes   atomic.Int64
@@ -252,7 +260,16 @@
 	if b.HideLoad {
 		load = 0
 	}
-	ctx.Response.Header.Set("X-In-Flight", strconv.FormatInt(load, 10))
+	if !t.settings.ReportPace {
+		ctx.Response.Header.Set("X-In-Flight", strconv.FormatInt(load, 10))
+		return
+	}
+	pace := 100.0
+	if v := &t.settings.Variation; v.isSlow(t.settings.Name, time.Now()) {
+		pace *= v.SlowFactor
+	}
+	running := t.running.Load()
+	ctx.Response.Header.Set("X-In-Flight", fmt.Sprintf("%d,%d,%d,%.0f", running, max(0, load-running), t.settings.Slots, pace))
 }
 
 func (t *Target) handleCall(ctx *fasthttp.RequestCtx, b Behavior) {
@@ -280,6 +297,10 @@
 		t.dropCall(ctx)
 		return
 	}
+	if t.settings.BreakWhenFull && n > int64(t.settings.Slots+t.settings.Queue) {
+		t.breakCall(ctx)
+		return
+	}
 	if b.Shed || n > int64(t.settings.Slots+t.settings.Queue) {
 		ctx.Response.Header.Set("X-Shed", "1")
 		if b.Rest > 0 {
@@ -291,7 +312,21 @@
 	}
 	t.slots <- struct{}{}
 	defer func() { <-t.slots }()
+	t.running.Add(1)
 	t.runCall(ctx, b)
+	t.running.Add(-1)
+	if t.settings.ReportPace {
+		t.inFlight.Add(-1)
+		t.reportLoad(ctx, b)
+		t.inFlight.Add(1)
+	}
+}
+
+// breakCall closes the connection of a call without an answer.
+func (t *Target) breakCall(ctx *fasthttp.RequestCtx) {
+	t.dropped.Add(1)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
 }
 
 // crashExitCode is the exit code of a target that a crashing call has ended.
@@ -324,7 +359,7 @@
 		return
 	}
 	if work := t.workTime(ctx) + b.Slow; work > 0 {
-		time.Sleep(work)
+		t.settings.Variation.work(t.settings.Name, &t.running, work)
 	}
 	if t.settings.CrashBody != "" && bytes.HasPrefix(ctx.Request.Body(), []byte(t.settings.CrashBody)) {
 		os.Exit(crashExitCode)
