Boxes that share a cold target's rate lend their calls

A box whose calls wait now asks one of the two, which it finds by rendezvous hashing as everybody does. A borrowed call expires after 50 ms; within a second all boxes send 1.05 times the rate and two calls at once, as checked by the fleet. Requests for a target are 25 ms apart, 100 ms after one without a call.

Script cold expects the requests now; cold-lent: no grant without a request, expiry, the lender's one call.

--- a/pkg/core/routing/cold.go
+++ b/pkg/core/routing/cold.go
@@ -41,6 +41,11 @@
 	// share is this box's fraction of the rate.
 	share  float64
 	bucket tokenBucket
+	// borrowed are the calls that other boxes have lent, requestNonce that of the last request for one,
+	// nextRequestAt when the next request may be sent.
+	borrowed      allowances
+	requestNonce  uint64
+	nextRequestAt units.Instant
 	// boxListVersion is the number of the list of boxes that the share was computed from.
 	boxListVersion int
 }
@@ -66,7 +71,7 @@
 		return true
 	}
 	t.cold.bucket.refill(now, t.coldRate(), coldBurst)
-	return t.cold.share > 0 && t.cold.bucket.tokens >= 1
+	return t.cold.share > 0 && t.cold.bucket.tokens >= 1 || t.cold.borrowed.available(now)
 }
 
 // coldRate returns how many calls a second this box may send to the target while it is cold.
@@ -74,7 +79,10 @@
 
 // countColdSend charges a call to the rate limit of a cold target.
 func (t *target) countColdSend(now units.Instant) {
-	if t.isCold(now) {
+	if !t.isCold(now) {
+		return
+	}
+	if _, ok := t.cold.borrowed.use(now); !ok {
 		t.cold.bucket.take(now, t.coldRate(), coldBurst)
 	}
 }
@@ -110,7 +118,8 @@
 	}
 	r.updateColdShare(t)
 	t.cold.bucket = tokenBucket{refilledAt: r.now, tokens: coldBurst}
-	if r.now.Sub(r.startedAt) < restartGrace {
+	t.cold.borrowed = nil
+	if t.cold.share == 0 || r.now.Sub(r.startedAt) < restartGrace {
 		t.cold.bucket.tokens = 0
 	}
 }
--- a/pkg/core/routing/skew_fleet_script_test.go
+++ b/pkg/core/routing/skew_fleet_script_test.go
@@ -110,13 +110,19 @@
 	return x
 }
 
-// newFleets starts the fleets: fleet boxes=N,N,... calls=N targets=N,N,N [slow=F] [rate=N]. boxes are those of each
+// newFleets starts the fleets: fleet boxes=N,N,... calls=N targets=N,N,N [slow=F] [rate=N] [in-flight=N]
+// [cold=N]. boxes are those of each
 // failure domain, targets those of each service, calls those of all callers a second, slow the share of
-// the time for which a target is slow, rate the calls a second that the table allows each target.
+// the time for which a target is slow, rate and in-flight what the table allows each target, cold the calls a
+// second that a cold one takes.
 func (s *skewScript) newFleets(d *datadriven.TestData) {
 	boxes, _ := d.Arg("boxes")
 	targets, _ := d.Arg("targets")
-	o := skewOptions{perSecond: s.number(d, "calls", 0), slowShare: s.number(d, "slow", 0.25), clients: 300, rate: s.number(d, "rate", 0)}
+	o := skewOptions{
+		perSecond: s.number(d, "calls", 0), slowShare: s.number(d, "slow", 0.25), clients: 300,
+		rate: s.number(d, "rate", 0), coldRate: s.number(d, "cold", 0),
+		inFlight: int(s.number(d, "in-flight", 0)),
+	}
 	for _, x := range boxes.Vals {
 		n, _ := strconv.Atoi(x)
 		o.domains = append(o.domains, n)
@@ -181,7 +187,7 @@
 }
 
 // changeTargets changes a share of each service's targets: targets share=F down | silent | slow | rest=D |
-// limit=RATE | well.
+// limit=RATE | cold=D | well.
 func (s *skewScript) changeTargets(d *datadriven.TestData) {
 	share := s.number(d, "share", 1)
 	s.each(func(f *skewFleet) {
@@ -190,6 +196,7 @@
 			for _, t := range list[:int(share*float64(len(list)))] {
 				t.progress(f)
 				t.down, t.silent, t.hampered = d.HasArg("down"), d.HasArg("silent"), d.HasArg("slow")
+				t.coldSince, t.coldUntil = f.now, f.now.Add(s.duration(d, "cold"))
 				t.rest, t.rate = s.duration(d, "rest"), units.CallRate(s.number(d, "limit", 0))
 				t.schedule(f)
 			}
@@ -327,6 +334,10 @@
 				if n := mostWithin(t.calls, skewTotalWindow); t.row.MaxRate > 0 && float64(n) > allowed {
 					exceeded[fmt.Sprintf("calls of %s", t.id)] = true
 				}
+				allowed = entry.Service.ColdRate*(time.Second+borrowedColdLifetime).Seconds() + boxesPerColdTarget*coldBurst
+				if n := mostWithin(t.coldCalls, time.Second); n > 0 && float64(n) > allowed {
+					exceeded[fmt.Sprintf("calls of cold targets of %s", name)] = true
+				}
 			}
 		}
 		for name, n := range f.extraSends() {
--- a/pkg/core/routing/skew_fleet_test.go
+++ b/pkg/core/routing/skew_fleet_test.go
@@ -23,6 +23,10 @@
 	// skewSpan.
 	skewSpan  = 150 * time.Millisecond
 	skewNoise = 5.0
+	// skewColdSlowdown is how much longer work takes at a cold target.
+	skewColdSlowdown = 2.0
+	// skewColdKnown is how long boxes take to learn from probes that a target has become cold.
+	skewColdKnown = time.Second
 	// skewProbeWork is the work of answering a probe.
 	skewProbeWork = 6 * time.Millisecond
 	// skewProbeRate is the number of probes a second that a target may get from all boxes together.
@@ -137,9 +141,11 @@
 	// hampered makes all spans slow.
 	hampered bool
 	// rest is what it answers calls with: a rest that it asks for; rate the limit that it announces.
-	rest      time.Duration
-	rate      units.CallRate
-	slow      bool
+	rest time.Duration
+	rate units.CallRate
+	slow bool
+	// coldUntil is when it will be warm.
+	coldUntil units.Instant
 	running   []*skewRun
 	waiting   []*skewRun
 	updatedAt units.Instant
@@ -148,6 +154,9 @@
 	probes []units.Instant
 	resets int
 	calls  []units.Instant
+	// coldCalls are the times of the calls that reached it once the boxes knew that it is cold.
+	coldCalls []units.Instant
+	coldSince units.Instant
 }
 
 type skewOptions struct {
@@ -157,9 +166,11 @@
 	slowShare float64
 	seed      uint64
 	clients   int
-	// rate is the table's rate for each target; zero for targets that register.
-	rate float64
-	off  []Mechanism
+	// rate is the table's rate for each target, inFlight its limit of calls in flight; both are zero for
+	// targets that register. coldRate is the rate of calls that a cold target takes.
+	rate, coldRate float64
+	inFlight       int
+	off            []Mechanism
 }
 
 func newSkewFleet(o skewOptions) *skewFleet {
@@ -193,13 +204,14 @@
 	entry := &table.Entry{Service: table.Service{
 		Name: name, Work: table.AtMostOnce, Deadline: time.Second, HoldLimit: table.DefaultHoldLimit, HoldCount: table.DefaultHoldCount,
 		RetryBudget: 5, HedgeBudget: 12, ExtraBurst: 25, ProbeTargets: 2,
+		ColdRate:      o.coldRate,
 		MeasureBudget: units.Percent(100 * skewProbeRate * DefaultProbeCost.Seconds() / defaultSlots),
 	}, Version: 1}
 	for i := range targets {
 		t := &skewTarget{id: units.TargetID(fmt.Sprintf("%s-%02d", name, i)), service: name, domain: skewDomain(i % len(o.domains))}
 		t.row = table.Row{
 			Service: name, Target: t.id, Address: string(t.id) + ":1", Domain: t.domain, Weight: 100, State: table.Active,
-			Registered: o.rate == 0, Slots: skewSlots, MaxConnections: 260, Born: 1, MaxRate: o.rate,
+			Registered: o.rate == 0 && o.inFlight == 0, Slots: skewSlots, MaxConnections: 260, Born: 1, MaxRate: o.rate, MaxInFlight: o.inFlight,
 		}
 		f.targets[t.id] = t
 		f.ordered = append(f.ordered, t)
@@ -230,7 +242,8 @@
 func (f *skewFleet) start(b *skewBox) {
 	router, err := NewRouter(Settings{
 		Box: b.id, Domain: b.domain, Seed: f.random.Uint64(), ServeStale: true, ShareDelay: DefaultShareDelay,
-		ProbeCost: DefaultProbeCost, MaxDeadline: time.Minute, MaxRelayed: DefaultMaxRelayed, Disable: f.off,
+		ProbeCost: DefaultProbeCost, AssumedColdPeriod: DefaultAssumedColdPeriod, MaxDeadline: time.Minute, MaxRelayed: DefaultMaxRelayed,
+		Disable: f.off, Loans: true,
 	}, f.now)
 	if err != nil {
 		panic(err)
@@ -392,6 +405,9 @@
 			return
 		}
 		t.calls = append(t.calls, f.now)
+		if f.now < t.coldUntil && f.now >= t.coldSince.Add(skewColdKnown) {
+			t.coldCalls = append(t.coldCalls, f.now)
+		}
 		if t.rest > 0 {
 			ended.Result, ended.Report = Shed, t.report()
 			back(0)
@@ -460,6 +476,7 @@
 	}
 	f.after(trip, func() {
 		t.probes = append(t.probes, f.now)
+		t.progress(f)
 		t.addWork(f, skewProbeWork)
 		ended.Answered, ended.Healthy, ended.Report = true, true, t.report()
 		f.later(b, f.tripTime(b.domain, t.domain), func() {
@@ -478,11 +495,15 @@
 	if len(t.running) >= skewNearlyFull {
 		speed /= skewSlowdown
 	}
+	if t.updatedAt < t.coldUntil {
+		speed /= skewColdSlowdown
+	}
 	return speed
 }
 
 func (t *skewTarget) report() TargetReport {
 	x := TargetReport{HasLoad: true, InFlight: float64(len(t.running) + len(t.waiting)), Slots: skewSlots, Pace: 1, Rest: t.rest}
+	x.Cold = max(0, t.coldUntil.Sub(t.updatedAt))
 	if t.slow || t.hampered {
 		x.Pace = skewNoise
 	}
--- a/pkg/core/routing/tokenlending.go
+++ b/pkg/core/routing/tokenlending.go
@@ -37,6 +37,8 @@
 	// in all, or those for each of which a call is granted.
 	Calls    []units.TargetID
 	MaxCalls int
+	// Cold is set for calls to cold targets, of whose rate a few boxes have parts.
+	Cold bool
 }
 
 // PeerTokens is a TokenMessage received from another box.
@@ -161,6 +163,7 @@
 
 // borrowCalls requests calls to the targets whose rate keeps calls waiting here.
 func (r *Router) borrowCalls(s *service, e *Effects) {
+	r.borrowColdCalls(s, e)
 	missing := s.held.length + len(s.waiting)
 	for i := range s.borrowing.requests {
 		missing -= s.borrowing.requests[i].calls
@@ -253,8 +256,12 @@
 func (r *Router) lendTokens(from units.BoxID, m *TokenMessage, e *Effects) {
 	grant := &TokenMessage{Kind: GrantTokens, Service: m.Service, Nonce: m.Nonce}
 	if s := r.services[m.Service]; s != nil && r.leased() && r.enabled(TokenLending) {
-		grant.Probes = r.lendProbes(s, m.Probes)
-		grant.Calls = r.lendCalls(s, m.Calls, m.MaxCalls)
+		if m.Cold {
+			grant.Cold, grant.Calls = true, r.lendColdCalls(s, m.Calls)
+		} else {
+			grant.Probes = r.lendProbes(s, m.Probes)
+			grant.Calls = r.lendCalls(s, m.Calls, m.MaxCalls)
+		}
 	}
 	e.add(Effect{Kind: SendTokenMessage, Peer: from, Tokens: grant})
 }
@@ -291,6 +298,10 @@
 	if s == nil {
 		return
 	}
+	if m.Cold {
+		r.acceptColdCall(s, m, e)
+		return
+	}
 	b := &s.borrowing
 	b.dropLost(r.now)
 	i := slices.IndexFunc(b.requests, func(x tokenRequest) bool { return x.nonce == m.Nonce && x.lender == from })
--- a/pkg/wire/convert_quota_test.go
+++ b/pkg/wire/convert_quota_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestTokenMessagesComeAsTheyWereSent(t *testing.T) {
-	m := routing.TokenMessage{Kind: routing.GrantTokens, Service: "s", Nonce: 7, Probes: 3, Calls: []units.TargetID{"t1", "t2"}, MaxCalls: 2}
+	m := routing.TokenMessage{Kind: routing.GrantTokens, Service: "s", Nonce: 7, Probes: 3, Calls: []units.TargetID{"t1", "t2"}, MaxCalls: 2, Cold: true}
 	if d := cmp.Diff(m, ToTokens(FromTokens(&m))); d != "" {
 		t.Error(d)
 	}
