--- a/pkg/core/routing/skew_fleet_test.go
+++ b/pkg/core/routing/skew_fleet_test.go
@@ -39,15 +39,14 @@
 
 // skewClass is a kind of call.
 type skewClass struct {
-	service             units.ServiceName
-	host                string
-	share               float64
-	work                time.Duration
-	objective           time.Duration
-	timeout, patience   time.Duration
-	priority            int
-	kind                table.WorkKind
-	distribution, total float64
+	service           units.ServiceName
+	host              string
+	share             float64
+	work              time.Duration
+	objective         time.Duration
+	timeout, patience time.Duration
+	priority          int
+	kind              table.WorkKind
 }
 
 var skewClasses = []skewClass{
