--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -41,6 +41,7 @@
 	{70_001, "covers what seeds from firstKeySeed on add"},
 	{80_000, "covers boxes that are cut off from targets: they refused calls that other boxes served"},
 	{90_000, "covers a large failure domain that is cut off from targets: its boxes only asked each other"},
+	{100_000, "covers times in which most connections go to one box"},
 	{60_005, "boxes dropped the permit requests of other boxes, so that limits that had ended still blocked calls"},
 }
 
@@ -62,6 +63,9 @@
 
 // sizeForSeed makes one seed in eight a large one, and those from firstLargeDomainSeed on.
 func sizeForSeed(seed uint64) soakSize {
+	if seed >= firstSkewSeed {
+		return soakSize{boxes: soakSkewBoxes, targets: 8, callers: 12}
+	}
 	if seed >= firstLargeDomainSeed {
 		return soakSize{boxes: soakLargeDomain + 6, targets: 8, callers: 12}
 	}
@@ -159,6 +163,9 @@
 	if x.hasCrashes() {
 		x.repeat(x.sendCrashing)
 	}
+	if x.hasSkew() {
+		x.repeat(x.skewConnections)
+	}
 	for range 1 + seed%soakMaxFaultLanes {
 		x.repeat(x.injectFault)
 	}
@@ -185,6 +192,9 @@
 	if x.hasCuts() {
 		x.checkCutOffBox()
 	}
+	if x.hasSkew() {
+		x.checkSkew()
+	}
 	x.checkLeaving()
 	x.checkEvacuation()
 	x.checkCalls()
