The expected wait of a held call counts on slots that other boxes lend

Where the table limits calls in flight, a box that gets most calls refused them as wait-too-long: it took its own part of the slots, a few of 117, for all that it would ever have, though it borrows most others. It now counts on as large a part of all slots as its share of the calls.

--- a/pkg/core/routing/service.go
+++ b/pkg/core/routing/service.go
@@ -45,6 +45,8 @@
 	hedges   budget
 	latency  latencyEstimate
 	loans    serviceLoans
+	// borrowsSlots is set if boxes lend each other slots.
+	borrowsSlots bool
 	// probeBudget is the token bucket for probes before sends, borrowing the state of the tokens that
 	// other boxes lend.
 	probeBudget tokenBucket
@@ -180,14 +182,20 @@
 )
 
 // expectedWait estimates how long a call that is held now will wait; nil stands for a call that any
-// target may serve.
+// target may serve. Where boxes lend each other slots, the box counts on as large a part of all slots as
+// its share of the calls.
 func (s *service) expectedWait(c *call, now units.Instant) time.Duration {
-	capacity := 0
+	capacity, all := 0, 0
 	for _, t := range s.targets {
-		if c.mayUse(t) {
-			capacity += t.capacity(now)
+		if !c.mayUse(t) {
+			continue
+		}
+		capacity += t.capacity(now)
+		if s.borrowsSlots && t.isEligible() && !t.isBlocked(now) {
+			all += t.row.MaxInFlight
 		}
 	}
+	capacity = max(capacity, int(float64(all)*(1-s.traffic.ofOthers(now))))
 	if capacity == 0 {
 		return 0
 	}
--- a/pkg/core/routing/tables.go
+++ b/pkg/core/routing/tables.go
@@ -115,6 +115,7 @@
 		s = newService(entry.Service)
 		s.domain = r.settings.Domain
 		s.disabled = r.disabled
+		s.borrowsSlots = r.settings.Loans
 		r.services[entry.Service.Name] = s
 		r.sortedServices = append(r.sortedServices, s)
 	}
