Waiting calls look for any target with room only where that is known

The search over all targets ran for each waiting call, also at boxes that send few of a service's calls, whose result wasn't used. No decision changes.

--- a/pkg/core/routing/waiting.go
+++ b/pkg/core/routing/waiting.go
@@ -192,8 +192,10 @@
 		if t := r.choose(s, c); t != nil && (t.hasFreshReport(r.now) || t.notice.isLimited()) && r.isSuitable(c, t) {
 			return i, t
 		}
-		if t := r.bestSuitable(c); t != nil && t.hasFreshReport(r.now) && s.traffic.isMostlyOwn(r.now) {
-			return i, t
+		if s.traffic.isMostlyOwn(r.now) {
+			if t := r.bestSuitable(c); t != nil && t.hasFreshReport(r.now) {
+				return i, t
+			}
 		}
 		if c.regions == nil {
 			return 0, nil
