--- a/pkg/core/quota/quota.go
+++ b/pkg/core/quota/quota.go
@@ -4,9 +4,6 @@
 package quota
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/madderpond/madderpond/pkg/core/rendezvous"
@@ -40,29 +37,11 @@
 // Holders returns the holders of a group among the given boxes, the highest ranked first. A box that joins or
 // leaves changes at most one of them.
 func (g Group) Holders(boxes []units.BoxID) []units.BoxID {
-	return highestRanked(boxes, HoldersPerGroup, func(b units.BoxID) uint64 { return rendezvous.Hash(b, string(rune('0'+g))) })
+	return rendezvous.Highest(boxes, HoldersPerGroup, func(b units.BoxID) uint64 { return rendezvous.Hash(b, string(rune('0'+g))) })
 }
 
 // PreferenceOrder returns holders in the order in which a box asks them. Boxes have different orders, so that
 // requests spread evenly over the holders.
 func PreferenceOrder(box units.BoxID, holders []units.BoxID) []units.BoxID {
-	return highestRanked(holders, len(holders), func(h units.BoxID) uint64 { return rendezvous.Hash(box, h) })
-}
-
-// highestRanked returns the up to n boxes with the highest hashes, the highest first.
-func highestRanked(boxes []units.BoxID, n int, hash func(units.BoxID) uint64) []units.BoxID {
-	type ranked struct {
-		box  units.BoxID
-		hash uint64
-	}
-	all := make([]ranked, 0, len(boxes))
-	for _, b := range boxes {
-		all = append(all, ranked{b, hash(b)})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.box, b.box)) })
-	highest := make([]units.BoxID, 0, n)
-	for _, x := range all[:min(n, len(all))] {
-		highest = append(highest, x.box)
-	}
-	return highest
+	return rendezvous.Highest(holders, len(holders), func(h units.BoxID) uint64 { return rendezvous.Hash(box, h) })
 }
--- a/pkg/core/routing/cold.go
+++ b/pkg/core/routing/cold.go
@@ -48,6 +48,9 @@
 	nextRequestAt units.Instant
 	// boxListVersion is the number of the list of boxes that the share was computed from.
 	boxListVersion int
+	// sharers are the boxes that share the rate according to the list of boxes numbered sharersVersion.
+	sharers        []units.BoxID
+	sharersVersion int
 }
 
 // isCold reports whether the target is cold or may be.
--- a/pkg/core/routing/coldlending.go
+++ b/pkg/core/routing/coldlending.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/core/rendezvous"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -58,25 +58,33 @@
 
 // coldLender returns a random one of the other boxes that share a cold target's rate; empty for none.
 func (r *Router) coldLender(t *target) units.BoxID {
-	boxes := r.boxesInDomainOf(t)
-	n := min(boxesPerColdTarget, len(boxes))
 	var lender units.BoxID
 	seen := 0
-	for _, b := range boxes {
-		if b.ID == r.settings.Box || !sharesColdRate(b, t, boxes, n) {
+	for _, b := range r.coldSharers(t) {
+		if b == r.settings.Box {
 			continue
 		}
 		seen++
 		if r.random.IntN(seen) == 0 {
-			lender = b.ID
+			lender = b
 		}
 	}
 	return lender
 }
 
-// sharesColdRate reports whether a box is one of the n that share a target's rate while it is cold.
-func sharesColdRate(b table.Box, t *target, boxes []table.Box, n int) bool {
-	return boxRank{box: b.ID}.countBefore(t.row.Target, boxes) < n
+// coldSharers returns the boxes that share the target's rate while it is cold. They are computed once for
+// each list of boxes.
+func (r *Router) coldSharers(t *target) []units.BoxID {
+	if t.cold.sharersVersion == r.boxListVersion {
+		return t.cold.sharers
+	}
+	var ids []units.BoxID
+	for _, b := range r.boxesInDomainOf(t) {
+		ids = append(ids, b.ID)
+	}
+	t.cold.sharersVersion = r.boxListVersion
+	t.cold.sharers = rendezvous.Highest(ids, boxesPerColdTarget, func(b units.BoxID) uint64 { return rendezvous.Hash(b, t.row.Target) })
+	return t.cold.sharers
 }
 
 // lendColdCalls takes a call from the box's part of a cold target's rate. That another box found the
@@ -100,16 +108,17 @@
 }
 
 // acceptColdCall handles a lender's answer about a cold target.
-func (r *Router) acceptColdCall(s *service, m *TokenMessage, e *Effects) {
-	for _, id := range m.Calls[:min(len(m.Calls), 1)] {
-		t := s.target(id)
-		if t == nil || m.Nonce == 0 || t.cold.requestNonce != m.Nonce || !t.isCold(r.now) {
-			return
-		}
-		t.cold.requestNonce = 0
-		t.cold.nextRequestAt = r.now.Add(coldRequestInterval)
-		t.cold.borrowed.add(1, r.now.Add(borrowedColdLifetime))
-		s.borrowing.status.Calls++
-		r.freedServices = append(r.freedServices, s)
+func (r *Router) acceptColdCall(s *service, m *TokenMessage) {
+	if len(m.Calls) == 0 {
+		return
+	}
+	t := s.target(m.Calls[0])
+	if t == nil || m.Nonce == 0 || t.cold.requestNonce != m.Nonce || !t.isCold(r.now) {
+		return
 	}
+	t.cold.requestNonce = 0
+	t.cold.nextRequestAt = r.now.Add(coldRequestInterval)
+	t.cold.borrowed.add(1, r.now.Add(borrowedColdLifetime))
+	s.borrowing.status.Calls++
+	r.freedServices = append(r.freedServices, s)
 }
--- a/pkg/core/routing/tokenlending.go
+++ b/pkg/core/routing/tokenlending.go
@@ -299,7 +299,7 @@
 		return
 	}
 	if m.Cold {
-		r.acceptColdCall(s, m, e)
+		r.acceptColdCall(s, m)
 		return
 	}
 	b := &s.borrowing
