Tests: one way to read durations of commands, no counters that nothing reads

Scripts of fleets and integration tests each parsed the durations of their commands; they share one function a package now, in which a bad one ends the test as before. Counters of the fleet with skewed calls that no check reads are gone, the share of calls from which on a box relies on its own knowledge has a name, and the addresses of boxes are collected in one place.

--- a/pkg/core/routing/budget.go
+++ b/pkg/core/routing/budget.go
@@ -19,7 +19,7 @@
 
 // extraTokenAge is the age up to which the tokens of calls needn't be part of the tokens that boxes may
 // save. So a box that gets many calls can spend what these earn, however small its part of the savings
-// is; over a window of ten seconds all boxes together spend a tenth more than its calls earn at most.
+// is; over a window of ten seconds all boxes together spend a tenth more than its calls earn, at most.
 const extraTokenAge = time.Second
 
 // divideExtraBurst computes this box's part of the tokens that all boxes may save for a service's
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -88,13 +88,7 @@
 }
 
 func (s *reachScript) duration(d *datadriven.TestData, key string) time.Duration {
-	text := "0s"
-	d.MaybeScanArgs(s.t, key, &text)
-	length, err := time.ParseDuration(text)
-	if err != nil {
-		panic(err)
-	}
-	return length
+	return scanDuration(s.t, d, key)
 }
 
 // newFleet starts a fleet: fleet domains=N boxes=N services=N targets=N interval=D [regions] [limit=N]
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -385,14 +385,20 @@
 }
 
 func (s *script) duration(d *datadriven.TestData, key string) time.Duration {
-	var text string
+	return scanDuration(s.t, d, key)
+}
+
+// scanDuration returns the value of an argument; zero without it.
+func scanDuration(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	t.Helper()
 	if !d.HasArg(key) {
 		return 0
 	}
-	d.ScanArgs(s.t, key, &text)
+	var text string
+	d.ScanArgs(t, key, &text)
 	v, err := time.ParseDuration(text)
 	if err != nil {
-		d.Fatalf(s.t, "%v", err)
+		d.Fatalf(t, "%v", err)
 	}
 	return v
 }
--- a/pkg/core/routing/skew_fleet_script_test.go
+++ b/pkg/core/routing/skew_fleet_script_test.go
@@ -87,13 +87,7 @@
 }
 
 func (s *skewScript) duration(d *datadriven.TestData, key string) time.Duration {
-	text := "0s"
-	d.MaybeScanArgs(s.t, key, &text)
-	length, err := time.ParseDuration(text)
-	if err != nil {
-		panic(err)
-	}
-	return length
+	return scanDuration(s.t, d, key)
 }
 
 // number returns the value of an argument, or a default.
--- a/pkg/core/routing/skew_fleet_test.go
+++ b/pkg/core/routing/skew_fleet_test.go
@@ -81,7 +81,6 @@
 	hotEvery  time.Duration
 	hotAt     units.Instant
 	messages  int
-	off       []Mechanism
 	// workspaces are those of the table, credential is the key that all calls carry.
 	workspaces table.Workspaces
 	credential apikey.Credential
@@ -100,7 +99,6 @@
 	// silentPeers makes the box's messages to and from others get lost, cut its links to targets.
 	silentPeers, cut bool
 	idle             map[units.TargetID][]units.Instant
-	opened           int
 	relaysInFlight   int
 }
 
@@ -111,21 +109,20 @@
 }
 
 type skewCall struct {
-	box             *skewBox
-	class           *skewClass
-	arrived         units.Instant
-	ended           units.Instant
-	served          bool
-	refusal         Refusal
-	first           bool
-	runs, sends     int
-	runsByAttempt   map[AttemptNumber]*skewRun
-	done            func(served bool, refusal Refusal)
-	relayOf         *skewCall
-	client          units.Domain
-	patience        time.Duration
-	incarnation     int
-	probes, relayed int
+	box           *skewBox
+	class         *skewClass
+	arrived       units.Instant
+	ended         units.Instant
+	served        bool
+	refusal       Refusal
+	first         bool
+	runs, sends   int
+	runsByAttempt map[AttemptNumber]*skewRun
+	done          func(served bool, refusal Refusal)
+	relayOf       *skewCall
+	client        units.Domain
+	patience      time.Duration
+	incarnation   int
 }
 
 // skewRun is a call at a target.
@@ -155,9 +152,8 @@
 	waiting   []*skewRun
 	updatedAt units.Instant
 	version   int
-	// probes are the times of the probes that reached it, resets counts calls that it had no room for.
+	// probes and calls are the times of those that reached it.
 	probes []units.Instant
-	resets int
 	calls  []units.Instant
 	// coldCalls are the times of the calls that reached it once the boxes knew that it is cold.
 	coldCalls []units.Instant
@@ -177,13 +173,12 @@
 	inFlight       int
 	// quota is the rate of the workspace that all calls belong to; zero for calls without a key.
 	quota float64
-	off   []Mechanism
 }
 
 func newSkewFleet(o skewOptions) *skewFleet {
 	f := &skewFleet{
 		timeline: newTimeline(units.Instant(time.Minute)), random: rand.New(rand.NewPCG(o.seed, 65)), byID: map[units.BoxID]*skewBox{},
-		targets: map[units.TargetID]*skewTarget{}, revision: 1, perSecond: o.perSecond, slowShare: o.slowShare, off: o.off,
+		targets: map[units.TargetID]*skewTarget{}, revision: 1, perSecond: o.perSecond, slowShare: o.slowShare,
 	}
 	if o.quota > 0 {
 		f.useQuota(o.quota)
@@ -261,7 +256,7 @@
 	router, err := NewRouter(Settings{
 		Box: b.id, Domain: b.domain, Seed: f.random.Uint64(), ServeStale: true, ShareDelay: DefaultShareDelay,
 		ProbeCost: DefaultProbeCost, AssumedColdPeriod: DefaultAssumedColdPeriod, MaxDeadline: time.Minute, MaxRelayed: DefaultMaxRelayed,
-		Disable: f.off, Loans: true, QuotaSlack: DefaultQuotaSlack,
+		Loans: true, QuotaSlack: DefaultQuotaSlack,
 	}, f.now)
 	if err != nil {
 		panic(err)
@@ -390,7 +385,6 @@
 		return trip
 	}
 	b.idle[x.Target] = idle
-	b.opened++
 	return 3*trip + skewConnectTime
 }
 
@@ -435,7 +429,6 @@
 			return
 		}
 		if len(t.running)+len(t.waiting) >= skewSlots+skewQueue || t.down {
-			t.resets++
 			ended.Result = Broken
 			back(0)
 			return
@@ -482,9 +475,6 @@
 func (f *skewFleet) probe(b *skewBox, x Effect) {
 	t := f.targets[x.Endpoint.Target]
 	ended := &ProbeEnded{Target: x.Endpoint, Call: x.Call, Attempt: x.Attempt, SentAt: x.SentAt}
-	if c, ok := x.Owner.(*skewCall); ok {
-		c.probes++
-	}
 	trip := f.contact(b, x.Endpoint)
 	switch {
 	case t.silent || b.cut:
@@ -627,7 +617,6 @@
 func (f *skewFleet) relay(from *skewBox, c *skewCall, x Effect) {
 	to := f.byID[x.Endpoint.Relay]
 	ended := &AttemptEnded{Call: x.Call, Attempt: x.Attempt, Endpoint: x.Endpoint}
-	c.origin().relayed++
 	back := func() { f.later(from, f.tripTime(to.domain, from.domain), func() { f.deliver(from, ended) }) }
 	description := x.Relay
 	f.after(f.tripTime(from.domain, to.domain), func() {
--- a/pkg/core/routing/trafficshare.go
+++ b/pkg/core/routing/trafficshare.go
@@ -22,6 +22,8 @@
 	// trafficSharePrior is the number of calls of other boxes that is added to those reported, so that
 	// a few reports don't show that a box is alone.
 	trafficSharePrior = 4
+	// maxOthersShare is the share of the calls below which other boxes send few of them.
+	maxOthersShare = 0.5
 )
 
 // trafficShare estimates a box's share of a service's calls in flight from the targets' reports.
@@ -46,7 +48,7 @@
 }
 
 // isMostlyOwn reports whether the box sends most of the calls itself.
-func (x *trafficShare) isMostlyOwn(now units.Instant) bool { return x.ofOthers(now) < 0.5 }
+func (x *trafficShare) isMostlyOwn(now units.Instant) bool { return x.ofOthers(now) < maxOthersShare }
 
 // freshReportAge returns the age up to which a load report of the service's targets is as good as a new
 // one: until other boxes have sent as many calls as all of them send in freshReportAge.
--- a/test/lost_domains_test.go
+++ b/test/lost_domains_test.go
@@ -66,10 +66,7 @@
 // aim makes calls at all boxes for a time, half of them on connections of their own, and reports where
 // they miss the aim: aim for=D boxes=... names those that are cut off. The cut has just begun.
 func (x *lossCluster) aim(d *datadriven.TestData) string {
-	var text string
-	d.ScanArgs(x.T, "for", &text)
-	length, err := time.ParseDuration(text)
-	x.must(err)
+	length := x.scanDuration(d, "for")
 	cut := x.boxesOf(d)
 	sentBefore, openedBefore, began := x.relaysSent(cut), x.opened(cut), time.Now()
 	samples := x.callAll(cut, length)
--- a/test/lost_targets_test.go
+++ b/test/lost_targets_test.go
@@ -151,11 +151,7 @@
 	case "reconnect":
 		x.eachPath(d, func(p *lab.FaultProxy, box netip.Addr) { p.Reconnect(box) })
 	case "settle":
-		var text string
-		d.ScanArgs(t, "for", &text)
-		length, err := time.ParseDuration(text)
-		x.must(err)
-		end := time.Now().Add(length)
+		end := time.Now().Add(x.scanDuration(d, "for"))
 		x.callBoxes(d, func(i int) bool { return time.Now().Before(end) })
 	case "first-tries":
 		var calls int
--- a/test/skew_test.go
+++ b/test/skew_test.go
@@ -188,10 +188,7 @@
 
 // call makes calls for a time and returns the first tries.
 func (x *skewCluster) call(d *datadriven.TestData) []skewSample {
-	var text string
-	d.ScanArgs(x.T, "for", &text)
-	length, err := time.ParseDuration(text)
-	x.must(err)
+	length := x.scanDuration(d, "for")
 	x.samples = nil
 	var wait sync.WaitGroup
 	end := time.Now().Add(length)
--- a/test/soak_skew_test.go
+++ b/test/soak_skew_test.go
@@ -32,15 +32,6 @@
 	x.pause(200, 1000)
 }
 
-// entriesOf returns the addresses at which boxes take calls.
-func entriesOf(boxes []*lab.Node) []string {
-	var addresses []string
-	for _, n := range boxes {
-		addresses = append(addresses, n.Entry)
-	}
-	return addresses
-}
-
 // checkSkew checks that one box alone serves calls as well as all, once all faults have ended.
 func (x *soak) checkSkew() {
 	time.Sleep(soakMaxLeaveDelay)
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/google/uuid"
 
 	"github.com/madderpond/madderpond/pkg/client"
@@ -79,6 +80,16 @@
 	}
 }
 
+// scanDuration returns the value of an argument that a command must have.
+func (x *testCluster) scanDuration(d *datadriven.TestData, key string) time.Duration {
+	x.Helper()
+	var text string
+	d.ScanArgs(x.T, key, &text)
+	length, err := time.ParseDuration(text)
+	x.must(err)
+	return length
+}
+
 func (x *testCluster) must(err error) {
 	x.Helper()
 	if err != nil {
@@ -137,12 +148,19 @@
 // awaitServingEntries waits until every box serves, and returns the addresses that callers use.
 func (x *testCluster) awaitServingEntries() []string {
 	x.Helper()
-	var entries []string
 	for _, b := range x.cluster.Boxes {
 		x.must(x.cluster.AwaitReady(b, waitTimeout))
-		entries = append(entries, b.Entry)
 	}
-	return entries
+	return entriesOf(x.cluster.Boxes)
+}
+
+// entriesOf returns the addresses at which boxes take calls.
+func entriesOf(boxes []*lab.Node) []string {
+	var addresses []string
+	for _, n := range boxes {
+		addresses = append(addresses, n.Entry)
+	}
+	return addresses
 }
 
 // awaitServed repeats a call until it is served.
