entry: refuse connections while the box's own link or processor is full

Cause: a box took each connection and read each call, whatever its link and processor could carry. Answers and probes then waited in front of the link; the box took their silence for lost targets, relayed calls, which uses the link twice, and refused what it had read.

Change: one account of the box's own capacity (pkg/core/capacity). Each call takes what the mean of the last calls took of the link each way and of the processor. Without capacity left the box closes the socket that it listens on, so that callers are refused at the price of a packet and reach another box at once; accepting and closing would bring the request over the link. It opens again by what has been saved, and once a ping to its replica isn't delayed, since connections that wait in the link's queue can't be seen. While it is short it asks callers to close connections, says after 1 s that it isn't ready, declines relayed calls, and waits 0.5 s instead of 0.1 s before silence counts as a lost target. Settings entry.linkMbps and the new entry.cores; 0 is no limit.

The fleet's callers now open connections with a handshake; a connection that is refused, or closed unread, is tried at another box.

TestLargeAnswersTakeBoundedMemory makes 200 calls at once over 7 Mbit/s, of which the box now accepts few. It switches the gate off, so that it checks the same as before.

--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -41,6 +41,10 @@
 // the router only accepts calls that are sure to end before.
 type StopPlanned struct{ Until units.Instant }
 
+// CapacityChanged reports whether calls need more than the box's own link or processor can carry. Short
+// is set until some time after it last refused connections for that.
+type CapacityChanged struct{ Short bool }
+
 // CallArrived is a new call of a caller.
 type CallArrived struct {
 	// Owner is passed back with every effect on the call; the router doesn't use it.
@@ -123,17 +127,18 @@
 	Message LoanMessage
 }
 
-func (*Tick) routingEvent()           {}
-func (*TableChanged) routingEvent()   {}
-func (*LeaseChanged) routingEvent()   {}
-func (*RegionsChanged) routingEvent() {}
-func (*StopPlanned) routingEvent()    {}
-func (*CallArrived) routingEvent()    {}
-func (*CallerGone) routingEvent()     {}
-func (*AttemptEnded) routingEvent()   {}
-func (*AttemptStarted) routingEvent() {}
-func (*ProbeEnded) routingEvent()     {}
-func (*PeerLoan) routingEvent()       {}
+func (*Tick) routingEvent()            {}
+func (*TableChanged) routingEvent()    {}
+func (*LeaseChanged) routingEvent()    {}
+func (*RegionsChanged) routingEvent()  {}
+func (*StopPlanned) routingEvent()     {}
+func (*CapacityChanged) routingEvent() {}
+func (*CallArrived) routingEvent()     {}
+func (*CallerGone) routingEvent()      {}
+func (*AttemptEnded) routingEvent()    {}
+func (*AttemptStarted) routingEvent()  {}
+func (*ProbeEnded) routingEvent()      {}
+func (*PeerLoan) routingEvent()        {}
 
 // AttemptResult is the way a send ended.
 type AttemptResult uint8
--- a/pkg/core/routing/reach.go
+++ b/pkg/core/routing/reach.go
@@ -29,6 +29,9 @@
 	// target of the service has been heard for as long. Idle targets answer within a few
 	// milliseconds, those behind large answers on the same link within about 0.1 s.
 	probeSilence = 100 * time.Millisecond
+	// shortProbeSilence is the same while the box is short of capacity: answers then wait for its own
+	// link and processor.
+	shortProbeSilence = 500 * time.Millisecond
 	// suspicionMemory is for how long evidence on other boxes counts where this one isn't cut off.
 	suspicionMemory = time.Second
 	// maxDeferredFailures bounds the failures of a rollout's versions that wait until the box knows
@@ -233,15 +236,23 @@
 // reach returns the evidence for all of the service's targets.
 func (s *service) reach() *reach { return s.reaches[0] }
 
+// requiredSilence is the time after which an unanswered probe counts as a failed contact.
+func (r *Router) requiredSilence() time.Duration {
+	if r.isShort {
+		return shortProbeSilence
+	}
+	return probeSilence
+}
+
 // recordSilentProbes records the targets that leave probes unanswered while no target of the service
 // is heard. Large answers that are being received delay the answers to probes.
 func (r *Router) recordSilentProbes(s *service, e *Effects) {
-	heardAt := s.reach().heardAt
-	if !r.canRelay() || r.now.Sub(heardAt) < probeSilence || r.inbound.remaining(r.now) > 0 {
+	heardAt, required := s.reach().heardAt, r.requiredSilence()
+	if !r.canRelay() || r.now.Sub(heardAt) < required || r.inbound.remaining(r.now) > 0 {
 		return
 	}
 	for _, t := range s.targets {
-		silence := t.probeTimeout() - probeTimeout + probeSilence
+		silence := t.probeTimeout() - probeTimeout + required
 		if t.probesInFlight > 0 && t.silenceCountedFor != t.probesInFlightSince && r.now.Sub(t.probesInFlightSince) >= silence {
 			t.silenceCountedFor = t.probesInFlightSince
 			r.recordContactFailed(t, t.probesInFlightSince, e)
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -437,7 +437,7 @@
 		return NoLease, noLeaseRetryAfter
 	case r.isBehind(x.Revision):
 		return StaleTable, minRetryAfter
-	case !r.enabled(Relaying) || r.relays.inFlight > r.settings.MaxRelayed:
+	case !r.enabled(Relaying) || r.isShort || r.relays.inFlight > r.settings.MaxRelayed:
 		return RelayLimit, minRetryAfter
 	}
 	return 0, 0
--- a/pkg/core/routing/router.go
+++ b/pkg/core/routing/router.go
@@ -98,6 +98,8 @@
 	leaseUntil  units.Instant
 	// leaseConfirmedAt is when the table was last known to be current.
 	leaseConfirmedAt units.Instant
+	// isShort is set while calls need more than the box's link or processor can carry.
+	isShort bool
 	// stopsAt is when the box will have stopped as planned, zero for never; from stopsAdmittingAt
 	// on, only calls that are sure to end before are accepted.
 	stopsAt          units.Instant
@@ -215,6 +217,8 @@
 	case *StopPlanned:
 		r.stopsAt = v.Until
 		r.stopsAdmittingAt = r.now.Add(v.Until.Sub(r.now) / 2)
+	case *CapacityChanged:
+		r.isShort = v.Short
 	case *LeaseChanged:
 		r.resetStaleHolder()
 		r.leaseUntil, r.leaseConfirmedAt = v.Until, v.At
--- a/pkg/core/routing/skew_fleet_script_test.go
+++ b/pkg/core/routing/skew_fleet_script_test.go
@@ -250,7 +250,7 @@
 }
 
 func (x *skewResult) add(c *skewCall) {
-	if c.isLost() || c.box.frozenUntil > c.arrived {
+	if c.box != nil && (c.isLost() || c.box.frozenUntil > c.arrived) {
 		return
 	}
 	x.calls++
@@ -259,6 +259,8 @@
 		x.served++
 	case c.ended == 0:
 		x.reasons["unfinished"]++
+	case c.refusedConnection:
+		x.reasons["connection refused"]++
 	case c.givenUp:
 		x.reasons["given up by its caller"]++
 	default:
--- a/pkg/core/routing/skew_fleet_test.go
+++ b/pkg/core/routing/skew_fleet_test.go
@@ -83,6 +83,8 @@
 	hotEvery  time.Duration
 	hotAt     units.Instant
 	messages  int
+	// refused is the number of connections that boxes refused.
+	refused int
 	// workspaces are those of the table, credential is the key that all calls carry.
 	workspaces table.Workspaces
 	credential apikey.Credential
@@ -129,6 +131,8 @@
 	// answerBytes is the size of its answer. givenUp is set if that came after the caller had left.
 	answerBytes float64
 	givenUp     bool
+	// refusedConnection is set if no box accepted the caller's connection.
+	refusedConnection bool
 }
 
 // skewRun is a call at a target.
@@ -193,7 +197,7 @@
 	}
 	for d, n := range o.domains {
 		for i := range n {
-			b := &skewBox{id: units.BoxID(fmt.Sprintf("d%d-%03d", d, i)), domain: skewDomain(d), machine: newSkewMachine(o.mbps, o.cores)}
+			b := &skewBox{id: units.BoxID(fmt.Sprintf("d%d-%03d", d, i)), domain: skewDomain(d), machine: newSkewMachine(o.mbps, o.cores, f.now)}
 			f.boxes = append(f.boxes, b)
 			f.byID[b.id] = b
 			f.listed = append(f.listed, table.Box{ID: b.id, Domain: b.domain, Address: string(b.id) + ":1"})
@@ -274,6 +278,7 @@
 	b.idle = map[units.TargetID][]units.Instant{}
 	f.deliver(b, &LeaseChanged{At: f.now, Until: f.now.Add(time.Hour)})
 	f.deliver(b, &TableChanged{Table: f.table()})
+	f.ping(b)
 }
 
 // stop kills a box: its calls end without an answer.
@@ -365,6 +370,7 @@
 		return
 	}
 	upload := f.upload(b, bytes)
+	b.machine.gate.CallEnded(f.now, b.machine.usage())
 	c.ended, c.served, c.refusal = f.now.Add(upload), served, refusal
 	waited := c.ended.Sub(c.arrived)
 	if served && b.machine.out.rate > 0 && waited+skewClientTrip > c.patience {
@@ -375,8 +381,8 @@
 		return
 	}
 	f.after(upload+refusal.RetryAfter+2*skewClientTrip, func() {
-		again := &skewCall{class: c.class, client: c.client, patience: left}
-		f.arrive(f.anyBox(c.client), again)
+		again := &skewCall{class: c.class, client: c.client, patience: left, arrived: f.now}
+		f.callOnNewConnection(f.anyBox(c.client), again, nil)
 	})
 }
 
@@ -699,23 +705,30 @@
 }
 
 // callerCalls makes one call. Half of the callers keep their connections, which they close after every
-// second call while most go to one box.
+// second call while most go to one box, or if the box asks for it.
 func (f *skewFleet) callerCalls() {
 	x := f.clients[f.random.IntN(len(f.clients))]
 	keeps := f.random.Float64() < 0.5
+	c := &skewCall{first: true, client: x.domain, arrived: f.now}
 	box := x.box
-	if !keeps || box == nil || box.down {
+	if isNew := !keeps || box == nil || box.down; isNew {
 		box = f.connect(x.domain)
+		c.class = f.drawClass()
+		f.startCall(c)
+		var keeper *skewClient
 		if keeps {
-			x.box = box
+			keeper = x
 		}
-	} else if len(f.hot) > 0 && f.random.Float64() < 0.5 {
+		f.callOnNewConnection(box, c, keeper)
+		return
+	}
+	if len(f.hot) > 0 && f.random.Float64() < 0.5 || !box.machine.keepsConnections(f.now) {
 		x.box = nil
 	}
-	c := &skewCall{class: f.drawClass(), first: true, client: x.domain}
-	c.patience = c.class.patience
-	f.calls = append(f.calls, c)
-	f.arrive(box, c)
+	c.class = f.drawClass()
+	f.startCall(c)
+	f.admit(box)
+	f.callOnOpenConnection(box, c)
 }
 
 func (f *skewFleet) drawClass() *skewClass {
@@ -732,11 +745,22 @@
 	return &skewClasses[0]
 }
 
-func (f *skewFleet) arrive(b *skewBox, c *skewCall) {
-	c.box, c.arrived, c.incarnation = b, f.now, b.incarnation
-	f.receive(b, skewClientTrip, skewHeadBytes+c.class.request, skewCallWork, func() {
-		f.deliver(b, &CallArrived{Owner: c, Host: []byte(c.class.host), Path: []byte("/"), Deadline: c.patience, Credential: f.credential})
-	})
+func (f *skewFleet) startCall(c *skewCall) {
+	c.patience = c.class.patience
+	f.calls = append(f.calls, c)
+}
+
+// callOnNewConnection makes a call at a box, or at another one if that refuses the connection. keeper is the
+// caller that keeps the connection, if any.
+func (f *skewFleet) callOnNewConnection(b *skewBox, c *skewCall, keeper *skewClient) {
+	if !b.machine.isLimited() {
+		if keeper != nil {
+			keeper.box = b
+		}
+		f.callOnOpenConnection(b, c)
+		return
+	}
+	f.connectAndCall(b, c, keeper, maxSkewTries)
 }
 
 // inAim reports whether the caller had its answer within the latency objective.
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -26,6 +26,8 @@
 	number subscription.Attachment
 	queue  chan *wire.Envelope
 	done   chan struct{}
+	// conn is nil before it is made.
+	conn *transport.Conn
 }
 
 // maxQueuedMessages bounds the messages that are queued to be sent; further ones are dropped.
@@ -77,6 +79,21 @@
 	}
 }
 
+// ping reports whether the attached replica has answered a ping. It waits for the answer.
+func (c *controlClient) ping() bool {
+	c.entry.lock.Lock()
+	var conn *transport.Conn
+	if c.current != nil {
+		conn = c.current.conn
+	}
+	c.entry.lock.Unlock()
+	if conn == nil {
+		return false
+	}
+	_, err := conn.Ping()
+	return err == nil
+}
+
 func (c *controlClient) close() {
 	if c.current != nil {
 		close(c.current.done)
@@ -101,6 +118,10 @@
 	}
 	defer conn.Close()
 	c.entry.Log.WithFields(logrus.Fields{"kind": "control-attach", "replica": replicas[i], "dialled": len(addresses)}).Info("attached to a control replica")
+	c.entry.lock.Lock()
+	a.conn = conn
+	c.entry.lock.Unlock()
+	go c.entry.admission.ping()
 	c.entry.reduce(subscription.Attached{Attachment: a.number, Replica: replicas[i]})
 	go c.receive(a, conn)
 	for {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/box"
+	"github.com/madderpond/madderpond/pkg/core/capacity"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/subscription"
 	"github.com/madderpond/madderpond/pkg/core/table"
@@ -47,14 +48,16 @@
 
 	pools *target.Pools
 	// pacer shares the box's link among large answers; nil if the link's rate isn't set.
-	pacer    *pacing.Pacer
-	workers  pond.Pool
-	control  *controlClient
-	peers    *peerLinks
-	metrics  *metrics
-	server   *fasthttp.Server
-	listener net.Listener
-	leaving  atomic.Bool
+	pacer *pacing.Pacer
+	// admission keeps the calls that are read to what the box can carry.
+	admission *admission
+	workers   pond.Pool
+	control   *controlClient
+	peers     *peerLinks
+	metrics   *metrics
+	server    *fasthttp.Server
+	listener  net.Listener
+	leaving   atomic.Bool
 	// loggedRevision is the revision of the table that was logged last.
 	loggedRevision units.Revision
 	// ordinaryCalls counts the calls that were answered at the first attempt, of which a sample is
@@ -89,6 +92,9 @@
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
 	}
+	e.admission = newAdmission(capacity.Settings{
+		LinkRate: float64(pacing.RateFromMegabits(s.LinkMbps)), Cores: s.Cores,
+	}, c.Clock, c.Log, e.setShort, func() bool { return e.control.ping() })
 	e.pools = target.NewPools(e.targetSettings(), c.Clock)
 	e.control = newControlClient(e)
 	e.peers = newPeerLinks(e)
@@ -132,14 +138,14 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen for callers on %s", e.Settings.Entry.Listen)
 	}
-	e.listener = listener
+	e.listener = newGatedListener(listener, e.admission)
 	e.stopped.Add(1)
 	go e.runPeriodicTasks()
 	e.lock.Lock()
 	e.wakeTimer = time.AfterFunc(0, e.tick)
 	e.lock.Unlock()
 	go func() {
-		if err := e.server.Serve(listener); err != nil {
+		if err := e.server.Serve(e.listener); err != nil {
 			e.Log.WithError(err).Error("the HTTP server for callers stopped")
 		}
 	}()
@@ -294,6 +300,9 @@
 	e.reduce(&routing.StopPlanned{Until: e.Clock.Now().Add(remaining)})
 }
 
+// setShort informs the core whether the box is short of capacity.
+func (e *Entry) setShort(isShort bool) { e.reduce(&routing.CapacityChanged{Short: isShort}) }
+
 // SetReplicas updates the control replicas to those in changed settings.
 func (e *Entry) SetReplicas(s *config.Settings) {
 	e.lock.Lock()
@@ -321,6 +330,7 @@
 	close(e.done)
 	e.stopped.Wait()
 	e.wakeTimer.Stop()
+	e.admission.stop()
 	e.control.close()
 	e.peers.close()
 	e.workers.Stop()
@@ -331,7 +341,7 @@
 func (e *Entry) Ready() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return !e.leaving.Load() && !e.listedLeaving.Load() && e.core.Ready(e.Clock.Now())
+	return !e.leaving.Load() && !e.listedLeaving.Load() && !e.admission.isOverloaded() && e.core.Ready(e.Clock.Now())
 }
 
 // Leaving reports whether a planned stop has begun.
@@ -343,6 +353,7 @@
 	Leaving     bool            `json:"leaving"`
 	Address     string          `json:"address"`
 	Connections int             `json:"connections"`
+	Admission   AdmissionStatus `json:"admission"`
 	Targets     []target.Status `json:"targets"`
 }
 
@@ -355,6 +366,7 @@
 		Leaving:     e.leaving.Load(),
 		Address:     e.Address(),
 		Connections: int(e.server.GetOpenConnectionsCount()),
+		Admission:   e.admission.status(),
 		Targets:     e.pools.Status(),
 	}
 }
@@ -371,6 +383,6 @@
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
 		LimitHeader:              s.LimitHeader,
 		StatusMayMeanNotExecuted: s.PromiseStatus, AllowUnframed: s.Unframed,
-		DialRelay: e.dialRelay,
+		DialRelay: e.dialRelay, Traffic: &e.admission.targets,
 	}
 }
--- a/pkg/entry/link_test.go
+++ b/pkg/entry/link_test.go
@@ -22,6 +22,7 @@
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/capacity"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/table"
 )
@@ -332,6 +333,7 @@
 func TestLargeAnswersTakeBoundedMemory(t *testing.T) {
 	const downloads, maxHeapBytes = 200, 40 << 20
 	e := startLinkBox(t, startLinkTarget(t), linkMbps)
+	acceptAllConnections(e)
 	before := heapInUse()
 	for range downloads {
 		defer requestLongestAnswer(t, e.Address()).Close()
@@ -344,6 +346,13 @@
 	}
 }
 
+// acceptAllConnections makes a box accept connections whatever its link can carry.
+func acceptAllConnections(e *Entry) {
+	e.admission.lock.Lock()
+	defer e.admission.lock.Unlock()
+	e.admission.gate = capacity.NewGate(capacity.Settings{}, e.Clock.Now())
+}
+
 func heapInUse() int64 {
 	runtime.GC()
 	var m runtime.MemStats
--- /dev/null
+++ b/pkg/entry/listener.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/traffic"
+)
+
+// reopenRetryInterval is the time between two attempts to open the listener again.
+const reopenRetryInterval = 20 * time.Millisecond
+
+// gatedListener accepts callers' connections while the box's link and processor can carry more calls.
+// Otherwise it closes the socket that it listens on, so that the operating system refuses connections:
+// a connection that is accepted and closed would have brought a request over the link.
+type gatedListener struct {
+	admission *admission
+	address   net.Addr
+	done      chan struct{}
+	// lock guards inner, which is nil while connections are refused.
+	lock  sync.Mutex
+	inner net.Listener
+}
+
+// callerConn is a caller's connection.
+type callerConn struct{ *traffic.Conn }
+
+func newGatedListener(l net.Listener, a *admission) *gatedListener {
+	return &gatedListener{admission: a, address: l.Addr(), inner: l, done: make(chan struct{})}
+}
+
+// Accept waits for a connection that the box can serve.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	for {
+		inner, askAgainIn, err := l.open()
+		if err != nil {
+			return nil, err
+		}
+		c, err := acceptWithin(inner, askAgainIn)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if ok, _ := l.admission.accepts(); !ok {
+			// Calls on other connections have used up the capacity meanwhile.
+			l.admission.closedUnread.Add(1)
+			closeUnread(c)
+			continue
+		}
+		l.admission.accepted.Add(1)
+		l.admission.admit()
+		return &callerConn{traffic.Count(c, &l.admission.callers)}, nil
+	}
+}
+
+// acceptWithin accepts a connection. The error is os.ErrDeadlineExceeded if there is none within a time;
+// zero means no limit.
+func acceptWithin(l net.Listener, limit time.Duration) (net.Conn, error) {
+	if tcp, ok := l.(*net.TCPListener); ok {
+		var deadline time.Time
+		if limit > 0 {
+			deadline = time.Now().Add(limit)
+		}
+		if err := tcp.SetDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	return l.Accept()
+}
+
+// closeUnread closes a connection so that its caller can tell that nothing was read.
+func closeUnread(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// open returns the open inner listener once the box accepts connections, and after which time to call
+// it again at the latest; zero means no limit.
+func (l *gatedListener) open() (net.Listener, time.Duration, error) {
+	for {
+		ok, askAgainIn := l.admission.accepts()
+		if ok {
+			inner, err := l.reopen()
+			if inner != nil || err != nil {
+				return inner, askAgainIn, err
+			}
+			askAgainIn = reopenRetryInterval
+		} else {
+			l.refuse()
+		}
+		select {
+		case <-l.done:
+			return nil, 0, net.ErrClosed
+		case <-time.After(min(askAgainIn, maxAskInterval)):
+		}
+	}
+}
+
+// refuse closes the inner listener.
+func (l *gatedListener) refuse() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.inner == nil {
+		return
+	}
+	l.admission.refused.Add(1)
+	l.inner.Close()
+	l.inner = nil
+}
+
+// reopen returns the inner listener, a new one if it was closed. It returns nil if the address can't be
+// listened on at present.
+func (l *gatedListener) reopen() (net.Listener, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	select {
+	case <-l.done:
+		return nil, net.ErrClosed
+	default:
+	}
+	if l.inner != nil {
+		return l.inner, nil
+	}
+	inner, err := net.Listen(l.address.Network(), l.address.String())
+	if err != nil {
+		l.admission.log.WithError(err).WithField("address", l.address.String()).Warning("the box can't listen for callers again; it tries again")
+		return nil, nil
+	}
+	l.inner = inner
+	return inner, nil
+}
+
+// Close stops accepting connections for good. The error is net.ErrClosed on a second call.
+func (l *gatedListener) Close() error {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	select {
+	case <-l.done:
+		return net.ErrClosed
+	default:
+	}
+	close(l.done)
+	if l.inner == nil {
+		return nil
+	}
+	return l.inner.Close()
+}
+
+// Addr returns the address for callers, also while connections are refused.
+func (l *gatedListener) Addr() net.Addr { return l.address }
+
+// trackIdle keeps the set of idle connections up to date.
+func (a *admission) trackIdle(c net.Conn, state fasthttp.ConnState) {
+	x, ok := c.(*callerConn)
+	if !ok || !a.limited {
+		return
+	}
+	a.setIdle(x, state == fasthttp.StateIdle)
+}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -89,6 +89,7 @@
 		"relays":      s.Routing.Relays,
 		"cutOff":      s.Routing.CutOff(),
 		"connections": s.Connections,
+		"admission":   s.Admission,
 		"leaving":     s.Leaving,
 	}
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -46,6 +46,7 @@
 		// A malformed request may contain an API key, which must not be logged.
 		SecureErrorLogMessage: true,
 		ErrorHandler:          e.handleBadRequest,
+		ConnState:             e.admission.trackIdle,
 		Logger:                e.Log,
 	}
 }
@@ -70,7 +71,12 @@
 
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
-	if e.leaving.Load() {
+	// The first call on a connection was counted when that was accepted.
+	if ctx.ConnRequestNum() > 1 || relayedBy(ctx) != "" {
+		e.admission.admit()
+	}
+	defer e.admission.callEnded()
+	if e.leaving.Load() || !e.admission.keepsConnections() {
 		// Closing the connection makes the caller's next call go to another box.
 		ctx.SetConnectionClose()
 	}
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/madderpond/madderpond/pkg/traffic"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -122,8 +123,9 @@
 	return n, peekErr
 }
 
-// dial connects to an address, from a source IP address if that is valid.
-func dial(ctx context.Context, source netip.Addr, address string) (*conn, error) {
+// dial connects to an address, from a source IP address if that is valid, and counts the traffic unless
+// the counter is nil.
+func dial(ctx context.Context, source netip.Addr, address string, counter *traffic.Counter) (*conn, error) {
 	var d net.Dialer
 	if source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
@@ -132,5 +134,8 @@
 	if err != nil {
 		return nil, err
 	}
+	if counter != nil {
+		raw = traffic.Count(raw, counter)
+	}
 	return newConn(raw), nil
 }
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/traffic"
 )
 
 // Settings configure the connections to targets and how their responses are read.
@@ -48,6 +49,8 @@
 	StatusMayMeanNotExecuted bool
 	// AllowUnframed accepts responses whose end is the end of their connection.
 	AllowUnframed bool
+	// Traffic counts what connections to targets put on the link; nil counts nothing.
+	Traffic *traffic.Counter
 	// DialRelay connects to another box to which calls are relayed.
 	DialRelay func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -117,7 +120,7 @@
 
 func (p *Pools) dial(ctx context.Context, x *routing.Endpoint) (*conn, error) {
 	if x.Relay == "" {
-		return dial(ctx, p.settings.Source, x.Address)
+		return dial(ctx, p.settings.Source, x.Address, p.settings.Traffic)
 	}
 	raw, err := p.settings.DialRelay(ctx, x.Address)
 	if err != nil {
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -175,6 +175,13 @@
 	return m, nil
 }
 
+// Ping returns how long a message to the peer and its answer take. The error is an Unavailable fault if
+// there is no answer.
+func (c *Conn) Ping() (time.Duration, error) {
+	took, err := c.session.Ping()
+	return took, fault.Wrap(err, fault.Unavailable, "wait for the connection to be re-established", "a ping wasn't answered")
+}
+
 // closed returns whether the connection is known to have ended.
 func (c *Conn) closed() bool { return c.session.IsClosed() }
 
