target: discard no more than 64 KB of another call's answer

A target in trouble may send bytes that are no answer without end, in a head or a body, until the connection is closed. Heads, chunk lines, trailers and interim answers were bounded; of an answer that names another call the whole body was read: 32 MB in 0.5 s, until the call's deadline, over the link that other calls share. Now at most 64 KB are, and the call is broken, so that it can go elsewhere if it may.

Bodies that belong to the call are passed on until its deadline, and never look whole.

--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -33,8 +33,13 @@
 	return a.readBody()
 }
 
-// maxStaleResponses is how many responses to earlier calls may precede the call's own.
-const maxStaleResponses = 3
+const (
+	// maxStaleResponses is how many responses to earlier calls may precede the call's own.
+	maxStaleResponses = 3
+	// maxStaleBytes is how many bytes the body of one of them may have. A longer one may have no end, and
+	// the link is better used for the same call on another connection.
+	maxStaleBytes = 64 << 10
+)
 
 // readOwnResponse reads the head of the call's own response, and the body if it is short.
 // It discards responses that name another call; the connection isn't reused after one.
@@ -57,7 +62,7 @@
 		}
 		a.unusable = true
 		if stream := r.BodyStream(); stream != nil {
-			if _, err := io.Copy(io.Discard, stream); err != nil {
+			if _, err := io.CopyN(io.Discard, stream, maxStaleBytes+1); err != io.EOF {
 				return false
 			}
 		}
