--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -35,7 +35,7 @@
 	maxSavedTime  = 200 * time.Millisecond
 	// maxDebtTime bounds the capacity that calls on kept connections may use in advance, so that the box
 	// accepts connections again soon after they have ended.
-	maxDebtTime = time.Second
+	maxDebtTime = 250 * time.Millisecond
 	// reopenTime is how much capacity must be saved before the box accepts connections again. It is
 	// enough for a few calls, since opening and closing the listener costs processor time.
 	reopenTime = 20 * time.Millisecond
