entry: requests reach targets as they were sent, and routes go by the path as written

Cause: what the HTTP library reads for its own convenience was taken for what the caller sent: it takes forms apart and writes them anew from a map, and it decodes and cleans the path.

Change: forms aren't parsed; the route is picked by the path as written, of an absolute address too.

--- /dev/null
+++ b/pkg/entry/raw_test.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"github.com/madderpond/madderpond/pkg/clock"
+	"github.com/madderpond/madderpond/pkg/common"
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/units"
+)
+
+// TestRequestsReachTargetsAsTheyWereSent sends the raw requests in testdata through a box. "send" prints which
+// service got the request, its first line, the headers that were added, changed or taken out, and
+// its body. "\n" is a line's end in the request; lines of the file are joined.
+func TestRequestsReachTargetsAsTheyWereSent(t *testing.T) {
+	datadriven.Walk(t, "testdata/raw", func(t *testing.T, path string) {
+		got := make(chan string, 1)
+		e := startRawBox(t, startRawTarget(t, "cards", got), startRawTarget(t, "redeem", got))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			sent := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
+			status := sendRaw(t, e.Address(), sent)
+			select {
+			case request := <-got:
+				return describeRaw(sent, request)
+			default:
+				return fmt.Sprintf("status %d, not sent to a target\n", status)
+			}
+		})
+	})
+}
+
+// startRawTarget records each request as it was read, behind the name of the service.
+func startRawTarget(t *testing.T, name string, got chan string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				var raw bytes.Buffer
+				request, err := http.ReadRequest(bufio.NewReaderSize(io.TeeReader(c, &raw), 1))
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, request.Body)
+				got <- name + "\n" + raw.String()
+				io.WriteString(c, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func startRawBox(t *testing.T, cards, redeem string) *Entry {
+	settings := config.Defaults()
+	settings.Box = "me"
+	settings.Entry.ServeStale = true
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	e, err := NewEntry(&common.Common{Log: logrus.NewEntry(logger), Settings: settings, Clock: clock.NewClock()}, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	v := table.NewTable()
+	v.Revision, v.Routes = 1, map[table.RouteKey]*table.Route{}
+	for prefix, s := range map[string][2]string{"/cards/": {"cards", cards}, "/cards/redeem/": {"redeem", redeem}} {
+		name := units.ServiceName(s[0])
+		entry := &table.Entry{Service: table.Service{Name: name, Work: table.AtMostOnce, Deadline: time.Second, HoldLimit: time.Second, HoldCount: 1}, Version: 1}
+		entry.Rows = entry.Rows.With(table.Row{Service: name, Target: units.TargetID(s[0]), Address: s[1], Weight: 100, State: table.Active})
+		v.Services[name] = entry
+		r := &table.Route{
+			Name: s[0], Host: "h", PathPrefix: prefix, Work: table.AtMostOnce, Deadline: time.Second,
+			Services: []table.WeightedService{{Service: name, Weight: 1}},
+		}
+		v.Routes[r.Key()] = r
+	}
+	e.reduce(&routing.TableChanged{Table: v})
+	return e
+}
+
+// sendRaw sends a request and returns the status of the answer.
+func sendRaw(t *testing.T, address, request string) int {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(awaitTimeout))
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer.StatusCode
+}
+
+// describeRaw compares what a target got with what was sent.
+func describeRaw(sent, got string) string {
+	service, request, _ := strings.Cut(got, "\n")
+	sentHead, sentBody, _ := strings.Cut(sent, "\r\n\r\n")
+	gotHead, gotBody, _ := strings.Cut(request, "\r\n\r\n")
+	sentLines, gotLines := strings.Split(sentHead, "\r\n"), strings.Split(gotHead, "\r\n")
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s: %s\n", service, gotLines[0])
+	for _, line := range sentLines[1:] {
+		if !slices.Contains(gotLines, line) {
+			fmt.Fprintf(&out, "- %s\n", line)
+		}
+	}
+	for _, line := range gotLines[1:] {
+		if !slices.Contains(sentLines, line) && !strings.HasPrefix(line, "X-Deadline-Ms: ") {
+			fmt.Fprintf(&out, "+ %s\n", line)
+		}
+	}
+	if sentBody == gotBody {
+		out.WriteString("the body as it was sent\n")
+	} else {
+		fmt.Fprintf(&out, "body %q\n", gotBody)
+	}
+	return out.String()
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"strconv"
@@ -41,8 +42,10 @@
 		DisableHeaderNamesNormalizing: false,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
-		ReduceMemoryUsage:             true,
-		CloseOnShutdown:               true,
+		// A form that has been parsed is written anew, in another order.
+		DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage:            true,
+		CloseOnShutdown:              true,
 		// A malformed request may contain an API key, which must not be logged.
 		SecureErrorLogMessage: true,
 		ErrorHandler:          e.handleBadRequest,
@@ -112,6 +115,25 @@
 	return host
 }
 
+// pathOf returns the path of a request's target as it is written: targets get it so, and a prefix must
+// mean the same to them.
+func pathOf(uri []byte) []byte {
+	if i := bytes.IndexAny(uri, "?#"); i >= 0 {
+		uri = uri[:i]
+	}
+	if len(uri) == 0 || uri[0] == '/' {
+		return uri
+	}
+	_, rest, isAbsolute := bytes.Cut(uri, []byte("://"))
+	if !isAbsolute {
+		return uri
+	}
+	if i := bytes.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
+	}
+	return []byte("/")
+}
+
 func (e *Entry) requestedDeadline(ctx *fasthttp.RequestCtx) time.Duration {
 	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(e.Settings.Entry.DeadlineHeader)), 10, 64)
 	if err != nil || ms <= 0 || ms > maxDeadlineMillis {
@@ -136,7 +158,7 @@
 	e.waitingCalls[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: ctx.Path(), Credential: e.credentialOf(ctx), Deadline: e.requestedDeadline(ctx),
+		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: e.requestedDeadline(ctx),
 		Identity: &c.identity, Relayed: c.relayed,
 	})
 	c.inline = false
