replication: a replica that is gone gives its vote to its successor, whoever leads

Cause: a voter was replaced after 8 s of silence, more than the 5 s for which it counts as lost, counted anew by each leader.

Only a leader with its lease removes, and only while the successor responds.

--- a/pkg/core/replication/acknowledged.go
+++ b/pkg/core/replication/acknowledged.go
@@ -96,3 +96,23 @@
 		p.acknowledged.merge(acknowledgement{incarnation: incarnation, boot: x.Boot, index: units.Index(x.Index)})
 	}
 }
+
+// recordLags records since when each voter has lacked committed entries, as far as this replica knows.
+func (n *Node) recordLags(now units.Instant) {
+	for _, m := range n.voters() {
+		p := n.peers[units.ReplicaID(m.Id)]
+		if p == nil {
+			continue
+		}
+		index := units.Index(0)
+		if p.acknowledged.incarnation == units.Incarnation(m.Incarnation) {
+			index = p.acknowledged.index
+		}
+		switch {
+		case index >= n.log.commit:
+			p.lagsSince = 0
+		case p.lagsSince == 0 || p.lagsAt != index:
+			p.lagsSince, p.lagsAt = now, index
+		}
+	}
+}
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -98,7 +98,7 @@
 		return without
 	}
 	if n.hasAllVoters() {
-		return n.withoutUnresponsive(now)
+		return n.withoutUnresponsive(now, p)
 	}
 	without.Voters = append(without.Voters, &wire.Member{Id: string(p.id), Incarnation: string(p.incarnation)})
 	return without
@@ -109,22 +109,35 @@
 	return n.settings.Growth != nil && len(n.voters()) >= n.settings.Growth.Voters
 }
 
-// withoutUnresponsive returns the membership without a voter that hasn't responded for
-// ReplaceAfter and may be replaced, or nil when there is none.
-func (n *Node) withoutUnresponsive(now units.Instant) *wire.Membership {
+// withoutUnresponsive returns the membership without a voter that hasn't responded for ReplaceAfter, or nil when
+// there is none, or when its successor doesn't respond. A leader that has just been resumed hasn't processed the
+// responses that came meanwhile; it has no lease then.
+func (n *Node) withoutUnresponsive(now units.Instant, successor *progress) *wire.Membership {
+	if !n.HasLease(now) || now.Sub(successor.lastContact) >= n.settings.ElectionTimeout {
+		return nil
+	}
 	for _, m := range n.voters() {
-		v := voterOf(m)
-		if v == n.self() {
-			continue
-		}
-		last := max(n.leaderSince, n.lastContactWith(v, now))
-		if now.Sub(last) >= n.settings.Growth.ReplaceAfter {
+		if v := voterOf(m); v != n.self() && now.Sub(n.unresponsiveSince(v, now)) >= n.settings.Growth.ReplaceAfter {
 			return n.membershipWithout(v.id)
 		}
 	}
 	return nil
 }
 
+// unresponsiveSince returns the latest time at which a voter may have responded. One that hasn't responded to this
+// leader within an election timeout has been silent since it last acknowledged all committed entries: otherwise
+// each change of leader would let it keep its vote for longer.
+func (n *Node) unresponsiveSince(v voter, now units.Instant) units.Instant {
+	if contact := n.lastContactWith(v, now); contact > 0 {
+		return contact
+	}
+	p := n.peers[v.id]
+	if p == nil || p.lagsSince == 0 || now.Sub(n.leaderSince) < n.settings.ElectionTimeout {
+		return n.leaderSince
+	}
+	return min(n.leaderSince, p.lagsSince)
+}
+
 func (n *Node) membershipWithout(id units.ReplicaID) *wire.Membership {
 	next := &wire.Membership{Cluster: n.membership.current.Cluster}
 	for _, m := range n.voters() {
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -115,6 +115,7 @@
 		n.requestPresence(now, e)
 		return
 	}
+	n.recordLags(now)
 	if n.role == leader {
 		n.leaderTick(now, e)
 		return
@@ -168,6 +169,7 @@
 		return
 	}
 	n.dispatch(now, p, m, e)
+	n.recordLags(now)
 }
 
 // admit reports whether a sender's messages may be processed, and refuses the sender if not.
--- a/pkg/core/replication/progress.go
+++ b/pkg/core/replication/progress.go
@@ -17,6 +17,10 @@
 	// acknowledged is what the replica is known to have acknowledged, to this leader or
 	// to an earlier one.
 	acknowledged acknowledgement
+	// lagsSince is since when a voter has lacked committed entries, after the one at lagsAt; zero if it has
+	// acknowledged all of them.
+	lagsSince units.Instant
+	lagsAt    units.Index
 	// acksDelivered is the version of the voters' acknowledgements that the replica is known to have;
 	// acksSent is the version last sent to it and the round of that append request.
 	acksDelivered uint64
