entry: bodies wait for memory, and are held once however many attempts a call has

Cause: each body was read whole before the handler, and copied once more for each attempt; nothing counted what calls hold.

Change: the handler reads the body, into memory of its own that all attempts share. Bodies over 64 KB take all of their memory at once from a budget (pkg/core/bodies, pure): 0.6 of memoryLimitMB, or one largest body. What doesn't fit waits in its connection, in order, for half of the call's deadline and 5 s at most, then is refused as not run (body-memory, 503 and Retry-After). Small bodies don't wait.

--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -57,6 +57,7 @@
 	Unreachable
 	RelayLimit
 	StaleTable
+	BodyMemory
 	reasonCount
 )
 
@@ -96,6 +97,7 @@
 	Unreachable:        {"unreachable", 503, "retry after the given time; neither this box nor others that it asked can reach a target of this service"},
 	RelayLimit:         {"relay-limit", 503, "retry later; this box serves as many calls of other boxes as it may"},
 	StaleTable:         {"stale-table", 503, "try another box; this one has an older table than the box that relayed the call"},
+	BodyMemory:         {"body-memory", 503, "retry after the given time; other calls' bodies take the memory that this box has for them"},
 	CallerDisconnected: {"caller-gone", 499, "none; the caller disconnected"},
 }
 
--- /dev/null
+++ b/pkg/entry/body.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/core/bodies"
+	"github.com/madderpond/madderpond/pkg/core/routing"
+)
+
+const (
+	// smallBodyBytes is the size up to which a body is read at once: as many as there are connections take
+	// little memory beside the large ones.
+	smallBodyBytes = 64 << 10
+	// bodyFraction is the fraction of the memory limit that large bodies may take together. The rest is for
+	// everything else, and for bodies that have been released and not been collected yet.
+	bodyFraction = 0.6
+	// maxBodyFraction is the same where a single body of the largest size needs more.
+	maxBodyFraction = 0.8
+	// maxWaitingBodies bounds the calls whose bodies wait in their connections.
+	maxWaitingBodies = 64
+	// maxBodyWait bounds how long one waits if its call has no deadline.
+	maxBodyWait = 5 * time.Second
+	// bodyWaitDivisor divides a call's deadline into the time for which its body may wait.
+	bodyWaitDivisor = 2
+	// memoryRetryAfter is the retry delay of a call for whose body there is no memory.
+	memoryRetryAfter = time.Second
+)
+
+var errBodyTooLarge = fasthttp.ErrBodyTooLarge
+
+// bodyMemory is the memory for large request bodies, shared by all calls.
+type bodyMemory struct {
+	lock   sync.Mutex
+	budget *bodies.Budget
+	nextID bodies.ID
+	// waiting has the channel of each body that waits, which is closed once it is granted.
+	waiting map[bodies.ID]chan struct{}
+}
+
+// newBodyMemory returns the memory for bodies of a process with a memory limit; zero is no limit.
+func newBodyMemory(limitMB, maxBody int) *bodyMemory {
+	if limitMB == 0 {
+		return nil
+	}
+	limit := float64(limitMB) * (1 << 20)
+	bound := max(bodyFraction*limit, min(float64(maxBody), maxBodyFraction*limit))
+	return &bodyMemory{budget: bodies.NewBudget(int(bound), maxWaitingBodies), waiting: map[bodies.ID]chan struct{}{}}
+}
+
+// reserve waits for memory, for a time, and reports whether there is.
+func (m *bodyMemory) reserve(n int, wait time.Duration) bool {
+	if m == nil {
+		return true
+	}
+	m.lock.Lock()
+	m.nextID++
+	id := m.nextID
+	verdict := m.budget.Reserve(id, n)
+	granted := make(chan struct{})
+	if verdict == bodies.Queued {
+		m.waiting[id] = granted
+	}
+	m.lock.Unlock()
+	if verdict != bodies.Queued {
+		return verdict == bodies.Granted
+	}
+	select {
+	case <-granted:
+		return true
+	case <-time.After(wait):
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	next, stillWaits := m.budget.Abandon(id)
+	m.wake(next)
+	if !stillWaits {
+		// It was granted at the last moment.
+		return true
+	}
+	delete(m.waiting, id)
+	return false
+}
+
+// release returns memory.
+func (m *bodyMemory) release(n int) {
+	if m == nil {
+		return
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.wake(m.budget.Release(n))
+}
+
+func (m *bodyMemory) wake(granted []bodies.ID) {
+	for _, id := range granted {
+		if c := m.waiting[id]; c != nil {
+			close(c)
+			delete(m.waiting, id)
+		}
+	}
+}
+
+func (m *bodyMemory) status() bodies.Status {
+	if m == nil {
+		return bodies.Status{}
+	}
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.budget.Status()
+}
+
+// heldBody is what a call's body took: the memory reserved for it, and the time for which it waited.
+type heldBody struct {
+	reserved int
+	waited   time.Duration
+}
+
+// readBody reads a request's body into memory of its own, which all attempts of the call share. If it returns
+// false the request has been answered.
+func (e *Entry) readBody(ctx *fasthttp.RequestCtx) (held heldBody, ok bool) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return held, true
+	}
+	length := ctx.Request.Header.ContentLength()
+	if length > e.Settings.Entry.MaxBody {
+		return held, e.setBody(ctx, nil, errBodyTooLarge)
+	}
+	if length >= 0 && length <= smallBodyBytes {
+		body, err := readExactly(stream, length)
+		return held, e.setBody(ctx, body, err)
+	}
+	var beginning []byte
+	if length < 0 {
+		// The length of a body in chunks shows only at its end.
+		var err error
+		beginning, err = readUpTo(stream, smallBodyBytes)
+		if !errors.Is(err, errBodyTooLarge) {
+			return held, e.setBody(ctx, beginning, err)
+		}
+		length = e.Settings.Entry.MaxBody
+	}
+	if held, ok = e.reserveBody(ctx, length); !ok {
+		return held, false
+	}
+	var body []byte
+	var err error
+	if beginning == nil {
+		body, err = readExactly(stream, length)
+	} else {
+		body, err = readUpTo(stream, length-len(beginning))
+		body = append(beginning, body...)
+	}
+	if !e.setBody(ctx, body, err) {
+		e.bodies.release(held.reserved)
+		return heldBody{}, false
+	}
+	return held, true
+}
+
+// reserveBody reserves memory for a body, or refuses the request.
+func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, n int) (held heldBody, ok bool) {
+	began := e.Clock.Now()
+	if !e.bodies.reserve(n, e.bodyWait(ctx)) {
+		e.refuseForMemory(ctx, n)
+		return held, false
+	}
+	held = heldBody{reserved: n, waited: e.Clock.Now().Sub(began)}
+	// The caller couldn't go on sending while its body waited.
+	if err := ctx.Conn().SetReadDeadline(time.Now().Add(e.Settings.Entry.ReadTimeout.Std())); err != nil {
+		e.Log.WithError(err).Debug("a caller's connection has ended while its body waited for memory")
+	}
+	return held, true
+}
+
+// setBody gives a request its body, or answers it if the body couldn't be read.
+func (e *Entry) setBody(ctx *fasthttp.RequestCtx, body []byte, err error) bool {
+	if err != nil {
+		e.handleBadRequest(ctx, err)
+		return false
+	}
+	ctx.Request.SetBodyRaw(body)
+	return true
+}
+
+func readExactly(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, n)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// readUpTo reads a body to its end. The error is errBodyTooLarge if it is longer than a limit; what was read
+// is returned then.
+func readUpTo(r io.Reader, limit int) ([]byte, error) {
+	var body bytes.Buffer
+	_, err := io.CopyN(&body, r, int64(limit)+1)
+	switch {
+	case err == io.EOF:
+		return body.Bytes(), nil
+	case err == nil:
+		return body.Bytes(), errBodyTooLarge
+	}
+	return nil, err
+}
+
+// bodyWait returns how long a call's body may wait for memory.
+func (e *Entry) bodyWait(ctx *fasthttp.RequestCtx) time.Duration {
+	if d := e.requestedDeadline(ctx); d > 0 {
+		return min(maxBodyWait, d/bodyWaitDivisor)
+	}
+	return maxBodyWait
+}
+
+// refuseForMemory refuses a call whose body hasn't been read.
+func (e *Entry) refuseForMemory(ctx *fasthttp.RequestCtx, n int) {
+	e.Log.WithFields(logrus.Fields{
+		"kind": "body-refused", "call": string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader)), "bytes": n, "memory": e.bodies.status(),
+	}).Warning("there is no memory for a call's body; the call is refused")
+	ctx.SetConnectionClose()
+	e.writeRefusal(ctx, routing.Refusal{Reason: routing.BodyMemory, Outcome: routing.NotRun, RetryAfter: memoryRetryAfter})
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/core/bodies"
 	"github.com/madderpond/madderpond/pkg/core/box"
 	"github.com/madderpond/madderpond/pkg/core/capacity"
 	"github.com/madderpond/madderpond/pkg/core/routing"
@@ -51,13 +52,15 @@
 	pacer *pacing.Pacer
 	// admission keeps the calls that are read to what the box can carry.
 	admission *admission
-	workers   pond.Pool
-	control   *controlClient
-	peers     *peerLinks
-	metrics   *metrics
-	server    *fasthttp.Server
-	listener  net.Listener
-	leaving   atomic.Bool
+	// bodies is the memory for large request bodies; nil without a limit.
+	bodies   *bodyMemory
+	workers  pond.Pool
+	control  *controlClient
+	peers    *peerLinks
+	metrics  *metrics
+	server   *fasthttp.Server
+	listener net.Listener
+	leaving  atomic.Bool
 	// loggedRevision is the revision of the table that was logged last.
 	loggedRevision units.Revision
 	// ordinaryCalls counts the calls that were answered at the first attempt, of which a sample is
@@ -89,6 +92,7 @@
 		waitingCalls: map[*call]bool{},
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
 		pacer:        pacing.NewPacer(pacing.RateFromMegabits(s.LinkMbps), c.Clock),
+		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody),
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
 	}
@@ -354,6 +358,7 @@
 	Address     string          `json:"address"`
 	Connections int             `json:"connections"`
 	Admission   AdmissionStatus `json:"admission"`
+	Bodies      bodies.Status   `json:"bodies"`
 	Targets     []target.Status `json:"targets"`
 }
 
@@ -367,6 +372,7 @@
 		Address:     e.Address(),
 		Connections: int(e.server.GetOpenConnectionsCount()),
 		Admission:   e.admission.status(),
+		Bodies:      e.bodies.status(),
 		Targets:     e.pools.Status(),
 	}
 }
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -65,7 +65,8 @@
 	from.Header.CopyTo(&out.Header)
 	removeHopByHop(&out.Header)
 	out.Header.Del("Expect")
-	out.SetBody(from.Body())
+	// The body isn't copied: it has memory of its own, which is not reused.
+	out.SetBodyRaw(from.Body())
 	out.Header.SetNoDefaultContentType(true)
 }
 
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -90,6 +90,7 @@
 		"cutOff":      s.Routing.CutOff(),
 		"connections": s.Connections,
 		"admission":   s.Admission,
+		"bodies":      s.Bodies,
 		"leaving":     s.Leaving,
 	}
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -45,7 +45,9 @@
 		// A form that has been parsed is written anew, in another order.
 		DisablePreParseMultipartForm: true,
 		ReduceMemoryUsage:            true,
-		CloseOnShutdown:              true,
+		// A body is read by the handler, once there is memory for it.
+		StreamRequestBody: true,
+		CloseOnShutdown:   true,
 		// A malformed request may contain an API key, which must not be logged.
 		SecureErrorLogMessage: true,
 		ErrorHandler:          e.handleBadRequest,
@@ -87,7 +89,12 @@
 		e.refuseFraming(ctx, reason)
 		return
 	}
-	a, c := e.submitCall(ctx)
+	body, ok := e.readBody(ctx)
+	if !ok {
+		return
+	}
+	defer e.bodies.release(body.reserved)
+	a, c := e.submitCall(ctx, body.waited)
 	if a.attempt == nil {
 		e.logTrace(c, false)
 		e.writeRefusal(ctx, a.refusal)
@@ -142,10 +149,18 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// deadlineAfter returns what is left of a deadline after a time; zero stays none.
+func deadlineAfter(deadline, waited time.Duration) time.Duration {
+	if deadline == 0 {
+		return 0
+	}
+	return max(time.Millisecond, deadline-waited)
+}
+
 const maxDeadlineMillis = int64(math.MaxInt64 / int64(time.Millisecond))
 
-// submitCall passes the call to the core and waits for its answer.
-func (e *Entry) submitCall(ctx *fasthttp.RequestCtx) (answer, *call) {
+// submitCall passes the call, which has waited for a time already, to the core and waits for its answer.
+func (e *Entry) submitCall(ctx *fasthttp.RequestCtx, waited time.Duration) (answer, *call) {
 	c := newCall(ctx, e.Clock.Now())
 	c.relayed = relayedCall(ctx)
 	if c.relayed != nil {
@@ -158,7 +173,7 @@
 	e.waitingCalls[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: e.requestedDeadline(ctx),
+		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: deadlineAfter(e.requestedDeadline(ctx), waited),
 		Identity: &c.identity, Relayed: c.relayed,
 	})
 	c.inline = false
