entry: a call on a connection that the box closes as idle isn't sent; pings go on beside others

Found by reading the diff. A connection chosen as idle could get its next call before it was closed: the call was sent to a target and its answer lost (LOST). And the loop that measures the delay of pings ended while the ping of a new attachment was under way, so that a gate that had closed for a delayed ping could have stayed closed.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -65,24 +65,25 @@
 // measureDelay pings another process for as long as the box is short of capacity.
 func (a *admission) measureDelay() {
 	a.lock.Lock()
+	defer a.lock.Unlock()
 	if a.measuring {
-		a.lock.Unlock()
 		return
 	}
 	a.measuring = true
-	for {
+	for a.gate.IsShort(a.clock.Now()) {
 		now := a.clock.Now()
-		at, ok := a.gate.PingDueAt(now)
-		if !ok {
-			a.measuring = false
-			a.lock.Unlock()
-			return
-		}
+		at, isDue := a.gate.PingDueAt(now)
 		a.lock.Unlock()
-		time.Sleep(at.Sub(now))
-		a.ping()
+		if isDue {
+			time.Sleep(at.Sub(now))
+			a.ping()
+		} else {
+			// Another ping is under way.
+			time.Sleep(maxAskInterval)
+		}
 		a.lock.Lock()
 	}
+	a.measuring = false
 }
 
 // ping measures the delay once.
@@ -129,6 +130,7 @@
 	if len(a.idle) > 0 && a.gate.ClosesIdle(now) {
 		surplus = make([]*callerConn, 0, len(a.idle))
 		for c := range a.idle {
+			c.closedIdle.Store(true)
 			surplus = append(surplus, c)
 		}
 		clear(a.idle)
--- /dev/null
+++ b/pkg/entry/idle_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// A call that came on a kept connection just as the box closed that was sent to a target, and its answer
+// was lost.
+func TestACallOnAConnectionThatTheBoxClosesIsNotSent(t *testing.T) {
+	x := startLinkTarget(t)
+	e := startLinkBox(t, x, linkMbps)
+	c, err := net.Dial("tcp", e.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	call := func() (*http.Response, error) {
+		fmt.Fprint(c, "GET /short HTTP/1.1\r\nHost: vault\r\n\r\n")
+		return http.ReadResponse(reader, nil)
+	}
+	if a, err := call(); err != nil || a.StatusCode != http.StatusOK {
+		t.Fatalf("the first call got %v, %v", a, err)
+	}
+	await(t, "an idle connection", func() bool {
+		e.admission.lock.Lock()
+		defer e.admission.lock.Unlock()
+		return len(e.admission.idle) == 1
+	})
+	e.admission.lock.Lock()
+	for idle := range e.admission.idle {
+		idle.closedIdle.Store(true)
+	}
+	e.admission.lock.Unlock()
+	call()
+	if n := x.calls.Load(); n != 1 {
+		t.Errorf("the target got %d calls, not 1", n)
+	}
+}
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,7 +29,18 @@
 }
 
 // callerConn is a caller's connection.
-type callerConn struct{ *traffic.Conn }
+type callerConn struct {
+	*traffic.Conn
+	// closedIdle is set once the box closes it as one without a call in flight.
+	closedIdle atomic.Bool
+}
+
+// wasClosedIdle reports whether the box has closed a connection while its call was coming. Such a call
+// must not be sent to a target, since the caller can't get the answer.
+func wasClosedIdle(c net.Conn) bool {
+	x, ok := c.(*callerConn)
+	return ok && x.closedIdle.Load()
+}
 
 func newGatedListener(l net.Listener, a *admission) *gatedListener {
 	return &gatedListener{admission: a, address: l.Addr(), inner: l, done: make(chan struct{})}
@@ -56,7 +68,7 @@
 		}
 		l.admission.accepted.Add(1)
 		l.admission.admit()
-		return &callerConn{traffic.Count(c, &l.admission.callers)}, nil
+		return &callerConn{Conn: traffic.Count(c, &l.admission.callers)}, nil
 	}
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -76,6 +76,10 @@
 
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
+	if wasClosedIdle(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		return
+	}
 	// The first call on a connection was counted when that was accepted.
 	if ctx.ConnRequestNum() > 1 || relayedBy(ctx) != "" {
 		e.admission.admit()
