--- a/pkg/entry/body_test.go
+++ b/pkg/entry/body_test.go
@@ -14,10 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/madderpond/madderpond/pkg/clock"
-	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
-	"github.com/madderpond/madderpond/pkg/core/routing"
 )
 
 const (
@@ -38,21 +35,10 @@
 		fmt.Fprintf(ctx, "%x", digestOf(ctx.Request.Body()))
 	}}
 	go server.Serve(l)
-	settings := config.Defaults()
-	settings.Box, settings.MemoryLimitMB = "me", uploadMemoryMB
-	settings.Entry.ServeStale, settings.Entry.MaxBody = true, uploadBytes
-	settings.Entry.ReadTimeout = config.Duration(awaitTimeout)
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	e, err := NewEntry(&common.Common{Log: logrus.NewEntry(logger), Settings: settings, Clock: clock.NewClock()}, "127.0.0.1:1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := e.Start(); err != nil {
-		t.Fatal(err)
-	}
-	e.reduce(&routing.TableChanged{Table: linkTable(l.Addr().String())})
-	return e
+	return startTestBox(t, linkTable(l.Addr().String()), func(s *config.Settings) {
+		s.MemoryLimitMB, s.Entry.MaxBody = uploadMemoryMB, uploadBytes
+		s.Entry.ReadTimeout = config.Duration(awaitTimeout)
+	})
 }
 
 func digestOf(body []byte) int {
--- a/pkg/entry/link_test.go
+++ b/pkg/entry/link_test.go
@@ -19,11 +19,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/madderpond/madderpond/pkg/clock"
-	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/capacity"
-	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/table"
 )
 
@@ -83,21 +80,7 @@
 // startLinkBox starts a box with a link of mbps Mbit/s, one target, a route with large answers
 // at /large and one with short ones at /.
 func startLinkBox(t *testing.T, x *linkTarget, mbps float64) *Entry {
-	settings := config.Defaults()
-	settings.Box = "me"
-	settings.Entry.LinkMbps = mbps
-	settings.Entry.ServeStale = true
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	e, err := NewEntry(&common.Common{Log: logrus.NewEntry(logger), Settings: settings, Clock: clock.NewClock()}, "127.0.0.1:1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := e.Start(); err != nil {
-		t.Fatal(err)
-	}
-	e.reduce(&routing.TableChanged{Table: linkTable(x.address)})
-	return e
+	return startTestBox(t, linkTable(x.address), func(s *config.Settings) { s.Entry.LinkMbps = mbps })
 }
 
 func linkTable(address string) *table.Table {
--- a/pkg/entry/raw_test.go
+++ b/pkg/entry/raw_test.go
@@ -13,12 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/sirupsen/logrus"
 
-	"github.com/madderpond/madderpond/pkg/clock"
-	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
-	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -73,18 +69,6 @@
 }
 
 func startRawBox(t *testing.T, cards, redeem string) *Entry {
-	settings := config.Defaults()
-	settings.Box = "me"
-	settings.Entry.ServeStale = true
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	e, err := NewEntry(&common.Common{Log: logrus.NewEntry(logger), Settings: settings, Clock: clock.NewClock()}, "127.0.0.1:1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := e.Start(); err != nil {
-		t.Fatal(err)
-	}
 	v := table.NewTable()
 	v.Revision, v.Routes = 1, map[table.RouteKey]*table.Route{}
 	for prefix, s := range map[string][2]string{"/cards/": {"cards", cards}, "/cards/redeem/": {"redeem", redeem}} {
@@ -98,8 +82,7 @@
 		}
 		v.Routes[r.Key()] = r
 	}
-	e.reduce(&routing.TableChanged{Table: v})
-	return e
+	return startTestBox(t, v, func(*config.Settings) {})
 }
 
 // sendRaw sends a request and returns the status of the answer.
