--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -65,7 +65,7 @@
 	maxCallGap = time.Second
 	// maxUseTime bounds what one call adds to the mean use, as a time at full use: several calls share
 	// the resource with one that uses it for longer.
-	maxUseTime = 100 * time.Millisecond
+	maxUseTime = 250 * time.Millisecond
 )
 
 // Settings are what the box's machine can do; zero means that a resource isn't limited.
