capacity: a slow ping alone doesn't make a box short

Cause: found by reading the change. A ping that took more than 30 ms longer than the shortest one made the box short whatever its link and processor had to do. The delay may arise at the replica, to which many boxes may attach at once. Nothing had used the box's capacity meanwhile, so that the next delayed ping closed the gate on a share of no calls at all.

Change: a slow ping prolongs a shortage and doesn't begin one.

--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -344,7 +344,8 @@
 	}
 	// The other process may be farther away than the one before.
 	g.shortestPing += (g.pingTime - g.shortestPing) / shortestPingWindow
-	if g.pingTime > g.shortestPing+maxDelay {
+	// A delay without a shortage may arise at the other process, to which many boxes may have just attached.
+	if g.pingTime > g.shortestPing+maxDelay && g.pingedAt < g.shortUntil {
 		g.setShort(now)
 	}
 }
