entry: no lock for a call to know whether its connection is kept

Cause: found by reading the change. Each call took the lock of the admission to read one flag, two counters were kept that nothing read, the status was worked out each time though it is logged on a change only, a ping was timed twice and its failure dropped, and the condition for relays stood twice.

Change: the flag is atomic; the counters are gone; the status is taken on a change; Conn.Ping returns the error only, and the client logs it; takesRelays serves both places.

Conclusion: no change of behaviour.

--- a/pkg/core/routing/helpersearch.go
+++ b/pkg/core/routing/helpersearch.go
@@ -277,7 +277,7 @@
 func (r *Router) answerQuery(h *helper, m *ReachMessage, e *Effects) {
 	answer := &ReachMessage{
 		Kind: ReachAnswer, HeardAge: r.age(r.relays.heardAt), HearsNothing: r.hearsNothing(),
-		Relayed: r.relays.inFlight, Full: r.isShort || r.relays.inFlight >= r.settings.MaxRelayed || !r.enabled(Relaying),
+		Relayed: r.relays.inFlight, Full: !r.takesRelays() || r.relays.inFlight >= r.settings.MaxRelayed,
 	}
 	for i := range m.Scopes {
 		scope := &m.Scopes[i]
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -437,12 +437,15 @@
 		return NoLease, noLeaseRetryAfter
 	case r.isBehind(x.Revision):
 		return StaleTable, minRetryAfter
-	case !r.enabled(Relaying) || r.isShort || r.relays.inFlight > r.settings.MaxRelayed:
+	case !r.takesRelays() || r.relays.inFlight > r.settings.MaxRelayed:
 		return RelayLimit, minRetryAfter
 	}
 	return 0, 0
 }
 
+// takesRelays reports whether the box takes calls of other boxes, as far as their number allows.
+func (r *Router) takesRelays() bool { return r.enabled(Relaying) && !r.isShort }
+
 // isBehind reports whether the box may have missed changes that another box has. One that has lately
 // heard that its table is current gets them within moments.
 func (r *Router) isBehind(revision units.Revision) bool {
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -36,10 +36,12 @@
 	// limited is set if the link or the processor is; otherwise nothing is counted.
 	limited bool
 
+	// short is what onShort was last called with.
+	short atomic.Bool
+
 	lock sync.Mutex
 	gate *capacity.Gate
-	// short is what onShort was last called with; shortTimer ends it.
-	short      bool
+	// shortTimer ends a shortage.
 	shortTimer *time.Timer
 	// measuring is set while the delay of pings is measured.
 	measuring bool
@@ -49,9 +51,8 @@
 	// idle are the callers' connections on which no call is in flight.
 	idle map[*callerConn]struct{}
 
-	// accepted counts the accepted connections, closedUnread those that were closed before anything was
-	// read, refused the periods in which the box listened for none.
-	accepted, closedUnread, refused atomic.Uint64
+	// refusedPeriods counts the periods in which the box listened for no connections.
+	refusedPeriods atomic.Uint64
 }
 
 // newAdmission returns an admission whose gate is open.
@@ -110,7 +111,7 @@
 	if at, changes := a.gate.ChangesAt(now); changes {
 		return ok, max(minWakeDelay, at.Sub(now))
 	}
-	if a.short {
+	if a.short.Load() {
 		return ok, maxAskInterval
 	}
 	return ok, 0
@@ -125,7 +126,7 @@
 	a.lock.Lock()
 	now := a.clock.Now()
 	a.gate.Admit(now)
-	becomesShort := !a.short && a.gate.IsShort(now)
+	becomesShort := !a.short.Load() && a.gate.IsShort(now)
 	var surplus []*callerConn
 	if len(a.idle) > 0 && a.gate.ClosesIdle(now) {
 		surplus = make([]*callerConn, 0, len(a.idle))
@@ -174,11 +175,7 @@
 }
 
 // keepsConnections reports whether callers may keep their connections.
-func (a *admission) keepsConnections() bool {
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	return !a.short
-}
+func (a *admission) keepsConnections() bool { return !a.short.Load() }
 
 // isOverloaded reports whether no more connections should be sent to the box.
 func (a *admission) isOverloaded() bool {
@@ -192,22 +189,21 @@
 	a.lock.Lock()
 	now := a.clock.Now()
 	isShort := a.gate.IsShort(now)
-	changed := isShort != a.short
-	a.short = isShort
+	changed := a.short.Swap(isShort) != isShort
 	if isShort {
 		a.shortTimer.Reset(a.gate.ShortUntil().Sub(now))
 	}
-	status := a.gate.Status(now)
 	a.lock.Unlock()
 	if !changed {
 		return
 	}
+	status := a.status()
 	if isShort {
 		go a.measureDelay()
 	}
 	a.log.WithFields(logrus.Fields{
 		"kind": "capacity", "short": isShort, "resource": status.Scarcest, "perCallMs": status.PerCallMs, "savedMs": status.SavedMs,
-		"refusedPeriods": a.refused.Load(),
+		"refusedPeriods": status.RefusedPeriods,
 	}).Info(shortMessages[isShort])
 	a.onShort(isShort)
 }
@@ -242,7 +238,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	return AdmissionStatus{
-		Status: a.gate.Status(a.clock.Now()), RefusedPeriods: a.refused.Load(),
+		Status: a.gate.Status(a.clock.Now()), RefusedPeriods: a.refusedPeriods.Load(),
 		CallerBytes: [2]uint64{a.callers.Received(), a.callers.Sent()},
 		TargetBytes: [2]uint64{a.targets.Received(), a.targets.Sent()},
 	}
--- a/pkg/entry/control_client.go
+++ b/pkg/entry/control_client.go
@@ -90,8 +90,11 @@
 	if conn == nil {
 		return false
 	}
-	_, err := conn.Ping()
-	return err == nil
+	if err := conn.Ping(); err != nil {
+		c.entry.Log.WithError(err).Debug("the delay of messages can't be measured")
+		return false
+	}
+	return true
 }
 
 func (c *controlClient) close() {
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -62,11 +62,9 @@
 		}
 		if ok, _ := l.admission.accepts(); !ok {
 			// Calls on other connections have used up the capacity meanwhile.
-			l.admission.closedUnread.Add(1)
 			closeUnread(c)
 			continue
 		}
-		l.admission.accepted.Add(1)
 		l.admission.admit()
 		return &callerConn{Conn: traffic.Count(c, &l.admission.callers)}, nil
 	}
@@ -124,7 +122,7 @@
 	if l.inner == nil {
 		return
 	}
-	l.admission.refused.Add(1)
+	l.admission.refusedPeriods.Add(1)
 	l.inner.Close()
 	l.inner = nil
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -127,7 +127,8 @@
 }
 
 // pathOf returns the path of a request's target as it is written: targets get it so, and a prefix must
-// mean the same to them.
+// mean the same to them. The HTTP library takes the beginning of a path with two slashes for a host if the
+// request names none.
 func pathOf(uri []byte) []byte {
 	if i := bytes.IndexAny(uri, "?#"); i >= 0 {
 		uri = uri[:i]
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -175,11 +175,11 @@
 	return m, nil
 }
 
-// Ping returns how long a message to the peer and its answer take. The error is an Unavailable fault if
-// there is no answer.
-func (c *Conn) Ping() (time.Duration, error) {
-	took, err := c.session.Ping()
-	return took, fault.Wrap(err, fault.Unavailable, "wait for the connection to be re-established", "a ping wasn't answered")
+// Ping sends a small message and waits for the peer's answer. The error is an Unavailable fault if there
+// is none.
+func (c *Conn) Ping() error {
+	_, err := c.session.Ping()
+	return fault.Wrap(err, fault.Unavailable, "wait for the connection to be re-established", "a ping wasn't answered")
 }
 
 // closed returns whether the connection is known to have ended.
