routing, control: simpler harness of the fleets with links and of replaced replicas

Cause: the functions that start a caller's call and that draw a box of the fleet were written twice with small differences, and the pause of the replica test was drawn up to a bound and then shortened by it.

Change: one function each; slices.Contains; the bound is the one that holds. All random draws, assertions and bounds are as they were.

Conclusion: no change of what is tested.

--- a/pkg/core/control/replaced_test.go
+++ b/pkg/core/control/replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,8 +16,8 @@
 	catchUpTime = 4 * time.Second
 	// replaceDelay is the time from the loss of a replica to the start of its successor.
 	replaceDelay = time.Second
-	// maxCalm is the longest time between two changes of the leader.
-	maxCalm = 1900 * time.Millisecond
+	// maxCalm is the longest time between the troubles of two leaders.
+	maxCalm = 900 * time.Millisecond
 )
 
 // A replaced replica kept its vote for long after each change of the leader, and two lost disks
@@ -66,7 +67,7 @@
 func (w *world) troubleLeaders(gone *fakeReplica, d time.Duration) *fakeReplica {
 	var last *fakeReplica
 	for end := w.now.Add(d); w.now < end || last == nil; {
-		w.run(time.Duration(w.random.Int64N(int64(maxCalm - time.Second))))
+		w.run(time.Duration(w.random.Int64N(int64(maxCalm))))
 		r := w.leader()
 		if r == nil || r == gone {
 			continue
@@ -111,11 +112,7 @@
 func (w *world) otherReplica(not ...*fakeReplica) *fakeReplica {
 	for {
 		r := w.replicas[w.random.IntN(len(w.replicas))]
-		isOther := true
-		for _, o := range not {
-			isOther = isOther && r != o
-		}
-		if isOther {
+		if !slices.Contains(not, r) {
 			return r
 		}
 	}
--- a/pkg/core/routing/skew_fleet_machine_test.go
+++ b/pkg/core/routing/skew_fleet_machine_test.go
@@ -122,10 +122,7 @@
 		}
 		f.connectAndCall(f.otherBox(b, c.client), c, keeper, tries-1)
 	}
-	refuse := func() {
-		f.refused++
-		f.after(f.upload(b, skewRefusedBytes)+skewClientTrip, again)
-	}
+	refuse := func() { f.after(f.upload(b, skewRefusedBytes)+skewClientTrip, again) }
 	f.receive(b, skewClientTrip, skewRefusedBytes, 0, func() {
 		if !b.machine.gate.Accepts(f.now) {
 			refuse()
@@ -217,18 +214,8 @@
 // otherBox returns a random box other than one that refused a connection: of the caller's failure domain, or of
 // any domain if that has no other.
 func (f *skewFleet) otherBox(refusing *skewBox, domain units.Domain) *skewBox {
-	var own, all []*skewBox
-	for _, b := range f.boxes {
-		if b == refusing || b.down || f.now < b.frozenUntil {
-			continue
-		}
-		all = append(all, b)
-		if b.domain == domain {
-			own = append(own, b)
-		}
-	}
-	if len(own) == 0 {
-		own = all
+	if b := f.randomBox(func(b *skewBox) bool { return b != refusing && b.domain == domain }); b != nil {
+		return b
 	}
-	return own[f.random.IntN(len(own))]
+	return f.randomBox(func(b *skewBox) bool { return b != refusing })
 }
--- a/pkg/core/routing/skew_fleet_test.go
+++ b/pkg/core/routing/skew_fleet_test.go
@@ -83,8 +83,6 @@
 	hotEvery  time.Duration
 	hotAt     units.Instant
 	messages  int
-	// refused is the number of connections that boxes refused.
-	refused int
 	// workspaces are those of the table, credential is the key that all calls carry.
 	workspaces table.Workspaces
 	credential apikey.Credential
@@ -668,13 +666,21 @@
 
 // anyBox returns a random box of a failure domain that accepts connections.
 func (f *skewFleet) anyBox(domain units.Domain) *skewBox {
-	var own []*skewBox
+	return f.randomBox(func(b *skewBox) bool { return b.domain == domain })
+}
+
+// randomBox returns a random box that accepts connections and fits; nil if none does.
+func (f *skewFleet) randomBox(fits func(b *skewBox) bool) *skewBox {
+	var fitting []*skewBox
 	for _, b := range f.boxes {
-		if b.domain == domain && !b.down && f.now >= b.frozenUntil {
-			own = append(own, b)
+		if !b.down && f.now >= b.frozenUntil && fits(b) {
+			fitting = append(fitting, b)
 		}
 	}
-	return own[f.random.IntN(len(own))]
+	if len(fitting) == 0 {
+		return nil
+	}
+	return fitting[f.random.IntN(len(fitting))]
 }
 
 // skewToHot is the share of new connections that go to the box that gets most of them.
@@ -709,26 +715,24 @@
 func (f *skewFleet) callerCalls() {
 	x := f.clients[f.random.IntN(len(f.clients))]
 	keeps := f.random.Float64() < 0.5
-	c := &skewCall{first: true, client: x.domain, arrived: f.now}
-	box := x.box
-	if isNew := !keeps || box == nil || box.down; isNew {
+	box, isNew := x.box, !keeps || x.box == nil || x.box.down
+	if isNew {
 		box = f.connect(x.domain)
-		c.class = f.drawClass()
-		f.startCall(c)
-		var keeper *skewClient
-		if keeps {
-			keeper = x
-		}
-		f.callOnNewConnection(box, c, keeper)
-		return
-	}
-	if len(f.hot) > 0 && f.random.Float64() < 0.5 || !box.machine.keepsConnections(f.now) {
+	} else if len(f.hot) > 0 && f.random.Float64() < 0.5 || !box.machine.keepsConnections(f.now) {
 		x.box = nil
 	}
-	c.class = f.drawClass()
-	f.startCall(c)
-	f.admit(box)
-	f.callOnOpenConnection(box, c)
+	c := &skewCall{class: f.drawClass(), first: true, client: x.domain, arrived: f.now}
+	c.patience = c.class.patience
+	f.calls = append(f.calls, c)
+	switch {
+	case !isNew:
+		f.admit(box)
+		f.callOnOpenConnection(box, c)
+	case keeps:
+		f.callOnNewConnection(box, c, x)
+	default:
+		f.callOnNewConnection(box, c, nil)
+	}
 }
 
 func (f *skewFleet) drawClass() *skewClass {
@@ -745,11 +749,6 @@
 	return &skewClasses[0]
 }
 
-func (f *skewFleet) startCall(c *skewCall) {
-	c.patience = c.class.patience
-	f.calls = append(f.calls, c)
-}
-
 // callOnNewConnection makes a call at a box, or at another one if that refuses the connection. keeper is the
 // caller that keeps the connection, if any.
 func (f *skewFleet) callOnNewConnection(b *skewBox, c *skewCall, keeper *skewClient) {
