replication: a replaced replica loses its vote sooner, so that restarts of all don't save it

What callers saw: after a replica was gone for good and replaced, and all processes of the control plane were killed twice while its successor caught up, two lost disks left no quorum: no replica gave the acknowledged configuration back, and nothing was acknowledged any more.

Cause: the silence of a voter is known from memory only, and was counted anew for 2 s after each start. Ruled out: the successor's catch-up (it follows within 50 ms) and the leader's lease.

Change: the limit is an eighth of the catch-up time in place of half (0.5 s where it was 2 s), and the voter that has been silent for longest goes first. A vote is only taken by a leader with its lease, for a successor that responds and has everything that is committed, so a short limit is safe.

The simulated disk now syncs one batch of writes at a time, as a replica does.

--- a/pkg/core/control/orders_test.go
+++ b/pkg/core/control/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/madderpond/madderpond/pkg/core/replication"
@@ -53,13 +54,28 @@
 		return
 	}
 	g := *w.growth
-	for i, o := range w.replicas {
-		g.Seed = g.Seed || o == r && i < w.seeds
-	}
+	g.Seed = w.isSeed(r)
 	s.Growth = &g
 	s.MinCopies = g.Voters/2 + 1
 }
 
+// isSeed reports whether the settings name a replica as a seed, as they do the first ones that aren't gone.
+func (w *world) isSeed(r *fakeReplica) bool {
+	seeds := 0
+	for _, o := range w.replicas {
+		if slices.Contains(w.gone, o) {
+			continue
+		}
+		if seeds++; seeds > w.seeds {
+			return false
+		}
+		if o == r {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) order(r *fakeReplica, event func(RequestID) Event, answered func(Answer)) {
 	w.requests++
 	w.orders.pending[w.requests] = answered
--- a/pkg/core/control/replaced_test.go
+++ b/pkg/core/control/replaced_test.go
@@ -26,7 +26,7 @@
 	for seed := range *replacedSeeds {
 		w := emptyWorld(t, seed, 6, 1)
 		w.seeds = 3
-		w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: catchUpTime / 2}
+		w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: replication.ReplaceAfter(catchUpTime)}
 		successor := w.replicas[5]
 		for _, r := range w.replicas[:5] {
 			w.startReplica(r)
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -36,6 +36,10 @@
 	lossRate      float64
 	duplicateRate float64
 	settings      Settings
+	// electionTimeout is the replicas' election timeout; they send heartbeats at a fifth of it.
+	electionTimeout time.Duration
+	// snapshotTime is added to the delivery of each snapshot.
+	snapshotTime time.Duration
 	// renewInterval and replicaTimeout are the settings RenewInterval and ReplicaTimeout of the boxes.
 	renewInterval, replicaTimeout time.Duration
 
@@ -49,6 +53,8 @@
 	// growth is set for a cluster that forms from seeds and grows by itself.
 	growth *replication.Growth
 	seeds  int
+	// gone are replicas that won't return; the settings name others as seeds.
+	gone   []*fakeReplica
 	orders acknowledgedOrders
 	// traffic is set if the boxes send calls.
 	traffic *traffic
@@ -83,6 +89,10 @@
 	generation  int
 	up          bool
 	frozen      bool
+	// syncing is set while a sync is in progress.
+	syncing bool
+	// extraSync is added to each sync of its disk.
+	extraSync time.Duration
 	// stalled is set while the disk completes no writes.
 	stalled    bool
 	heldEvents []func()
@@ -131,6 +141,7 @@
 		accepted:         map[units.Revision]acceptedEdit{},
 		tablesByRevision: map[units.Revision]*table.Table{},
 		leaders:          map[units.Term]units.ReplicaID{},
+		electionTimeout:  testElection,
 		renewInterval:    50 * time.Millisecond, replicaTimeout: 150 * time.Millisecond,
 		settings: Settings{
 			Lease: testLease, LeaseMargin: 100 * time.Millisecond, EditTimeout: time.Second,
@@ -189,10 +200,10 @@
 	s := w.settings
 	s.Replication = replication.Settings{
 		ID: r.id, Incarnation: units.Incarnation(fmt.Sprintf("%s.%d", r.id, r.incarnation)), Boot: r.boot,
-		ElectionTimeout: testElection, Heartbeat: testElection / 5, Seed: w.random.Uint64(),
+		ElectionTimeout: w.electionTimeout, Heartbeat: w.electionTimeout / 5, Seed: w.random.Uint64(),
 	}
-	for i, o := range w.replicas {
-		if o != r && (w.growth == nil || i < w.seeds) {
+	for _, o := range w.replicas {
+		if o != r && (w.growth == nil || w.isSeed(o)) {
 			s.Replication.Peers = append(s.Replication.Peers, o.id)
 		}
 	}
@@ -257,11 +268,20 @@
 	}
 }
 
+// scheduleSync syncs all pending writes at once, unless a sync is in progress.
 func (w *world) scheduleSync(r *fakeReplica) {
+	if r.syncing || len(r.pending) == 0 {
+		return
+	}
+	r.syncing = true
 	generation := r.generation
 	last := r.pending[len(r.pending)-1].Sequence
-	w.after(w.syncTime(), func() {
-		if r.generation != generation || !r.up || r.stalled {
+	w.after(r.extraSync+w.syncTime(), func() {
+		if r.generation != generation || !r.up {
+			return
+		}
+		r.syncing = false
+		if r.stalled {
 			return
 		}
 		for len(r.pending) > 0 && r.pending[0].Sequence <= last {
@@ -269,6 +289,7 @@
 			r.pending = r.pending[1:]
 		}
 		w.deliver(r, DiskSynced{Sequence: last})
+		w.scheduleSync(r)
 	})
 }
 
@@ -350,7 +371,11 @@
 	to := w.replica(units.ReplicaID(m.To))
 	for range w.copyCount() {
 		c := w.copyMessage(m)
-		w.after(w.latency(), func() {
+		latency := w.latency()
+		if c.GetSnapshotRequest() != nil {
+			latency += w.snapshotTime
+		}
+		w.after(latency, func() {
 			if r.partition == to.partition {
 				w.deliver(to, PeerMessage{Envelope: c})
 			}
@@ -399,8 +424,8 @@
 	b.up = true
 	b.linkFreeAt = 0
 	var ids []units.ReplicaID
-	for i, r := range w.replicas {
-		if w.growth == nil || i < w.seeds {
+	for _, r := range w.replicas {
+		if w.growth == nil || w.isSeed(r) {
 			ids = append(ids, r.id)
 		}
 	}
@@ -492,6 +517,7 @@
 func (w *world) crash(r *fakeReplica) {
 	r.up = false
 	r.generation++
+	r.syncing = false
 	r.pending = nil
 	r.heldEvents = nil
 }
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -109,19 +109,25 @@
 	return n.settings.Growth != nil && len(n.voters()) >= n.settings.Growth.Voters
 }
 
-// withoutUnresponsive returns the membership without a voter that hasn't responded for ReplaceAfter, or nil when
-// there is none, or when its successor doesn't respond. A leader that has just been resumed hasn't processed the
-// responses that came meanwhile; it has no lease then.
+// withoutUnresponsive returns the membership without the voter that hasn't responded for longest, and for ReplaceAfter
+// at least, or nil when there is none, or when its successor doesn't respond. A leader that has just been resumed
+// hasn't processed the responses that came meanwhile; it has no lease then.
 func (n *Node) withoutUnresponsive(now units.Instant, successor *progress) *wire.Membership {
 	if !n.HasLease(now) || now.Sub(successor.lastContact) >= n.settings.ElectionTimeout {
 		return nil
 	}
+	var longest units.ReplicaID
+	since := now.Add(-n.settings.Growth.ReplaceAfter)
 	for _, m := range n.voters() {
-		if v := voterOf(m); v != n.self() && now.Sub(n.unresponsiveSince(v, now)) >= n.settings.Growth.ReplaceAfter {
-			return n.membershipWithout(v.id)
+		v := voterOf(m)
+		if s := n.unresponsiveSince(v, now); v != n.self() && s <= since {
+			longest, since = v.id, s
 		}
 	}
-	return nil
+	if longest == "" {
+		return nil
+	}
+	return n.membershipWithout(longest)
 }
 
 // unresponsiveSince returns the latest time at which a voter may have responded. One that hasn't responded to this
--- a/pkg/core/replication/settings.go
+++ b/pkg/core/replication/settings.go
@@ -53,3 +53,13 @@
 	DefaultElectionTimeout = 400 * time.Millisecond
 	DefaultHeartbeat       = 50 * time.Millisecond
 )
+
+// replaceDivisor divides the catch-up time into the time after which a silent replica gives its vote to its
+// successor. All processes may restart meanwhile, which begins that time anew.
+const replaceDivisor = 8
+
+// ReplaceAfter returns the time without a response from a voter after which another replica may replace it, where a
+// replica that was lost counts as lost until its successor has had the catch-up time.
+func ReplaceAfter(catchUp time.Duration) time.Duration {
+	return max(DefaultElectionTimeout, catchUp/replaceDivisor)
+}
