replication: a replica that was replaced finds the leader when it returns

What callers saw: a replica that had been replaced and returned held no table for good, answered 503 to reads, and wasn't there as the next successor; in one schedule a replica that was gone kept its vote for that reason.

Cause: a replica took over the members that others report only while its disk was empty. One that returned with a log in which it was a voter asked those for pre-votes that it knew, who rejected them; the leader had joined later, so that neither wrote to the other.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -135,6 +135,50 @@
 	}
 }
 
+// A replica that returns after it was replaced must find the leader, even one that joined meanwhile.
+func TestAReplicaThatWasReplacedFollowsAgain(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newGrowingWorld(t, seed, 6, 5, 1)
+		w.putDocument(w.replicas[0], false)
+		w.run(500 * time.Millisecond)
+		var late *fakeReplica
+		for _, r := range w.replicas {
+			if !r.core.Status(w.now).Log.Voter {
+				late = r
+			}
+		}
+		w.loseDisk(late)
+		w.run(time.Second)
+		returning := w.otherReplica(late, w.leader())
+		w.crash(returning)
+		w.startReplica(late)
+		w.run(4 * time.Second)
+		w.makeLeader(late)
+		w.startReplica(returning)
+		w.run(3 * time.Second)
+		if have := returning.core.Table().Document; have < w.orders.highestDocument {
+			t.Fatalf("seed %d: %s holds document %d after its return, %d was acknowledged", seed, returning.id, have, w.orders.highestDocument)
+		}
+	}
+}
+
+// makeLeader restarts leaders until a replica leads.
+func (w *world) makeLeader(r *fakeReplica) {
+	for range 50 {
+		leader := w.leader()
+		if leader == r {
+			return
+		}
+		if leader != nil {
+			w.crash(leader)
+			w.run(500 * time.Millisecond)
+			w.startReplica(leader)
+		}
+		w.run(500 * time.Millisecond)
+	}
+	w.t.Fatalf("%s never leads", r.id)
+}
+
 func TestLateReportsBringNobodyBack(t *testing.T) {
 	w := newGrowingWorld(t, 11, 5, 5, 2)
 	w.putDocument(w.replicas[0], false)
--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -16,6 +16,9 @@
 		n.announcePresence(e)
 		return
 	}
+	if n.role == preCandidate {
+		n.announcePresence(e)
+	}
 	n.role = preCandidate
 	n.requestVotes(now, true, false, e)
 }
@@ -47,8 +50,9 @@
 	n.electionAt = min(n.electionAt, now.Add(n.electionJitter()))
 }
 
-// announcePresence sends this replica's presence to all peers. It is used by a replica that isn't a
-// voter and has no leader: it may have a new incarnation or an address that no peer knows.
+// announcePresence sends this replica's presence to all peers. It is used by a replica without a leader
+// that isn't a voter, or whose pre-vote failed: it may have a new incarnation or an address that no peer
+// knows, or have lost its vote to a replica that it doesn't know and that leads now.
 func (n *Node) announcePresence(e *Effects) {
 	if n.settings.Growth == nil {
 		return
