replication: a successor votes before the voter that it replaces is removed

What callers could see: while a voter that didn't count as lost was replaced, since it was slow or late after a restart of all, the group had four voters; the loss of two disks at that moment left no quorum, for good.

Cause: removal came first, addition second.

Change: addition first, then removal, each only where a quorum of the next membership has responded within an election timeout. With six voters any two may be lost. If nobody is unresponsive any more, the newest voter goes.

A new leader that finds six voters waits until an unresponsive one shows, so that a restart between the two steps removes the right one.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -179,6 +179,30 @@
 	w.t.Fatalf("%s never leads", r.id)
 }
 
+// With one voter fewer, even for a moment, the loss of two disks would leave no quorum.
+func TestAVoterIsReplacedWithoutFewerVoters(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newGrowingWorld(t, seed, 7, 5, 1)
+		for _, r := range w.followers() {
+			if r.core.Status(w.now).Log.Voter {
+				w.crash(r)
+				break
+			}
+		}
+		for range 4000 {
+			w.run(time.Millisecond)
+			for _, r := range w.replicas {
+				if n := len(r.core.node.Voters()); r.up && n < 5 {
+					t.Fatalf("seed %d: %s knows %d voters while one is replaced", seed, r.id, n)
+				}
+			}
+		}
+		if n := w.voters(); n != 5 {
+			t.Fatalf("seed %d: %d voters long after one was lost, not 5", seed, n)
+		}
+	}
+}
+
 func TestLateReportsBringNobodyBack(t *testing.T) {
 	w := newGrowingWorld(t, 11, 5, 5, 2)
 	w.putDocument(w.replicas[0], false)
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -78,16 +78,25 @@
 	if n.role != leader || !n.termCommitted() || n.membership.index > n.log.commit {
 		return
 	}
+	if next := n.nextMembership(now); next != nil {
+		n.appendEntry(&wire.Entry{Membership: next}, e)
+	}
+}
+
+func (n *Node) nextMembership(now units.Instant) *wire.Membership {
+	if n.hasSurplusVoter() {
+		return n.withoutSurplusVoter(now)
+	}
 	for _, id := range n.peerIDs {
 		p := n.peers[id]
 		if p.incarnation == "" || n.isVoter(voter{id: id, incarnation: p.incarnation}) || !n.caughtUp(p) {
 			continue
 		}
 		if next := n.nextMembershipFor(now, p); next != nil {
-			n.appendEntry(&wire.Entry{Membership: next}, e)
-			return
+			return next
 		}
 	}
+	return nil
 }
 
 // nextMembershipFor returns the next membership on the way to making a
@@ -97,11 +106,10 @@
 	if len(without.Voters) < len(n.voters()) {
 		return without
 	}
-	if n.hasAllVoters() {
-		return n.withoutUnresponsive(now, p)
+	if n.hasAllVoters() && !n.canReplaceVoter(now, p) {
+		return nil
 	}
-	without.Voters = append(without.Voters, &wire.Member{Id: string(p.id), Incarnation: string(p.incarnation)})
-	return without
+	return n.membershipWith(p)
 }
 
 // hasAllVoters reports whether the cluster has as many voters as it may grow to.
@@ -109,13 +117,64 @@
 	return n.settings.Growth != nil && len(n.voters()) >= n.settings.Growth.Voters
 }
 
-// withoutUnresponsive returns the membership without the voter that hasn't responded for longest, and for ReplaceAfter
-// at least, or nil when there is none, or when its successor doesn't respond. A leader that has just been resumed
-// hasn't processed the responses that came meanwhile; it has no lease then.
-func (n *Node) withoutUnresponsive(now units.Instant, successor *progress) *wire.Membership {
-	if !n.HasLease(now) || now.Sub(successor.lastContact) >= n.settings.ElectionTimeout {
+// hasSurplusVoter reports whether a successor has become a voter beside the one that it replaces.
+func (n *Node) hasSurplusVoter() bool {
+	return n.settings.Growth != nil && len(n.voters()) > n.settings.Growth.Voters
+}
+
+// canReplaceVoter reports whether a replica may become a voter in place of one that is unresponsive. It votes before
+// the other one is removed: with one voter fewer, the cluster would bear fewer losses meanwhile. A leader that has
+// just been resumed hasn't processed the responses that came meanwhile; it has no lease then.
+func (n *Node) canReplaceVoter(now units.Instant, successor *progress) bool {
+	return n.HasLease(now) && now.Sub(successor.lastContact) < n.settings.ElectionTimeout &&
+		n.longestUnresponsive(now) != "" && n.hasResponsiveQuorum(now, n.membershipWith(successor))
+}
+
+// withoutSurplusVoter returns the membership without the voter that a successor replaces, or nil while the leader
+// can't tell which one that is. If all respond again, the one that joined last is removed.
+func (n *Node) withoutSurplusVoter(now units.Instant) *wire.Membership {
+	if !n.HasLease(now) {
+		return nil
+	}
+	removed := n.longestUnresponsive(now)
+	if removed == "" && now.Sub(n.leaderSince) >= 2*n.settings.Growth.ReplaceAfter {
+		removed = n.newestFollower()
+	}
+	if removed == "" {
 		return nil
 	}
+	next := n.membershipWithout(removed)
+	if !n.hasResponsiveQuorum(now, next) {
+		return nil
+	}
+	return next
+}
+
+// newestFollower returns the voter that joined last, other than this leader.
+func (n *Node) newestFollower() units.ReplicaID {
+	voters := n.Voters()
+	last := voters[len(voters)-1]
+	if last == n.settings.ID {
+		return voters[len(voters)-2]
+	}
+	return last
+}
+
+// hasResponsiveQuorum reports whether a quorum of a membership has responded to this leader within an election
+// timeout.
+func (n *Node) hasResponsiveQuorum(now units.Instant, m *wire.Membership) bool {
+	responsive := 0
+	for _, x := range m.Voters {
+		if now.Sub(n.lastContactWith(voterOf(x), now)) < n.settings.ElectionTimeout {
+			responsive++
+		}
+	}
+	return responsive > len(m.Voters)/2
+}
+
+// longestUnresponsive returns the voter that has been unresponsive for longest, and for ReplaceAfter at least, or
+// nothing when there is none.
+func (n *Node) longestUnresponsive(now units.Instant) units.ReplicaID {
 	var longest units.ReplicaID
 	since := now.Add(-n.settings.Growth.ReplaceAfter)
 	for _, m := range n.voters() {
@@ -124,10 +183,7 @@
 			longest, since = v.id, s
 		}
 	}
-	if longest == "" {
-		return nil
-	}
-	return n.membershipWithout(longest)
+	return longest
 }
 
 // unresponsiveSince returns the latest time at which a voter may have responded. One that hasn't responded to this
@@ -154,6 +210,12 @@
 	return next
 }
 
+func (n *Node) membershipWith(p *progress) *wire.Membership {
+	next := &wire.Membership{Cluster: n.membership.current.Cluster, Voters: slices.Clone(n.voters())}
+	next.Voters = append(next.Voters, &wire.Member{Id: string(p.id), Incarnation: string(p.incarnation)})
+	return next
+}
+
 func (n *Node) caughtUp(p *progress) bool {
 	return p.match > 0 && p.match >= n.log.commit
 }
