replication: elections succeed on slow disks, and heartbeats don't wait for them

Cause: a candidate began its next election 0.2 to 0.6 s after its start, while its own vote and then those of the others had yet to be synced. Followers answered heartbeats after their writes only, so that a leader would have lost its lease under a steady stream of changes.

Change: no election while the own term or vote isn't synced; a candidate waits for twice the time that its own vote took. A voter without progress while it lacks committed entries is unresponsive, so that one whose disk hangs is still replaced.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -135,6 +136,25 @@
 	}
 }
 
+// A voter whose disk hangs still answers heartbeats, but it holds nothing new.
+func TestAVoterWhoseDiskHangsIsReplaced(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newGrowingWorld(t, seed, 6, 5, 1)
+		hanging := w.followers()[0]
+		for _, r := range w.followers() {
+			if r.core.Status(w.now).Log.Voter {
+				hanging = r
+			}
+		}
+		hanging.stalled = true
+		w.putDocument(w.leader(), false)
+		w.run(4 * time.Second)
+		if slices.Contains(w.leader().core.node.Voters(), hanging.id) {
+			t.Fatalf("seed %d: %s votes, though its disk has been hanging for 4 s", seed, hanging.id)
+		}
+	}
+}
+
 // A replica that returns after it was replaced must find the leader, even one that joined meanwhile.
 func TestAReplicaThatWasReplacedFollowsAgain(t *testing.T) {
 	for seed := range uint64(5) {
--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -11,6 +11,10 @@
 // the term. A replica that was disconnected thus doesn't disturb the leader on its return.
 func (n *Node) startPreVote(now units.Instant, e *Effects) {
 	n.electionAt = now.Add(n.settings.ElectionTimeout/preVoteDivisor + n.electionJitter())
+	if !n.stateSynced() {
+		// The last election isn't over: this replica's vote hasn't been sent yet.
+		return
+	}
 	n.leaderID = ""
 	if !n.isVoter(n.self()) {
 		n.announcePresence(e)
@@ -64,6 +68,7 @@
 
 func (n *Node) startElection(now units.Instant, transfer bool, e *Effects) {
 	n.electionAt = now.Add(n.settings.ElectionTimeout/2 + n.randomBelow(n.settings.ElectionTimeout))
+	n.candidateSince = now
 	n.role = candidate
 	n.term++
 	n.vote = n.settings.ID
@@ -72,6 +77,18 @@
 	n.requestVotes(now, false, transfer, e)
 }
 
+// awaitVotes gives the other voters time to sync their votes, by the time that this candidate's own vote took: they
+// may first complete another write.
+func (n *Node) awaitVotes(now units.Instant) {
+	if !n.stateSynced() {
+		return
+	}
+	took := now.Sub(n.candidateSince)
+	if until := now.Add(2 * took); until > n.electionAt {
+		n.electionAt = until.Add(n.electionJitter())
+	}
+}
+
 func (n *Node) requestVotes(now units.Instant, pre, transfer bool, e *Effects) {
 	n.votes = map[units.ReplicaID]bool{n.settings.ID: true}
 	n.rejections = map[units.ReplicaID]bool{}
--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -51,7 +51,22 @@
 	n.mergeEntries(r.Entries, e)
 	match := previous + units.Index(len(r.Entries))
 	n.commitTo(min(units.Index(r.Commit), match, n.log.last()), e)
-	n.sendAppendResponse(p.id, &wire.AppendResponse{Match: uint64(max(match, n.log.base)), Round: r.Round}, e)
+	response := &wire.AppendResponse{Match: uint64(max(match, n.log.base)), Round: r.Round}
+	if len(r.Entries) == 0 && n.stateSynced() {
+		n.sendContact(p.id, response, e)
+		return
+	}
+	n.sendAppendResponse(p.id, response, e)
+}
+
+// sendContact answers a heartbeat at once, for the entries that are synced. The leader's lease doesn't depend on the
+// disks of its followers then.
+func (n *Node) sendContact(to units.ReplicaID, r *wire.AppendResponse, e *Effects) {
+	r.Term = uint64(n.term)
+	r.Match = min(r.Match, uint64(n.log.synced))
+	m := n.envelope(to)
+	m.Body = &wire.Envelope_AppendResponse{AppendResponse: r}
+	e.Sends = append(e.Sends, m)
 }
 
 func (n *Node) mergeEntries(entries []*wire.Entry, e *Effects) {
@@ -103,6 +118,7 @@
 	w := n.newWrite(e)
 	w.ResetLog = true
 	w.Snapshot = s
+	n.stateWrite = w.Sequence
 	e.Restored = s
 	e.Committed = nil
 }
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -186,18 +186,21 @@
 	return longest
 }
 
-// unresponsiveSince returns the latest time at which a voter may have responded. One that hasn't responded to this
-// leader within an election timeout has been silent since it last acknowledged all committed entries: otherwise
-// each change of leader would let it keep its vote for longer.
+// unresponsiveSince returns since when a voter has neither responded nor, while it lacks committed entries, made
+// progress. One that hasn't responded to this leader within an election timeout has been silent since it last
+// acknowledged all committed entries: otherwise each change of leader would let it keep its vote for longer.
 func (n *Node) unresponsiveSince(v voter, now units.Instant) units.Instant {
-	if contact := n.lastContactWith(v, now); contact > 0 {
-		return contact
+	since := n.lastContactWith(v, now)
+	if since == 0 {
+		since = n.leaderSince
+		if now.Sub(since) < n.settings.ElectionTimeout {
+			return since
+		}
 	}
-	p := n.peers[v.id]
-	if p == nil || p.lagsSince == 0 || now.Sub(n.leaderSince) < n.settings.ElectionTimeout {
-		return n.leaderSince
+	if p := n.peers[v.id]; p != nil && p.lagsSince != 0 {
+		since = min(since, p.lagsSince)
 	}
-	return min(n.leaderSince, p.lagsSince)
+	return since
 }
 
 func (n *Node) membershipWithout(id units.ReplicaID) *wire.Membership {
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -57,6 +57,8 @@
 
 	electionAt  units.Instant
 	heartbeatAt units.Instant
+	// candidateSince is when this node last became a candidate.
+	candidateSince units.Instant
 	// presenceInterval is the current interval between presence requests of a replica without a cluster.
 	presenceInterval time.Duration
 	// lastLeaderContact is when a leader's message last arrived. For an election timeout after it no
@@ -70,6 +72,8 @@
 
 	lastWrite  WriteSequence
 	lastSynced WriteSequence
+	// stateWrite is the last write of the term, the vote or a snapshot.
+	stateWrite WriteSequence
 	deferred   []deferredSend
 	// logWrites holds the last entry of each log write that isn't synced yet.
 	logWrites []logWrite
@@ -145,11 +149,17 @@
 		}
 	}
 	n.releaseDeferred(e)
-	if n.role == leader {
+	switch n.role {
+	case leader:
 		n.advanceCommit(now, e)
+	case candidate:
+		n.awaitVotes(now)
 	}
 }
 
+// stateSynced reports whether the term, the vote and the snapshot are on this replica's disk.
+func (n *Node) stateSynced() bool { return n.stateWrite <= n.lastSynced }
+
 func (n *Node) releaseDeferred(e *Effects) {
 	kept := n.deferred[:0]
 	for _, g := range n.deferred {
@@ -280,6 +290,7 @@
 func (n *Node) writeHardState(e *Effects) {
 	w := n.newWrite(e)
 	w.HardState = &wire.HardState{Term: uint64(n.term), Vote: string(n.vote)}
+	n.stateWrite = w.Sequence
 }
 
 func (n *Node) writeEntries(entries []*wire.Entry, e *Effects) {
