replication: a full list of peers makes room for another replica

What operators would see: after 61 replacements in the life of a process the next successor stayed out, and the group had four of five voters.

Cause: a replica keeps 64 peers at most and forgot none that was gone.

Change: the peer that has been silent for longest is forgotten, unless it votes or the settings name it.

Evidence: TestReplicasAreReplacedAgainAndAgain failed after 61 replacements before, 70 hold now.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -223,6 +223,31 @@
 	}
 }
 
+// Over the life of a process, more replicas may be replaced than it keeps in memory.
+func TestReplicasAreReplacedAgainAndAgain(t *testing.T) {
+	const replaced = 70
+	w := emptyWorld(t, 1, 5+replaced, 0)
+	w.seeds = 3
+	w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: time.Second}
+	for _, r := range w.replicas[:5] {
+		w.startReplica(r)
+	}
+	w.run(3 * time.Second)
+	w.growth.Bootstrap = false
+	for i, successor := range w.replicas[5:] {
+		// The first replica stays, and so do its peers.
+		gone := w.replicas[i+1]
+		w.crash(gone)
+		w.gone = append(w.gone, gone)
+		w.run(200 * time.Millisecond)
+		w.startReplica(successor)
+		w.run(3 * time.Second)
+		if n := w.voters(); n != 5 {
+			t.Fatalf("%d of 5 replicas vote after %d were replaced", n, i+1)
+		}
+	}
+}
+
 func TestLateReportsBringNobodyBack(t *testing.T) {
 	w := newGrowingWorld(t, 11, 5, 5, 2)
 	w.putDocument(w.replicas[0], false)
--- a/pkg/core/replication/peers.go
+++ b/pkg/core/replication/peers.go
@@ -12,15 +12,40 @@
 
 // addPeer adds another replica to the peers and returns its progress; nil when it can't be added.
 func (n *Node) addPeer(id units.ReplicaID) *progress {
-	if p := n.peers[id]; p != nil || id == n.settings.ID || id == "" || len(n.peerIDs) >= maxPeers {
+	if p := n.peers[id]; p != nil || id == n.settings.ID || id == "" {
 		return p
 	}
+	if len(n.peerIDs) >= maxPeers && !n.removeSilentPeer() {
+		return nil
+	}
 	p := &progress{id: id, next: n.log.last() + 1}
 	n.peers[id] = p
 	n.peerIDs = append(n.peerIDs, id)
 	return p
 }
 
+// removeSilentPeer removes the peer that has been silent for longest, of those that neither the settings nor the
+// membership name. It returns false when there is none. Without it, no successor could join once maxPeers replicas
+// have been replaced.
+func (n *Node) removeSilentPeer() bool {
+	var silent *progress
+	for _, id := range n.peerIDs {
+		p := n.peers[id]
+		if n.hasMember(id) || slices.Contains(n.settings.Peers, id) {
+			continue
+		}
+		if silent == nil || p.lastReceived < silent.lastReceived {
+			silent = p
+		}
+	}
+	if silent == nil {
+		return false
+	}
+	delete(n.peers, silent.id)
+	n.peerIDs = slices.DeleteFunc(n.peerIDs, func(id units.ReplicaID) bool { return id == silent.id })
+	return true
+}
+
 // Peers returns the other replicas that this node knows of.
 func (n *Node) Peers() []units.ReplicaID { return slices.Clone(n.peerIDs) }
 
