madderctl: a way back where too few control replicas are left for good

What operators had: after the loss of more disks than the cluster bears, the table on the disks that are left could be read by nobody.

--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -146,11 +146,23 @@
 	return writeJSON(ctx, s.replica.Status())
 }
 
+// FormRequest is the optional body of the request that forms the cluster.
+type FormRequest struct {
+	// State is the state that the cluster starts with, as control.RecoverState returns it.
+	State []byte `json:"state,omitempty"`
+}
+
 func (s *Server) form(ctx *fasthttp.RequestCtx) error {
 	if err := s.requireReplica(); err != nil {
 		return err
 	}
-	if err := s.replica.FormCluster(); err != nil {
+	request := FormRequest{}
+	if body := ctx.PostBody(); len(body) > 0 {
+		if err := json.Unmarshal(body, &request); err != nil {
+			return fault.Wrap(err, fault.Invalid, "send no body, or {\"state\": ...} with the state in base64", "the body can't be read")
+		}
+	}
+	if err := s.replica.FormCluster(request.State); err != nil {
 		return err
 	}
 	return writeJSON(ctx, s.replica.Status())
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -267,7 +267,7 @@
 	if !a.formOnStart {
 		return
 	}
-	if err := a.replica.FormCluster(); err != nil {
+	if err := a.replica.FormCluster(nil); err != nil {
 		a.Log.WithError(err).Info("no new cluster was formed")
 	}
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -128,10 +128,11 @@
 	return results, c.sendToAny("GET", "/v1/history", nil, &results)
 }
 
-// FormCluster forms the cluster and returns the status of the replica that did.
-func (c *Client) FormCluster() (*replica.Status, error) {
+// FormCluster forms the cluster and returns the status of the replica that did. The cluster starts
+// with a recovered state, or with an empty table if there is none.
+func (c *Client) FormCluster(state []byte) (*replica.Status, error) {
 	s := &replica.Status{}
-	return s, c.sendToAny("POST", "/v1/cluster/form", nil, s)
+	return s, c.sendToAny("POST", "/v1/cluster/form", admin.FormRequest{State: state}, s)
 }
 
 // ServerStatus is the status of one server, or the error of the request for it.
--- a/pkg/core/control/events.go
+++ b/pkg/core/control/events.go
@@ -48,6 +48,8 @@
 	Request RequestID
 	// Cluster is the random name of the new cluster.
 	Cluster string
+	// State is the state that the cluster starts with, from RecoverState; empty for an empty table.
+	State []byte
 }
 
 // DocumentSubmitted submits an operator's document: the services, routes and workspaces of the
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -284,13 +284,24 @@
 }
 
 func (r *Replica) form(v FormRequested, log *replication.Effects, e *Effects) {
-	empty, err := wire.EncodeState(table.NewState())
+	state, err := initialState(v.State)
 	if err == nil {
-		err = r.node.FormCluster(r.now, v.Cluster, empty, log)
+		err = r.node.FormCluster(r.now, v.Cluster, state, log)
 	}
 	e.Answers = append(e.Answers, Answer{Request: v.Request, Err: err})
 }
 
+// initialState returns the encoded state of a new cluster: the given one, if it can be decoded, or an empty one.
+func initialState(given []byte) ([]byte, error) {
+	if len(given) == 0 {
+		return wire.EncodeState(table.NewState())
+	}
+	if _, err := wire.DecodeState(given); err != nil {
+		return nil, fault.New(fault.Invalid, "send a file that madderctl folder export has written", "the state for the new cluster can't be read")
+	}
+	return given, nil
+}
+
 func (r *Replica) receivePeer(m *wire.Envelope, log *replication.Effects, e *Effects) {
 	switch b := m.Body.(type) {
 	case *wire.Envelope_ProposeRequest:
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -109,6 +109,10 @@
 		{"explain", "tell the story of one call out of log files", "madderctl explain ID FILE..., or with the logs on standard input. Needs no server.", &explainCall{tool: t}, nil},
 		{"watch", "print each new revision as it comes", "", &watchTable{tool: t}, nil},
 		{"form", "form the cluster, once", "Needs all control replicas running with empty data folders.", &formCluster{tool: t}, nil},
+		{name: "folder", short: "read the data folders of replicas that aren't running", data: &struct{}{}, subcommands: []command{
+			{"show", "print what data folders hold", "madderctl folder show FOLDER... Shows the position in the log, the revision and the document of each. Needs no server.", &showFolders{tool: t}, nil},
+			{"export", "write the state in a data folder to a file", "madderctl folder export FOLDER FILE, for form --state. Needs no server.", &exportFolder{tool: t}, nil},
+		}},
 		{"completion", "print a bash completion script", "", &printCompletion{tool: t}, nil},
 	}
 }
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strconv"
 	"time"
 
@@ -183,15 +184,25 @@
 	return nil
 }
 
-type formCluster struct{ tool *Tool }
+type formCluster struct {
+	State string `long:"state" value-name:"FILE" description:"a file that folder export has written; the cluster starts with its state"`
+	tool  *Tool
+}
 
 // Execute forms the cluster.
 func (c *formCluster) Execute([]string) error {
+	var state []byte
+	if c.State != "" {
+		var err error
+		if state, err = os.ReadFile(c.State); err != nil {
+			return fault.Wrap(err, fault.Invalid, "name a file that can be read", "the state can't be read")
+		}
+	}
 	api, err := c.tool.connect()
 	if err != nil {
 		return err
 	}
-	s, err := api.FormCluster()
+	s, err := api.FormCluster(state)
 	if err != nil {
 		return err
 	}
--- a/pkg/lab/cluster.go
+++ b/pkg/lab/cluster.go
@@ -204,7 +204,7 @@
 		return err
 	}
 	return Eventually(startTimeout, func() error {
-		_, err := api.FormCluster()
+		_, err := api.FormCluster(nil)
 		return err
 	})
 }
--- a/pkg/replica/edits.go
+++ b/pkg/replica/edits.go
@@ -23,10 +23,11 @@
 	return *a.Result, nil
 }
 
-// FormCluster forms the cluster; see replication.Node.FormCluster for the errors.
-func (r *Replica) FormCluster() error {
+// FormCluster forms the cluster with a recovered state, or with an empty table if there is none; see
+// replication.Node.FormCluster for the errors. A state that can't be decoded is an Invalid fault.
+func (r *Replica) FormCluster(state []byte) error {
 	return r.request(func(id control.RequestID) control.Event {
-		return control.FormRequested{Request: id, Cluster: uuid.NewString()}
+		return control.FormRequested{Request: id, Cluster: uuid.NewString(), State: state}
 	}).Err
 }
 
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -294,11 +294,11 @@
 	x.must(x.cluster.StartNode(a))
 	x.must(x.cluster.StartNode(b))
 	// Two empty replicas are a majority of the machines but can't form a quorum.
-	if _, err := x.api(a, b).FormCluster(); err == nil {
+	if _, err := x.api(a, b).FormCluster(nil); err == nil {
 		t.Fatal("a cluster formed although one replica was missing")
 	}
 	x.must(x.cluster.StartNode(c))
-	if _, err := x.api(a, b).FormCluster(); err == nil {
+	if _, err := x.api(a, b).FormCluster(nil); err == nil {
 		t.Fatal("a second cluster formed while the first exists")
 	}
 	d, err := c.Dump()
