replication: a replica whose disk hangs knows no leader once its election is due

Cause: since elections wait for the disk, such a replica kept the last leader for as long as the disk hung, and sent reads and orders there.

Change: the leader is unknown from the moment at which an election is due, as before.

--- a/pkg/core/replication/election.go
+++ b/pkg/core/replication/election.go
@@ -11,11 +11,11 @@
 // the term. A replica that was disconnected thus doesn't disturb the leader on its return.
 func (n *Node) startPreVote(now units.Instant, e *Effects) {
 	n.electionAt = now.Add(n.settings.ElectionTimeout/preVoteDivisor + n.electionJitter())
+	n.leaderID = ""
 	if !n.stateSynced() {
 		// The last election isn't over: this replica's vote hasn't been sent yet.
 		return
 	}
-	n.leaderID = ""
 	if !n.isVoter(n.self()) {
 		n.announcePresence(e)
 		return
