control: earlier tables take an eighth of a replica's memory at most

Cause: 1,024 earlier tables were kept, whatever their size; one of 3,500 routes takes 0.24 MB, since its index of routes isn't shared.

Change: the oldest are dropped beyond an eighth of the memory in the settings. A box that comes with an older table gets the whole one.

--- a/pkg/core/control/apply.go
+++ b/pkg/core/control/apply.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"github.com/madderpond/madderpond/pkg/container"
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -31,7 +30,7 @@
 		return
 	}
 	r.state = state
-	r.previousTables = container.NewRing[*table.Table](maxPreviousTables)
+	r.previousTables.clear()
 	e.TableChanged = true
 	r.answerRestoredEdits(e)
 }
@@ -92,7 +91,7 @@
 		return
 	}
 	r.recordRolloutChanges(delta, before, e)
-	r.previousTables.Push(before)
+	r.previousTables.push(before, delta)
 	e.TableChanged = true
 }
 
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -33,6 +33,8 @@
 	KeepEntries int
 	// Rollouts says whether rollouts may be ordered, and their limits.
 	Rollouts RolloutSettings
+	// Memory is the memory of the process in bytes; zero if its settings name no limit.
+	Memory int
 }
 
 // Defaults of the settings that operators rarely change.
@@ -60,20 +62,30 @@
 	// maxWaitingCommands is how many commands may wait for a quorum at a replica. A replica with
 	// that many can't keep up, and it is better to refuse further ones at once.
 	maxWaitingCommands = 512
-	// maxPreviousTables is how many earlier tables are kept, for boxes that come from other
-	// replicas with one of them. The tables share what didn't change.
+	// maxPreviousTables is how many earlier tables are kept. They share what didn't change.
 	maxPreviousTables = 1024
+	// previousTablesDivisor divides the memory of a process into what earlier tables may take.
+	previousTablesDivisor = 8
+	// defaultMemory, in bytes, is taken for the memory of a process whose settings name no limit.
+	defaultMemory = 512 << 20
 )
 
+// previousTableBytes returns how many bytes earlier tables may take.
+func (s *Settings) previousTableBytes() int {
+	if s.Memory == 0 {
+		return defaultMemory / previousTablesDivisor
+	}
+	return s.Memory / previousTablesDivisor
+}
+
 // Replica is the decision logic of one control replica.
 type Replica struct {
-	settings Settings
-	node     *replication.Node
-	state    *table.State
-	edits    editQueue
-	sessions *container.OrderedMap[ConnectionID, *session]
-	// previousTables are the tables before the current one, the newest last.
-	previousTables *container.Ring[*table.Table]
+	settings       Settings
+	node           *replication.Node
+	state          *table.State
+	edits          editQueue
+	sessions       *container.OrderedMap[ConnectionID, *session]
+	previousTables previousTables
 	// cachedUpdate and cachedTable are the last computed update and whole table for boxes.
 	cachedUpdate boxUpdate
 	cachedTable  wholeTable
@@ -123,7 +135,7 @@
 		node:           replication.NewNode(s.Replication, d, now),
 		edits:          newEditQueue(),
 		sessions:       container.NewOrderedMap[ConnectionID, *session](),
-		previousTables: container.NewRing[*table.Table](maxPreviousTables),
+		previousTables: previousTables{limit: s.previousTableBytes()},
 		leases:         newLeaseTracker(),
 		domains:        map[units.ReplicaID]units.Domain{s.Replication.ID: s.Domain},
 		requests:       newRequestQueue(),
--- a/pkg/core/control/sessions.go
+++ b/pkg/core/control/sessions.go
@@ -132,11 +132,10 @@
 	if s.table != nil {
 		return s.table
 	}
-	behind := int(r.state.Table().Revision - s.sentRevision)
-	if s.sentRevision == 0 || behind > r.previousTables.Len() {
+	if s.sentRevision == 0 {
 		return nil
 	}
-	return r.previousTables.At(r.previousTables.Len() - behind)
+	return r.previousTables.behind(r.state.Table().Revision - s.sentRevision)
 }
 
 // boxEnvelope returns an envelope for a box. It omits the sender, which the box knows from its
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -99,6 +99,7 @@
 			ElectionTimeout: s.ElectionTimeout.Std(), Heartbeat: s.Heartbeat.Std(), Seed: rand.Uint64(),
 			MinCopies: s.MinCopies, Growth: r.growth(len(peers)),
 		},
+		Memory:      r.Settings.MemoryLimitMB << 20,
 		ReadTimeout: s.ReadTimeout.Std(), SilentAfter: s.SilentAfter.Std(),
 		Lease: s.Lease.Std(), LeaseMargin: control.DefaultLeaseMargin, EditTimeout: s.EditTimeout.Std(),
 		SnapshotEvery: s.SnapshotEvery, KeepEntries: s.KeepEntries,
