--- a/pkg/core/control/previous_test.go
+++ b/pkg/core/control/previous_test.go
@@ -76,3 +76,39 @@
 		}
 	}
 }
+
+// A log of large documents takes a bounded size, however many entries may stand between snapshots.
+func TestALogOfLargeDocumentsIsCompacted(t *testing.T) {
+	const limit = 16 << 10
+	w := emptyWorld(t, 1, 3, 0)
+	w.settings.SnapshotEvery, w.settings.KeepEntries = 1000, 500
+	w.settings.Memory = limit * logDivisor
+	for _, r := range w.replicas {
+		w.startReplica(r)
+	}
+	w.form()
+	for version := 1; version <= 120; version++ {
+		d := largeDocument(version, 50)
+		w.order(w.leader(), func(id RequestID) Event { return DocumentSubmitted{Request: id, Document: d} }, func(a Answer) {
+			if a.Err == nil {
+				w.orders.highestDocument = d.Version
+			}
+		})
+		w.run(100 * time.Millisecond)
+		for _, r := range w.replicas {
+			if bytes := r.core.node.LogBytes(); bytes > 2*limit {
+				t.Fatalf("the log of %s takes %d bytes after %d documents, %d are allowed", r.id, bytes, version, limit)
+			}
+		}
+	}
+	if w.orders.highestDocument != 120 {
+		t.Fatalf("document %d is in force, 120 were sent", w.orders.highestDocument)
+	}
+	w.crashAll(0)
+	w.run(2 * time.Second)
+	for _, r := range w.replicas {
+		if have := r.core.Table().Document; have != 120 {
+			t.Errorf("%s holds document %d after a restart, not 120", r.id, have)
+		}
+	}
+}
--- a/pkg/core/control/replica.go
+++ b/pkg/core/control/replica.go
@@ -64,20 +64,30 @@
 	maxWaitingCommands = 512
 	// maxPreviousTables is how many earlier tables are kept. They share what didn't change.
 	maxPreviousTables = 1024
-	// previousTablesDivisor divides the memory of a process into what earlier tables may take.
+	// minSnapshotEntries is the least number of entries between two snapshots.
+	minSnapshotEntries = 10
+	// previousTablesDivisor and logDivisor divide the memory of a process into what earlier tables and the log
+	// may take.
 	previousTablesDivisor = 8
+	logDivisor            = 8
 	// defaultMemory, in bytes, is taken for the memory of a process whose settings name no limit.
 	defaultMemory = 512 << 20
 )
 
-// previousTableBytes returns how many bytes earlier tables may take.
-func (s *Settings) previousTableBytes() int {
+// memory returns how many bytes the process may take.
+func (s *Settings) memory() int {
 	if s.Memory == 0 {
-		return defaultMemory / previousTablesDivisor
+		return defaultMemory
 	}
-	return s.Memory / previousTablesDivisor
+	return s.Memory
 }
 
+// previousTableBytes returns how many bytes earlier tables may take.
+func (s *Settings) previousTableBytes() int { return s.memory() / previousTablesDivisor }
+
+// logBytes returns how many bytes the log may take before a snapshot is made.
+func (s *Settings) logBytes() int { return s.memory() / logDivisor }
+
 // Replica is the decision logic of one control replica.
 type Replica struct {
 	settings       Settings
@@ -283,8 +293,15 @@
 	return max(r.settings.SnapshotEvery, r.state.RegistrationCount()/2)
 }
 
+// needsSnapshot reports whether enough entries have been committed since the last snapshot, or the log
+// takes as much memory as it may.
+func (r *Replica) needsSnapshot() bool {
+	entries := r.node.EntriesSinceSnapshot()
+	return entries >= r.snapshotEvery() || entries >= minSnapshotEntries && r.node.LogBytes() > r.settings.logBytes()
+}
+
 func (r *Replica) compact(log *replication.Effects, e *Effects) {
-	if !r.node.Formed() || r.node.EntriesSinceSnapshot() < r.snapshotEvery() {
+	if !r.node.Formed() || !r.needsSnapshot() {
 		return
 	}
 	state, err := wire.EncodeState(r.state)
@@ -292,7 +309,7 @@
 		e.Halt = fault.Wrap(err, fault.Internal, "report this as a fault of madderpond", "the state can't be encoded")
 		return
 	}
-	r.node.Compact(state, r.settings.KeepEntries, log)
+	r.node.Compact(state, min(r.settings.KeepEntries, r.node.CommittedWithin(r.settings.logBytes()/2)), log)
 }
 
 func (r *Replica) form(v FormRequested, log *replication.Effects, e *Effects) {
--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -161,6 +161,22 @@
 	return m
 }
 
+// LogBytes returns the size of the commands in the log that is kept in memory.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
+// CommittedWithin returns how many of the last committed entries have commands of at most a size together.
+func (n *Node) CommittedWithin(bytes int) int {
+	count := 0
+	for i := n.log.commit; i > n.log.base; i-- {
+		bytes -= len(n.log.entryAt(i).Command)
+		if bytes < 0 {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 // EntriesSinceSnapshot returns how many committed entries aren't covered by the snapshot.
 func (n *Node) EntriesSinceSnapshot() int {
 	if n.log.snapshot == nil {
--- a/pkg/core/replication/leadership.go
+++ b/pkg/core/replication/leadership.go
@@ -252,7 +252,7 @@
 func (n *Node) appendEntry(entry *wire.Entry, e *Effects) {
 	entry.Index = uint64(n.log.last() + 1)
 	entry.Term = uint64(n.term)
-	n.log.entries = append(n.log.entries, entry)
+	n.log.append(entry)
 	n.adoptMembership(entry)
 	n.writeEntries([]*wire.Entry{entry}, e)
 }
--- a/pkg/core/replication/log.go
+++ b/pkg/core/replication/log.go
@@ -18,7 +18,9 @@
 	base     units.Index
 	baseTerm units.Term
 	entries  []*wire.Entry
-	commit   units.Index
+	// bytes is the size of the entries' commands.
+	bytes  int
+	commit units.Index
 	// synced is the last index known to be on this replica's disk.
 	synced units.Index
 }
@@ -35,9 +37,25 @@
 		return units.Index(e.Index) <= l.base
 	})
 	l.synced = l.last()
+	l.bytes = commandBytes(l.entries)
 	return l
 }
 
+// commandBytes returns the size of the commands of entries.
+func commandBytes(entries []*wire.Entry) int {
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Command)
+	}
+	return bytes
+}
+
+// append adds entries at the end.
+func (l *entryLog) append(entries ...*wire.Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += commandBytes(entries)
+}
+
 func (l *entryLog) last() units.Index {
 	return l.base + units.Index(len(l.entries))
 }
@@ -106,7 +124,7 @@
 		}
 		l.truncate(i)
 		added := entries[n:]
-		l.entries = append(l.entries, added...)
+		l.append(added...)
 		return added
 	}
 	return nil
@@ -117,6 +135,7 @@
 	if i > l.last() {
 		return
 	}
+	l.bytes -= commandBytes(l.entries[i-l.base-1:])
 	// A message that isn't encoded yet may still read the old array.
 	l.entries = slices.Clone(l.entries[:i-l.base-1])
 	l.synced = min(l.synced, l.last())
@@ -128,6 +147,7 @@
 		return
 	}
 	term, _ := l.term(to)
+	l.bytes -= commandBytes(l.entries[:to-l.base])
 	l.entries = slices.Clone(l.entries[to-l.base:])
 	l.base = to
 	l.baseTerm = term
@@ -139,6 +159,7 @@
 	l.base = units.Index(s.Index)
 	l.baseTerm = units.Term(s.Term)
 	l.entries = nil
+	l.bytes = 0
 	l.commit = l.base
 	l.synced = l.base
 }
