transport: the test of a peer's replies waits for the peer's last send

Cause: the peer's goroutine reported a send that failed since the test had closed the link meanwhile, after the test had ended; that panics. All answers had come.

Change: the peer hands the outcome of each send to the test, which waits for it before it goes on or closes the link. Every send must succeed, as before.

--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -111,15 +111,14 @@
 }
 
 func TestAPeerRepliesOnTheConnectionOfALink(t *testing.T) {
+	sent := make(chan error, 1)
 	l := listen(t, func(_ *wire.Hello, c *Conn) {
 		for {
 			m, err := c.Receive()
 			if err != nil {
 				return
 			}
-			if err := c.Send(&wire.Envelope{Boot: m.Boot + 1}); err != nil {
-				t.Error(err)
-			}
+			sent <- c.Send(&wire.Envelope{Boot: m.Boot + 1})
 		}
 	})
 	got := make(chan uint64, 1)
@@ -130,6 +129,10 @@
 		if n := <-got; n != i+1 {
 			t.Fatalf("message %d came back in place of %d", n, i+1)
 		}
+		// The link is closed only once the peer's send has returned.
+		if err := <-sent; err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
