entry: a call on a connection that the box closes is refused, not answered with 200

What callers saw: 200 with an empty body, though no target had run the call.

Cause: idle connections are marked under a lock and closed after it. A call that came in between was sent to no target, and its handler returned without an answer; the HTTP library's default is 200, and the connection delivered it.

Change: such a call is refused as connection-closed, 503, not run.

--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -58,6 +58,7 @@
 	RelayLimit
 	StaleTable
 	BodyMemory
+	ConnectionClosed
 	reasonCount
 )
 
@@ -98,6 +99,7 @@
 	RelayLimit:         {"relay-limit", 503, "retry later; this box serves as many calls of other boxes as it may"},
 	StaleTable:         {"stale-table", 503, "try another box; this one has an older table than the box that relayed the call"},
 	BodyMemory:         {"body-memory", 503, "retry after the given time; other calls' bodies take the memory that this box has for them"},
+	ConnectionClosed:   {"connection-closed", 503, "open a new connection; this box was closing this one, since it has too many calls, when the call came"},
 	CallerDisconnected: {"caller-gone", 499, "none; the caller disconnected"},
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -77,7 +77,7 @@
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
 	if wasClosedIdle(ctx.Conn()) {
-		ctx.SetConnectionClose()
+		e.refuseOnClosedConnection(ctx)
 		return
 	}
 	// The first call on a connection was counted when that was accepted.
@@ -112,6 +112,17 @@
 	e.metrics.observe(a.endpoint, time.Since(started))
 }
 
+// closedRetryAfter is how long a caller whose connection the box was closing should wait; its new connection
+// meets another box as a rule.
+const closedRetryAfter = 10 * time.Millisecond
+
+// refuseOnClosedConnection refuses a call on a connection that the box closes as idle. The caller may still get
+// the answer: the connection is closed by another goroutine.
+func (e *Entry) refuseOnClosedConnection(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	e.writeRefusal(ctx, routing.Refusal{Reason: routing.ConnectionClosed, Outcome: routing.NotRun, RetryAfter: closedRetryAfter})
+}
+
 // hostOf returns the request's host without its port.
 func hostOf(ctx *fasthttp.RequestCtx) []byte {
 	host := ctx.Host()
