replication: an empty replica takes over members while it knows an old leader

What was seen: a replica with an empty disk stayed out for good, if the leader that had written to it no longer led and the new one didn't know it.

Cause: the change for replicas that return (members are taken over where there is no leader) also held for empty ones, whose leader is never forgotten, since they hold no elections.

Change: a replica that belongs to no cluster takes over members in any case.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -307,10 +307,21 @@
 
 func TestRandomFaultsOfAGrowingClusterBreakNoPromise(t *testing.T) {
 	t.Parallel()
+	checkGrowingCluster(t, 5)
+}
+
+// With more replicas than voters, voters are replaced all the time.
+func TestRandomFaultsBesideFurtherReplicasBreakNoPromise(t *testing.T) {
+	t.Parallel()
+	checkGrowingCluster(t, 8)
+}
+
+// checkGrowingCluster runs random schedules of a cluster of five voters.
+func checkGrowingCluster(t *testing.T, replicas int) {
 	tried := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		tried++
-		w := newGrowingWorld(rt, rapid.Uint64().Draw(rt, "seed"), 5, 5, 3)
+		w := newGrowingWorld(rt, rapid.Uint64().Draw(rt, "seed"), replicas, 5, 3)
 		steps := rapid.SliceOfN(rapid.IntRange(0, len(growthFaults)*1000-1), 10, 60).Draw(rt, "faults")
 		for _, s := range steps {
 			f := growthFaults[s%len(growthFaults)]
--- a/pkg/core/replication/formation.go
+++ b/pkg/core/replication/formation.go
@@ -64,9 +64,10 @@
 }
 
 // addReportedMembers adds the members that a replica of an existing cluster reports as peers of
-// a replica without a leader. The other may know the leader's address when this replica doesn't.
+// a replica that belongs to no cluster or has no leader. The other may know the leader's address when this replica
+// doesn't.
 func (n *Node) addReportedMembers(r *wire.Presence) {
-	if n.settings.Growth == nil || n.leaderID != "" || !r.Formed {
+	if n.settings.Growth == nil || n.formed() && n.leaderID != "" || !r.Formed {
 		return
 	}
 	for _, id := range r.Members {
