store: a damaged data folder is named by folder show, which doesn't crash

What operators saw: madderctl folder show ended with SIGBUS on a file that had been cut short, and called other damage a file that can't be opened. It is meant for disks that have been through a loss.

Cause: Inspect opened the file and told its errors in a way of its own, beside Open, without Open's guard; and opened for reading only, bbolt reads the free pages in a goroutine, whose panic nobody can catch.

Change: Open and Inspect share the guard and the errors; the free pages are read when the file is opened.

Evidence: TestAFolderThatCanNotBeTrustedIsRefused inspects each damaged folder too; a file of three pages ended the test's process before.

--- a/pkg/store/inspect.go
+++ b/pkg/store/inspect.go
@@ -1,11 +1,10 @@
 package store
 
 import (
-	"errors"
+	"os"
 	"path/filepath"
 
 	"go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
 	"github.com/madderpond/madderpond/pkg/core/replication"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -23,16 +22,22 @@
 // are of kind Damaged or Unavailable.
 func Inspect(folder string) (*Contents, error) {
 	path := filepath.Join(folder, fileName)
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
-	if errors.Is(err, bolterrors.ErrTimeout) {
-		return nil, fault.Wrap(err, fault.Unavailable, "stop the replica that uses this data folder", "the file %s is locked", path)
+	if _, err := os.Stat(path); err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "name the data folder of a control replica", "the file %s can't be found", path)
 	}
+	c := &Contents{}
+	err := catchDamage(path, func() error {
+		db, err := openFile(path, true)
+		if err != nil {
+			return err
+		}
+		defer db.Close()
+		return db.View(c.read)
+	})
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "name the data folder of a control replica", "the file %s can't be opened", path)
+		return nil, err
 	}
-	defer db.Close()
-	c := &Contents{}
-	return c, db.View(c.read)
+	return c, nil
 }
 
 func (c *Contents) read(tx *bbolt.Tx) error {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -67,34 +67,48 @@
 
 // Open opens the data folder of a replica, and creates it if it doesn't exist. Errors
 // are of kind Damaged, ForeignData or Unavailable.
-func Open(folder string, replica units.ReplicaID, wall units.WallTime) (s *Store, err error) {
+func Open(folder string, replica units.ReplicaID, wall units.WallTime) (*Store, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "make the folder writable for madderpond", "the data folder %s can't be created", folder)
 	}
 	path := filepath.Join(folder, fileName)
-	// Reading a truncated file causes a fault in the memory-mapped pages, or a panic
-	// in bbolt.
+	s := &Store{}
+	err := catchDamage(path, func() error { return s.open(path, replica, wall) })
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// catchDamage runs a function that reads a file. Reading a truncated file causes a fault in the memory-mapped
+// pages, or a panic in bbolt; both are returned as a Damaged fault.
+func catchDamage(path string, read func() error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if cause := recover(); cause != nil {
-			s, err = nil, fault.New(fault.Damaged, damagedRemedy, "the file %s is damaged: %v", path, cause)
+			err = fault.New(fault.Damaged, damagedRemedy, "the file %s is damaged: %v", path, cause)
 		}
 	}()
-	db, err := openFile(path)
+	return read()
+}
+
+func (s *Store) open(path string, replica units.ReplicaID, wall units.WallTime) error {
+	db, err := openFile(path, false)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s = &Store{db: db}
+	s.db = db
 	if err := s.load(replica, wall); err != nil {
 		db.Close()
-		return nil, err
+		return err
 	}
-	return s, nil
+	return nil
 }
 
-func openFile(path string) (*bbolt.DB, error) {
+func openFile(path string, readOnly bool) (*bbolt.DB, error) {
 	_, statErr := os.Stat(path)
-	options := &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType}
+	// The free pages are read here, not in a goroutine of bbolt's, whose panic nobody could catch.
+	options := &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly, PreLoadFreelist: true}
 	db, err := bbolt.Open(path, fileMode, options)
 	if err == nil {
 		return db, nil
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -116,21 +116,32 @@
 	}
 	for _, x := range scenarios {
 		t.Run(x.testName, func(t *testing.T) {
-			folder := t.TempDir()
-			s := mustOpen(t, folder, 0)
-			if err := s.Write([]*replication.Write{{Entries: []*wire.Entry{entry(1, 1)}}}); err != nil {
-				t.Fatal(err)
-			}
-			s.Close()
-			x.corrupt(t, folder)
-			_, err := Open(folder, x.replica, 0)
+			_, err := Open(corruptedFolder(t, x.corrupt), x.replica, 0)
 			if fault.KindOf(err) != x.kind || fault.RemedyOf(err) == "" {
 				t.Fatalf("unexpected error: %v", err)
 			}
+			if x.kind != fault.Damaged {
+				return
+			}
+			if _, err := Inspect(corruptedFolder(t, x.corrupt)); fault.KindOf(err) != fault.Damaged || fault.RemedyOf(err) == "" {
+				t.Fatalf("unexpected error of an inspection: %v", err)
+			}
 		})
 	}
 }
 
+// corruptedFolder returns a data folder with one entry, after a change to its file.
+func corruptedFolder(t *testing.T, corrupt func(*testing.T, string)) string {
+	folder := t.TempDir()
+	s := mustOpen(t, folder, 0)
+	if err := s.Write([]*replication.Write{{Entries: []*wire.Entry{entry(1, 1)}}}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	corrupt(t, folder)
+	return folder
+}
+
 func truncateTo(size int64) func(*testing.T, string) {
 	return func(t *testing.T, folder string) {
 		if err := os.Truncate(filepath.Join(folder, fileName), size); err != nil {
