replication, madderctl: less that stands twice

- A recovered state takes membership and position from the node that has read the log, in place of a second walk through it.
- A heartbeat's answer is built where other answers are.
- Whether a replica votes under any incarnation is asked of hasMember; a membership was made and dropped for each further replica at each answer.
- One way to join names and to read a file that the command line names; errors of folder show go the way of all others, with each folder's name.

No behaviour changes but the place of those errors. Tests as before.

--- a/pkg/core/replication/following.go
+++ b/pkg/core/replication/following.go
@@ -25,10 +25,14 @@
 }
 
 func (n *Node) sendAppendResponse(to units.ReplicaID, r *wire.AppendResponse, e *Effects) {
+	n.sendAfterSync(n.appendResponse(to, r), e)
+}
+
+func (n *Node) appendResponse(to units.ReplicaID, r *wire.AppendResponse) *wire.Envelope {
 	r.Term = uint64(n.term)
 	m := n.envelope(to)
 	m.Body = &wire.Envelope_AppendResponse{AppendResponse: r}
-	n.sendAfterSync(m, e)
+	return m
 }
 
 func (n *Node) receiveAppend(now units.Instant, p *progress, r *wire.AppendRequest, e *Effects) {
@@ -62,11 +66,8 @@
 // sendContact answers a heartbeat at once, for the entries that are synced. The leader's lease doesn't depend on the
 // disks of its followers then.
 func (n *Node) sendContact(to units.ReplicaID, r *wire.AppendResponse, e *Effects) {
-	r.Term = uint64(n.term)
 	r.Match = min(r.Match, uint64(n.log.synced))
-	m := n.envelope(to)
-	m.Body = &wire.Envelope_AppendResponse{AppendResponse: r}
-	e.Sends = append(e.Sends, m)
+	e.Sends = append(e.Sends, n.appendResponse(to, r))
 }
 
 func (n *Node) mergeEntries(entries []*wire.Entry, e *Effects) {
--- a/pkg/core/replication/membership.go
+++ b/pkg/core/replication/membership.go
@@ -102,9 +102,8 @@
 // nextMembershipFor returns the next membership on the way to making a
 // replica a voter, or nil when it has to wait.
 func (n *Node) nextMembershipFor(now units.Instant, p *progress) *wire.Membership {
-	without := n.membershipWithout(p.id)
-	if len(without.Voters) < len(n.voters()) {
-		return without
+	if n.hasMember(p.id) {
+		return n.membershipWithout(p.id)
 	}
 	if n.hasAllVoters() && !n.canReplaceVoter(now, p) {
 		return nil
--- a/pkg/core/replication/node.go
+++ b/pkg/core/replication/node.go
@@ -327,6 +327,13 @@
 // Commit returns the index of the last entry known to be committed.
 func (n *Node) Commit() units.Index { return n.log.commit }
 
+// LastEntry returns the term and the index of the last entry in the log, committed or not.
+func (n *Node) LastEntry() (units.Term, units.Index) { return n.log.lastTerm(), n.log.last() }
+
+// EntriesAfterSnapshot returns the entries behind the snapshot, committed or not, of a node that has just been
+// made from a disk; one that has run may keep earlier ones for slow followers.
+func (n *Node) EntriesAfterSnapshot() []*wire.Entry { return n.log.entries }
+
 // Status is a node's state as written to the dump.
 type Status struct {
 	Role        string            `json:"role"`
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -204,6 +205,21 @@
 	return w.Flush()
 }
 
+// joinNames returns names with a separator between them.
+func joinNames[T ~string](names []T, separator string) string {
+	texts := make([]string, len(names))
+	for i, n := range names {
+		texts[i] = string(n)
+	}
+	return strings.Join(texts, separator)
+}
+
+// readFile reads a file that the command line names; what is named in the error.
+func readFile(path, what string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	return data, fault.Wrap(err, fault.Invalid, "name a file that can be read", "%s can't be read", what)
+}
+
 func (t *Tool) print(format string, args ...any) { fmt.Fprintf(t.out, format, args...) }
 
 // Run runs the tool with the process's command line and exits with its exit code.
--- a/pkg/ctl/document.go
+++ b/pkg/ctl/document.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"strconv"
 	"time"
 
@@ -38,9 +37,9 @@
 // Execute uploads a document, which is in force once it is accepted. Comments and trailing
 // commas in its file are allowed, and are removed before the upload.
 func (c *documentPut) Execute([]string) error {
-	data, err := os.ReadFile(c.Args.File)
+	data, err := readFile(c.Args.File, "the document")
 	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "name a file that can be read", "the document can't be read")
+		return err
 	}
 	plain, err := hujson.Standardize(data)
 	if err != nil {
--- a/pkg/ctl/folder.go
+++ b/pkg/ctl/folder.go
@@ -1,9 +1,9 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/madderpond/madderpond/pkg/core/control"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -36,7 +36,7 @@
 		return nil, nil, err
 	}
 	return &folderContents{
-		Folder: folder, Replica: contents.Replica, Cluster: r.Cluster, Term: r.Position.Term, Index: r.Position.Index,
+		Folder: folder, Replica: contents.Replica, Cluster: r.Cluster, Term: r.Term, Index: r.Index,
 		Revision: r.Revision, Document: r.Document, Voters: r.Voters,
 	}, r, nil
 }
@@ -56,42 +56,31 @@
 	for _, folder := range c.Args.Folders {
 		f, _, err := readFolder(folder)
 		if err != nil {
-			failed = err
-			fmt.Fprintf(os.Stderr, "%s: %v\n", folder, err)
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", folder, err))
 			continue
 		}
 		list = append(list, f)
 	}
+	return errors.Join(c.printFolders(list), failed)
+}
+
+func (c *showFolders) printFolders(list []*folderContents) error {
 	if c.tool.options.JSON {
-		if err := c.tool.printJSON(list); err != nil {
-			return err
-		}
-		return failed
-	}
-	if err := c.tool.printTable([]string{"folder", "replica", "cluster", "term", "index", "revision", "document", "voters"}, folderRows(list)); err != nil {
-		return err
+		return c.tool.printJSON(list)
 	}
-	return failed
+	return c.tool.printTable([]string{"folder", "replica", "cluster", "term", "index", "revision", "document", "voters"}, folderRows(list))
 }
 
 func folderRows(list []*folderContents) [][]string {
 	var rows [][]string
 	for _, f := range list {
 		rows = append(rows, []string{
-			f.Folder, string(f.Replica), f.Cluster, fmt.Sprint(f.Term), fmt.Sprint(f.Index), fmt.Sprint(f.Revision), fmt.Sprint(f.Document), joinIDs(f.Voters),
+			f.Folder, string(f.Replica), f.Cluster, fmt.Sprint(f.Term), fmt.Sprint(f.Index), fmt.Sprint(f.Revision), fmt.Sprint(f.Document), joinNames(f.Voters, ","),
 		})
 	}
 	return rows
 }
 
-func joinIDs(ids []units.ReplicaID) string {
-	texts := make([]string, len(ids))
-	for i, id := range ids {
-		texts[i] = string(id)
-	}
-	return strings.Join(texts, ",")
-}
-
 type exportFolder struct {
 	Args struct {
 		Folder string `positional-arg-name:"FOLDER" required:"true"`
--- a/pkg/ctl/quarantine.go
+++ b/pkg/ctl/quarantine.go
@@ -2,10 +2,7 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
-
-	"github.com/madderpond/madderpond/pkg/core/table"
 )
 
 type listQuarantines struct{ tool *Tool }
@@ -30,22 +27,13 @@
 			lastRefused = q.SinceRefusal.Round(time.Second).String() + " ago"
 		}
 		rows = append(rows, []string{
-			q.Name, string(q.Service), targetNames(&q.Quarantine), time.UnixMilli(int64(q.At)).UTC().Format(time.RFC3339),
+			q.Name, string(q.Service), joinNames(q.Targets, ","), time.UnixMilli(int64(q.At)).UTC().Format(time.RFC3339),
 			strconv.FormatBool(q.Doubtful), strconv.Itoa(q.Trials), lastRefused,
 		})
 	}
 	return c.tool.printTable([]string{"call", "service", "crashed targets", "since", "doubtful", "trials", "last refused"}, rows)
 }
 
-// targetNames returns the targets that crashed under a call, separated by commas.
-func targetNames(q *table.Quarantine) string {
-	names := make([]string, 0, len(q.Targets))
-	for _, t := range q.Targets {
-		names = append(names, string(t))
-	}
-	return strings.Join(names, ",")
-}
-
 // releaseCall is the command that ends the quarantine of a call.
 type releaseCall struct {
 	Args struct {
--- a/pkg/ctl/regions.go
+++ b/pkg/ctl/regions.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"strconv"
-	"strings"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
 	"github.com/madderpond/madderpond/pkg/fault"
@@ -57,12 +56,8 @@
 }
 
 func joinRegions(x routing.RestrictedRoute) string {
-	names := make([]string, 0, len(x.Regions))
-	for _, r := range x.Regions {
-		names = append(names, string(r))
-	}
-	if len(names) == 0 {
+	if len(x.Regions) == 0 {
 		return "none"
 	}
-	return strings.Join(names, " ")
+	return joinNames(x.Regions, " ")
 }
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"time"
 
@@ -194,8 +193,8 @@
 	var state []byte
 	if c.State != "" {
 		var err error
-		if state, err = os.ReadFile(c.State); err != nil {
-			return fault.Wrap(err, fault.Invalid, "name a file that can be read", "the state can't be read")
+		if state, err = readFile(c.State, "the state"); err != nil {
+			return err
 		}
 	}
 	api, err := c.tool.connect()
