control: shorter tests of replaced replicas

One way to let a cluster grow, to find a voting follower and to wait for an acknowledgement, which four tests had each for themselves; the arguments of a schedule are read by tables; the replicas that lose their disks are drawn without a sort.

--- a/pkg/core/control/growth_test.go
+++ b/pkg/core/control/growth_test.go
@@ -124,12 +124,7 @@
 	if n := w.voters(); n != 5 {
 		t.Fatalf("%d voters, not 5", n)
 	}
-	for _, r := range w.replicas {
-		if r.core.Status(w.now).Log.Voter && !r.core.node.IsLeader() {
-			w.crash(r)
-			break
-		}
-	}
+	w.crash(w.votingFollower())
 	w.run(6 * time.Second)
 	if n := w.voters(); n != 5 {
 		t.Fatalf("%d voters long after one was lost, not 5", n)
@@ -140,12 +135,7 @@
 func TestAVoterWhoseDiskHangsIsReplaced(t *testing.T) {
 	for seed := range uint64(5) {
 		w := newGrowingWorld(t, seed, 6, 5, 1)
-		hanging := w.followers()[0]
-		for _, r := range w.followers() {
-			if r.core.Status(w.now).Log.Voter {
-				hanging = r
-			}
-		}
+		hanging := w.votingFollower()
 		hanging.stalled = true
 		w.putDocument(w.leader(), false)
 		w.run(4 * time.Second)
@@ -203,12 +193,7 @@
 func TestAVoterIsReplacedWithoutFewerVoters(t *testing.T) {
 	for seed := range uint64(5) {
 		w := newGrowingWorld(t, seed, 7, 5, 1)
-		for _, r := range w.followers() {
-			if r.core.Status(w.now).Log.Voter {
-				w.crash(r)
-				break
-			}
-		}
+		w.crash(w.votingFollower())
 		for range 4000 {
 			w.run(time.Millisecond)
 			for _, r := range w.replicas {
@@ -227,13 +212,7 @@
 func TestReplicasAreReplacedAgainAndAgain(t *testing.T) {
 	const replaced = 70
 	w := emptyWorld(t, 1, 5+replaced, 0)
-	w.seeds = 3
-	w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: time.Second}
-	for _, r := range w.replicas[:5] {
-		w.startReplica(r)
-	}
-	w.run(3 * time.Second)
-	w.growth.Bootstrap = false
+	w.grow(w.replicas[:5], replication.Growth{Voters: 5, ReplaceAfter: time.Second}, 3*time.Second)
 	for i, successor := range w.replicas[5:] {
 		// The first replica stays, and so do its peers.
 		gone := w.replicas[i+1]
--- a/pkg/core/control/orders_test.go
+++ b/pkg/core/control/orders_test.go
@@ -35,17 +35,24 @@
 // the maximum number of voters.
 func newGrowingWorld(t fataler, seed uint64, replicas, voters, boxes int) *world {
 	w := emptyWorld(t, seed, replicas, boxes)
+	w.grow(w.replicas, replication.Growth{Voters: voters, ReplaceAfter: 2 * time.Second}, 3*time.Second)
+	return w
+}
+
+// grow starts the first replicas, which form a cluster from three seeds, and all boxes, and lets the cluster grow for a
+// time. Replicas that start later may form none.
+func (w *world) grow(first []*fakeReplica, g replication.Growth, d time.Duration) {
 	w.seeds = 3
-	w.growth = &replication.Growth{Bootstrap: true, Voters: voters, ReplaceAfter: 2 * time.Second}
-	for _, r := range w.replicas {
+	g.Bootstrap = true
+	w.growth = &g
+	for _, r := range first {
 		w.startReplica(r)
 	}
 	for _, b := range w.boxes {
 		w.startBox(b)
 	}
-	w.run(3 * time.Second)
+	w.run(d)
 	w.growth.Bootstrap = false
-	return w
 }
 
 // setGrowth sets a replica's growth settings in a cluster that grows by itself.
@@ -113,6 +120,23 @@
 	})
 }
 
+// acknowledgeDocument sends documents until one is acknowledged. It returns false if none is within a time.
+func (w *world) acknowledgeDocument(limit time.Duration) bool {
+	before := w.orders.highestDocument
+	for end := w.now.Add(limit); w.now < end; {
+		if r := w.leader(); r != nil {
+			w.putDocument(r, false)
+		}
+		for range 200 {
+			w.run(time.Millisecond)
+			if w.orders.highestDocument > before {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // readDocument checks that a read returns a document that is no older than what was acknowledged
 // when the read was sent, and that has the content first sent for its version.
 func (w *world) readDocument(r *fakeReplica) {
--- a/pkg/core/control/replaced_test.go
+++ b/pkg/core/control/replaced_test.go
@@ -16,6 +16,8 @@
 	catchUpTime = 4 * time.Second
 	// replaceDelay is the time from the loss of a replica to the start of its successor.
 	replaceDelay = time.Second
+	// acknowledgeTime is the longest time until a document is acknowledged.
+	acknowledgeTime = 4 * time.Second
 	// maxCalm is the longest time between the troubles of two leaders.
 	maxCalm = 900 * time.Millisecond
 )
@@ -24,21 +26,17 @@
 // then left no quorum.
 func TestAReplacedReplicaKeepsNoVote(t *testing.T) {
 	for seed := range *replacedSeeds {
-		w := emptyWorld(t, seed, 6, 1)
-		w.seeds = 3
-		w.growth = &replication.Growth{Bootstrap: true, Voters: 5, ReplaceAfter: replication.ReplaceAfter(catchUpTime)}
+		w := emptyWorld(t, seed, 6, 0)
 		successor := w.replicas[5]
-		for _, r := range w.replicas[:5] {
-			w.startReplica(r)
-		}
-		w.run(3 * time.Second)
-		w.growth.Bootstrap = false
+		w.grow(w.replicas[:5], replication.Growth{Voters: 5, ReplaceAfter: replication.ReplaceAfter(catchUpTime)}, 3*time.Second)
 		gone := w.replicas[w.random.IntN(5)]
 		w.crash(gone)
 		w.run(replaceDelay)
 		w.startReplica(successor)
 		last := w.troubleLeaders(gone, catchUpTime)
-		w.acknowledgeDocument(seed)
+		if !w.acknowledgeDocument(acknowledgeTime) {
+			t.Fatalf("seed %d: no document is acknowledged any more", seed)
+		}
 		other := w.otherReplica(gone, successor, last)
 		w.loseDisk(last)
 		w.loseDisk(other)
@@ -53,7 +51,10 @@
 			}
 		}
 		w.run(5 * time.Second)
-		w.acknowledgeDocument(seed)
+		if !w.acknowledgeDocument(acknowledgeTime) {
+			t.Fatalf("seed %d: no document is acknowledged any more", seed)
+		}
+		w.run(100 * time.Millisecond)
 		for _, r := range w.replicas {
 			if have := r.core.Table().Document; r != gone && have < w.orders.highestDocument {
 				t.Fatalf("seed %d: %s holds document %d, %d was acknowledged", seed, r.id, have, w.orders.highestDocument)
@@ -93,21 +94,6 @@
 	return last
 }
 
-// acknowledgeDocument sends documents until one is acknowledged.
-func (w *world) acknowledgeDocument(seed uint64) {
-	before := w.orders.highestDocument
-	for range 20 {
-		if r := w.leader(); r != nil {
-			w.putDocument(r, false)
-		}
-		w.run(200 * time.Millisecond)
-		if w.orders.highestDocument > before {
-			return
-		}
-	}
-	w.t.Fatalf("seed %d: no document is acknowledged any more", seed)
-}
-
 // otherReplica returns a random replica that is none of some.
 func (w *world) otherReplica(not ...*fakeReplica) *fakeReplica {
 	for {
--- a/pkg/core/control/replacement_test.go
+++ b/pkg/core/control/replacement_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -76,42 +75,18 @@
 
 func parseReplacement(t *testing.T, d *datadriven.TestData) replacement {
 	var k replacement
-	number := func(text string) int {
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			d.Fatalf(t, "%q isn't a number", text)
-		}
-		return n
-	}
-	duration := func(text string) time.Duration {
-		v, err := time.ParseDuration(text)
-		if err != nil {
-			d.Fatalf(t, "%q isn't a duration", text)
-		}
-		return v
-	}
+	numbers := map[string]*int{"voters": &k.voters, "spare": &k.spare, "replaced": &k.replaced}
+	durations := map[string]*time.Duration{"starts": &k.starts, "disk-delay": &k.diskDelay, "sync": &k.sync, "snapshot": &k.snapshot}
 	for _, a := range d.CmdArgs {
-		switch a.Key {
-		case "voters":
-			k.voters = number(a.Vals[0])
-		case "spare":
-			k.spare = number(a.Vals[0])
-		case "replaced":
-			k.replaced = number(a.Vals[0])
-		case "troubles":
+		switch {
+		case numbers[a.Key] != nil:
+			d.ScanArgs(t, a.Key, numbers[a.Key])
+		case durations[a.Key] != nil:
+			*durations[a.Key] = parseDurations(t, d, a)[0]
+		case a.Key == "crash-all":
+			k.crashAll = parseDurations(t, d, a)
+		case a.Key == "troubles":
 			k.troubles = a.Vals
-		case "starts":
-			k.starts = duration(a.Vals[0])
-		case "crash-all":
-			for _, v := range a.Vals {
-				k.crashAll = append(k.crashAll, duration(v))
-			}
-		case "disk-delay":
-			k.diskDelay = duration(a.Vals[0])
-		case "sync":
-			k.sync = duration(a.Vals[0])
-		case "snapshot":
-			k.snapshot = duration(a.Vals[0])
 		default:
 			d.Fatalf(t, "unknown argument %q", a.Key)
 		}
@@ -119,6 +94,18 @@
 	return k
 }
 
+func parseDurations(t *testing.T, d *datadriven.TestData, a datadriven.CmdArg) []time.Duration {
+	var list []time.Duration
+	for _, text := range a.Vals {
+		v, err := time.ParseDuration(text)
+		if err != nil {
+			d.Fatalf(t, "%q isn't a duration", text)
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
 // violation stops a schedule; its text says what went wrong.
 type violation struct{ text string }
 
@@ -144,14 +131,12 @@
 }
 
 func newReplacementSchedule(t fataler, k replacement, seed uint64) *replacementSchedule {
-	w := emptyWorld(t, seed, k.voters+k.spare+k.replaced, 1)
-	w.seeds = 3
+	w := emptyWorld(t, seed, k.voters+k.spare+k.replaced, 0)
 	w.electionTimeout = replication.DefaultElectionTimeout
 	w.snapshotTime = k.snapshot
 	for _, r := range w.replicas {
 		r.extraSync = k.sync
 	}
-	w.growth = &replication.Growth{Bootstrap: true, Voters: k.voters, ReplaceAfter: replication.ReplaceAfter(catchUpTime)}
 	return &replacementSchedule{world: w, kind: k, lostUntil: map[*fakeReplica]units.Instant{}, fresh: w.replicas[k.voters+k.spare:]}
 }
 
@@ -160,11 +145,7 @@
 
 func (s *replacementSchedule) run() {
 	first := s.replicas[:s.kind.voters+s.kind.spare]
-	for _, r := range first {
-		s.startReplica(r)
-	}
-	s.world.run(5 * time.Second)
-	s.growth.Bootstrap = false
+	s.grow(first, replication.Growth{Voters: s.kind.voters, ReplaceAfter: replication.ReplaceAfter(catchUpTime)}, 5*time.Second)
 	s.acknowledge()
 	s.replace(first)
 	s.trouble()
@@ -296,15 +277,13 @@
 func (s *replacementSchedule) loseDisks() {
 	s.acknowledge()
 	s.world.run(s.randomDuration(0, 400*time.Millisecond))
-	wiped := s.live()
-	s.random.Shuffle(len(wiped), func(i, j int) { wiped[i], wiped[j] = wiped[j], wiped[i] })
+	candidates := s.live()
 	if s.random.IntN(2) == 0 {
-		// Successors may hold fewer of the votes, so others are lost first.
-		slices.SortStableFunc(wiped, func(a, b *fakeReplica) int {
-			return boolToInt(slices.Contains(s.fresh, a)) - boolToInt(slices.Contains(s.fresh, b))
-		})
+		// Successors may hold fewer of the votes.
+		candidates = slices.DeleteFunc(candidates, func(r *fakeReplica) bool { return slices.Contains(s.fresh, r) })
 	}
-	wiped = wiped[:s.tolerance()]
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	wiped := candidates[:s.tolerance()]
 	all := s.random.IntN(2) == 0
 	for _, r := range s.live() {
 		switch {
@@ -319,13 +298,6 @@
 	}
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // live returns the replicas that aren't gone for good.
 func (s *replacementSchedule) live() []*fakeReplica {
 	var live []*fakeReplica
@@ -337,21 +309,10 @@
 	return live
 }
 
-// acknowledge sends documents until one is acknowledged.
 func (s *replacementSchedule) acknowledge() {
-	before := s.orders.highestDocument
-	for end := s.now.Add(recoveryTime); s.now < end; {
-		if r := s.leader(); r != nil {
-			s.putDocument(r, false)
-		}
-		for range 200 {
-			s.world.run(time.Millisecond)
-			if s.orders.highestDocument > before {
-				return
-			}
-		}
+	if !s.acknowledgeDocument(recoveryTime) {
+		s.t.Fatalf("no document is acknowledged any more; %s", s.describe())
 	}
-	s.t.Fatalf("no document is acknowledged any more; %s", s.describe())
 }
 
 // checkServes checks that the cluster acknowledges changes again, and that every replica holds what was acknowledged.
--- a/pkg/core/control/world_test.go
+++ b/pkg/core/control/world_test.go
@@ -697,6 +697,16 @@
 }
 
 // followers returns the replicas that don't lead.
+func (w *world) votingFollower() *fakeReplica {
+	for _, r := range w.followers() {
+		if r.core.Status(w.now).Log.Voter {
+			return r
+		}
+	}
+	w.t.Fatalf("no follower votes")
+	return nil
+}
+
 func (w *world) followers() []*fakeReplica {
 	var list []*fakeReplica
 	leader := w.leader()
--- a/test/folder_test.go
+++ b/test/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"path/filepath"
 	"testing"
 
@@ -42,7 +43,7 @@
 	}
 	x.must(lab.Eventually(waitTimeout, func() error {
 		if out, code := x.runTool("form", "--state", saved); code != 0 {
-			return &toolError{out}
+			return errors.New(out)
 		}
 		return nil
 	}))
@@ -52,11 +53,6 @@
 	x.mustRunTool(2, []string{"the state for the new cluster can't be read"}, "form", "--state", x.writeFile("junk", "\xff\xff"))
 }
 
-// toolError is the output of a run of madderctl that failed.
-type toolError struct{ output string }
-
-func (e *toolError) Error() string { return e.output }
-
 func (x *testCluster) mustShowFolder(folder string, revision uint64) {
 	x.Helper()
 	out, code := x.runTool("--json", "folder", "show", folder)
