entry: a refusal reaches a caller that is still sending its body

Cause: the box answered and closed the connection with the rest of the body unread; the operating system answers further bytes of the caller with a reset, which also ends a sender that hasn't looked for an answer yet. And a caller that asked first (Expect: 100-continue) was told to send before anything was checked.

Calls with long bodies that their head alone refuses (no route, no key, box about to stop) are refused before the body is read, and before a caller that asks first sends it.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if r.mayOutlastBox(c.route, v.Deadline) {
-		r.refuse(id, c, Refusal{Reason: Stopping, Outcome: NotRun, RetryAfter: stoppingRetryAfter}, e)
+		r.refuse(id, c, stoppingRefusal, e)
 		return
 	}
 	c.bindRoute(v.Host, v.Path)
@@ -119,6 +119,8 @@
 // to reach another box.
 const stoppingRetryAfter = 10 * time.Millisecond
 
+var stoppingRefusal = Refusal{Reason: Stopping, Outcome: NotRun, RetryAfter: stoppingRetryAfter}
+
 // mayOutlastBox reports whether a call might still be in flight at the planned stop of this box.
 // Its connection should have been closed by then, so the caller is better served by opening another
 // one elsewhere now than by losing its answer.
--- a/pkg/core/routing/keys.go
+++ b/pkg/core/routing/keys.go
@@ -53,19 +53,29 @@
 // refuseWithoutKey refuses a call that needs a valid key and presents none, and reports whether it
 // did so.
 func (r *Router) refuseWithoutKey(id CallID, c *call, presented *apikey.Credential, e *Effects) bool {
-	if !r.keys.required || c.route.public {
-		return false
+	w, refusal := r.findWorkspace(c.route, presented)
+	if refusal.Reason != 0 {
+		r.refuse(id, c, refusal, e)
+		return true
+	}
+	c.workspace = w
+	return false
+}
+
+// findWorkspace returns the workspace whose key a call presents, or the refusal of a call that lacks a valid one.
+// There is neither where no key is needed.
+func (r *Router) findWorkspace(x *route, presented *apikey.Credential) (*table.Workspace, Refusal) {
+	if !r.keys.required || x.public {
+		return nil, Refusal{}
 	}
 	if r.keysStale() {
-		r.refuse(id, c, Refusal{Reason: StaleKeys, Outcome: NotRun, RetryAfter: staleKeysRetryAfter}, e)
-		return true
+		return nil, Refusal{Reason: StaleKeys, Outcome: NotRun, RetryAfter: staleKeysRetryAfter}
 	}
-	c.workspace = r.keys.owner(presented)
-	if c.workspace == nil {
-		r.refuse(id, c, Refusal{Reason: UnknownKey, Outcome: NotRun}, e)
-		return true
+	w := r.keys.owner(presented)
+	if w == nil {
+		return nil, Refusal{Reason: UnknownKey, Outcome: NotRun}
 	}
-	return false
+	return w, Refusal{}
 }
 
 // keysStale reports whether a key may have been revoked without this box having been informed in
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -118,66 +118,125 @@
 	return m.budget.Status()
 }
 
-// heldBody is what a call's body took: the memory reserved for it, and the time for which it waited.
-type heldBody struct {
+// requestBody is the body of a caller's request while it is read.
+type requestBody struct {
+	stream io.Reader
+	// length is the announced length; negative for a body in chunks.
+	length int
+	// read counts the bytes read so far, ended is set at the end of a body in chunks.
+	read  int
+	ended bool
+	// reserved is the memory reserved for the body, waited the time for which it waited for that.
 	reserved int
 	waited   time.Duration
 }
 
-// readBody reads a request's body into memory of its own, which all attempts of the call share. If it returns
-// false the request has been answered.
-func (e *Entry) readBody(ctx *fasthttp.RequestCtx) (held heldBody, ok bool) {
+// newRequestBody returns the body of a request; nil if it has none.
+func newRequestBody(ctx *fasthttp.RequestCtx) *requestBody {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
-		return held, true
+		return nil
 	}
-	length := ctx.Request.Header.ContentLength()
-	if length > e.Settings.Entry.MaxBody {
-		return held, e.setBody(ctx, nil, fasthttp.ErrBodyTooLarge)
+	return &requestBody{stream: stream, length: ctx.Request.Header.ContentLength()}
+}
+
+// Read reads from the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.stream.Read(p)
+	b.read += n
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// timeWaited returns how long the call has waited for its body's memory.
+func (b *requestBody) timeWaited() time.Duration {
+	if b == nil {
+		return 0
 	}
-	if length >= 0 && length <= smallBodyBytes {
-		body, err := readExactly(stream, length)
-		return held, e.setBody(ctx, body, err)
+	return b.waited
+}
+
+// isRead reports whether the body was read to its end.
+func (b *requestBody) isRead() bool { return b.read == b.length || b.length < 0 && b.ended }
+
+// readBody reads a request's body into memory of its own, which all attempts of the call share. If it returns
+// false the request has been answered.
+func (e *Entry) readBody(ctx *fasthttp.RequestCtx, b *requestBody) bool {
+	if b == nil {
+		return true
+	}
+	if b.length > e.Settings.Entry.MaxBody {
+		return e.setBody(ctx, nil, fasthttp.ErrBodyTooLarge)
+	}
+	if b.length >= 0 && b.length <= smallBodyBytes {
+		body, err := readExactly(b, b.length)
+		return e.setBody(ctx, body, err)
+	}
+	if e.refuseByHead(ctx) {
+		return false
 	}
-	if length >= 0 {
-		return e.readLargeBody(ctx, length, func() ([]byte, error) { return readExactly(stream, length) })
+	if b.length >= 0 {
+		return e.readLargeBody(ctx, b, b.length, func() ([]byte, error) { return readExactly(b, b.length) })
 	}
 	// The length of a body in chunks shows only at its end.
 	limit := e.Settings.Entry.MaxBody
 	var beginning bytes.Buffer
-	err := readUpTo(stream, &beginning, min(smallBodyBytes, limit))
+	err := readUpTo(b, &beginning, min(smallBodyBytes, limit))
 	if limit <= smallBodyBytes || !errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return held, e.setBody(ctx, beginning.Bytes(), err)
+		return e.setBody(ctx, beginning.Bytes(), err)
 	}
-	return e.readLargeBody(ctx, limit, func() ([]byte, error) { return readRest(stream, beginning.Bytes(), limit) })
+	return e.readLargeBody(ctx, b, limit, func() ([]byte, error) { return readRest(b, beginning.Bytes(), limit) })
+}
+
+// refuseByHead refuses a call before its body is read if nothing in the body can change that, and reports whether
+// it did so.
+func (e *Entry) refuseByHead(ctx *fasthttp.RequestCtx) bool {
+	e.lock.Lock()
+	refusal, refused := e.core.Router().CheckHead(e.Clock.Now(), &routing.CallArrived{
+		Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: e.requestedDeadline(ctx), Relayed: relayedCall(ctx),
+	})
+	e.lock.Unlock()
+	if refused {
+		e.writeRefusal(ctx, refusal)
+	}
+	return refused
+}
+
+// checkExpectation decides whether a caller that asks first should send its body, and returns the status that it
+// is told.
+func (e *Entry) checkExpectation(ctx *fasthttp.RequestCtx) int {
+	if ctx.Request.Header.ContentLength() > e.Settings.Entry.MaxBody {
+		e.handleBadRequest(ctx, fasthttp.ErrBodyTooLarge)
+		return ctx.Response.StatusCode()
+	}
+	if e.refuseByHead(ctx) {
+		return ctx.Response.StatusCode()
+	}
+	return fasthttp.StatusContinue
 }
 
 // readLargeBody reads a body once there is memory for it.
-func (e *Entry) readLargeBody(ctx *fasthttp.RequestCtx, n int, read func() ([]byte, error)) (held heldBody, ok bool) {
-	if held, ok = e.reserveBody(ctx, n); !ok {
-		return held, false
+func (e *Entry) readLargeBody(ctx *fasthttp.RequestCtx, b *requestBody, n int, read func() ([]byte, error)) bool {
+	if !e.reserveBody(ctx, b, n) {
+		return false
 	}
 	body, err := read()
-	if !e.setBody(ctx, body, err) {
-		e.bodies.release(held.reserved)
-		return heldBody{}, false
-	}
-	return held, true
+	return e.setBody(ctx, body, err)
 }
 
 // reserveBody reserves memory for a body, or refuses the request.
-func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, n int) (held heldBody, ok bool) {
+func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, b *requestBody, n int) bool {
 	began := e.Clock.Now()
 	if !e.bodies.reserve(n, e.bodyWait(ctx)) {
 		e.refuseForMemory(ctx, n)
-		return held, false
+		return false
 	}
-	held = heldBody{reserved: n, waited: e.Clock.Now().Sub(began)}
+	b.reserved, b.waited = n, e.Clock.Now().Sub(began)
 	// The caller couldn't go on sending while its body waited.
 	if err := ctx.Conn().SetReadDeadline(time.Now().Add(e.Settings.Entry.ReadTimeout.Std())); err != nil {
 		e.Log.WithError(err).Debug("a caller's connection has ended while its body waited for memory")
 	}
-	return held, true
+	return true
 }
 
 // setBody gives a request its body, or answers it if the body couldn't be read.
@@ -190,6 +249,17 @@
 	return true
 }
 
+// endBody releases what a call's body took, and has the caller's connection closed if the body wasn't read.
+func (e *Entry) endBody(ctx *fasthttp.RequestCtx, b *requestBody) {
+	if b == nil {
+		return
+	}
+	if b.reserved > 0 {
+		e.bodies.release(b.reserved)
+	}
+	e.lingerIfUnread(ctx, b)
+}
+
 func readExactly(r io.Reader, n int) ([]byte, error) {
 	body := make([]byte, n)
 	_, err := io.ReadFull(r, body)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -54,6 +54,7 @@
 	admission *admission
 	// bodies is the memory for large request bodies; nil without a limit.
 	bodies   *bodyMemory
+	lingerer *lingerer
 	workers  pond.Pool
 	control  *controlClient
 	peers    *peerLinks
@@ -93,6 +94,7 @@
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
 		pacer:        pacing.NewPacer(pacing.RateFromMegabits(s.LinkMbps), c.Clock),
 		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody),
+		lingerer:     newLingerer(c.Clock, c.Log, float64(pacing.RateFromMegabits(s.LinkMbps))),
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
 	}
@@ -142,7 +144,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen for callers on %s", e.Settings.Entry.Listen)
 	}
-	e.listener = newGatedListener(listener, e.admission)
+	e.listener = newGatedListener(listener, e.admission, e.lingerer)
 	e.stopped.Add(1)
 	go e.runPeriodicTasks()
 	e.lock.Lock()
@@ -331,6 +333,7 @@
 // Stop stops the entry once every call is answered, or the context ends.
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.server.ShutdownWithContext(ctx)
+	e.lingerer.stop(ctx)
 	close(e.done)
 	e.stopped.Wait()
 	e.wakeTimer.Stop()
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -21,6 +21,7 @@
 // a connection that is accepted and closed would have brought a request over the link.
 type gatedListener struct {
 	admission *admission
+	lingerer  *lingerer
 	address   net.Addr
 	done      chan struct{}
 	// lock guards inner, which is nil while connections are refused.
@@ -33,6 +34,18 @@
 	*traffic.Conn
 	// closedIdle is set once the box closes it as one without a call in flight.
 	closedIdle atomic.Bool
+	// lingerUntil is until when what the caller still sends is dropped before the connection is closed; zero for
+	// a connection without an unread request.
+	lingerUntil time.Time
+	lingerer    *lingerer
+}
+
+// Close closes the connection. If a request on it wasn't read to its end, the caller gets its answer first.
+func (c *callerConn) Close() error {
+	if w, ok := c.Conn.Conn.(halfCloser); ok && !c.lingerUntil.IsZero() {
+		c.lingerer.linger(c, w, c.lingerUntil)
+	}
+	return c.Conn.Close()
 }
 
 // wasClosedIdle reports whether the box has closed a connection while its call was coming. Such a call
@@ -42,8 +55,8 @@
 	return ok && x.closedIdle.Load()
 }
 
-func newGatedListener(l net.Listener, a *admission) *gatedListener {
-	return &gatedListener{admission: a, address: l.Addr(), inner: l, done: make(chan struct{})}
+func newGatedListener(l net.Listener, a *admission, d *lingerer) *gatedListener {
+	return &gatedListener{admission: a, lingerer: d, address: l.Addr(), inner: l, done: make(chan struct{})}
 }
 
 // Accept waits for a connection that the box can serve.
@@ -66,7 +79,7 @@
 			continue
 		}
 		l.admission.admit()
-		return &callerConn{Conn: traffic.Count(c, &l.admission.callers)}, nil
+		return &callerConn{Conn: traffic.Count(c, &l.admission.callers), lingerer: l.lingerer}, nil
 	}
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -47,6 +47,7 @@
 		ReduceMemoryUsage:            true,
 		// A body is read by the handler, once there is memory for it.
 		StreamRequestBody: true,
+		ExpectHandler:     e.checkExpectation,
 		CloseOnShutdown:   true,
 		// A malformed request may contain an API key, which must not be logged.
 		SecureErrorLogMessage: true,
@@ -93,12 +94,12 @@
 		e.refuseFraming(ctx, reason)
 		return
 	}
-	body, ok := e.readBody(ctx)
-	if !ok {
+	body := newRequestBody(ctx)
+	defer e.endBody(ctx, body)
+	if !e.readBody(ctx, body) {
 		return
 	}
-	defer e.bodies.release(body.reserved)
-	a, c := e.submitCall(ctx, body.waited)
+	a, c := e.submitCall(ctx, body)
 	if a.attempt == nil {
 		e.logTrace(c, false)
 		e.writeRefusal(ctx, a.refusal)
@@ -175,8 +176,8 @@
 
 const maxDeadlineMillis = int64(math.MaxInt64 / int64(time.Millisecond))
 
-// submitCall passes the call, which has waited for a time already, to the core and waits for its answer.
-func (e *Entry) submitCall(ctx *fasthttp.RequestCtx, waited time.Duration) (answer, *call) {
+// submitCall passes the call to the core and waits for its answer.
+func (e *Entry) submitCall(ctx *fasthttp.RequestCtx, body *requestBody) (answer, *call) {
 	c := newCall(ctx, e.Clock.Now())
 	c.relayed = relayedCall(ctx)
 	if c.relayed != nil {
@@ -189,7 +190,7 @@
 	e.waitingCalls[c] = true
 	c.inline = true
 	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: deadlineAfter(e.requestedDeadline(ctx), waited),
+		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: deadlineAfter(e.requestedDeadline(ctx), body.timeWaited()),
 		Identity: &c.identity, Relayed: c.relayed,
 	})
 	c.inline = false
