entry, bodies: large bodies that don't fit into memory are streamed, or refused at their head

Calls with long bodies that couldn't be served by their deadline were read or waited first; one whose caller was too slow heard nothing at all.

Cause: a body was sent once it was held whole, and the budget holds one of that size. Nothing compared what has to come with the link and with the deadline.

The budget refuses at the head what the link can't carry until the deadline beside the bodies under way (earliest deadline first); a held body whose caller could not make its deadline at twice its rate so far is refused after a quarter of that. Bodies of 4 to 64 KB now take their memory from the same budget, and the time for which a body came is no longer added to the deadline that targets are told.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -14,6 +14,7 @@
 	c.reset()
 	c.owner = v.Owner
 	c.identity = v.Identity
+	c.streamedBody = v.Streamed
 	c.arrived = r.now
 	if v.Relayed != nil {
 		r.acceptRelayed(id, c, v, e)
--- a/pkg/core/routing/attempts.go
+++ b/pkg/core/routing/attempts.go
@@ -23,6 +23,7 @@
 		nearlyFull:  t.load(r.now)+1 >= nearlyFullUtilization*t.slots(),
 		cold:        t.isCold(r.now),
 		callsAhead:  t.load(r.now), answerTimeout: c.answerTimeout(t, r.now), overtakenTimeout: c.overtakenTimeout(t, r.now),
+		streamsBody: c.streamedBody,
 	}
 	a.permitUntil = r.usePermit(t)
 	a.limitVersion = t.limitState().Version
@@ -123,6 +124,7 @@
 		return
 	}
 	c.streaming = true
+	a.bodyTime = v.BodyTime
 	// The shell may release the request once its answer is streamed.
 	c.identity = nil
 	r.recordHeard(a.target, false, e)
@@ -167,6 +169,9 @@
 // answer or continues with the call.
 func (r *Router) attemptEnded(v *AttemptEnded, e *Effects) {
 	c, a := r.findAttempt(v.Call, v.Attempt)
+	if c != nil {
+		c.spendBody(v.Result)
+	}
 	if c != nil && c.relay.number != 0 && c.relay.number == v.Attempt {
 		r.relayEnded(v, c, e)
 		return
@@ -178,6 +183,7 @@
 	if a == nil {
 		return
 	}
+	a.bodyTime = v.BodyTime
 	took := r.timeAtTarget(c, a)
 	t := a.target
 	if v.Result == Answered {
--- a/pkg/core/routing/call.go
+++ b/pkg/core/routing/call.go
@@ -57,6 +57,10 @@
 	// won't be answered. callsAhead is the target's estimated load when the attempt was sent.
 	answerTimeout, overtakenTimeout time.Duration
 	callsAhead                      float64
+	// streamsBody is set if the attempt reads its body from the caller while it sends it, bodyTime is how long
+	// that took.
+	streamsBody bool
+	bodyTime    time.Duration
 	// overtakenBy counts later calls that the target has answered since. missingFromReport is set
 	// when a load report of the target left the call out, countedUnanswered once the attempt has
 	// been counted as unanswered.
@@ -140,6 +144,16 @@
 	onNewVersion bool
 	// streaming is set once the head of an answer has been delivered to the caller.
 	streaming bool
+	// streamedBody is set if the call's body is read while it is sent, bodySpent once some of that has been sent.
+	streamedBody, bodySpent bool
+}
+
+// hasNoBodyLeft reports whether the call can't be sent to a further target, since its body is being sent, or was.
+func (c *call) hasNoBodyLeft() bool { return c.streamedBody && (c.bodySpent || c.inFlight() > 0) }
+
+// spendBody records how an attempt has used a streamed body.
+func (c *call) spendBody(result AttemptResult) {
+	c.bodySpent = c.bodySpent || result != NotSent && result != Withheld
 }
 
 // keptAnswer is a complete answer that reports a server error. Its endpoint is nil where there is
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -60,6 +60,8 @@
 	Identity crash.Identity
 	// Relayed is set if another box relayed the call to this one.
 	Relayed *RelayedCall
+	// Streamed is set if the call's body is read while it is sent, so that it can be sent once only.
+	Streamed bool
 }
 
 // CallerGone reports that the caller has closed its connection.
@@ -85,6 +87,8 @@
 	// HelperLoad is the number of other boxes' calls in flight at the box that the call was relayed
 	// to, by its answer; negative if it isn't known.
 	HelperLoad int
+	// BodyTime is how long a streamed body took to be sent.
+	BodyTime time.Duration
 }
 
 // AttemptStarted reports that the headers of an answer have arrived whose body will be streamed;
@@ -97,6 +101,8 @@
 	// Remaining is the number of body bytes still to come; negative if the answer doesn't give its
 	// length.
 	Remaining int
+	// BodyTime is how long a streamed body took to be sent so far.
+	BodyTime time.Duration
 }
 
 // ProbeEnded reports how a probe ended.
--- a/pkg/core/routing/hedging.go
+++ b/pkg/core/routing/hedging.go
@@ -12,7 +12,7 @@
 
 // isHedged reports whether late calls of this kind are hedged.
 func (r *Router) isHedged(c *call) bool {
-	return c.route.work == table.Repeatable && r.enabled(Hedging) && c.service.row.HedgeBudget > 0 && c.maxAttempts() > 1
+	return c.route.work == table.Repeatable && !c.streamedBody && r.enabled(Hedging) && c.service.row.HedgeBudget > 0 && c.maxAttempts() > 1
 }
 
 // hedgeDelay is how long a call may be unanswered before it is hedged: half of its latency
@@ -45,7 +45,7 @@
 
 // mayHedge reports whether the call waits for exactly one answer and may be sent once more.
 func (c *call) mayHedge() bool {
-	return !c.held && !c.streaming && !c.probeRound.active && c.relay.number == 0 && c.inFlight() == 1 && !c.attemptsExhausted()
+	return !c.held && !c.streaming && !c.hasNoBodyLeft() && !c.probeRound.active && c.relay.number == 0 && c.inFlight() == 1 && !c.attemptsExhausted()
 }
 
 // tryHedge hedges a call now if that is possible.
--- a/pkg/core/routing/helper.go
+++ b/pkg/core/routing/helper.go
@@ -49,7 +49,7 @@
 // helperReasons are the reasons for which a box declines a relayed call that another box may serve.
 var helperReasons = [reasonCount]bool{
 	RelayLimit: true, NoTable: true, NoLease: true, Stopping: true, StaleKeys: true, UnknownVersion: true, NoService: true, UnknownKey: true, NoTarget: true,
-	StaleTable: true, Unreachable: true,
+	StaleTable: true, Unreachable: true, BodyMemory: true, BodyTooLate: true,
 }
 
 // tableReasons are those that last until the box has a newer table.
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -153,7 +153,7 @@
 	if a.answerStarted {
 		return a.timeToAnswer
 	}
-	took := r.now.Sub(a.sent)
+	took := max(0, r.now.Sub(a.sent)-a.bodyTime)
 	linkBusy := r.linkBusySince(a)
 	if linkBusy <= 0 {
 		return took
@@ -162,9 +162,9 @@
 }
 
 // isInconclusive reports whether an attempt that wasn't answered in time is no evidence about its
-// target: its answer is being streamed or may be waiting behind other answers.
+// target: its answer is being streamed or may be waiting behind other answers, or its caller may still send.
 func (r *Router) isInconclusive(a *attempt) bool {
-	return a.answerStarted || float64(r.linkBusySince(a)) > inconclusiveFraction*float64(r.now.Sub(a.sent))
+	return a.answerStarted || a.streamsBody || float64(r.linkBusySince(a)) > inconclusiveFraction*float64(r.now.Sub(a.sent))
 }
 
 // maySkipProbes reports whether a call should be sent to a target based on existing data, since the
--- a/pkg/core/routing/refusal.go
+++ b/pkg/core/routing/refusal.go
@@ -59,6 +59,8 @@
 	StaleTable
 	BodyMemory
 	ConnectionClosed
+	BodyTooLate
+	BodyTooSlow
 	reasonCount
 )
 
@@ -100,6 +102,8 @@
 	StaleTable:         {"stale-table", 503, "try another box; this one has an older table than the box that relayed the call"},
 	BodyMemory:         {"body-memory", 503, "retry after the given time; other calls' bodies take the memory that this box has for them"},
 	ConnectionClosed:   {"connection-closed", 503, "open a new connection; this box was closing this one, since it has too many calls, when the call came"},
+	BodyTooLate:        {"body-too-late", 503, "retry after the given time, or allow more time; this box's link can't carry the body beside others until the deadline"},
+	BodyTooSlow:        {"body-too-slow", 408, "allow more time, or send the body faster; at this rate it doesn't come before the deadline"},
 	CallerDisconnected: {"caller-gone", 499, "none; the caller disconnected"},
 }
 
--- a/pkg/core/routing/relay.go
+++ b/pkg/core/routing/relay.go
@@ -179,7 +179,7 @@
 // mayRelay reports whether a call may be relayed now.
 func (r *Router) mayRelay(c *call) bool {
 	switch {
-	case !r.canRelay(), c.isRelayed(), c.relay.number != 0, c.streaming, c.isQuarantineTrial():
+	case !r.canRelay(), c.hasNoBodyLeft(), c.isRelayed(), c.relay.number != 0, c.streaming, c.isQuarantineTrial():
 		return false
 	case c.relays >= maxRelays, c.possibleArrivals >= c.maxAttempts(), c.inFlight() >= maxConcurrentAttempts:
 		return false
--- a/pkg/core/routing/retrying.go
+++ b/pkg/core/routing/retrying.go
@@ -9,7 +9,7 @@
 // retry sends a call again to another target, if the retry budget allows it. A free retry doesn't
 // draw on the budget; it is used when the call can't have reached any target.
 func (r *Router) retry(id CallID, c *call, free bool, e *Effects) bool {
-	if !r.enabled(Retrying) || c.isCutOff() || c.attemptsExhausted() || !r.leased() || r.isBehindHeld(c.service, c) || !r.mayResend(c) {
+	if !r.enabled(Retrying) || c.hasNoBodyLeft() || c.isCutOff() || c.attemptsExhausted() || !r.leased() || r.isBehindHeld(c.service, c) || !r.mayResend(c) {
 		return false
 	}
 	t := r.choose(c.service, c)
@@ -52,7 +52,7 @@
 func (r *Router) holdAgain(id CallID, c *call, e *Effects) bool {
 	s := c.service
 	until := min(c.deadline, c.arrived.Add(s.row.HoldLimit))
-	if r.now >= until || s.held.length >= s.row.HoldCount || s.isBlockedTooLong(c, r.now) {
+	if c.hasNoBodyLeft() || r.now >= until || s.held.length >= s.row.HoldCount || s.isBlockedTooLong(c, r.now) {
 		return false
 	}
 	c.held = true
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -410,14 +410,15 @@
 }
 
 // call NAME service=S [path=P] [deadline=D] [like=X] [key=K] [from=BOX] [elapsed=D] [attempts=N]
-// [revision=N]: calls
-// with the same X have the same content; one with from is relayed by another box.
+// [revision=N] [streamed]: calls with the same X have the same content; one with from is relayed by another
+// box, a streamed one reads its body while that is sent.
 func (s *script) call(d *datadriven.TestData) {
 	path := "/"
 	d.MaybeScanArgs(s.t, "path", &path)
 	v := &CallArrived{
 		Owner: d.CmdArgs[0].Key, Host: []byte(s.word(d, "service")), Path: []byte(path), Deadline: s.duration(d, "deadline"),
 	}
+	v.Streamed = d.HasArg("streamed")
 	if d.HasArg("like") {
 		v.Identity = wordIdentity(s.word(d, "like"))
 	}
--- a/pkg/core/routing/unanswered.go
+++ b/pkg/core/routing/unanswered.go
@@ -160,7 +160,7 @@
 // before that is checked only from its hedge on: few calls take that long, and each timer has a
 // cost.
 func (r *Router) scheduleOverdueCheck(id CallID, c *call, a *attempt) {
-	if c.overdueTimerSet || a.target == nil || !r.enabled(UnansweredCalls) {
+	if c.overdueTimerSet || a.target == nil || a.streamsBody || !r.enabled(UnansweredCalls) {
 		return
 	}
 	at := max(r.now, a.sent.Add(a.answerTimeout))
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -3,189 +3,251 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/core/bodies"
+	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/routing"
 )
 
 const (
-	// smallBodyBytes is the size up to which a body is read at once: as many as there are connections take
-	// little memory beside the large ones.
+	// smallBodyBytes is the size up to which a body is never streamed.
 	smallBodyBytes = 64 << 10
-	// bodyFraction is the fraction of the memory limit that large bodies may take together. The rest is for
-	// everything else, and for bodies that have been released and not been collected yet.
-	bodyFraction = 0.6
-	// maxBodyFraction is the same where a single body of the largest size needs more.
-	maxBodyFraction = 0.8
-	// maxWaitingBodies bounds the calls whose bodies wait in their connections.
-	maxWaitingBodies = 64
-	// maxBodyWait bounds how long one waits if its call has no deadline.
+	// uncountedBodyBytes is the size up to which a body takes no more memory than its connection.
+	uncountedBodyBytes = 4 << 10
+	// maxBodyWait bounds how long a body waits for memory if its call has no deadline.
 	maxBodyWait = 5 * time.Second
 	// bodyWaitDivisor divides a call's deadline into the time for which its body may wait.
 	bodyWaitDivisor = 2
-	// memoryRetryAfter is the retry delay of a call for whose body there is no memory.
-	memoryRetryAfter = time.Second
+	// memoryRetryAfter is the retry delay of a call for whose body there is no memory, minLinkRetryAfter the least
+	// of one whose body the link can't carry in time.
+	memoryRetryAfter  = time.Second
+	minLinkRetryAfter = 100 * time.Millisecond
+	// incomingStepBytes is after how many bytes the budget is told that a body has come closer to its end.
+	incomingStepBytes = 256 << 10
+	// minRateTime is the least time over which a caller's rate is taken, rateDivisor the part of its deadline.
+	minRateTime = time.Second
+	rateDivisor = 4
+	// rateMargin is how much faster than so far a caller may become.
+	rateMargin = 2
 )
 
-// restDivisors are the parts of the longest body that the buffer of a body in chunks has room for, one after the
-// other. While it grows from one to the next both are held: doubling would take three times the memory reserved.
-var restDivisors = [...]int{64, 8, 1}
+var (
+	errBodyTooSlow = errors.New("the body can't come before the call's deadline")
+	errBodyClosed  = errors.New("the body is no longer read")
+)
+
+// requestBody is the body of a caller's request while it is read, into memory or to a target.
+type requestBody struct {
+	stream io.Reader
+	conn   net.Conn
+	// length is the announced length; negative for a body in chunks.
+	length int
+	// began is when the body was first waited for, deadline when the call ends; zero if it has no deadline.
+	began, deadline time.Time
+	// read counts the bytes read so far, ended is set at the end of a body in chunks. reported is what was read
+	// when the budget was last told.
+	read     int
+	ended    bool
+	reported int
+	// memory is where the body has reserved some as id, which is zero if it has none. waited is the time for which
+	// it waited for that.
+	memory *bodyMemory
+	id     bodies.ID
+	waited time.Duration
+	// streamed is set if the body is read while it is sent, beginning what has been read of it before.
+	streamed  bool
+	beginning []byte
 
-// bodyMemory is the memory for large request bodies, shared by all calls.
-type bodyMemory struct {
+	// lock is held while the body is read. closed is set once it mustn't be any more.
 	lock   sync.Mutex
-	budget *bodies.Budget
-	nextID bodies.ID
-	// waiting has the channel of each body that waits, which is closed once it is granted.
-	waiting map[bodies.ID]chan struct{}
+	closed atomic.Bool
 }
 
-// newBodyMemory returns the memory for bodies of a process with a memory limit; zero is no limit.
-func newBodyMemory(limitMB, maxBody int) *bodyMemory {
-	if limitMB == 0 {
+// newRequestBody returns the body of a request; nil if it has none.
+func (e *Entry) newRequestBody(ctx *fasthttp.RequestCtx) *requestBody {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
 		return nil
 	}
-	limit := float64(limitMB) * (1 << 20)
-	bound := max(bodyFraction*limit, min(float64(maxBody), maxBodyFraction*limit))
-	return &bodyMemory{budget: bodies.NewBudget(int(bound), maxWaitingBodies), waiting: map[bodies.ID]chan struct{}{}}
+	b := &requestBody{stream: stream, conn: ctx.Conn(), length: ctx.Request.Header.ContentLength(), began: time.Now(), memory: e.bodies}
+	if d := e.requestedDeadline(ctx); d > 0 {
+		b.deadline = b.began.Add(d)
+	}
+	return b
 }
 
-// reserve waits for memory, for a time, and reports whether there is.
-func (m *bodyMemory) reserve(n int, wait time.Duration) bool {
-	if m == nil {
-		return true
+// Length returns the announced length; negative for a body in chunks.
+func (b *requestBody) Length() int { return b.length }
+
+// Read reads from the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if b.closed.Load() {
+		return 0, errBodyClosed
 	}
-	m.lock.Lock()
-	m.nextID++
-	id := m.nextID
-	verdict := m.budget.Reserve(id, n)
-	granted := make(chan struct{})
-	if verdict == bodies.Queued {
-		m.waiting[id] = granted
+	if len(b.beginning) > 0 {
+		n := copy(p, b.beginning)
+		b.beginning = b.beginning[n:]
+		return n, nil
 	}
-	m.lock.Unlock()
-	if verdict != bodies.Queued {
-		return verdict == bodies.Granted
+	n, err := b.stream.Read(p)
+	b.read += n
+	if err == io.EOF && b.length >= 0 && b.read < b.length {
+		err = io.ErrUnexpectedEOF
 	}
-	select {
-	case <-granted:
-		return true
-	case <-time.After(wait):
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	next, stillWaits := m.budget.Abandon(id)
-	m.wake(next)
-	if !stillWaits {
-		// It was granted at the last moment.
-		return true
+	b.ended = b.ended || err == io.EOF
+	b.reportIncoming()
+	if err == nil && b.isTooSlow(time.Now()) {
+		err = errBodyTooSlow
 	}
-	delete(m.waiting, id)
-	return false
+	return n, err
 }
 
-// release returns memory.
-func (m *bodyMemory) release(n int) {
-	if m == nil {
+// reportIncoming tells the budget now and then how much is still to come.
+func (b *requestBody) reportIncoming() {
+	if b.id == 0 || b.length < 0 || b.read-b.reported < incomingStepBytes {
 		return
 	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	m.wake(m.budget.Release(n))
+	b.reported = b.read
+	b.memory.setIncoming(b.id, b.length-b.read)
 }
 
-func (m *bodyMemory) wake(granted []bodies.ID) {
-	for _, id := range granted {
-		if c := m.waiting[id]; c != nil {
-			close(c)
-			delete(m.waiting, id)
-		}
+// isTooSlow reports whether a body that is held can't come before its call's deadline, unless the caller becomes
+// much faster.
+func (b *requestBody) isTooSlow(now time.Time) bool {
+	if b.streamed || b.length < 0 || b.deadline.IsZero() {
+		return false
 	}
-}
-
-func (m *bodyMemory) status() bodies.Status {
-	if m == nil {
-		return bodies.Status{}
+	passed, left := now.Sub(b.began)-b.waited, b.deadline.Sub(now)
+	if passed < max(minRateTime, b.deadline.Sub(b.began)/rateDivisor) {
+		return false
 	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	return m.budget.Status()
+	return float64(b.length-b.read)*passed.Seconds() > rateMargin*float64(b.read)*left.Seconds()
 }
 
-// requestBody is the body of a caller's request while it is read.
-type requestBody struct {
-	stream io.Reader
-	// length is the announced length; negative for a body in chunks.
-	length int
-	// read counts the bytes read so far, ended is set at the end of a body in chunks.
-	read  int
-	ended bool
-	// reserved is the memory reserved for the body, waited the time for which it waited for that.
-	reserved int
-	waited   time.Duration
+// Abort ends a Read that waits; later ones fail.
+func (b *requestBody) Abort() {
+	b.closed.Store(true)
+	// The error is that of a connection that has ended, on which no Read waits.
+	_ = b.conn.SetReadDeadline(time.Unix(0, 1))
 }
 
-// newRequestBody returns the body of a request; nil if it has none.
-func newRequestBody(ctx *fasthttp.RequestCtx) *requestBody {
-	stream := ctx.RequestBodyStream()
-	if stream == nil {
-		return nil
+// close makes sure that the body is no longer read.
+func (b *requestBody) close() {
+	if b.streamed && !b.closed.Load() {
+		b.Abort()
 	}
-	return &requestBody{stream: stream, length: ctx.Request.Header.ContentLength()}
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.closed.Store(true)
 }
 
-// Read reads from the body.
-func (b *requestBody) Read(p []byte) (int, error) {
-	n, err := b.stream.Read(p)
-	b.read += n
-	b.ended = b.ended || err == io.EOF
-	return n, err
+// isStreamed reports whether the body is read while it is sent.
+func (b *requestBody) isStreamed() bool { return b != nil && b.streamed }
+
+// identityDigest returns the digest that stands for the content of a streamed body; zero for one that is held.
+func (b *requestBody) identityDigest() uint64 {
+	if !b.isStreamed() {
+		return 0
+	}
+	return crash.Digest(fmt.Appendf(nil, "streamed, length %d", b.length))
 }
 
-// timeWaited returns how long the call has waited for its body's memory.
-func (b *requestBody) timeWaited() time.Duration {
+// timePassed returns how long the call has waited for its body, in whole milliseconds.
+func (b *requestBody) timePassed() time.Duration {
 	if b == nil {
 		return 0
 	}
-	return b.waited
+	return time.Since(b.began).Truncate(time.Millisecond)
 }
 
 // isRead reports whether the body was read to its end.
 func (b *requestBody) isRead() bool { return b.read == b.length || b.length < 0 && b.ended }
 
-// readBody reads a request's body into memory of its own, which all attempts of the call share. If it returns
-// false the request has been answered.
+// readBody reads a request's body into memory of its own, which all attempts of the call share, or leaves it to be
+// streamed. If it returns false the request has been answered.
 func (e *Entry) readBody(ctx *fasthttp.RequestCtx, b *requestBody) bool {
-	if b == nil {
+	switch {
+	case b == nil:
 		return true
-	}
-	if b.length > e.Settings.Entry.MaxBody {
+	case b.length > e.Settings.Entry.MaxBody:
 		return e.setBody(ctx, nil, fasthttp.ErrBodyTooLarge)
-	}
-	if b.length >= 0 && b.length <= smallBodyBytes {
-		body, err := readExactly(b, b.length)
-		return e.setBody(ctx, body, err)
-	}
-	if e.refuseByHead(ctx) {
+	case b.length >= 0 && b.length <= smallBodyBytes:
+		return e.readSmallBody(ctx, b)
+	case e.refuseByHead(ctx):
 		return false
+	case b.length >= 0:
+		return e.admitLargeBody(ctx, b, b.length, func() ([]byte, error) { return readExactly(b, b.length) })
 	}
-	if b.length >= 0 {
-		return e.readLargeBody(ctx, b, b.length, func() ([]byte, error) { return readExactly(b, b.length) })
+	return e.readChunks(ctx, b)
+}
+
+// readSmallBody reads a body that is never streamed.
+func (e *Entry) readSmallBody(ctx *fasthttp.RequestCtx, b *requestBody) bool {
+	if b.length > uncountedBodyBytes && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length}) {
+		return false
 	}
-	// The length of a body in chunks shows only at its end.
+	body, err := readExactly(b, b.length)
+	return e.setBody(ctx, body, err)
+}
+
+// readChunks reads a body whose length shows only at its end.
+func (e *Entry) readChunks(ctx *fasthttp.RequestCtx, b *requestBody) bool {
 	limit := e.Settings.Entry.MaxBody
+	if !e.reserveBody(ctx, b, bodies.Claim{Bytes: min(smallBodyBytes, limit)}) {
+		return false
+	}
 	var beginning bytes.Buffer
 	err := readUpTo(b, &beginning, min(smallBodyBytes, limit))
 	if limit <= smallBodyBytes || !errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return e.setBody(ctx, beginning.Bytes(), err)
 	}
-	return e.readLargeBody(ctx, b, limit, func() ([]byte, error) { return readRest(b, beginning.Bytes(), limit) })
+	b.beginning = beginning.Bytes()
+	return e.admitLargeBody(ctx, b, limit, func() ([]byte, error) {
+		beginning := b.beginning
+		b.beginning = nil
+		return readRest(b, beginning, limit)
+	})
+}
+
+// admitLargeBody reads a body if there is memory for all of it; otherwise it is streamed.
+func (e *Entry) admitLargeBody(ctx *fasthttp.RequestCtx, b *requestBody, n int, read func() ([]byte, error)) bool {
+	left := deadlineAfter(e.requestedDeadline(ctx), b.timePassed())
+	if !e.reserveBody(ctx, b, e.largeClaim(n, b.length-b.read, left)) {
+		return false
+	}
+	if b.streamed {
+		e.prepareStream(b)
+		return true
+	}
+	body, err := read()
+	return e.setBody(ctx, body, err)
+}
+
+// prepareStream bounds the memory that a streamed body takes in its connection.
+func (e *Entry) prepareStream(b *requestBody) {
+	deadline := b.deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(e.Settings.Entry.MaxDeadline.Std())
+	}
+	err := b.conn.SetReadDeadline(deadline)
+	if c, ok := b.conn.(interface{ SetReadBuffer(bytes int) error }); ok && err == nil {
+		err = c.SetReadBuffer(streamBufferBytes)
+	}
+	if err != nil {
+		e.Log.WithError(err).Debug("a caller's connection has ended before its body was streamed")
+	}
 }
 
 // refuseByHead refuses a call before its body is read if nothing in the body can change that, and reports whether
@@ -197,51 +259,81 @@
 	})
 	e.lock.Unlock()
 	if refused {
-		e.writeRefusal(ctx, refusal)
+		e.refuseUnread(ctx, refusal)
 	}
 	return refused
 }
 
+// refuseUnread refuses a call that the core hasn't got.
+func (e *Entry) refuseUnread(ctx *fasthttp.RequestCtx, r routing.Refusal) {
+	e.writeRefusal(ctx, r)
+	if relayedBy(ctx) != "" {
+		e.markDeclined(ctx, answer{refusal: r})
+	}
+}
+
 // checkExpectation decides whether a caller that asks first should send its body, and returns the status that it
 // is told.
 func (e *Entry) checkExpectation(ctx *fasthttp.RequestCtx) int {
-	if ctx.Request.Header.ContentLength() > e.Settings.Entry.MaxBody {
+	length := ctx.Request.Header.ContentLength()
+	switch {
+	case length > e.Settings.Entry.MaxBody:
 		e.handleBadRequest(ctx, fasthttp.ErrBodyTooLarge)
-		return ctx.Response.StatusCode()
-	}
-	if e.refuseByHead(ctx) {
-		return ctx.Response.StatusCode()
+	case e.refuseByHead(ctx):
+	case !e.bodies.meetsDeadline(e.Clock.Now(), e.largeClaim(length, length, e.requestedDeadline(ctx))):
+		e.refuseBody(ctx, length, bodies.TooLate)
+	default:
+		return fasthttp.StatusContinue
 	}
-	return fasthttp.StatusContinue
+	return ctx.Response.StatusCode()
 }
 
-// readLargeBody reads a body once there is memory for it.
-func (e *Entry) readLargeBody(ctx *fasthttp.RequestCtx, b *requestBody, n int, read func() ([]byte, error)) bool {
-	if !e.reserveBody(ctx, b, n) {
-		return false
+// largeClaim returns the claim of a body of which a number of bytes are still to come; less than one if that isn't
+// known. Without a deadline the time left is zero.
+func (e *Entry) largeClaim(n, incoming int, left time.Duration) bodies.Claim {
+	c := bodies.Claim{Bytes: n, Streamable: true, Incoming: max(0, incoming)}
+	if left > 0 {
+		c.Deadline = e.Clock.Now().Add(left)
 	}
-	body, err := read()
-	return e.setBody(ctx, body, err)
+	return c
 }
 
-// reserveBody reserves memory for a body, or refuses the request.
-func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, b *requestBody, n int) bool {
+// reserveBody reserves memory for a body, or refuses the request. A body that has some already gets more in its
+// place.
+func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, b *requestBody, c bodies.Claim) bool {
+	b.releaseMemory()
 	began := e.Clock.Now()
-	if !e.bodies.reserve(n, e.bodyWait(ctx)) {
-		e.refuseForMemory(ctx, n)
+	id, verdict := e.bodies.reserve(began, c, e.bodyWait(ctx))
+	if verdict != bodies.Granted && verdict != bodies.Streamed {
+		e.refuseBody(ctx, c.Bytes, verdict)
 		return false
 	}
-	b.reserved, b.waited = n, e.Clock.Now().Sub(began)
+	b.id, b.streamed = id, verdict == bodies.Streamed
+	b.waited += e.Clock.Now().Sub(began)
 	// The caller couldn't go on sending while its body waited.
-	if err := ctx.Conn().SetReadDeadline(time.Now().Add(e.Settings.Entry.ReadTimeout.Std())); err != nil {
+	if err := b.conn.SetReadDeadline(e.readDeadline(b)); err != nil {
 		e.Log.WithError(err).Debug("a caller's connection has ended while its body waited for memory")
 	}
 	return true
 }
 
+// readDeadline returns until when a body that is held has to come.
+func (e *Entry) readDeadline(b *requestBody) time.Time {
+	limit := time.Now().Add(e.Settings.Entry.ReadTimeout.Std())
+	if !b.deadline.IsZero() && b.deadline.Before(limit) {
+		return b.deadline
+	}
+	return limit
+}
+
 // setBody gives a request its body, or answers it if the body couldn't be read.
 func (e *Entry) setBody(ctx *fasthttp.RequestCtx, body []byte, err error) bool {
-	if err != nil {
+	switch {
+	case errors.Is(err, errBodyTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
+		ctx.SetConnectionClose()
+		e.refuseUnread(ctx, routing.Refusal{Reason: routing.BodyTooSlow, Outcome: routing.NotRun})
+		return false
+	case err != nil:
 		e.handleBadRequest(ctx, err)
 		return false
 	}
@@ -254,12 +346,23 @@
 	if b == nil {
 		return
 	}
-	if b.reserved > 0 {
-		e.bodies.release(b.reserved)
-	}
+	b.close()
+	b.releaseMemory()
 	e.lingerIfUnread(ctx, b)
 }
 
+// releaseMemory returns the memory that the body has reserved.
+func (b *requestBody) releaseMemory() {
+	if b.id != 0 {
+		b.memory.release(b.id)
+		b.id = 0
+	}
+}
+
+// restDivisors are the parts of the longest body that the buffer of a body in chunks has room for, one after the
+// other. While it grows from one to the next both are held: doubling would take three times the memory reserved.
+var restDivisors = [...]int{64, 8, 1}
+
 func readExactly(r io.Reader, n int) ([]byte, error) {
 	body := make([]byte, n)
 	_, err := io.ReadFull(r, body)
@@ -307,11 +410,15 @@
 	return maxBodyWait
 }
 
-// refuseForMemory refuses a call whose body hasn't been read.
-func (e *Entry) refuseForMemory(ctx *fasthttp.RequestCtx, n int) {
+// refuseBody refuses a call whose body hasn't been read.
+func (e *Entry) refuseBody(ctx *fasthttp.RequestCtx, n int, v bodies.Verdict) {
+	refusal := routing.Refusal{Reason: routing.BodyMemory, Outcome: routing.NotRun, RetryAfter: memoryRetryAfter}
+	if v == bodies.TooLate {
+		refusal.Reason, refusal.RetryAfter = routing.BodyTooLate, max(minLinkRetryAfter, e.bodies.backlog())
+	}
 	e.Log.WithFields(logrus.Fields{
-		"kind": "body-refused", "call": string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader)), "bytes": n, "memory": e.bodies.status(),
-	}).Warning("there is no memory for a call's body; the call is refused")
+		"kind": "body-refused", "call": string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader)), "reason": refusal.Reason, "bytes": n, "memory": e.bodies.status(),
+	}).Warning("a call is refused before its body is read")
 	ctx.SetConnectionClose()
-	e.writeRefusal(ctx, routing.Refusal{Reason: routing.BodyMemory, Outcome: routing.NotRun, RetryAfter: memoryRetryAfter})
+	e.refuseUnread(ctx, refusal)
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -14,8 +14,10 @@
 // call is the state of a caller's call in this box. Its fields change only under the
 // entry's lock, until the answer is handed to the caller's goroutine.
 type call struct {
-	id        routing.CallID
-	request   *fasthttp.Request
+	id      routing.CallID
+	request *fasthttp.Request
+	// body is the request's body; nil if it has none.
+	body      *requestBody
 	conn      net.Conn
 	arrivedAt units.Instant
 	// inline is set while the caller's goroutine passes the arrival to the core; a
@@ -54,8 +56,8 @@
 	relaysInFlight int
 }
 
-func newCall(ctx *fasthttp.RequestCtx, now units.Instant) *call {
-	return &call{request: &ctx.Request, conn: ctx.Conn(), arrivedAt: now, answer: make(chan answer, 1)}
+func newCall(ctx *fasthttp.RequestCtx, body *requestBody, now units.Instant) *call {
+	return &call{request: &ctx.Request, body: body, conn: ctx.Conn(), arrivedAt: now, answer: make(chan answer, 1)}
 }
 
 func (c *call) findAttempt(n routing.AttemptNumber) *target.Attempt {
@@ -114,11 +116,14 @@
 	if x.Endpoint.Relay != "" {
 		e.fillRelayed(a.Request, c, &x.Relay)
 	} else {
-		e.fillRequest(a.Request, c.request, x.Workspace)
+		e.fillRequest(a.Request, c, x.Workspace)
 	}
 	if c.relayed != nil {
 		removeRelayHeaders(&a.Request.Header)
 	}
+	if c.body.isStreamed() {
+		a.BodyStream = c.body
+	}
 	s := send{number: x.Attempt, attempt: a}
 	c.sends = append(c.sends, s)
 	if c.inline && c.inlineSend.attempt == nil && e.runningAttempts.Load() < int64(e.Settings.Entry.MaxCalls) {
@@ -142,11 +147,11 @@
 	c.recordStep(c.endStep(e.Clock.Now(), s, result))
 	e.lock.Unlock()
 	if streaming {
-		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Endpoint: a.Endpoint(), Report: a.Report, Remaining: a.RemainingBytes()})
+		e.reduce(&routing.AttemptStarted{Call: id, Attempt: number, Endpoint: a.Endpoint(), Report: a.Report, Remaining: a.RemainingBytes(), BodyTime: a.BodyTime()})
 	} else {
 		e.reduce(&routing.AttemptEnded{
 			Call: id, Attempt: number, Endpoint: a.Endpoint(), Result: result, Report: a.Report, Refused: a.Refused,
-			Unreachable: a.Unreachable, Declined: a.Declined, HelperLoad: a.HelperLoad,
+			Unreachable: a.Unreachable, Declined: a.Declined, HelperLoad: a.HelperLoad, BodyTime: a.BodyTime(),
 		})
 	}
 	if e.endSend(c, number, a) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -93,7 +93,7 @@
 		waitingCalls: map[*call]bool{},
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
 		pacer:        pacing.NewPacer(pacing.RateFromMegabits(s.LinkMbps), c.Clock),
-		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody),
+		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody, float64(pacing.RateFromMegabits(s.LinkMbps))),
 		lingerer:     newLingerer(c.Clock, c.Log, float64(pacing.RateFromMegabits(s.LinkMbps))),
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -48,8 +48,8 @@
 // fillRequest copies a caller's request into an attempt's own request. The caller's key is removed,
 // and the workspace header is set to the workspace that the key belongs to, whatever the caller
 // sent in it.
-func (e *Entry) fillRequest(out, from *fasthttp.Request, w units.WorkspaceName) {
-	copyRequest(out, from)
+func (e *Entry) fillRequest(out *fasthttp.Request, c *call, w units.WorkspaceName) {
+	copyRequest(out, c.request, c.body)
 	out.Header.Del(e.Settings.Entry.KeyHeader)
 	out.Header.Del(e.Settings.Entry.WorkspaceHeader)
 	if w != "" {
@@ -61,12 +61,14 @@
 }
 
 // copyRequest copies a request without the headers that apply to its connection only.
-func copyRequest(out, from *fasthttp.Request) {
+func copyRequest(out, from *fasthttp.Request, b *requestBody) {
 	from.Header.CopyTo(&out.Header)
 	removeHopByHop(&out.Header)
 	out.Header.Del("Expect")
 	// The body isn't copied: it has memory of its own, which is not reused.
-	out.SetBodyRaw(from.Body())
+	if !b.isStreamed() {
+		out.SetBodyRaw(from.Body())
+	}
 	out.Header.SetNoDefaultContentType(true)
 }
 
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -40,7 +40,7 @@
 // fillRelayed copies a caller's request into one that is relayed to another box, which checks the
 // caller's key itself.
 func (e *Entry) fillRelayed(out *fasthttp.Request, c *call, x *routing.RelayedCall) {
-	copyRequest(out, c.request)
+	copyRequest(out, c.request, c.body)
 	out.Header.Set(target.RelayElapsedHeader, strconv.FormatInt(x.Elapsed.Microseconds(), 10))
 	out.Header.Set(target.RelayAttemptsHeader, strconv.Itoa(x.Attempts))
 	out.Header.Set(target.RelayRevisionHeader, strconv.FormatUint(uint64(x.Revision), 10))
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -94,7 +94,7 @@
 		e.refuseFraming(ctx, reason)
 		return
 	}
-	body := newRequestBody(ctx)
+	body := e.newRequestBody(ctx)
 	defer e.endBody(ctx, body)
 	if !e.readBody(ctx, body) {
 		return
@@ -178,21 +178,22 @@
 
 // submitCall passes the call to the core and waits for its answer.
 func (e *Entry) submitCall(ctx *fasthttp.RequestCtx, body *requestBody) (answer, *call) {
-	c := newCall(ctx, e.Clock.Now())
+	c := newCall(ctx, body, e.Clock.Now())
 	c.relayed = relayedCall(ctx)
 	if c.relayed != nil {
 		// The steps of the call are shown with the time since its arrival at the first box.
 		c.arrivedAt = c.arrivedAt.Add(-c.relayed.Elapsed)
 		c.recordStep(step{at: e.Clock.Now(), kind: stepRelayReceived, box: c.relayed.From})
 	}
-	c.identity = identity{ctx: ctx, callerHeader: e.Settings.Entry.CallerHeader}
+	c.identity = identity{ctx: ctx, body: body.identityDigest(), callerHeader: e.Settings.Entry.CallerHeader}
+	arrived := &routing.CallArrived{
+		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: deadlineAfter(e.requestedDeadline(ctx), body.timePassed()),
+		Identity: &c.identity, Relayed: c.relayed, Streamed: body.isStreamed(),
+	}
 	e.lock.Lock()
 	e.waitingCalls[c] = true
 	c.inline = true
-	e.reduceLocked(&routing.CallArrived{
-		Owner: c, Host: hostOf(ctx), Path: pathOf(ctx.RequestURI()), Credential: e.credentialOf(ctx), Deadline: deadlineAfter(e.requestedDeadline(ctx), body.timeWaited()),
-		Identity: &c.identity, Relayed: c.relayed,
-	})
+	e.reduceLocked(arrived)
 	c.inline = false
 	inlineSend, id := c.inlineSend, c.id
 	e.lock.Unlock()
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -35,6 +35,10 @@
 	// Request is the attempt's own copy of the call's request.
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
+	// BodyStream is the body if it is read while it is sent; nil for one that Request holds.
+	BodyStream BodyStream
+	// upload is the sending of BodyStream; nil before it has begun.
+	upload *upload
 	// Report is the load and notice that the target reported.
 	Report routing.TargetReport
 	// UnreadableRest is the header value of a request for rest that couldn't be parsed.
@@ -99,6 +103,9 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.canceled = true
+	if a.BodyStream != nil {
+		a.BodyStream.Abort()
+	}
 	if a.conn != nil {
 		a.conn.raw.Close()
 	}
@@ -187,20 +194,32 @@
 	c.raw.SetDeadline(a.pools.clock.Time(a.deadline))
 	a.writtenBefore = c.raw.written
 	a.setHeaders()
-	if err := a.write(c); err != nil {
-		if c.raw.written > a.writtenBefore {
-			return routing.Broken, false
-		}
-		// The buffer must not pass the unsent request to the connection's next user.
-		c.writer.Reset(c.raw)
-		if errors.Is(err, errWithheld) {
-			return routing.Withheld, false
-		}
-		return routing.NotSent, false
+	if a.BodyStream != nil {
+		return a.exchangeStreamed(c)
+	}
+	if result := a.classifyWrite(c, a.write(c)); result != 0 {
+		return result, false
 	}
 	return a.readResponse(c)
 }
 
+// classifyWrite returns the result of an attempt whose request, or its head, couldn't be written; zero if
+// it was.
+func (a *Attempt) classifyWrite(c *conn, err error) routing.AttemptResult {
+	switch {
+	case err == nil:
+		return 0
+	case c.raw.written > a.writtenBefore:
+		return routing.Broken
+	}
+	// The buffer must not pass the unsent request to the connection's next user.
+	c.writer.Reset(c.raw)
+	if errors.Is(err, errWithheld) {
+		return routing.Withheld
+	}
+	return routing.NotSent
+}
+
 var (
 	errSelectionExpired = errors.New("the selection of the target has expired")
 	errWithheld         = errors.New("the target has asked for no more sends")
@@ -250,6 +269,10 @@
 // otherwise.
 func (a *Attempt) finish() {
 	c := a.conn
+	if a.upload != nil && !a.upload.stop() {
+		// The target may still read the rest of the body.
+		a.unusable = true
+	}
 	unsent := c.raw.written == a.writtenBefore
 	reusable := a.complete && !a.unusable && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
 	a.Response.CloseBodyStream()
--- a/pkg/traffic/conn.go
+++ b/pkg/traffic/conn.go
@@ -64,6 +64,16 @@
 	return inner.SyscallConn()
 }
 
+// SetReadBuffer sets the size of the socket's receive buffer. The error is a net.OpError if the inner connection
+// has none.
+func (c *Conn) SetReadBuffer(bytes int) error {
+	inner, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok {
+		return errNoSocket
+	}
+	return inner.SetReadBuffer(bytes)
+}
+
 var errNoSocket = &net.OpError{Op: "syscall", Err: syscall.ENOTSOCK}
 
 // onLink returns the bytes of payload and headers that n bytes of payload take.
