target: an answer that comes before a request is written is read

What callers saw: 502 and an unknown outcome, though the target had refused the call with a promise that it hadn't run it, or had answered it. A call that must not run twice couldn't be sent again.

Cause: a target may answer by the head of a long request and close its connection; the write of the rest then fails, and the attempt was taken as broken without a look at what had been received.

Change: after a failed write the answer is read if there is one; the connection isn't used again.

TestAnEarlyAnswerToALargeBody with held bodies failed before (502 broken-answer in the two cases in which the target closes), and passes.

--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -116,7 +116,8 @@
 	await(t, "the release of all memory but that of the slow body", func() bool { return e.bodies.status().Used <= streamWindowBytes })
 }
 
-// What a target answers before it has read a body is passed on, and neither connection is used again.
+// What a target answers before it has read a body is passed on, and neither connection is used again. Where the
+// target closes its connection, an answer that it didn't run the call was lost.
 func TestAnEarlyAnswerToALargeBody(t *testing.T) {
 	const shed = "HTTP/1.1 503 Service Unavailable\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n"
 	const denied = "HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno"
@@ -131,6 +132,10 @@
 		{shed, true, streamedBytes, http.StatusServiceUnavailable, routing.NotRun.String()},
 		{denied, false, streamedBytes, http.StatusForbidden, ""},
 		{denied, true, streamedBytes, http.StatusForbidden, ""},
+		{shed, false, uploadBytes, http.StatusServiceUnavailable, routing.NotRun.String()},
+		{shed, true, uploadBytes, http.StatusServiceUnavailable, routing.NotRun.String()},
+		{denied, false, uploadBytes, http.StatusForbidden, ""},
+		{denied, true, uploadBytes, http.StatusForbidden, ""},
 	} {
 		t.Run(fmt.Sprintf("status %d, closes %t, %d bytes", c.status, c.closes, c.size), func(t *testing.T) {
 			x := startStreamTarget(t, func(r *http.Request, conn net.Conn) {
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -197,7 +197,12 @@
 	if a.BodyStream != nil {
 		return a.exchangeStreamed(c)
 	}
-	if result := a.classifyWrite(c, a.write(c)); result != 0 {
+	switch result := a.classifyWrite(c, a.write(c)); result {
+	case 0:
+	case routing.Broken:
+		// The target may have answered before it has read the whole request, and closed the connection.
+		a.unusable = true
+	default:
 		return result, false
 	}
 	return a.readResponse(c)
