entry, capacity: calls whose bodies are still to come take no processor time

Cause: the resource was the processor (status: scarcest "processor"; no refusal without a limit of it, the same 200 are served). Each call is debited with its mean use when it is accepted, also if it then waits for its caller for seconds. And each packet of a slow body was read by itself: 1.35 ms of processor time for a body of 64 KB at 1 Mbit/s, 4.8 ms at 70 kbit/s (0.45 ms for a small call).

Change: once the head shows a body to come, the debit of processor time is taken back until that has come; the link's isn't, since the body takes it. Before the listener is closed, calls that were just accepted may run. A body that is held is read once 16 KB of it, or its rest, have come; the rate of its caller is looked at once a second by a timer.

--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -196,12 +196,43 @@
 	if scarcest == nil {
 		return
 	}
+	g.closeIfOpen(now)
+}
+
+// Postpone takes back the processor time debited for a call whose body is still to come: nothing has to be done
+// for it until then. The link's account isn't changed, since the body takes the link meanwhile.
+func (g *Gate) Postpone(now units.Instant) {
+	g.update(now)
+	if x := &g.accounts[Processor]; x.capacity > 0 {
+		x.saved = min(x.maxSaved(), x.saved+x.timePerCall())
+		g.spent = max(0, g.spent-x.timePerCall())
+	}
+}
+
+// Resume debits the processor time of a call whose body has come.
+func (g *Gate) Resume(now units.Instant) {
+	g.update(now)
+	x := &g.accounts[Processor]
+	if x.capacity == 0 {
+		return
+	}
+	x.saved = max(-maxDebtTime, x.saved-x.timePerCall())
+	g.spent += x.timePerCall()
+	if x.saved <= 0 {
+		g.scarcest = Processor
+		g.closeIfOpen(now)
+	}
+}
+
+// closeIfOpen closes the gate since a resource is used up.
+func (g *Gate) closeIfOpen(now units.Instant) {
 	g.setShort(now)
-	if !g.closed {
-		g.meanOpen += demandGain * (now.Sub(g.openedAt).Seconds() - g.meanOpen)
-		g.meanSpent += demandGain * (g.spent.Seconds() - g.meanSpent)
-		g.close()
+	if g.closed {
+		return
 	}
+	g.meanOpen += demandGain * (now.Sub(g.openedAt).Seconds() - g.meanOpen)
+	g.meanSpent += demandGain * (g.spent.Seconds() - g.meanSpent)
+	g.close()
 }
 
 func (g *Gate) setShort(now units.Instant) {
--- a/pkg/core/capacity/gate_test.go
+++ b/pkg/core/capacity/gate_test.go
@@ -14,7 +14,9 @@
 // TestGateScripts drives a gate by the files in testdata:
 //
 //	gate [mbps=F] [cores=F]
-//	calls n=N every=D [bytes=N] [work=D] [lasts=D] [kept]   calls that begin one after the other
+//	calls n=N every=D [bytes=N] [work=D] [lasts=D] [kept] [slow]   calls that begin one after the other;
+//	                                                       slow ones have bodies that are still to come
+//	resume n=N                                              bodies that have come
 //	pass for=D
 //	ping [takes=D]                                          a ping that is answered, or not yet
 //	answer [lost]                                           the end of a ping
@@ -47,6 +49,10 @@
 		s.gate = NewGate(Settings{LinkRate: s.number(d, "mbps") * 1e6 / 8, Cores: s.number(d, "cores")}, s.now)
 	case "calls":
 		return s.calls(d)
+	case "resume":
+		for range int(s.number(d, "n")) {
+			s.gate.Resume(s.now)
+		}
 	case "pass":
 		s.pass(s.duration(d, "for"))
 	case "ping":
@@ -116,6 +122,9 @@
 		}
 		accepted++
 		s.gate.Admit(s.now)
+		if d.HasArg("slow") {
+			s.gate.Postpone(s.now)
+		}
 		s.ends = append(s.ends, s.now.Add(s.duration(d, "lasts")))
 	}
 	rate := float64(accepted) / s.now.Sub(began).Seconds()
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -145,6 +145,31 @@
 	}
 }
 
+// postpone counts a call as one whose body is still to come; resume ends that.
+func (a *admission) postpone() {
+	if !a.limited {
+		return
+	}
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.gate.Postpone(a.clock.Now())
+}
+
+// resume counts a call whose body has come.
+func (a *admission) resume() {
+	if !a.limited {
+		return
+	}
+	a.lock.Lock()
+	now := a.clock.Now()
+	a.gate.Resume(now)
+	becomesShort := !a.short.Load() && a.gate.IsShort(now)
+	a.lock.Unlock()
+	if becomesShort {
+		a.updateShort()
+	}
+}
+
 // callEnded counts what a call has used.
 func (a *admission) callEnded() {
 	if !a.limited {
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -39,6 +39,10 @@
 	rateDivisor = 4
 	// rateMargin is how much faster than so far a caller may become.
 	rateMargin = 2
+	// rateCheckInterval is the time between two looks at the rate of a caller that sends for long.
+	rateCheckInterval = time.Second
+	// readStepBytes is how much of a body should have come before it is read: each read costs processor time.
+	readStepBytes = 16 << 10
 )
 
 var (
@@ -56,9 +60,13 @@
 	began, deadline time.Time
 	// read counts the bytes read so far, ended is set at the end of a body in chunks. reported is what was read
 	// when the budget was last told.
-	read     int
+	read     atomic.Int64
 	ended    bool
 	reported int
+	// tooSlow is set once a caller can't send the body before its deadline. lowWater is what was set as the least
+	// that a read of the connection waits for; zero if nothing was.
+	tooSlow  atomic.Bool
+	lowWater int
 	// memory is where the body has reserved some as id, which is zero if it has none. waited is the time for which
 	// it waited for that.
 	memory *bodyMemory
@@ -101,44 +109,83 @@
 		b.beginning = b.beginning[n:]
 		return n, nil
 	}
+	b.setLowWater(min(b.left(), readStepBytes))
 	n, err := b.stream.Read(p)
-	b.read += n
-	if err == io.EOF && b.length >= 0 && b.read < b.length {
+	b.read.Add(int64(n))
+	if err == io.EOF && b.left() > 0 {
 		err = io.ErrUnexpectedEOF
 	}
-	b.ended = b.ended || err == io.EOF
-	b.reportIncoming()
-	if err == nil && b.isTooSlow(time.Now()) {
+	if b.tooSlow.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errBodyTooSlow
 	}
+	b.ended = b.ended || err == io.EOF
+	b.reportIncoming()
 	return n, err
 }
 
+// left returns how many bytes are still to come, as far as that is known.
+func (b *requestBody) left() int { return max(0, b.length-int(b.read.Load())) }
+
+// setLowWater has reads of the connection wait for a number of bytes.
+func (b *requestBody) setLowWater(n int) {
+	if n = max(1, n); n == max(1, b.lowWater) {
+		return
+	}
+	c, ok := b.conn.(interface{ SetReadLowWater(bytes int) error })
+	if !ok || b.streamed {
+		return
+	}
+	// Without it the body is read in smaller pieces.
+	if err := c.SetReadLowWater(n); err == nil {
+		b.lowWater = n
+	}
+}
+
 // reportIncoming tells the budget now and then how much is still to come.
 func (b *requestBody) reportIncoming() {
-	if b.id == 0 || b.length < 0 || b.read-b.reported < incomingStepBytes {
+	read := int(b.read.Load())
+	if b.id == 0 || b.length < 0 || read-b.reported < incomingStepBytes {
 		return
 	}
-	b.reported = b.read
-	b.memory.setIncoming(b.id, b.length-b.read)
+	b.reported = read
+	b.memory.setIncoming(b.id, b.left())
+}
+
+// watchRate ends the reading of a body that is held once it can't come before its call's deadline. The caller has
+// to call the function returned when it no longer reads.
+func (b *requestBody) watchRate() (stop func() bool) {
+	if b.length < 0 || b.deadline.IsZero() {
+		return func() bool { return true }
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(rateCheckInterval, func() {
+		if !b.isTooSlow(time.Now()) {
+			timer.Reset(rateCheckInterval)
+			return
+		}
+		b.tooSlow.Store(true)
+		b.endRead()
+	})
+	return timer.Stop
 }
 
-// isTooSlow reports whether a body that is held can't come before its call's deadline, unless the caller becomes
-// much faster.
+// isTooSlow reports whether a body can't come before its call's deadline, unless the caller becomes much faster.
 func (b *requestBody) isTooSlow(now time.Time) bool {
-	if b.streamed || b.length < 0 || b.deadline.IsZero() {
-		return false
-	}
 	passed, left := now.Sub(b.began)-b.waited, b.deadline.Sub(now)
 	if passed < max(minRateTime, b.deadline.Sub(b.began)/rateDivisor) {
 		return false
 	}
-	return float64(b.length-b.read)*passed.Seconds() > rateMargin*float64(b.read)*left.Seconds()
+	return float64(b.left())*passed.Seconds() > rateMargin*float64(b.read.Load())*left.Seconds()
 }
 
 // Abort ends a Read that waits; later ones fail.
 func (b *requestBody) Abort() {
 	b.closed.Store(true)
+	b.endRead()
+}
+
+// endRead ends a Read that waits.
+func (b *requestBody) endRead() {
 	// The error is that of a connection that has ended, on which no Read waits.
 	_ = b.conn.SetReadDeadline(time.Unix(0, 1))
 }
@@ -151,6 +198,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	b.closed.Store(true)
+	b.setLowWater(1)
 }
 
 // isStreamed reports whether the body is read while it is sent.
@@ -173,7 +221,7 @@
 }
 
 // isRead reports whether the body was read to its end.
-func (b *requestBody) isRead() bool { return b.read == b.length || b.length < 0 && b.ended }
+func (b *requestBody) isRead() bool { return b.length >= 0 && b.left() == 0 || b.ended }
 
 // readBody reads a request's body into memory of its own, which all attempts of the call share, or leaves it to be
 // streamed. If it returns false the request has been answered.
@@ -198,7 +246,20 @@
 	if b.length > uncountedBodyBytes && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length}) {
 		return false
 	}
-	body, err := readExactly(b, b.length)
+	return e.hold(ctx, b, func() ([]byte, error) { return readExactly(b, b.length) })
+}
+
+// hold reads a whole body into memory.
+func (e *Entry) hold(ctx *fasthttp.RequestCtx, b *requestBody, read func() ([]byte, error)) bool {
+	if b.length >= 0 && b.length <= uncountedBodyBytes {
+		body, err := read()
+		return e.setBody(ctx, body, err)
+	}
+	stop := b.watchRate()
+	defer stop()
+	e.admission.postpone()
+	body, err := read()
+	e.admission.resume()
 	return e.setBody(ctx, body, err)
 }
 
@@ -209,7 +270,9 @@
 		return false
 	}
 	var beginning bytes.Buffer
+	e.admission.postpone()
 	err := readUpTo(b, &beginning, min(smallBodyBytes, limit))
+	e.admission.resume()
 	if limit <= smallBodyBytes || !errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return e.setBody(ctx, beginning.Bytes(), err)
 	}
@@ -224,15 +287,14 @@
 // admitLargeBody reads a body if there is memory for all of it; otherwise it is streamed.
 func (e *Entry) admitLargeBody(ctx *fasthttp.RequestCtx, b *requestBody, n int, read func() ([]byte, error)) bool {
 	left := deadlineAfter(e.requestedDeadline(ctx), b.timePassed())
-	if !e.reserveBody(ctx, b, e.largeClaim(n, b.length-b.read, left)) {
+	if !e.reserveBody(ctx, b, e.largeClaim(n, b.left(), left)) {
 		return false
 	}
 	if b.streamed {
 		e.prepareStream(b)
 		return true
 	}
-	body, err := read()
-	return e.setBody(ctx, body, err)
+	return e.hold(ctx, b, read)
 }
 
 // prepareStream bounds the memory that a streamed body takes in its connection.
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,6 +112,11 @@
 func (l *gatedListener) open() (net.Listener, time.Duration, error) {
 	for {
 		ok, askAgainIn := l.admission.accepts()
+		if !ok {
+			// Calls that were just accepted may turn out to need nothing yet.
+			runtime.Gosched()
+			ok, askAgainIn = l.admission.accepts()
+		}
 		if ok {
 			inner, err := l.reopen()
 			if inner != nil || err != nil {
--- a/pkg/traffic/conn.go
+++ b/pkg/traffic/conn.go
@@ -74,6 +74,21 @@
 	return inner.SetReadBuffer(bytes)
 }
 
+// SetReadLowWater sets how many bytes must have come before a Read that waits returns, unless the peer ends the
+// connection. The error is a net.OpError if the inner connection has no socket, else that of the system.
+func (c *Conn) SetReadLowWater(bytes int) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) { setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVLOWAT, bytes) })
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
 var errNoSocket = &net.OpError{Op: "syscall", Err: syscall.ENOTSOCK}
 
 // onLink returns the bytes of payload and headers that n bytes of payload take.
