entry: the processor time of a call with a body is debited once that has come

The HTTP library reads the first 8 KB of a body before it calls the handler, so that the debit of a slow caller was taken back too late. It is now taken back once the head is read (HeaderReceived), and connections wait for 5 ms before the listener is closed, so that the heads of those just accepted are known. The time of a call counts from the first byte of its request: with slow bodies targets were told up to 1 s too much.

TestACallThatWaitsForItsBodyTakesNoProcessorTime fails without the change.

--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -116,6 +116,8 @@
 	// closed is set while no connections are accepted; closures counts how often that began.
 	closed   bool
 	closures uint64
+	// postponed counts the calls that were found to wait for their bodies.
+	postponed uint64
 	// shortSince and shortUntil are the time for which the box counts as short of capacity; zero before it
 	// first is. scarcest is the resource that was short last.
 	shortSince, shortUntil units.Instant
@@ -175,6 +177,9 @@
 // Closures returns how often the gate has closed.
 func (g *Gate) Closures() uint64 { return g.closures }
 
+// Postponed returns how many calls have waited for their bodies.
+func (g *Gate) Postponed() uint64 { return g.postponed }
+
 // Admit records that a call is about to be read: with a new connection, or with each later call on it.
 func (g *Gate) Admit(now units.Instant) {
 	g.update(now)
@@ -203,6 +208,7 @@
 // for it until then. The link's account isn't changed, since the body takes the link meanwhile.
 func (g *Gate) Postpone(now units.Instant) {
 	g.update(now)
+	g.postponed++
 	if x := &g.accounts[Processor]; x.capacity > 0 {
 		x.saved = min(x.maxSaved(), x.saved+x.timePerCall())
 		g.spent = max(0, g.spent-x.timePerCall())
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -87,13 +87,28 @@
 	if stream == nil {
 		return nil
 	}
-	b := &requestBody{stream: stream, conn: ctx.Conn(), length: ctx.Request.Header.ContentLength(), began: time.Now(), memory: e.bodies}
+	b := &requestBody{stream: stream, conn: ctx.Conn(), length: ctx.Request.Header.ContentLength(), began: requestBegan(ctx), memory: e.bodies}
 	if d := e.requestedDeadline(ctx); d > 0 {
 		b.deadline = b.began.Add(d)
 	}
 	return b
 }
 
+// requestBegan returns when the first byte of a request came.
+func requestBegan(ctx *fasthttp.RequestCtx) time.Time {
+	if c, ok := ctx.Conn().(*callerConn); ok && !c.activeAt.IsZero() {
+		return c.activeAt
+	}
+	return time.Now()
+}
+
+// isCountedLength reports whether a body of an announced length takes memory and time of its own. It is negative
+// for a body in chunks, and less than that where there is none.
+func isCountedLength(n int) bool { return n == chunkedLength || n > uncountedBodyBytes }
+
+// chunkedLength is the announced length of a body in chunks.
+const chunkedLength = -1
+
 // Length returns the announced length; negative for a body in chunks.
 func (b *requestBody) Length() int { return b.length }
 
@@ -243,7 +258,7 @@
 
 // readSmallBody reads a body that is never streamed.
 func (e *Entry) readSmallBody(ctx *fasthttp.RequestCtx, b *requestBody) bool {
-	if b.length > uncountedBodyBytes && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length}) {
+	if isCountedLength(b.length) && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length}) {
 		return false
 	}
 	return e.hold(ctx, b, func() ([]byte, error) { return readExactly(b, b.length) })
@@ -251,15 +266,13 @@
 
 // hold reads a whole body into memory.
 func (e *Entry) hold(ctx *fasthttp.RequestCtx, b *requestBody, read func() ([]byte, error)) bool {
-	if b.length >= 0 && b.length <= uncountedBodyBytes {
+	if !isCountedLength(b.length) {
 		body, err := read()
 		return e.setBody(ctx, body, err)
 	}
 	stop := b.watchRate()
 	defer stop()
-	e.admission.postpone()
 	body, err := read()
-	e.admission.resume()
 	return e.setBody(ctx, body, err)
 }
 
@@ -270,9 +283,7 @@
 		return false
 	}
 	var beginning bytes.Buffer
-	e.admission.postpone()
 	err := readUpTo(b, &beginning, min(smallBodyBytes, limit))
-	e.admission.resume()
 	if limit <= smallBodyBytes || !errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return e.setBody(ctx, beginning.Bytes(), err)
 	}
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"os"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,10 @@
 	"github.com/madderpond/madderpond/pkg/traffic"
 )
 
+// settleTime is how long new connections wait before they are refused, until the heads of the calls on those
+// that were just accepted have been read.
+const settleTime = 5 * time.Millisecond
+
 // reopenRetryInterval is the time between two attempts to open the listener again.
 const reopenRetryInterval = 20 * time.Millisecond
 
@@ -33,6 +36,8 @@
 // callerConn is a caller's connection.
 type callerConn struct {
 	*traffic.Conn
+	// activeAt is when the first byte of the present request came.
+	activeAt time.Time
 	// closedIdle is set once the box closes it as one without a call in flight.
 	closedIdle atomic.Bool
 	// lingerUntil is until when what the caller still sends is dropped before the connection is closed; zero for
@@ -74,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if ok, _ := l.admission.accepts(); !ok {
+		if ok, _ := l.accepts(); !ok {
 			// Calls on other connections have used up the capacity meanwhile.
 			closeUnread(c)
 			continue
@@ -84,6 +89,16 @@
 	}
 }
 
+// accepts reports whether a connection may be accepted now, and when to ask again at the latest. Calls that were
+// just accepted may turn out to need nothing yet.
+func (l *gatedListener) accepts() (ok bool, askAgainIn time.Duration) {
+	if ok, askAgainIn = l.admission.accepts(); ok {
+		return ok, askAgainIn
+	}
+	time.Sleep(settleTime)
+	return l.admission.accepts()
+}
+
 // acceptWithin accepts a connection. The error is os.ErrDeadlineExceeded if there is none within a time;
 // zero means no limit.
 func acceptWithin(l net.Listener, limit time.Duration) (net.Conn, error) {
@@ -111,12 +126,7 @@
 // it again at the latest; zero means no limit.
 func (l *gatedListener) open() (net.Listener, time.Duration, error) {
 	for {
-		ok, askAgainIn := l.admission.accepts()
-		if !ok {
-			// Calls that were just accepted may turn out to need nothing yet.
-			runtime.Gosched()
-			ok, askAgainIn = l.admission.accepts()
-		}
+		ok, askAgainIn := l.accepts()
 		if ok {
 			inner, err := l.reopen()
 			if inner != nil || err != nil {
@@ -187,11 +197,16 @@
 // Addr returns the address for callers, also while connections are refused.
 func (l *gatedListener) Addr() net.Addr { return l.address }
 
-// trackIdle keeps the set of idle connections up to date.
-func (a *admission) trackIdle(c net.Conn, state fasthttp.ConnState) {
+// trackState notes when a request on a connection has begun, and keeps the set of idle connections up to date.
+func (a *admission) trackState(c net.Conn, state fasthttp.ConnState) {
 	x, ok := c.(*callerConn)
-	if !ok || !a.limited {
+	if !ok {
 		return
 	}
-	a.setIdle(x, state == fasthttp.StateIdle)
+	if state == fasthttp.StateActive {
+		x.activeAt = time.Now()
+	}
+	if a.limited {
+		a.setIdle(x, state == fasthttp.StateIdle)
+	}
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -48,15 +48,24 @@
 		// A body is read by the handler, once there is memory for it.
 		StreamRequestBody: true,
 		ExpectHandler:     e.checkExpectation,
+		HeaderReceived:    e.headReceived,
 		CloseOnShutdown:   true,
 		// A malformed request may contain an API key, which must not be logged.
 		SecureErrorLogMessage: true,
 		ErrorHandler:          e.handleBadRequest,
-		ConnState:             e.admission.trackIdle,
+		ConnState:             e.admission.trackState,
 		Logger:                e.Log,
 	}
 }
 
+// headReceived is called before the server reads the beginning of a body.
+func (e *Entry) headReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if isCountedLength(h.ContentLength()) {
+		e.admission.postpone()
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // handleBadRequest answers a request that couldn't be parsed; it isn't sent to any target.
 func (e *Entry) handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
 	e.metrics.badRequests.Add(1)
@@ -99,6 +108,9 @@
 	if !e.readBody(ctx, body) {
 		return
 	}
+	if isCountedLength(ctx.Request.Header.ContentLength()) {
+		e.admission.resume()
+	}
 	a, c := e.submitCall(ctx, body)
 	if a.attempt == nil {
 		e.logTrace(c, false)
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -276,3 +276,24 @@
 		t.Errorf("the caller was refused after %s", took)
 	}
 }
+
+// A box refused connections while the calls that it had accepted only waited for their callers.
+func TestACallThatWaitsForItsBodyTakesNoProcessorTime(t *testing.T) {
+	const cores = 0.01
+	e := startTestBox(t, linkTable(startStreamTarget(t, answerDigest).address), func(s *config.Settings) { s.Entry.Cores = cores })
+	before := e.admission.status().SavedMs["processor"]
+	c, err := net.Dial("tcp", e.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	await(t, "the debit of the call", func() bool { return e.admission.status().SavedMs["processor"] < before })
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: vault\r\nContent-Length: 50000\r\n\r\n")
+	await(t, "its return", func() bool {
+		s := e.admission.status()
+		return s.SavedMs["processor"] > before-s.PerCallMs["processor"]/2
+	})
+	if n := e.admission.gate.Postponed(); n != 1 {
+		t.Errorf("%d calls count as waiting for their bodies, not 1", n)
+	}
+}
--- a/pkg/traffic/conn.go
+++ b/pkg/traffic/conn.go
@@ -82,7 +82,9 @@
 		return err
 	}
 	var setErr error
-	err = raw.Control(func(fd uintptr) { setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVLOWAT, bytes) })
+	err = raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVLOWAT, bytes)
+	})
 	if err != nil {
 		return err
 	}
