listening: a process that was out of descriptors accepts connections again

What callers saw: after one connection had found no descriptor, the box accepted none any more, for good: calls waited unaccepted until they timed out, also after descriptors were free; the readiness answer, the administration, the platform's interfaces and a replica's port for other processes stopped the same way.

Cause: accept fails with EMFILE, which ended the HTTP library's loop ("Permanent error when accepting new connections") and that of the transport; the sockets stayed open, so that new connections were queued. And a connection to a target that couldn't be opened for this reason counted as the target's failure.

Change: listeners try again after EMFILE, ENFILE, ENOBUFS and ENOMEM (pkg/listening). The port for callers refuses connections for 0.1 s instead, so that callers go to other boxes at once. Such a send is withheld, which is no evidence about its target.

--- a/pkg/admin/metrics.go
+++ b/pkg/admin/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -10,6 +9,7 @@
 
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/listening"
 )
 
 // metricsPath is the only path that MetricsServer serves.
@@ -48,7 +48,7 @@
 	if address == "" {
 		return
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listening.Listen("tcp", address, m.Log)
 	if err != nil {
 		err = fault.Wrap(err, fault.Unavailable, "free the address, or name another one in metrics.listen", "metrics can't be served on %s", address)
 		m.Log.WithError(err).WithField("kind", "metrics-unavailable").Error("metrics aren't served")
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -20,6 +20,7 @@
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/listening"
 	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/replica"
 )
@@ -88,7 +89,7 @@
 
 // Start starts to listen. The error is an Unavailable fault.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.Settings.Admin.Listen)
+	listener, err := listening.Listen("tcp", s.Settings.Admin.Listen, s.Log)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen for operators on %s", s.Settings.Admin.Listen)
 	}
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/listening"
 	"github.com/madderpond/madderpond/pkg/traffic"
 )
 
@@ -17,6 +18,9 @@
 // that were just accepted have been read.
 const settleTime = 5 * time.Millisecond
 
+// shortagePause is for how long connections are refused after there was no descriptor for one.
+const shortagePause = 100 * time.Millisecond
+
 // reopenRetryInterval is the time between two attempts to open the listener again.
 const reopenRetryInterval = 20 * time.Millisecond
 
@@ -76,6 +80,10 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
+		if listening.IsShortage(err) {
+			l.refuseForShortage(err)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -89,6 +97,17 @@
 	}
 }
 
+// refuseForShortage refuses connections for a moment, since the process lacks descriptors or memory for them:
+// otherwise they would wait unaccepted for as long as that lasts.
+func (l *gatedListener) refuseForShortage(err error) {
+	l.admission.log.WithError(err).Warning("no connection can be accepted now, so they are refused; raise the limit of open files")
+	l.refuse()
+	select {
+	case <-l.done:
+	case <-time.After(shortagePause):
+	}
+}
+
 // accepts reports whether a connection may be accepted now, and when to ask again at the latest. Calls that were
 // just accepted may turn out to need nothing yet.
 func (l *gatedListener) accepts() (ok bool, askAgainIn time.Duration) {
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/listening"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -49,6 +50,8 @@
 	Refused bool
 	// Unreachable is set if no connection could be made.
 	Unreachable bool
+	// lacksDescriptor is set if this process lacked a descriptor or memory for a connection.
+	lacksDescriptor bool
 	// Declined is the refusal of the other box, if the call was relayed to one that declined it.
 	Declined routing.Refusal
 	// HelperLoad is the number of other boxes' calls in flight at the box that the call was relayed
@@ -149,7 +152,7 @@
 	}
 	c := a.connect(remaining)
 	if c == nil {
-		return routing.NotSent, false
+		return a.notConnected(), false
 	}
 	if !a.attach(c) {
 		a.pools.close(a.endpoint.Address, c)
@@ -163,6 +166,15 @@
 	return result, false
 }
 
+// notConnected returns the result of an attempt without a connection. It is no evidence about the target if this
+// process had no descriptor for one.
+func (a *Attempt) notConnected() routing.AttemptResult {
+	if a.lacksDescriptor {
+		return routing.Withheld
+	}
+	return routing.NotSent
+}
+
 // connect returns an idle connection or opens a new one. It returns nil if dialing fails or the
 // attempt is canceled.
 func (a *Attempt) connect(remaining time.Duration) *conn {
@@ -183,7 +195,8 @@
 	c, err := a.pools.open(ctx, a.endpoint)
 	if err != nil {
 		a.Refused = errors.Is(err, syscall.ECONNREFUSED)
-		a.Unreachable = !a.Canceled()
+		a.lacksDescriptor = listening.IsShortage(err)
+		a.Unreachable = !a.Canceled() && !a.lacksDescriptor
 		return nil
 	}
 	return c
--- a/pkg/target/probe.go
+++ b/pkg/target/probe.go
@@ -41,7 +41,7 @@
 	a.newConnection = true
 	c := a.connect(a.pools.clock.Until(a.deadline))
 	if c == nil {
-		ended.Unreachable, ended.Refused = true, a.Refused
+		ended.Unreachable, ended.Withheld, ended.Refused = !a.lacksDescriptor, a.lacksDescriptor, a.Refused
 		return ended
 	}
 	a.pools.putIdle(a.endpoint, c, a.maxConnections)
--- a/pkg/transport/listener.go
+++ b/pkg/transport/listener.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/listening"
 	"github.com/madderpond/madderpond/pkg/wire"
 )
 
@@ -46,7 +47,7 @@
 // peers' hellos name theirs. If the gate is nil, each connection is served at once. The error is an
 // Unavailable fault.
 func Listen(address, domain string, security *Security, log *logrus.Entry, gate Gate, handler Handler) (*Listener, error) {
-	raw, err := net.Listen("tcp", address)
+	raw, err := listening.Listen("tcp", address, log)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen on %s", address)
 	}
