entry: connections and long heads have a bound in memory

What callers saw: nothing yet; a box that gets thousands of connections with heads of 15 KB goes over its memory and is killed, and the calls in flight of all others end without an answer. Bodies of 64 KB from some thousand slow callers brought the collector to its limit: 16 s of processor time in 15 s.

Cause: only large bodies had a bound. A connection takes some 35 KB while its call is read, a long head four times its size while it is served; 3,300 connections are allowed by descriptors alone.

Change: connections take at most 0.3 of the memory limit, 32 KB each: 1,056 at 184 MB, 1,632 at 284 MB. At the bound idle ones are closed and new ones refused, so that callers go elsewhere. Heads over 4 KB take four times their size from the budget of bodies, bodies of 4 to 64 KB 24 KB more than their length; what doesn't fit is refused at once. Idle connections are tracked also where link and processor aren't limited.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -128,18 +128,11 @@
 	a.gate.Admit(now)
 	becomesShort := !a.short.Load() && a.gate.IsShort(now)
 	var surplus []*callerConn
-	if len(a.idle) > 0 && a.gate.ClosesIdle(now) {
-		surplus = make([]*callerConn, 0, len(a.idle))
-		for c := range a.idle {
-			c.closedIdle.Store(true)
-			surplus = append(surplus, c)
-		}
-		clear(a.idle)
+	if a.gate.ClosesIdle(now) {
+		surplus = a.takeIdle()
 	}
 	a.lock.Unlock()
-	for _, c := range surplus {
-		c.Close()
-	}
+	closeAll(surplus)
 	if becomesShort {
 		a.updateShort()
 	}
@@ -186,6 +179,34 @@
 	})
 }
 
+// closeIdle closes the connections on which no call is in flight.
+func (a *admission) closeIdle() {
+	a.lock.Lock()
+	surplus := a.takeIdle()
+	a.lock.Unlock()
+	closeAll(surplus)
+}
+
+// takeIdle removes the idle connections, which the caller has to close.
+func (a *admission) takeIdle() []*callerConn {
+	if len(a.idle) == 0 {
+		return nil
+	}
+	all := make([]*callerConn, 0, len(a.idle))
+	for c := range a.idle {
+		c.closedIdle.Store(true)
+		all = append(all, c)
+	}
+	clear(a.idle)
+	return all
+}
+
+func closeAll(all []*callerConn) {
+	for _, c := range all {
+		c.Close()
+	}
+}
+
 func (a *admission) readProcessorTime(now units.Instant) {
 	if now.Sub(a.processorReadAt) < processorSampleInterval {
 		return
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -258,7 +258,7 @@
 
 // readSmallBody reads a body that is never streamed.
 func (e *Entry) readSmallBody(ctx *fasthttp.RequestCtx, b *requestBody) bool {
-	if isCountedLength(b.length) && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length}) {
+	if isCountedLength(b.length) && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length + callBytes}) {
 		return false
 	}
 	return e.hold(ctx, b, func() ([]byte, error) { return readExactly(b, b.length) })
@@ -279,7 +279,7 @@
 // readChunks reads a body whose length shows only at its end.
 func (e *Entry) readChunks(ctx *fasthttp.RequestCtx, b *requestBody) bool {
 	limit := e.Settings.Entry.MaxBody
-	if !e.reserveBody(ctx, b, bodies.Claim{Bytes: min(smallBodyBytes, limit)}) {
+	if !e.reserveBody(ctx, b, bodies.Claim{Bytes: min(smallBodyBytes, limit) + callBytes}) {
 		return false
 	}
 	var beginning bytes.Buffer
--- a/pkg/entry/bodymemory.go
+++ b/pkg/entry/bodymemory.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/madderpond/madderpond/pkg/core/bodies"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -21,6 +23,17 @@
 	// that such a body takes: the system doubles the buffer.
 	streamBufferBytes = 256 << 10
 	streamWindowBytes = 2 * streamBufferBytes
+	// callBytes is what a call takes while its body comes, besides that: buffers of its connection, its head and
+	// a goroutine.
+	callBytes = 24 << 10
+	// headCopies is how often a call's head is in memory: as received, as parsed, and as sent to a target.
+	headCopies = 4
+	// uncountedHeadBytes is the size up to which a head takes no more memory than its connection.
+	uncountedHeadBytes = 4 << 10
+	// connectionFraction is the fraction of the memory limit that callers' connections may take, each of them
+	// connectionBytes.
+	connectionFraction = 0.3
+	connectionBytes    = 32 << 10
 	// maxWaitingBodies bounds the calls whose bodies wait in their connections.
 	maxWaitingBodies = 64
 )
@@ -91,6 +104,30 @@
 	return m.budget.MeetsDeadlines(now, c)
 }
 
+// reserveHead reserves memory for what a long head takes while its call is served, or refuses the call. The id is
+// zero for a short one.
+func (e *Entry) reserveHead(ctx *fasthttp.RequestCtx) (id bodies.ID, ok bool) {
+	n := len(ctx.Request.Header.RawHeaders())
+	if n <= uncountedHeadBytes {
+		return 0, true
+	}
+	id, verdict := e.bodies.reserve(e.Clock.Now(), bodies.Claim{Bytes: headCopies * n}, 0)
+	if verdict != bodies.Granted {
+		e.refuseBody(ctx, headCopies*n, verdict)
+		return 0, false
+	}
+	return id, true
+}
+
+// maxConnections returns how many connections callers may have, by the settings and by the memory limit.
+func (e *Entry) maxConnections() int {
+	n := e.Settings.Entry.MaxConnections
+	if limit := e.Settings.MemoryLimitMB << 20; limit > 0 {
+		n = min(n, int(connectionFraction*float64(limit)/connectionBytes))
+	}
+	return max(1, n)
+}
+
 // setIncoming updates how many bytes of a body are still to come.
 func (m *bodyMemory) setIncoming(id bodies.ID, n int) {
 	if m == nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "choose an address of this box whose port is free", "can't listen for callers on %s", e.Settings.Entry.Listen)
 	}
-	e.listener = newGatedListener(listener, e.admission, e.lingerer)
+	e.listener = newGatedListener(listener, e.admission, e.lingerer, e.maxConnections())
 	e.stopped.Add(1)
 	go e.runPeriodicTasks()
 	e.lock.Lock()
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -32,6 +32,9 @@
 	lingerer  *lingerer
 	address   net.Addr
 	done      chan struct{}
+	// maxConns is how many connections may be open, openConns how many are.
+	maxConns  int64
+	openConns atomic.Int64
 	// lock guards inner, which is nil while connections are refused.
 	lock  sync.Mutex
 	inner net.Listener
@@ -48,6 +51,9 @@
 	// a connection without an unread request.
 	lingerUntil time.Time
 	lingerer    *lingerer
+	// onClose is called once when the connection is closed.
+	onClose sync.Once
+	closed  func()
 }
 
 // Close closes the connection. If a request on it wasn't read to its end, the caller gets its answer first.
@@ -55,6 +61,7 @@
 	if w, ok := c.Conn.Conn.(halfCloser); ok && !c.lingerUntil.IsZero() {
 		c.lingerer.linger(c, w, c.lingerUntil)
 	}
+	c.onClose.Do(c.closed)
 	return c.Conn.Close()
 }
 
@@ -65,8 +72,8 @@
 	return ok && x.closedIdle.Load()
 }
 
-func newGatedListener(l net.Listener, a *admission, d *lingerer) *gatedListener {
-	return &gatedListener{admission: a, lingerer: d, address: l.Addr(), inner: l, done: make(chan struct{})}
+func newGatedListener(l net.Listener, a *admission, d *lingerer, maxConns int) *gatedListener {
+	return &gatedListener{admission: a, lingerer: d, maxConns: int64(maxConns), address: l.Addr(), inner: l, done: make(chan struct{})}
 }
 
 // Accept waits for a connection that the box can serve.
@@ -93,7 +100,8 @@
 			continue
 		}
 		l.admission.admit()
-		return &callerConn{Conn: traffic.Count(c, &l.admission.callers), lingerer: l.lingerer}, nil
+		l.openConns.Add(1)
+		return &callerConn{Conn: traffic.Count(c, &l.admission.callers), lingerer: l.lingerer, closed: func() { l.openConns.Add(-1) }}, nil
 	}
 }
 
@@ -111,6 +119,11 @@
 // accepts reports whether a connection may be accepted now, and when to ask again at the latest. Calls that were
 // just accepted may turn out to need nothing yet.
 func (l *gatedListener) accepts() (ok bool, askAgainIn time.Duration) {
+	if l.openConns.Load() >= l.maxConns {
+		// Their callers can open others at other boxes.
+		l.admission.closeIdle()
+		return false, maxAskInterval
+	}
 	if ok, askAgainIn = l.admission.accepts(); ok {
 		return ok, askAgainIn
 	}
@@ -225,7 +238,5 @@
 	if state == fasthttp.StateActive {
 		x.activeAt = time.Now()
 	}
-	if a.limited {
-		a.setIdle(x, state == fasthttp.StateIdle)
-	}
+	a.setIdle(x, state == fasthttp.StateIdle)
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -33,7 +33,7 @@
 	return &fasthttp.Server{
 		Handler:                       e.handle,
 		Name:                          "madderpond",
-		Concurrency:                   s.MaxConnections,
+		Concurrency:                   e.maxConnections() + s.MaxRelayed,
 		ReadBufferSize:                s.HeaderBytes,
 		ReadTimeout:                   s.ReadTimeout.Std(),
 		IdleTimeout:                   s.IdleTimeout.Std(),
@@ -103,6 +103,11 @@
 		e.refuseFraming(ctx, reason)
 		return
 	}
+	head, ok := e.reserveHead(ctx)
+	defer e.bodies.release(head)
+	if !ok {
+		return
+	}
 	body := e.newRequestBody(ctx)
 	defer e.endBody(ctx, body)
 	if !e.readBody(ctx, body) {
--- a/pkg/lab/target.go
+++ b/pkg/lab/target.go
@@ -133,7 +133,7 @@
 		}
 	}
 	t.server = &fasthttp.Server{
-		Handler: t.handle, MaxRequestBodySize: 64 << 20, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		Handler: t.handle, MaxRequestBodySize: 64 << 20, ReadBufferSize: 32 << 10, NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
 	if s.OnListen != nil {
 		s.OnListen()
--- /dev/null
+++ b/test/bodies_test.go
@@ -0,0 +1,190 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/madderpond/madderpond/pkg/config"
+	"github.com/madderpond/madderpond/pkg/lab"
+)
+
+// rawUpload is a caller that sends a body at its own rate, and reads the answer once it has sent all.
+type rawUpload struct {
+	address string
+	size    int
+	// rate is in bytes per second; zero is without limit.
+	rate float64
+	// header has further lines of the head, head is how many bytes of padding it has.
+	header string
+	head   int
+	// patience is for how long the caller waits for its answer.
+	patience time.Duration
+}
+
+// send sends the body and describes how that ended: "answered", a refusal with its reason, or what happened to
+// the connection.
+func (u *rawUpload) send() string {
+	c, err := net.DialTimeout("tcp", u.address, time.Second)
+	if err != nil {
+		return "no connection"
+	}
+	defer c.Close()
+	began := time.Now()
+	c.SetDeadline(began.Add(u.patience))
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: repeatable.test\r\nX-Deadline-Ms: %d\r\nX-Padding: %s\r\n%sContent-Length: %d\r\n\r\n",
+		u.patience.Milliseconds(), strings.Repeat("p", u.head), u.header, u.size)
+	piece := bytes.Repeat([]byte("x"), 16<<10)
+	if u.rate > 0 {
+		piece = piece[:max(512, min(len(piece), int(u.rate/50)))]
+	}
+	for sent := 0; sent < u.size; {
+		n, err := c.Write(piece[:min(len(piece), u.size-sent)])
+		if err != nil {
+			return "reset while sending"
+		}
+		sent += n
+		if u.rate > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / u.rate * float64(time.Second)))))
+		}
+	}
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	switch {
+	case os.IsTimeout(err):
+		return "no answer"
+	case err != nil:
+		return "reset"
+	case a.StatusCode == http.StatusOK:
+		return "answered"
+	}
+	return fmt.Sprintf("%d %s %s", a.StatusCode, a.Header.Get("X-Madderpond-Reason"), a.Header.Get("X-Madderpond-Outcome"))
+}
+
+// anonymousMB returns how much memory of its own a process has.
+func anonymousMB(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb >> 10
+		}
+	}
+	return 0
+}
+
+// uploadCase is a load of uploads on a box with little memory.
+type uploadCase struct {
+	name string
+	// memoryMB is the memory of the box's machine, of which the settings give heapFraction to the heap.
+	memoryMB int
+	callers  int
+	// interval is the time between two callers.
+	interval time.Duration
+	upload   rawUpload
+}
+
+// closedReason is the reason of a refusal on a connection that the box was closing as idle.
+const closedReason = "connection-closed"
+
+// heapFraction is the part of a machine's memory that boxes are set to use for their heaps.
+const heapFraction = 0.6
+
+// Uploads, and calls with long heads, took a box over its memory, and the calls of others ended with it.
+func TestABoxStaysBelowItsMemory(t *testing.T) {
+	const connections = 3300
+	for _, c := range []uploadCase{
+		{"long heads, 184 MB", 184, 3200, 0, rawUpload{size: 4000, rate: 500, head: 15_000}},
+		{"long heads, 284 MB", 284, 3200, 0, rawUpload{size: 4000, rate: 500, head: 15_000}},
+		{"small bodies, 184 MB", 184, 1600, 2 * time.Millisecond, rawUpload{size: 64 << 10, rate: 16_000}},
+		{"large bodies, 184 MB", 184, 10, 0, rawUpload{size: 48 << 20, rate: 24 << 20}},
+		{"large bodies, 284 MB", 284, 10, 0, rawUpload{size: 48 << 20, rate: 24 << 20}},
+		{"many large bodies, 184 MB", 184, 200, 0, rawUpload{size: 2 << 20, rate: 1 << 20}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := startCluster(t, clusterOptions{
+				replicas: 1, boxes: 1, targets: 4, targetArguments: []string{"--slots", "64", "--queue", "256"},
+				adjust: func(s *config.Settings) {
+					s.MemoryLimitMB = int(heapFraction * float64(c.memoryMB))
+					s.Entry.MaxConnections, s.Entry.MaxBody, s.Entry.HeaderBytes = connections, 64<<20, 20<<10
+				},
+			})
+			x.applySheets(nil)
+			box := x.cluster.Boxes[0]
+			small := lab.NewCaller(box.Entry)
+			done := make(chan struct{})
+			peak := 0
+			var watch sync.WaitGroup
+			watch.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(5 * time.Millisecond):
+						peak = max(peak, anonymousMB(box.Process.PID()))
+					}
+				}
+			})
+			watch.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(20 * time.Millisecond):
+						small.Do(lab.CallSpec{Host: "once.test", AtMostOnce: true})
+					}
+				}
+			})
+			ends := c.run(box.Entry)
+			close(done)
+			watch.Wait()
+			t.Logf("%d MB at most; the callers: %v", peak, ends)
+			if peak > c.memoryMB {
+				t.Errorf("the box took %d MB", peak)
+			}
+			if ends["no answer"] > 0 || ends["reset"] > 0 {
+				t.Errorf("callers got neither an answer nor a refusal: %v", ends)
+			}
+			runs := x.runs()
+			for _, call := range small.Calls() {
+				switch {
+				case (call.Status == 0 || call.Reason == closedReason) && runs[call.RequestID] > 0:
+					t.Errorf("small call %s has run, though its connection ended with %q %q", call.RequestID, call.Detail, call.Reason)
+				case call.Status != 0 && call.Reason != closedReason && call.Verdict != lab.Complete:
+					t.Errorf("a small call got %+v", call)
+				}
+			}
+		})
+	}
+}
+
+// run starts the callers, and counts how they ended.
+func (c *uploadCase) run(address string) map[string]int {
+	var wait sync.WaitGroup
+	var lock sync.Mutex
+	ends := map[string]int{}
+	for range c.callers {
+		time.Sleep(c.interval)
+		wait.Go(func() {
+			u := c.upload
+			u.address, u.patience = address, 15*time.Second
+			end := u.send()
+			lock.Lock()
+			defer lock.Unlock()
+			ends[end]++
+		})
+	}
+	wait.Wait()
+	return ends
+}
