documents: bodies sent to a process's own interfaces have a bound in memory

What was seen: 24 uploads of 8 MiB to a replica's administration took it to 198 MB where its machine has 100; two of three were for paths that don't exist.

Cause: each body was read whole before the path, the method or the token was looked at, with no total.

Change: bodies are read once the request is known to be allowed. Those over 64 KB share a fifth of the memory limit, or one of the longest size; what doesn't fit is answered 503 (unavailable) before it is read.

TestDocumentsTakeBoundedMemory failed before (198 MB) and passes; a sender that is still sending when it is refused may read a reset here, since these servers close at once.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/madderpond/madderpond/pkg/boxlist"
 	"github.com/madderpond/madderpond/pkg/common"
+	"github.com/madderpond/madderpond/pkg/documents"
 	"github.com/madderpond/madderpond/pkg/entry"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/listening"
@@ -34,8 +35,10 @@
 	boxList  *boxlist.Watcher
 	reloader *reload.Reloader
 	token    []byte
-	server   *fasthttp.Server
-	listener net.Listener
+	// documents reads the bodies of requests.
+	documents *documents.Reader
+	server    *fasthttp.Server
+	listener  net.Listener
 }
 
 // Components are the components of the process that the API gives access to. Those that the
@@ -50,7 +53,10 @@
 // NewServer returns a server that isn't listening yet. The error is a Settings fault if the
 // token can't be read or is too short.
 func NewServer(c *common.Common, p Components) (*Server, error) {
-	s := &Server{Common: c, entry: p.Entry, replica: p.Replica, boxList: p.BoxList, reloader: p.Reloader}
+	s := &Server{
+		Common: c, entry: p.Entry, replica: p.Replica, boxList: p.BoxList, reloader: p.Reloader,
+		documents: documents.NewReader(c.Settings.MemoryLimitMB, c.Settings.Admin.MaxBody),
+	}
 	if path := c.Settings.Admin.TokenFile; path != "" {
 		data, err := os.ReadFile(path)
 		if err != nil {
@@ -62,8 +68,10 @@
 		}
 	}
 	s.server = &fasthttp.Server{
-		Handler:               s.handle,
-		MaxRequestBodySize:    c.Settings.Admin.MaxBody,
+		Handler:            s.handle,
+		MaxRequestBodySize: c.Settings.Admin.MaxBody,
+		// A body is read once the request is known to be allowed.
+		StreamRequestBody:     true,
 		ReadTimeout:           c.Settings.Entry.ReadTimeout.Std(),
 		IdleTimeout:           c.Settings.Entry.IdleTimeout.Std(),
 		NoDefaultServerHeader: true,
@@ -172,7 +180,7 @@
 			writeProblem(ctx, fault.New(fault.Unauthorized, "send the header Authorization: Bearer with the token of admin.tokenFile", "the token is missing or wrong"))
 			return
 		}
-		if err := r.handler(s, ctx); err != nil {
+		if err := s.serve(&r, ctx); err != nil {
 			writeProblem(ctx, err)
 		}
 		return
@@ -184,6 +192,17 @@
 	writeProblem(ctx, fault.New(fault.NotFound, "see docs/API.md for the addresses there are", "there is no %s", path))
 }
 
+// serve reads a request's body and calls the handler of its route.
+func (s *Server) serve(r *route, ctx *fasthttp.RequestCtx) error {
+	release, err := s.documents.Load(ctx, s.Settings.Admin.MaxBody)
+	if err != nil {
+		ctx.SetConnectionClose()
+		return err
+	}
+	defer release()
+	return r.handler(s, ctx)
+}
+
 // authorized checks the bearer token. It compares digests, so that the time taken reveals
 // neither the length nor the content of the token.
 func (s *Server) authorized(ctx *fasthttp.RequestCtx) bool {
