entry: a relayed body that is still coming doesn't count as its caller's end

What callers saw: 499 or 502 with an unknown outcome for one of four uploads that a box cut off from its targets relayed to another one; found by TestLargeBodiesAreRelayed.

Cause: on encrypted relay connections the end is announced by a message, so that any input while a call is in flight was taken for it. With streamed bodies that input may be the rest of the body.

Change: input is no sign of the end while the body of the call is streamed and not read to its end.

TestLargeBodiesAreRelayed failed before (3 of 4 answered, one "caller-gone") and passes; TestABoxStopsBesideLargeBodies, TestLargeBodiesBesideReloadsAndFailingTargets passed at once.

--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -61,7 +61,7 @@
 	// read counts the bytes read so far, ended is set at the end of a body in chunks. reported is what was read
 	// when the budget was last told.
 	read     atomic.Int64
-	ended    bool
+	ended    atomic.Bool
 	reported int
 	// tooSlow is set once a caller can't send the body before its deadline. lowWater is what was set as the least
 	// that a read of the connection waits for; zero if nothing was.
@@ -133,7 +133,9 @@
 	if b.tooSlow.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errBodyTooSlow
 	}
-	b.ended = b.ended || err == io.EOF
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
 	b.reportIncoming()
 	return n, err
 }
@@ -236,7 +238,7 @@
 }
 
 // isRead reports whether the body was read to its end.
-func (b *requestBody) isRead() bool { return b.length >= 0 && b.left() == 0 || b.ended }
+func (b *requestBody) isRead() bool { return b.length >= 0 && b.left() == 0 || b.ended.Load() }
 
 // readBody reads a request's body into memory of its own, which all attempts of the call share, or leaves it to be
 // streamed. If it returns false the request has been answered.
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -107,16 +107,19 @@
 	}
 }
 
-// isCallerConnected reports whether the other end of a connection hasn't closed it.
-func isCallerConnected(c net.Conn) bool {
-	relay, ok := c.(*transport.RelayConn)
+// isCallerConnected reports whether the caller hasn't closed its connection.
+func (c *call) isCallerConnected() bool {
+	relay, ok := c.conn.(*transport.RelayConn)
 	if !ok {
-		return target.IsOpen(c)
+		return target.IsOpen(c.conn)
 	}
 	raw, encrypted := relay.Raw()
+	if !target.IsOpen(raw) {
+		return false
+	}
 	// The end of an encrypted connection is announced by a message. Nothing else is sent while a call
-	// is in flight.
-	return target.IsOpen(raw) && !(encrypted && target.HasInput(raw))
+	// is in flight, but for the rest of its body.
+	return !encrypted || c.body.isStreamed() && !c.body.isRead() || !target.HasInput(raw)
 }
 
 // reachFields are the log fields that name the targets of a change.
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -228,7 +228,7 @@
 // reportDisconnectedCallers reports the calls to the core whose callers have disconnected.
 func (e *Entry) reportDisconnectedCallers() {
 	for _, c := range e.longWaitingCalls() {
-		if isCallerConnected(c.conn) {
+		if c.isCallerConnected() {
 			continue
 		}
 		e.lock.Lock()
--- a/test/bodies_test.go
+++ b/test/bodies_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,7 +21,9 @@
 // rawUpload is a caller that sends a body at its own rate, and reads the answer once it has sent all.
 type rawUpload struct {
 	address string
-	size    int
+	// host is the one of the service; empty means that of repeatable work.
+	host string
+	size int
 	// rate is in bytes per second; zero is without limit.
 	rate float64
 	// header has further lines of the head, head is how many bytes of padding it has.
@@ -40,7 +43,8 @@
 	defer c.Close()
 	began := time.Now()
 	c.SetDeadline(began.Add(u.patience))
-	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: repeatable.test\r\nX-Deadline-Ms: %d\r\nX-Padding: %s\r\n%sContent-Length: %d\r\n\r\n",
+	host := cmp.Or(u.host, "repeatable.test")
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: "+host+"\r\nX-Deadline-Ms: %d\r\nX-Padding: %s\r\n%sContent-Length: %d\r\n\r\n",
 		u.patience.Milliseconds(), strings.Repeat("p", u.head), u.header, u.size)
 	piece := bytes.Repeat([]byte("x"), 16<<10)
 	if u.rate > 0 {
@@ -188,3 +192,98 @@
 	wait.Wait()
 	return ends
 }
+
+// sendAll starts uploads of the same kind, and counts how they end.
+func sendAll(u rawUpload, n int) (ends map[string]int, wait func()) {
+	c := &uploadCase{callers: n, upload: u}
+	ends = map[string]int{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for end, n := range c.run(u.address) {
+			ends[end] = n
+		}
+	}()
+	return ends, func() { <-done }
+}
+
+// uploadBox are the settings of a box that holds one body of streamedSize, and streams others.
+func uploadBox(s *config.Settings) {
+	s.MemoryLimitMB, s.Entry.MaxBody = 40, 32<<20
+	s.Entry.LinkMbps = 10_000
+}
+
+// streamedSize is the size of an upload at such a box.
+const streamedSize = 12 << 20
+
+// Bodies that a box relays to another one are streamed there and at the box that helps.
+func TestLargeBodiesAreRelayed(t *testing.T) {
+	certificates := withCertificates(t, newAuthority(t, "ours"))
+	x := startLossCluster(t, smallLoss(func(s *config.Settings) {
+		uploadBox(s)
+		if certificates != nil {
+			certificates(s)
+		}
+	}))
+	x.cutOffFirstBox()
+	first := x.cluster.Boxes[0]
+	for _, host := range []string{"shop.test", "pay.test"} {
+		ends, wait := sendAll(rawUpload{address: first.Entry, host: host, size: streamedSize, rate: 24 << 20}, 4)
+		wait()
+		if ends["answered"] != 4 {
+			t.Errorf("%s: the callers: %v", host, ends)
+		}
+	}
+	x.mustBeClean()
+}
+
+// A box that is told to stop while large bodies come serves them, or says truthfully that it hasn't.
+func TestABoxStopsBesideLargeBodies(t *testing.T) {
+	for _, delay := range []time.Duration{0, 200 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(fmt.Sprintf("%s after they began", delay), func(t *testing.T) {
+			t.Parallel()
+			x := startCluster(t, clusterOptions{replicas: 1, boxes: 1, targets: 3, targetArguments: []string{"--slots", "8"}, adjust: uploadBox})
+			x.applySheets(nil)
+			box := x.cluster.Boxes[0]
+			ends, wait := sendAll(rawUpload{address: box.Entry, size: streamedSize, rate: 12 << 20}, 5)
+			x.must(lab.Eventually(waitTimeout, func() error {
+				d, err := box.Dump()
+				if err == nil && d.Entry.Bodies.Used == 0 {
+					err = fmt.Errorf("no body has come")
+				}
+				return err
+			}))
+			time.Sleep(delay)
+			box.Process.Terminate()
+			wait()
+			if ends["reset"]+ends["reset while sending"]+ends["no answer"] > 0 {
+				t.Errorf("the callers: %v", ends)
+			}
+			if _, err := box.Process.AwaitExit(waitTimeout); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Settings that are read again while large bodies come end none of them, and targets that break off or shed are
+// reported truthfully.
+func TestLargeBodiesBesideReloadsAndFailingTargets(t *testing.T) {
+	x := startCluster(t, clusterOptions{replicas: 1, boxes: 1, targets: 3, targetArguments: []string{"--slots", "2", "--queue", "1"}, adjust: uploadBox})
+	x.applySheets(nil)
+	box := x.cluster.Boxes[0]
+	ends, wait := sendAll(rawUpload{address: box.Entry, size: streamedSize, rate: 12 << 20}, 6)
+	for range 5 {
+		box.Process.Reload()
+		time.Sleep(200 * time.Millisecond)
+	}
+	wait()
+	for end := range ends {
+		if end != "answered" && !strings.HasSuffix(end, "not-run") {
+			t.Errorf("the callers: %v", ends)
+		}
+	}
+	if ends["answered"] == 0 {
+		t.Errorf("no upload was served: %v", ends)
+	}
+}
