entry, target: the look at a caller's rate ends with its body; refused bodies are counted

Found by reading: the timer that looks at a slow caller's rate could be set again after the body had ended, once a second for good; and a caller that failed could be taken for a target that broke off, if the target's connection ended before the upload was known to have. Metrics and dump show how many bodies were refused and how many calls have waited for theirs.

--- a/pkg/core/bodies/budget.go
+++ b/pkg/core/bodies/budget.go
@@ -73,6 +73,8 @@
 	used, held int
 	admitted   map[ID]*admitted
 	queue      []Claim
+	// refused counts the bodies that got no memory.
+	refused uint64
 }
 
 // admitted is a body that has its memory.
@@ -93,6 +95,14 @@
 
 // Reserve asks for the memory of a body.
 func (b *Budget) Reserve(now units.Instant, c Claim) Verdict {
+	v := b.decide(now, c)
+	if v != Granted && v != Streamed && v != Queued {
+		b.refused++
+	}
+	return v
+}
+
+func (b *Budget) decide(now units.Instant, c Claim) Verdict {
 	switch {
 	case b.leastBytes(&c) > b.settings.Limit:
 		return TooLarge
@@ -177,6 +187,7 @@
 		return nil, false
 	}
 	b.queue = slices.Delete(b.queue, i, i+1)
+	b.refused++
 	return b.grant(), true
 }
 
@@ -253,11 +264,13 @@
 	Waiting int `json:"waiting"`
 	// Streamed counts the bodies that are passed on while they come.
 	Streamed int `json:"streamed"`
+	// Refused counts the bodies that got no memory since the start, or gave up waiting for it.
+	Refused uint64 `json:"refused"`
 }
 
 // Status returns the budget's state.
 func (b *Budget) Status() Status {
-	s := Status{Limit: b.settings.Limit, Used: b.used, Waiting: len(b.queue)}
+	s := Status{Limit: b.settings.Limit, Used: b.used, Waiting: len(b.queue), Refused: b.refused}
 	for _, a := range b.admitted {
 		if a.isStream {
 			s.Streamed++
--- a/pkg/core/bodies/budget_test.go
+++ b/pkg/core/bodies/budget_test.go
@@ -86,6 +86,9 @@
 	if x.Streamed > 0 {
 		text += fmt.Sprintf(", %d streamed", x.Streamed)
 	}
+	if x.Refused > 0 {
+		text += fmt.Sprintf(", %d refused", x.Refused)
+	}
 	if b := s.budget.Backlog(); b > 0 {
 		text += fmt.Sprintf(", the link is busy for %s", b)
 	}
--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -177,9 +177,6 @@
 // Closures returns how often the gate has closed.
 func (g *Gate) Closures() uint64 { return g.closures }
 
-// Postponed returns how many calls have waited for their bodies.
-func (g *Gate) Postponed() uint64 { return g.postponed }
-
 // Admit records that a call is about to be read: with a new connection, or with each later call on it.
 func (g *Gate) Admit(now units.Instant) {
 	g.update(now)
@@ -441,12 +438,14 @@
 	// SavedMs and PerCallMs are by resource: the unused capacity, and what the mean call takes.
 	SavedMs   map[string]float64 `json:"savedMs"`
 	PerCallMs map[string]float64 `json:"perCallMs"`
+	// Postponed counts the calls that have waited for their bodies.
+	Postponed uint64 `json:"postponed"`
 }
 
 // Status returns the gate's state.
 func (g *Gate) Status(now units.Instant) Status {
 	g.update(now)
-	s := Status{Closed: g.closed, SavedMs: map[string]float64{}, PerCallMs: map[string]float64{}}
+	s := Status{Closed: g.closed, Postponed: g.postponed, SavedMs: map[string]float64{}, PerCallMs: map[string]float64{}}
 	if g.shortUntil != 0 {
 		s.Scarcest = g.scarcest.String()
 	}
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -67,6 +67,8 @@
 	// that a read of the connection waits for; zero if nothing was.
 	tooSlow  atomic.Bool
 	lowWater int
+	// watched is set while the caller's rate is looked at.
+	watched atomic.Bool
 	// memory is where the body has reserved some as id, which is zero if it has none. waited is the time for which
 	// it waited for that.
 	memory *bodyMemory
@@ -170,20 +172,28 @@
 
 // watchRate ends the reading of a body that is held once it can't come before its call's deadline. The caller has
 // to call the function returned when it no longer reads.
-func (b *requestBody) watchRate() (stop func() bool) {
+func (b *requestBody) watchRate() (stop func()) {
 	if b.length < 0 || b.deadline.IsZero() {
-		return func() bool { return true }
+		return func() {}
 	}
-	var timer *time.Timer
-	timer = time.AfterFunc(rateCheckInterval, func() {
-		if !b.isTooSlow(time.Now()) {
-			timer.Reset(rateCheckInterval)
-			return
-		}
+	b.watched.Store(true)
+	timer := time.AfterFunc(rateCheckInterval, b.checkRate)
+	return func() {
+		b.watched.Store(false)
+		timer.Stop()
+	}
+}
+
+// checkRate looks at the caller's rate, and again after a time for as long as it is watched.
+func (b *requestBody) checkRate() {
+	switch {
+	case !b.watched.Load():
+	case b.isTooSlow(time.Now()):
 		b.tooSlow.Store(true)
 		b.endRead()
-	})
-	return timer.Stop
+	default:
+		time.AfterFunc(rateCheckInterval, b.checkRate)
+	}
 }
 
 // isTooSlow reports whether a body can't come before its call's deadline, unless the caller becomes much faster.
--- a/pkg/entry/bodymemory.go
+++ b/pkg/entry/bodymemory.go
@@ -138,9 +138,9 @@
 	m.budget.SetIncoming(id, n)
 }
 
-// release returns a body's memory.
+// release returns a body's memory, if it has reserved any.
 func (m *bodyMemory) release(id bodies.ID) {
-	if m == nil {
+	if m == nil || id == 0 {
 		return
 	}
 	m.lock.Lock()
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -293,7 +293,7 @@
 		s := e.admission.status()
 		return s.SavedMs["processor"] > before-s.PerCallMs["processor"]/2
 	})
-	if n := e.admission.gate.Postponed(); n != 1 {
+	if n := e.admission.status().Postponed; n != 1 {
 		t.Errorf("%d calls count as waiting for their bodies, not 1", n)
 	}
 }
--- a/pkg/target/upload.go
+++ b/pkg/target/upload.go
@@ -31,8 +31,10 @@
 	began   units.Instant
 	done    chan struct{}
 	endedAt units.Instant
-	// err is set once done is closed, callerErr if the caller's side has failed.
-	err, callerErr error
+	// err is set once done is closed.
+	err error
+	// callerFailed is set if the body has ended because of the caller's side.
+	callerFailed atomic.Bool
 	// answered is set once an answer has begun: then a failure of the caller's side ends it no more.
 	answered atomic.Bool
 }
@@ -51,7 +53,7 @@
 	}()
 	result, streaming := a.readResponse(c)
 	u.answered.Store(result != routing.Broken)
-	if result == routing.Broken && u.callerFailed() {
+	if result == routing.Broken && u.callerFailed.Load() {
 		// A break that the caller brought about is no evidence against the target.
 		result = routing.Canceled
 	}
@@ -88,7 +90,7 @@
 			break
 		}
 		if err != nil {
-			u.callerErr = err
+			u.callerFailed.Store(true)
 			if !u.answered.Load() {
 				u.conn.raw.Close()
 			}
@@ -123,16 +125,6 @@
 	return w.Flush()
 }
 
-// callerFailed reports whether the body has ended because of the caller's side.
-func (u *upload) callerFailed() bool {
-	select {
-	case <-u.done:
-		return u.callerErr != nil
-	default:
-		return false
-	}
-}
-
 // stop ends the upload, and reports whether it had sent the whole body.
 func (u *upload) stop() bool {
 	select {
