soak: bodies of all sizes at boxes with little memory

Checked from outside: the memory of each box; that no upload ran which its caller was told had not, none twice where that is forbidden; that uploads of five sizes are served at the end.

--- a/test/soak_cut_test.go
+++ b/test/soak_cut_test.go
@@ -21,7 +21,7 @@
 
 func (x *soak) hasCuts() bool { return x.seed >= firstCutSeed }
 
-func (x *soak) hasLargeDomain() bool { return x.seed >= firstLargeDomainSeed && !x.hasSkew() }
+func (x *soak) hasLargeDomain() bool { return x.seed >= firstLargeDomainSeed && x.seed < firstSkewSeed }
 
 // boxDomain is the failure domain of a box, in a seed with a large one.
 func boxDomain(box string) units.Domain {
--- a/test/soak_skew_test.go
+++ b/test/soak_skew_test.go
@@ -17,7 +17,7 @@
 	soakToHot = 9
 )
 
-func (x *soak) hasSkew() bool { return x.seed >= firstSkewSeed }
+func (x *soak) hasSkew() bool { return x.seed >= firstSkewSeed && !x.hasUploads() }
 
 // skewConnections sends most connections to one box for a time, and then to all boxes alike.
 func (x *soak) skewConnections() {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -42,6 +42,7 @@
 	{80_000, "covers boxes that are cut off from targets: they refused calls that other boxes served"},
 	{90_000, "covers a large failure domain that is cut off from targets: its boxes only asked each other"},
 	{100_000, "covers times in which most connections go to one box"},
+	{110_000, "covers bodies of all sizes at boxes with little memory"},
 	{60_005, "boxes dropped the permit requests of other boxes, so that limits that had ended still blocked calls"},
 }
 
@@ -63,6 +64,9 @@
 
 // sizeForSeed makes one seed in eight a large one, and those from firstLargeDomainSeed on.
 func sizeForSeed(seed uint64) soakSize {
+	if seed >= firstUploadSeed {
+		return soakSize{boxes: 4, targets: 8, callers: 6}
+	}
 	if seed >= firstSkewSeed {
 		return soakSize{boxes: soakSkewBoxes, targets: 8, callers: 12}
 	}
@@ -127,6 +131,8 @@
 	refusedGuestCalls atomic.Int64
 	// guestSince is when the guests' keys of each generation were first acknowledged.
 	guestSince map[int]time.Time
+	// uploads are the bodies that were sent, those under way without an end.
+	uploads []soakUpload
 	// outages are the times at which processes were frozen or down.
 	outages []outage
 }
@@ -166,6 +172,12 @@
 	if x.hasSkew() {
 		x.repeat(x.skewConnections)
 	}
+	if x.hasUploads() {
+		x.repeat(x.watchMemory)
+		for range soakUploaders {
+			x.repeat(x.upload)
+		}
+	}
 	for range 1 + seed%soakMaxFaultLanes {
 		x.repeat(x.injectFault)
 	}
@@ -195,6 +207,9 @@
 	if x.hasSkew() {
 		x.checkSkew()
 	}
+	if x.hasUploads() {
+		x.checkUploads()
+	}
 	x.checkLeaving()
 	x.checkEvacuation()
 	x.checkCalls()
@@ -227,6 +242,9 @@
 			if x.hasCuts() {
 				s.Entry.TargetSource = lossSource(s.Box).String()
 			}
+			if x.hasUploads() {
+				x.limitMemory(s)
+			}
 			if x.hasLargeDomain() {
 				s.Domain = string(boxDomain(s.Box))
 			}
