entry: answers keep their lack of a type, and have the box's own version of the protocol

What callers saw: "Content-Type: text/plain; charset=utf-8" on answers whose targets had named none, also on those to HEAD; and "HTTP/1.0" where a target answers in that version, on a connection that the box keeps.

Cause: the header of the target's answer is copied with the HTTP library's defaults for a header that was read, and with its protocol.

Change: both are set on the copy. TestAnswersReachCallersAsTheyWereSent: 34 raw answers of a target (status lines, headers, HEAD, 204, 304, interim answers, chunks, trailers, ambiguous and broken lengths) against what a caller reads; before, 18 of them showed an added type, one the version. What still differs: the case of header names, blanks around values, Date (the library writes the box's own), trailers as headers, interim answers are dropped.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -17,6 +17,9 @@
 // caller notices a tenth of a second.
 const minLoggedWait = 100 * time.Millisecond
 
+// ownProtocol is the version of the answers that a box writes.
+var ownProtocol = []byte("HTTP/1.1")
+
 // writeAnswer forwards a target's answer to the caller, whole or as a stream.
 func (e *Entry) writeAnswer(ctx *fasthttp.RequestCtx, a answer) {
 	from := a.attempt.Response
@@ -24,6 +27,9 @@
 	closing := out.ConnectionClose()
 	from.Header.CopyTo(&out.Header)
 	removeHopByHop(&out.Header)
+	// The version is that of the connection to the caller, and a type that the target didn't name isn't known.
+	out.Header.SetProtocol(ownProtocol)
+	out.Header.SetNoDefaultContentType(true)
 	if closing {
 		out.SetConnectionClose()
 	}
