routing: one check of a call's head, by its arrival and before its body

CheckHead had its own copy of the checks for route and key in admit; both use resolve now, and the refusal without a lease stands once. mayHedge asked whether a streamed body is left, which isn't asked of calls that are never hedged.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if !r.leased() {
-		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, e)
+		r.refuse(id, c, noLeaseRefusal, e)
 		return
 	}
 	r.admit(id, c, v, e)
@@ -32,12 +32,10 @@
 
 // admit routes, checks and dispatches a call at a box that has a table.
 func (r *Router) admit(id CallID, c *call, v *CallArrived, e *Effects) {
-	c.route = r.routes.find(v.Host, v.Path)
-	if c.route == nil {
-		r.refuse(id, c, r.noRouteRefusal(), e)
-		return
-	}
-	if r.refuseWithoutKey(id, c, &v.Credential, e) {
+	var refusal Refusal
+	c.route, c.workspace, refusal = r.resolve(v)
+	if refusal.Reason != 0 {
+		r.refuse(id, c, refusal, e)
 		return
 	}
 	if r.refuseIfQuarantined(id, c, e) {
@@ -59,6 +57,17 @@
 	}
 }
 
+// resolve returns the route of a call and the workspace whose key it presents, or the refusal of a call that lacks
+// either. The workspace is nil where no key is needed.
+func (r *Router) resolve(v *CallArrived) (*route, *table.Workspace, Refusal) {
+	x := r.routes.find(v.Host, v.Path)
+	if x == nil {
+		return nil, nil, r.noRouteRefusal()
+	}
+	w, refusal := r.findWorkspace(x, &v.Credential)
+	return x, w, refusal
+}
+
 // admitAfterCanary continues with a call that needn't wait for a canary grant: it takes a credit of
 // the workspace's quota first.
 func (r *Router) admitAfterCanary(id CallID, c *call, e *Effects) {
@@ -116,6 +125,8 @@
 // noLeaseRetryAfter is the retry delay reported by a box that has lost its lease.
 const noLeaseRetryAfter = time.Second
 
+var noLeaseRefusal = Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}
+
 // stoppingRetryAfter is the retry delay reported by a box that is stopping; the caller is expected
 // to reach another box.
 const stoppingRetryAfter = 10 * time.Millisecond
--- a/pkg/core/routing/headcheck.go
+++ b/pkg/core/routing/headcheck.go
@@ -10,17 +10,11 @@
 		return Refusal{}, false
 	}
 	if !r.leased() {
-		return Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, true
+		return noLeaseRefusal, true
 	}
-	x := r.routes.find(v.Host, v.Path)
-	if x == nil {
-		return r.noRouteRefusal(), true
+	x, _, refusal := r.resolve(v)
+	if refusal.Reason == 0 && r.mayOutlastBox(x, v.Deadline) {
+		refusal = stoppingRefusal
 	}
-	if _, refusal := r.findWorkspace(x, &v.Credential); refusal.Reason != 0 {
-		return refusal, true
-	}
-	if r.mayOutlastBox(x, v.Deadline) {
-		return stoppingRefusal, true
-	}
-	return Refusal{}, false
+	return refusal, refusal.Reason != 0
 }
--- a/pkg/core/routing/hedging.go
+++ b/pkg/core/routing/hedging.go
@@ -45,7 +45,7 @@
 
 // mayHedge reports whether the call waits for exactly one answer and may be sent once more.
 func (c *call) mayHedge() bool {
-	return !c.held && !c.streaming && !c.hasNoBodyLeft() && !c.probeRound.active && c.relay.number == 0 && c.inFlight() == 1 && !c.attemptsExhausted()
+	return !c.held && !c.streaming && !c.probeRound.active && c.relay.number == 0 && c.inFlight() == 1 && !c.attemptsExhausted()
 }
 
 // tryHedge hedges a call now if that is possible.
--- a/pkg/core/routing/inbound.go
+++ b/pkg/core/routing/inbound.go
@@ -199,7 +199,7 @@
 // that it was admitted under is gone.
 func (r *Router) resumeAfterLinkWait(id CallID, c *call, e *Effects) {
 	if !r.leased() {
-		r.refuse(id, c, Refusal{Reason: NoLease, Outcome: NotRun, RetryAfter: noLeaseRetryAfter}, e)
+		r.refuse(id, c, noLeaseRefusal, e)
 		return
 	}
 	if r.services[c.service.row.Name] != c.service {
--- a/pkg/core/routing/keys.go
+++ b/pkg/core/routing/keys.go
@@ -50,18 +50,6 @@
 	return k.owners[d]
 }
 
-// refuseWithoutKey refuses a call that needs a valid key and presents none, and reports whether it
-// did so.
-func (r *Router) refuseWithoutKey(id CallID, c *call, presented *apikey.Credential, e *Effects) bool {
-	w, refusal := r.findWorkspace(c.route, presented)
-	if refusal.Reason != 0 {
-		r.refuse(id, c, refusal, e)
-		return true
-	}
-	c.workspace = w
-	return false
-}
-
 // findWorkspace returns the workspace whose key a call presents, or the refusal of a call that lacks a valid one.
 // There is neither where no key is needed.
 func (r *Router) findWorkspace(x *route, presented *apikey.Credential) (*table.Workspace, Refusal) {
