--- a/pkg/documents/reader.go
+++ b/pkg/documents/reader.go
@@ -5,10 +5,10 @@
 	"bytes"
 	"errors"
 	"io"
-	"sync"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/bodymemory"
 	"github.com/madderpond/madderpond/pkg/core/bodies"
 	"github.com/madderpond/madderpond/pkg/fault"
 )
@@ -21,22 +21,16 @@
 )
 
 // Reader reads bodies of requests. A server that uses it has to stream them (StreamRequestBody).
-type Reader struct {
-	lock sync.Mutex
-	// budget is nil without a memory limit.
-	budget *bodies.Budget
-	nextID bodies.ID
-}
+type Reader struct{ memory *bodymemory.Memory }
 
 // NewReader returns a reader for a process with a memory limit, for which zero is no limit. One body of the longest
 // size is read in any case.
 func NewReader(memoryLimitMB, longest int) *Reader {
-	r := &Reader{}
-	if memoryLimitMB > 0 {
-		limit := int(memoryFraction * float64(memoryLimitMB<<20))
-		r.budget = bodies.NewBudget(bodies.Settings{Limit: max(limit, longest)})
+	if memoryLimitMB == 0 {
+		return &Reader{}
 	}
-	return r
+	limit := int(memoryFraction * float64(memoryLimitMB<<20))
+	return &Reader{memory: bodymemory.NewMemory(bodies.Settings{Limit: max(limit, longest)})}
 }
 
 // Load reads the body of a request, so that the request holds it whole. The caller has to call release once it has
@@ -70,21 +64,11 @@
 
 // reserve reserves the memory of a body, if there is any.
 func (r *Reader) reserve(n int) (release func(), ok bool) {
-	if r.budget == nil || n <= smallBytes {
+	if n <= smallBytes {
 		return func() {}, true
 	}
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	r.nextID++
-	id := r.nextID
-	if r.budget.Reserve(0, bodies.Claim{ID: id, Bytes: n}) != bodies.Granted {
-		return nil, false
-	}
-	return func() {
-		r.lock.Lock()
-		defer r.lock.Unlock()
-		r.budget.Release(id)
-	}, true
+	id, verdict := r.memory.Reserve(0, bodies.Claim{Bytes: n}, 0)
+	return func() { r.memory.Release(id) }, verdict == bodies.Granted
 }
 
 // readUpTo reads a body of an announced length, or up to a limit if that is negative.
--- a/pkg/documents/reader_test.go
+++ b/pkg/documents/reader_test.go
@@ -90,7 +90,7 @@
 	dial, wait := startServer(t, r)
 	first := make(chan string)
 	go func() { first <- answerTo(t, dial(), put("/wait", longestBytes)) }()
-	for r.status() == 0 {
+	for r.memory.Status().Used == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	if got := answerTo(t, dial(), put("/", longestBytes)); got != string(fault.Unavailable) {
@@ -107,10 +107,3 @@
 		t.Errorf("a later long body got %s", got)
 	}
 }
-
-// status returns how much memory is reserved.
-func (r *Reader) status() int {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return r.budget.Status().Used
-}
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/bodymemory"
 	"github.com/madderpond/madderpond/pkg/core/bodies"
 	"github.com/madderpond/madderpond/pkg/core/crash"
 	"github.com/madderpond/madderpond/pkg/core/routing"
@@ -71,7 +72,7 @@
 	watched atomic.Bool
 	// memory is where the body has reserved some as id, which is zero if it has none. waited is the time for which
 	// it waited for that.
-	memory *bodyMemory
+	memory *bodymemory.Memory
 	id     bodies.ID
 	waited time.Duration
 	// streamed is set if the body is read while it is sent, beginning what has been read of it before.
@@ -167,7 +168,7 @@
 		return
 	}
 	b.reported = read
-	b.memory.setIncoming(b.id, b.left())
+	b.memory.SetIncoming(b.id, b.left())
 }
 
 // watchRate ends the reading of a body that is held once it can't come before its call's deadline. The caller has
@@ -365,7 +366,7 @@
 	case length > e.Settings.Entry.MaxBody:
 		e.handleBadRequest(ctx, fasthttp.ErrBodyTooLarge)
 	case e.refuseByHead(ctx):
-	case !e.bodies.meetsDeadline(e.Clock.Now(), e.largeClaim(length, length, e.requestedDeadline(ctx))):
+	case !e.bodies.MeetsDeadline(e.Clock.Now(), e.largeClaim(length, length, e.requestedDeadline(ctx))):
 		e.refuseBody(ctx, length, bodies.TooLate)
 	default:
 		return fasthttp.StatusContinue
@@ -388,7 +389,7 @@
 func (e *Entry) reserveBody(ctx *fasthttp.RequestCtx, b *requestBody, c bodies.Claim) bool {
 	b.releaseMemory()
 	began := e.Clock.Now()
-	id, verdict := e.bodies.reserve(began, c, e.bodyWait(ctx))
+	id, verdict := e.bodies.Reserve(began, c, e.bodyWait(ctx))
 	if verdict != bodies.Granted && verdict != bodies.Streamed {
 		e.refuseBody(ctx, c.Bytes, verdict)
 		return false
@@ -439,7 +440,7 @@
 // releaseMemory returns the memory that the body has reserved.
 func (b *requestBody) releaseMemory() {
 	if b.id != 0 {
-		b.memory.release(b.id)
+		b.memory.Release(b.id)
 		b.id = 0
 	}
 }
@@ -499,10 +500,10 @@
 func (e *Entry) refuseBody(ctx *fasthttp.RequestCtx, n int, v bodies.Verdict) {
 	refusal := routing.Refusal{Reason: routing.BodyMemory, Outcome: routing.NotRun, RetryAfter: memoryRetryAfter}
 	if v == bodies.TooLate {
-		refusal.Reason, refusal.RetryAfter = routing.BodyTooLate, max(minLinkRetryAfter, e.bodies.backlog())
+		refusal.Reason, refusal.RetryAfter = routing.BodyTooLate, max(minLinkRetryAfter, e.bodies.Backlog())
 	}
 	e.Log.WithFields(logrus.Fields{
-		"kind": "body-refused", "call": string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader)), "reason": refusal.Reason, "bytes": n, "memory": e.bodies.status(),
+		"kind": "body-refused", "call": string(ctx.Request.Header.Peek(e.Settings.Entry.CallIDHeader)), "reason": refusal.Reason, "bytes": n, "memory": e.bodies.Status(),
 	}).Warning("a call is refused before its body is read")
 	ctx.SetConnectionClose()
 	e.refuseUnread(ctx, refusal)
--- a/pkg/entry/body_test.go
+++ b/pkg/entry/body_test.go
@@ -85,13 +85,13 @@
 			if want := fmt.Sprintf("%x", digestOf(body)); err != nil || status != http.StatusOK || text != want {
 				t.Errorf("upload %d: status %d, digest %s instead of %s, %v", i, status, text, want, err)
 			}
-			if s := e.bodies.status(); s.Used > s.Limit {
+			if s := e.bodies.Status(); s.Used > s.Limit {
 				t.Errorf("bodies take %d bytes, %d is the limit", s.Used, s.Limit)
 			}
 		})
 	}
 	wait.Wait()
-	await(t, "the release of all memory", func() bool { s := e.bodies.status(); return s.Used == 0 && s.Waiting == 0 })
+	await(t, "the release of all memory", func() bool { s := e.bodies.Status(); return s.Used == 0 && s.Waiting == 0 })
 }
 
 // A body in chunks, whose length shows at its end, takes the memory reserved and a quarter more at most.
@@ -152,7 +152,7 @@
 		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: vault\r\nContent-Length: %d\r\n\r\n%s", uploadBytes, beginning)
 		stalled = append(stalled, c)
 	}
-	await(t, "the reservation of all memory", func() bool { return e.bodies.status().Used == 2*uploadBytes })
+	await(t, "the reservation of all memory", func() bool { return e.bodies.Status().Used == 2*uploadBytes })
 	c, err := net.Dial("tcp", e.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -174,7 +174,7 @@
 	for _, c := range stalled {
 		c.Close()
 	}
-	await(t, "the release of all memory", func() bool { return e.bodies.status().Used == 0 })
+	await(t, "the release of all memory", func() bool { return e.bodies.Status().Used == 0 })
 	if status, _, err := upload(e, make([]byte, uploadBytes+1), false, nil); err == nil && status != http.StatusRequestEntityTooLarge {
 		t.Errorf("a body over the limit got %d", status)
 	}
--- a/pkg/entry/bodymemory.go
+++ b/pkg/entry/bodymemory.go
@@ -1,13 +1,10 @@
 package entry
 
 import (
-	"sync"
-	"time"
-
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/bodymemory"
 	"github.com/madderpond/madderpond/pkg/core/bodies"
-	"github.com/madderpond/madderpond/pkg/units"
 )
 
 const (
@@ -38,70 +35,17 @@
 	maxWaitingBodies = 64
 )
 
-// bodyMemory is the memory for request bodies, shared by all calls.
-type bodyMemory struct {
-	lock   sync.Mutex
-	budget *bodies.Budget
-	nextID bodies.ID
-	// waiting has the channel of each body that waits, which gets its verdict.
-	waiting map[bodies.ID]chan bodies.Verdict
-}
-
 // newBodyMemory returns the memory for bodies of a process with a memory limit, for which zero is no limit, and
 // with a link, in bytes per second.
-func newBodyMemory(limitMB, maxBody int, linkRate float64) *bodyMemory {
+func newBodyMemory(limitMB, maxBody int, linkRate float64) *bodymemory.Memory {
 	if limitMB == 0 {
 		return nil
 	}
 	limit := float64(limitMB) * (1 << 20)
 	bound := max(bodyFraction*limit, min(float64(maxBody), maxBodyFraction*limit))
-	return &bodyMemory{waiting: map[bodies.ID]chan bodies.Verdict{}, budget: bodies.NewBudget(bodies.Settings{
+	return bodymemory.NewMemory(bodies.Settings{
 		Limit: int(bound), HeldLimit: int(heldFraction * bound), Window: streamWindowBytes, MaxQueue: maxWaitingBodies, LinkRate: linkRate,
-	})}
-}
-
-// reserve asks for a body's memory, and waits for it for a time. The verdict is bodies.Queued if there was none.
-func (m *bodyMemory) reserve(now units.Instant, c bodies.Claim, wait time.Duration) (bodies.ID, bodies.Verdict) {
-	if m == nil {
-		return 0, bodies.Granted
-	}
-	m.lock.Lock()
-	m.nextID++
-	c.ID = m.nextID
-	verdict := m.budget.Reserve(now, c)
-	granted := make(chan bodies.Verdict, 1)
-	if verdict == bodies.Queued {
-		m.waiting[c.ID] = granted
-	}
-	m.lock.Unlock()
-	if verdict != bodies.Queued {
-		return c.ID, verdict
-	}
-	select {
-	case v := <-granted:
-		return c.ID, v
-	case <-time.After(wait):
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	next, stillWaits := m.budget.Abandon(c.ID)
-	m.wake(next)
-	if !stillWaits {
-		// It was granted at the last moment.
-		return c.ID, <-granted
-	}
-	delete(m.waiting, c.ID)
-	return c.ID, bodies.Queued
-}
-
-// meetsDeadline reports whether the link can carry a body before its call's deadline.
-func (m *bodyMemory) meetsDeadline(now units.Instant, c bodies.Claim) bool {
-	if m == nil {
-		return true
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	return m.budget.MeetsDeadlines(now, c)
+	})
 }
 
 // reserveHead reserves memory for what a long head takes while its call is served, or refuses the call. The id is
@@ -111,7 +55,7 @@
 	if n <= uncountedHeadBytes {
 		return 0, true
 	}
-	id, verdict := e.bodies.reserve(e.Clock.Now(), bodies.Claim{Bytes: headCopies * n}, 0)
+	id, verdict := e.bodies.Reserve(e.Clock.Now(), bodies.Claim{Bytes: headCopies * n}, 0)
 	if verdict != bodies.Granted {
 		e.refuseBody(ctx, headCopies*n, verdict)
 		return 0, false
@@ -127,51 +71,3 @@
 	}
 	return max(1, n)
 }
-
-// setIncoming updates how many bytes of a body are still to come.
-func (m *bodyMemory) setIncoming(id bodies.ID, n int) {
-	if m == nil {
-		return
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	m.budget.SetIncoming(id, n)
-}
-
-// release returns a body's memory, if it has reserved any.
-func (m *bodyMemory) release(id bodies.ID) {
-	if m == nil || id == 0 {
-		return
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	m.wake(m.budget.Release(id))
-}
-
-func (m *bodyMemory) wake(granted []bodies.Grant) {
-	for _, g := range granted {
-		if c := m.waiting[g.ID]; c != nil {
-			c <- g.Verdict
-			delete(m.waiting, g.ID)
-		}
-	}
-}
-
-// backlog returns after which time the link has carried the bodies under way.
-func (m *bodyMemory) backlog() time.Duration {
-	if m == nil {
-		return 0
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	return m.budget.Backlog()
-}
-
-func (m *bodyMemory) status() bodies.Status {
-	if m == nil {
-		return bodies.Status{}
-	}
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	return m.budget.Status()
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/madderpond/madderpond/pkg/bodymemory"
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/bodies"
@@ -53,7 +54,7 @@
 	// admission keeps the calls that are read to what the box can carry.
 	admission *admission
 	// bodies is the memory for large request bodies; nil without a limit.
-	bodies   *bodyMemory
+	bodies   *bodymemory.Memory
 	lingerer *lingerer
 	workers  pond.Pool
 	control  *controlClient
@@ -375,7 +376,7 @@
 		Address:     e.Address(),
 		Connections: int(e.server.GetOpenConnectionsCount()),
 		Admission:   e.admission.status(),
-		Bodies:      e.bodies.status(),
+		Bodies:      e.bodies.Status(),
 		Targets:     e.pools.Status(),
 	}
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -104,7 +104,7 @@
 		return
 	}
 	head, ok := e.reserveHead(ctx)
-	defer e.bodies.release(head)
+	defer e.bodies.Release(head)
 	if !ok {
 		return
 	}
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -107,13 +107,13 @@
 			if want := fmt.Sprintf("%x", digestOf(body)); err != nil || status != http.StatusOK || text != want {
 				t.Errorf("upload %d: status %d, digest %s instead of %s, %v after %s", i, status, text, want, err, time.Since(began))
 			}
-			if s := e.bodies.status(); s.Used > s.Limit {
+			if s := e.bodies.Status(); s.Used > s.Limit {
 				t.Errorf("bodies take %d bytes, %d is the limit", s.Used, s.Limit)
 			}
 		})
 	}
 	wait.Wait()
-	await(t, "the release of all memory but that of the slow body", func() bool { return e.bodies.status().Used <= streamWindowBytes })
+	await(t, "the release of all memory but that of the slow body", func() bool { return e.bodies.Status().Used <= streamWindowBytes })
 }
 
 // What a target answers before it has read a body is passed on, and neither connection is used again. Where the
@@ -197,7 +197,7 @@
 				ended <- err
 			}))
 			c := stall(t, e, streamedBytes, header)
-			await(t, "the streaming of the body", func() bool { return e.bodies.status().Streamed == 1 })
+			await(t, "the streaming of the body", func() bool { return e.bodies.Status().Streamed == 1 })
 			if header == "" {
 				c.Close()
 			}
@@ -209,7 +209,7 @@
 			case <-time.After(awaitTimeout):
 				t.Fatal("the target didn't hear of the end")
 			}
-			await(t, "the release of all memory", func() bool { return e.bodies.status().Used == 0 })
+			await(t, "the release of all memory", func() bool { return e.bodies.Status().Used == 0 })
 			if s := e.Status().Routing; s.Calls != 0 {
 				t.Errorf("%d calls are left", s.Calls)
 			}
