entry, capacity: less state for slow bodies and callers' connections

A body that comes too slowly was marked twice: by a flag with an error of its own, and by the read deadline, which alone decides what its caller is told. The flag and the error go. A caller's connection has its listener in place of a lingerer and a function; the link's rate is worked out once; Admit and Resume debit an account by the same code. No change in behaviour; tests unchanged.

--- a/pkg/core/capacity/gate.go
+++ b/pkg/core/capacity/gate.go
@@ -187,8 +187,7 @@
 		if x.capacity == 0 {
 			continue
 		}
-		x.saved = max(-maxDebtTime, x.saved-x.timePerCall())
-		longest = max(longest, x.timePerCall())
+		longest = max(longest, x.debit())
 		if x.saved <= 0 && (scarcest == nil || x.saved < scarcest.saved) {
 			scarcest = x
 			g.scarcest = Resource(i)
@@ -219,8 +218,7 @@
 	if x.capacity == 0 {
 		return
 	}
-	x.saved = max(-maxDebtTime, x.saved-x.timePerCall())
-	g.spent += x.timePerCall()
+	g.spent += x.debit()
 	if x.saved <= 0 {
 		g.scarcest = Processor
 		g.closeIfOpen(now)
@@ -420,6 +418,13 @@
 	return min(maxClosedUtilization, max(minClosedUtilization, usualDemand*maxClosedUtilization*g.meanOpen/g.meanSpent))
 }
 
+// debit takes the mean call's use from what is saved, and returns it.
+func (x *account) debit() time.Duration {
+	used := x.timePerCall()
+	x.saved = max(-maxDebtTime, x.saved-used)
+	return used
+}
+
 // timePerCall returns how long the mean call takes all of the resource.
 func (x *account) timePerCall() time.Duration {
 	return time.Duration(x.perCall / x.capacity * float64(time.Second))
--- a/pkg/entry/body.go
+++ b/pkg/entry/body.go
@@ -46,10 +46,7 @@
 	readStepBytes = 16 << 10
 )
 
-var (
-	errBodyTooSlow = errors.New("the body can't come before the call's deadline")
-	errBodyClosed  = errors.New("the body is no longer read")
-)
+var errBodyClosed = errors.New("the body is no longer read")
 
 // requestBody is the body of a caller's request while it is read, into memory or to a target.
 type requestBody struct {
@@ -64,9 +61,7 @@
 	read     atomic.Int64
 	ended    atomic.Bool
 	reported int
-	// tooSlow is set once a caller can't send the body before its deadline. lowWater is what was set as the least
-	// that a read of the connection waits for; zero if nothing was.
-	tooSlow  atomic.Bool
+	// lowWater is what was set as the least that a read of the connection waits for; zero if nothing was.
 	lowWater int
 	// watched is set while the caller's rate is looked at.
 	watched atomic.Bool
@@ -133,9 +128,6 @@
 	if err == io.EOF && b.left() > 0 {
 		err = io.ErrUnexpectedEOF
 	}
-	if b.tooSlow.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		err = errBodyTooSlow
-	}
 	if err == io.EOF {
 		b.ended.Store(true)
 	}
@@ -174,7 +166,7 @@
 // watchRate ends the reading of a body that is held once it can't come before its call's deadline. The caller has
 // to call the function returned when it no longer reads.
 func (b *requestBody) watchRate() (stop func()) {
-	if b.length < 0 || b.deadline.IsZero() {
+	if b.length <= uncountedBodyBytes || b.deadline.IsZero() {
 		return func() {}
 	}
 	b.watched.Store(true)
@@ -190,7 +182,6 @@
 	switch {
 	case !b.watched.Load():
 	case b.isTooSlow(time.Now()):
-		b.tooSlow.Store(true)
 		b.endRead()
 	default:
 		time.AfterFunc(rateCheckInterval, b.checkRate)
@@ -264,7 +255,7 @@
 	case e.refuseByHead(ctx):
 		return false
 	case b.length >= 0:
-		return e.admitLargeBody(ctx, b, b.length, func() ([]byte, error) { return readExactly(b, b.length) })
+		return e.admitLargeBody(ctx, b, b.length, b.readWhole)
 	}
 	return e.readChunks(ctx, b)
 }
@@ -274,15 +265,11 @@
 	if isCountedLength(b.length) && !e.reserveBody(ctx, b, bodies.Claim{Bytes: b.length + callBytes}) {
 		return false
 	}
-	return e.hold(ctx, b, func() ([]byte, error) { return readExactly(b, b.length) })
+	return e.hold(ctx, b, b.readWhole)
 }
 
 // hold reads a whole body into memory.
 func (e *Entry) hold(ctx *fasthttp.RequestCtx, b *requestBody, read func() ([]byte, error)) bool {
-	if !isCountedLength(b.length) {
-		body, err := read()
-		return e.setBody(ctx, body, err)
-	}
 	stop := b.watchRate()
 	defer stop()
 	body, err := read()
@@ -415,7 +402,7 @@
 // setBody gives a request its body, or answers it if the body couldn't be read.
 func (e *Entry) setBody(ctx *fasthttp.RequestCtx, body []byte, err error) bool {
 	switch {
-	case errors.Is(err, errBodyTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		ctx.SetConnectionClose()
 		e.refuseUnread(ctx, routing.Refusal{Reason: routing.BodyTooSlow, Outcome: routing.NotRun})
 		return false
@@ -449,9 +436,10 @@
 // other. While it grows from one to the next both are held: doubling would take three times the memory reserved.
 var restDivisors = [...]int{64, 8, 1}
 
-func readExactly(r io.Reader, n int) ([]byte, error) {
-	body := make([]byte, n)
-	_, err := io.ReadFull(r, body)
+// readWhole reads a body of an announced length.
+func (b *requestBody) readWhole() ([]byte, error) {
+	body := make([]byte, b.length)
+	_, err := io.ReadFull(b, body)
 	return body, err
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -87,20 +87,21 @@
 	if err != nil {
 		return nil, err
 	}
+	linkRate := pacing.RateFromMegabits(s.LinkMbps)
 	e := &Entry{
 		Common:       c,
 		core:         core,
 		wakeAt:       noWakeSet,
 		waitingCalls: map[*call]bool{},
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
-		pacer:        pacing.NewPacer(pacing.RateFromMegabits(s.LinkMbps), c.Clock),
-		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody, float64(pacing.RateFromMegabits(s.LinkMbps))),
-		lingerer:     newLingerer(c.Clock, c.Log, float64(pacing.RateFromMegabits(s.LinkMbps))),
+		pacer:        pacing.NewPacer(linkRate, c.Clock),
+		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody, float64(linkRate)),
+		lingerer:     newLingerer(c.Clock, c.Log, float64(linkRate)),
 		metrics:      newMetrics(),
 		done:         make(chan struct{}),
 	}
 	e.admission = newAdmission(capacity.Settings{
-		LinkRate: float64(pacing.RateFromMegabits(s.LinkMbps)), Cores: s.Cores,
+		LinkRate: float64(linkRate), Cores: s.Cores,
 	}, c.Clock, c.Log, e.setShort, func() bool { return e.control.ping() })
 	e.pools = target.NewPools(e.targetSettings(), c.Clock)
 	e.control = newControlClient(e)
--- a/pkg/entry/linger.go
+++ b/pkg/entry/linger.go
@@ -128,7 +128,7 @@
 	}
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*callerConn); ok {
-		e.lingerer.active.Add(1)
+		c.listener.lingerer.active.Add(1)
 		c.lingerUntil = time.Now().Add(e.lingerTime(ctx))
 	}
 }
--- a/pkg/entry/listener.go
+++ b/pkg/entry/listener.go
@@ -50,18 +50,17 @@
 	// lingerUntil is until when what the caller still sends is dropped before the connection is closed; zero for
 	// a connection without an unread request.
 	lingerUntil time.Time
-	lingerer    *lingerer
-	// onClose is called once when the connection is closed.
-	onClose sync.Once
-	closed  func()
+	// listener has accepted the connection, and counts it until it is closed for the first time.
+	listener *gatedListener
+	closing  sync.Once
 }
 
 // Close closes the connection. If a request on it wasn't read to its end, the caller gets its answer first.
 func (c *callerConn) Close() error {
 	if w, ok := c.Conn.Conn.(halfCloser); ok && !c.lingerUntil.IsZero() {
-		c.lingerer.linger(c, w, c.lingerUntil)
+		c.listener.lingerer.linger(c, w, c.lingerUntil)
 	}
-	c.onClose.Do(c.closed)
+	c.closing.Do(func() { c.listener.openConns.Add(-1) })
 	return c.Conn.Close()
 }
 
@@ -101,7 +100,7 @@
 		}
 		l.admission.admit()
 		l.openConns.Add(1)
-		return &callerConn{Conn: traffic.Count(c, &l.admission.callers), lingerer: l.lingerer, closed: func() { l.openConns.Add(-1) }}, nil
+		return &callerConn{Conn: traffic.Count(c, &l.admission.callers), listener: l}, nil
 	}
 }
 
