--- a/pkg/target/upload.go
+++ b/pkg/target/upload.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
+	"net/http/httputil"
 	"sync/atomic"
 	"time"
 
@@ -77,17 +77,36 @@
 
 // run sends the whole body.
 func (u *upload) run() error {
+	w := u.conn.writer
+	if u.body.Length() >= 0 {
+		return u.copyTo(w)
+	}
+	chunks := httputil.NewChunkedWriter(w)
+	if err := u.copyTo(chunks); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// copyTo writes the body to the connection's buffer, by way of a writer that may frame it, and sends each piece at
+// once.
+func (u *upload) copyTo(w io.Writer) error {
 	piece := make([]byte, uploadPieceBytes)
-	chunked := u.body.Length() < 0
 	for {
 		n, err := u.body.Read(piece)
 		if n > 0 {
-			if werr := u.write(piece[:n], chunked); werr != nil {
-				return werr
+			if err := u.send(w, piece[:n]); err != nil {
+				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			return nil
 		}
 		if err != nil {
 			u.callerFailed.Store(true)
@@ -97,32 +116,13 @@
 			return err
 		}
 	}
-	if !chunked {
-		return nil
-	}
-	if _, err := u.conn.writer.WriteString("0\r\n\r\n"); err != nil {
-		return err
-	}
-	return u.conn.writer.Flush()
 }
 
-// write sends a piece of the body.
-func (u *upload) write(piece []byte, chunked bool) error {
-	w := u.conn.writer
-	if !chunked {
-		_, err := u.conn.raw.Write(piece)
-		return err
-	}
-	if _, err := fmt.Fprintf(w, "%x\r\n", len(piece)); err != nil {
-		return err
-	}
+func (u *upload) send(w io.Writer, piece []byte) error {
 	if _, err := w.Write(piece); err != nil {
 		return err
 	}
-	if _, err := w.WriteString("\r\n"); err != nil {
-		return err
-	}
-	return w.Flush()
+	return u.conn.writer.Flush()
 }
 
 // stop ends the upload, and reports whether it had sent the whole body.
