tests: shared pieces for scripts, raw messages and memory

The arguments of script files were read by copies in three packages, raw text was unescaped by four; pkg/scriptargs does both. Stand-in targets of the entry share a server, raw requests and answers their comparison, the memory tests their watch, which looks every 5 ms at documents, too (10 ms before). Data files and assertions are unchanged; a comment said that only boxes of the upload soak have little memory, replicas have as well.

--- a/pkg/core/bodies/budget_test.go
+++ b/pkg/core/bodies/budget_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -44,16 +45,6 @@
 	return n
 }
 
-func (s *budgetScript) duration(d *datadriven.TestData, key string) time.Duration {
-	var text string
-	d.ScanArgs(s.t, key, &text)
-	x, err := time.ParseDuration(text)
-	if err != nil {
-		d.Fatalf(s.t, "%v", err)
-	}
-	return x
-}
-
 func (s *budgetScript) command(t *testing.T, d *datadriven.TestData) string {
 	outcome := ""
 	id := ID(s.number(d, "id"))
@@ -66,7 +57,7 @@
 	case "reserve":
 		c := Claim{ID: id, Bytes: s.number(d, "bytes"), Streamable: d.HasArg("streamable"), Incoming: s.number(d, "incoming")}
 		if d.HasArg("deadline") {
-			c.Deadline = s.now.Add(s.duration(d, "deadline"))
+			c.Deadline = s.now.Add(scriptargs.Duration(t, d, "deadline"))
 		}
 		outcome = verdictNames[s.budget.Reserve(s.now, c)]
 	case "incoming":
@@ -77,7 +68,7 @@
 		granted, found := s.budget.Abandon(id)
 		outcome = fmt.Sprintf("found %t, %s", found, grantText(granted))
 	case "pass":
-		s.now = s.now.Add(s.duration(d, "for"))
+		s.now = s.now.Add(scriptargs.Duration(t, d, "for"))
 	default:
 		d.Fatalf(t, "there is no command %s", d.Cmd)
 	}
--- a/pkg/core/capacity/gate_test.go
+++ b/pkg/core/capacity/gate_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -85,16 +86,7 @@
 }
 
 func (s *gateScript) duration(d *datadriven.TestData, key string) time.Duration {
-	if !d.HasArg(key) {
-		return 0
-	}
-	var text string
-	d.ScanArgs(s.t, key, &text)
-	x, err := time.ParseDuration(text)
-	if err != nil {
-		d.Fatalf(s.t, "%v", err)
-	}
-	return x
+	return scriptargs.Duration(s.t, d, key)
 }
 
 // pass advances the time and ends calls.
--- a/pkg/core/routing/reach_fleet_script_test.go
+++ b/pkg/core/routing/reach_fleet_script_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -88,7 +89,7 @@
 }
 
 func (s *reachScript) duration(d *datadriven.TestData, key string) time.Duration {
-	return scanDuration(s.t, d, key)
+	return scriptargs.Duration(s.t, d, key)
 }
 
 // newFleet starts a fleet: fleet domains=N boxes=N services=N targets=N interval=D [regions] [limit=N]
--- a/pkg/core/routing/script_test.go
+++ b/pkg/core/routing/script_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/madderpond/madderpond/pkg/core/apikey"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/sheet"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -385,22 +386,7 @@
 }
 
 func (s *script) duration(d *datadriven.TestData, key string) time.Duration {
-	return scanDuration(s.t, d, key)
-}
-
-// scanDuration returns the value of an argument; zero without it.
-func scanDuration(t *testing.T, d *datadriven.TestData, key string) time.Duration {
-	t.Helper()
-	if !d.HasArg(key) {
-		return 0
-	}
-	var text string
-	d.ScanArgs(t, key, &text)
-	v, err := time.ParseDuration(text)
-	if err != nil {
-		d.Fatalf(t, "%v", err)
-	}
-	return v
+	return scriptargs.Duration(s.t, d, key)
 }
 
 func (s *script) word(d *datadriven.TestData, key string) string {
--- a/pkg/core/routing/skew_fleet_script_test.go
+++ b/pkg/core/routing/skew_fleet_script_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -87,7 +88,7 @@
 }
 
 func (s *skewScript) duration(d *datadriven.TestData, key string) time.Duration {
-	return scanDuration(s.t, d, key)
+	return scriptargs.Duration(s.t, d, key)
 }
 
 // number returns the value of an argument, or a default.
--- a/pkg/entry/raw_answer_test.go
+++ b/pkg/entry/raw_answer_test.go
@@ -12,15 +12,17 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 )
 
-// TestAnswersReachCallersAsTheyWereSent has a target send the raw answers in testdata: "answer [method=M] [closes]
-// [reset]". It prints the first line that the caller got, the headers that were added, changed or taken out, and
+// TestAnswersReachCallersAsTheyWereSent has a target send the raw answers in testdata: "answer [method=M] [closes]".
+// It prints the first line that the caller got, the headers that were added, changed or taken out, and
 // the body if that is another one. "\n" is a line's end in the answer; lines of the file are joined.
 func TestAnswersReachCallersAsTheyWereSent(t *testing.T) {
 	datadriven.Walk(t, "testdata/raw-answers", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			sent := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
+			sent := scriptargs.Unescape(d.Input)
 			method := "GET"
 			d.MaybeScanArgs(t, "method", &method)
 			address := startRawAnswerTarget(t, sent, d.HasArg("closes"))
@@ -32,35 +34,20 @@
 
 // startRawAnswerTarget answers each request with the same bytes, and closes the connection then if that is wanted.
 func startRawAnswerTarget(t *testing.T, answer string, closes bool) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	return serveConns(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				reader := bufio.NewReader(c)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, request.Body)
-					io.WriteString(c, answer)
-					if closes {
-						return
-					}
-				}
-			}()
+			io.Copy(io.Discard, request.Body)
+			io.WriteString(c, answer)
+			if closes {
+				return
+			}
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // receiveRaw makes a call and returns the bytes of the answer, up to the end of the connection.
@@ -82,32 +69,25 @@
 // ownAnswerHeaders are those that a box adds to each answer.
 var ownAnswerHeaders = []string{"X-Madderpond-Target: cards", "Connection: close", "Server: madderpond"}
 
-func describeRawAnswer(sent, got string) string {
-	sentHead, sentBody, _ := strings.Cut(sent, "\r\n\r\n")
-	gotHead, gotBody, _ := strings.Cut(got, "\r\n\r\n")
-	sentLines, gotLines := strings.Split(sentHead, "\r\n"), strings.Split(gotHead, "\r\n")
+func describeRawAnswer(sentText, gotText string) string {
+	sent, got := parseRaw(sentText), parseRaw(gotText)
 	var out strings.Builder
-	fmt.Fprintf(&out, "%s\n", gotLines[0])
-	for _, line := range sentLines[1:] {
-		if !slices.Contains(gotLines, line) {
-			fmt.Fprintf(&out, "- %s\n", line)
-		}
-	}
-	for _, line := range gotLines[1:] {
-		if slices.Contains(sentLines, line) || slices.Contains(ownAnswerHeaders, line) {
-			continue
-		}
-		if strings.HasPrefix(line, "Date: ") {
-			line = "Date: the box's"
-		}
-		fmt.Fprintf(&out, "+ %s\n", line)
-	}
-	if strings.HasSuffix(gotLines[0], " 502 Bad Gateway") {
+	fmt.Fprintf(&out, "%s\n", got.first)
+	if strings.HasSuffix(got.first, " 502 Bad Gateway") {
 		// The box's own answer is tested elsewhere.
-		return gotLines[0] + "\n"
+		return out.String()
 	}
-	if sentBody != gotBody {
-		fmt.Fprintf(&out, "body %q\n", gotBody)
+	writeHeaderChanges(&out, sent, got, func(line string) string {
+		switch {
+		case slices.Contains(ownAnswerHeaders, line):
+			return ""
+		case strings.HasPrefix(line, "Date: "):
+			return "Date: the box's"
+		}
+		return line
+	})
+	if sent.body != got.body {
+		fmt.Fprintf(&out, "body %q\n", got.body)
 	}
 	return out.String()
 }
--- a/pkg/entry/raw_test.go
+++ b/pkg/entry/raw_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -27,7 +28,7 @@
 		got := make(chan string, 1)
 		e := startRawBox(t, startRawTarget(t, "cards", got), startRawTarget(t, "redeem", got))
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			sent := strings.ReplaceAll(strings.ReplaceAll(d.Input, "\n", ""), `\n`, "\r\n")
+			sent := scriptargs.Unescape(d.Input)
 			status := sendRaw(t, e.Address(), sent)
 			select {
 			case request := <-got:
@@ -39,8 +40,8 @@
 	})
 }
 
-// startRawTarget records each request as it was read, behind the name of the service.
-func startRawTarget(t *testing.T, name string, got chan string) string {
+// serveConns serves each connection to an address of its own, and closes it then.
+func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -54,20 +55,27 @@
 			}
 			go func() {
 				defer c.Close()
-				var raw bytes.Buffer
-				request, err := http.ReadRequest(bufio.NewReaderSize(io.TeeReader(c, &raw), 1))
-				if err != nil {
-					return
-				}
-				io.Copy(io.Discard, request.Body)
-				got <- name + "\n" + raw.String()
-				io.WriteString(c, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+				serve(c)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// startRawTarget records each request as it was read, behind the name of the service.
+func startRawTarget(t *testing.T, name string, got chan string) string {
+	return serveConns(t, func(c net.Conn) {
+		var raw bytes.Buffer
+		request, err := http.ReadRequest(bufio.NewReaderSize(io.TeeReader(c, &raw), 1))
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		got <- name + "\n" + raw.String()
+		io.WriteString(c, "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+	})
+}
+
 func startRawBox(t *testing.T, cards, redeem string) *Entry {
 	v := table.NewTable()
 	v.Revision, v.Routes = 1, map[table.RouteKey]*table.Route{}
@@ -103,28 +111,53 @@
 	return answer.StatusCode
 }
 
-// describeRaw compares what a target got with what was sent.
-func describeRaw(sent, got string) string {
-	service, request, _ := strings.Cut(got, "\n")
-	sentHead, sentBody, _ := strings.Cut(sent, "\r\n\r\n")
-	gotHead, gotBody, _ := strings.Cut(request, "\r\n\r\n")
-	sentLines, gotLines := strings.Split(sentHead, "\r\n"), strings.Split(gotHead, "\r\n")
-	var out strings.Builder
-	fmt.Fprintf(&out, "%s: %s\n", service, gotLines[0])
-	for _, line := range sentLines[1:] {
-		if !slices.Contains(gotLines, line) {
-			fmt.Fprintf(&out, "- %s\n", line)
+// rawMessage is a request or an answer: its first line, its headers and its body.
+type rawMessage struct {
+	first   string
+	headers []string
+	body    string
+}
+
+func parseRaw(text string) rawMessage {
+	head, body, _ := strings.Cut(text, "\r\n\r\n")
+	lines := strings.Split(head, "\r\n")
+	return rawMessage{first: lines[0], headers: lines[1:], body: body}
+}
+
+// writeHeaderChanges lists the headers that were taken out or changed on the way, and those that were added as an
+// edit function returns them, which leaves out a header by an empty text.
+func writeHeaderChanges(out *strings.Builder, sent, got rawMessage, edit func(line string) string) {
+	for _, line := range sent.headers {
+		if !slices.Contains(got.headers, line) {
+			fmt.Fprintf(out, "- %s\n", line)
 		}
 	}
-	for _, line := range gotLines[1:] {
-		if !slices.Contains(sentLines, line) && !strings.HasPrefix(line, "X-Deadline-Ms: ") {
-			fmt.Fprintf(&out, "+ %s\n", line)
+	for _, line := range got.headers {
+		if slices.Contains(sent.headers, line) {
+			continue
+		}
+		if line = edit(line); line != "" {
+			fmt.Fprintf(out, "+ %s\n", line)
 		}
 	}
-	if sentBody == gotBody {
+}
+
+// describeRaw compares what a target got with what was sent.
+func describeRaw(sentText, gotText string) string {
+	service, request, _ := strings.Cut(gotText, "\n")
+	sent, got := parseRaw(sentText), parseRaw(request)
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s: %s\n", service, got.first)
+	writeHeaderChanges(&out, sent, got, func(line string) string {
+		if strings.HasPrefix(line, "X-Deadline-Ms: ") {
+			return ""
+		}
+		return line
+	})
+	if sent.body == got.body {
 		out.WriteString("the body as it was sent\n")
 	} else {
-		fmt.Fprintf(&out, "body %q\n", gotBody)
+		fmt.Fprintf(&out, "body %q\n", got.body)
 	}
 	return out.String()
 }
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -29,40 +29,24 @@
 
 // startStreamTarget starts a target. answer gets each request before its body is read, and the connection.
 func startStreamTarget(t *testing.T, answer func(r *http.Request, c net.Conn)) *streamTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	x := &streamTarget{address: l.Addr().String()}
-	go func() {
+	x := &streamTarget{}
+	x.address = serveConns(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go x.serve(c, answer)
+			x.calls.Add(1)
+			answer(r, c)
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
 		}
-	}()
+	})
 	return x
 }
 
-func (x *streamTarget) serve(c net.Conn, answer func(r *http.Request, c net.Conn)) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		x.calls.Add(1)
-		answer(r, c)
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-	}
-}
-
 // answerDigest answers with the digest of a body.
 func answerDigest(r *http.Request, c net.Conn) {
 	body, err := io.ReadAll(r.Body)
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -68,7 +69,7 @@
 				io.WriteString(conn, strings.Repeat("x", n))
 				continue
 			}
-			io.WriteString(conn, strings.ReplaceAll(strings.ReplaceAll(line, "\n", ""), `\n`, "\r\n"))
+			io.WriteString(conn, scriptargs.Unescape(line))
 		}
 	}
 	// Later requests get no response, but the connection stays open.
--- a/pkg/target/endless_test.go
+++ b/pkg/target/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/traffic"
 )
 
@@ -33,16 +34,12 @@
 	datadriven.Walk(t, "testdata/endless", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			start, again, _ := strings.Cut(d.Input+"\n", "AGAIN\n")
-			address := startEndlessTarget(t, unescape(start), unescape(again))
+			address := startEndlessTarget(t, scriptargs.Unescape(start), scriptargs.Unescape(again))
 			return readEndless(t, address) + "\n"
 		})
 	})
 }
 
-func unescape(text string) string {
-	return strings.ReplaceAll(strings.ReplaceAll(text, "\n", ""), `\n`, "\r\n")
-}
-
 // startEndlessTarget answers each request with the start, and then with the other bytes until the
 // connection ends.
 func startEndlessTarget(t *testing.T, start, again string) string {
--- a/test/bodies_test.go
+++ b/test/bodies_test.go
@@ -87,6 +87,36 @@
 	return 0
 }
 
+// every calls a function at an interval until stop is called, which waits for the last call.
+func every(interval time.Duration, do func()) (stop func()) {
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(interval):
+				do()
+			}
+		}
+	})
+	return func() {
+		close(done)
+		running.Wait()
+	}
+}
+
+// watchMemory follows how much memory of its own a process has, until peakMB is called, which returns the most.
+func watchMemory(pid int) (peakMB func() int) {
+	peak := 0
+	stop := every(5*time.Millisecond, func() { peak = max(peak, anonymousMB(pid)) })
+	return func() int {
+		stop()
+		return peak
+	}
+}
+
 // uploadCase is a load of uploads on a box with little memory.
 type uploadCase struct {
 	name string
@@ -127,32 +157,11 @@
 			x.applySheets(nil)
 			box := x.cluster.Boxes[0]
 			small := lab.NewCaller(box.Entry)
-			done := make(chan struct{})
-			peak := 0
-			var watch sync.WaitGroup
-			watch.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					case <-time.After(5 * time.Millisecond):
-						peak = max(peak, anonymousMB(box.Process.PID()))
-					}
-				}
-			})
-			watch.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					case <-time.After(20 * time.Millisecond):
-						small.Do(lab.CallSpec{Host: "once.test", AtMostOnce: true})
-					}
-				}
-			})
+			peakMB := watchMemory(box.Process.PID())
+			stopCalls := every(20*time.Millisecond, func() { small.Do(lab.CallSpec{Host: "once.test", AtMostOnce: true}) })
 			ends := c.run(box.Entry)
-			close(done)
-			watch.Wait()
+			stopCalls()
+			peak := peakMB()
 			t.Logf("%d MB at most; the callers: %v", peak, ends)
 			if peak > c.memoryMB {
 				t.Errorf("the box took %d MB", peak)
--- a/test/documents_test.go
+++ b/test/documents_test.go
@@ -25,6 +25,7 @@
 	x.applySheets(nil)
 	replica := x.cluster.Replicas[0]
 	beginning := bytes.Repeat([]byte("x"), size-1)
+	peakMB := watchMemory(replica.Process.PID())
 	for _, path := range []string{"PUT /v1/document", "POST /v1/edits", "PUT /nowhere"} {
 		for range connections / 3 {
 			c, err := net.Dial("tcp", replica.Admin)
@@ -40,12 +41,8 @@
 			}()
 		}
 	}
-	peak := 0
-	for range 100 {
-		time.Sleep(10 * time.Millisecond)
-		peak = max(peak, anonymousMB(replica.Process.PID()))
-	}
-	if peak > memoryMB {
+	time.Sleep(time.Second)
+	if peak := peakMB(); peak > memoryMB {
 		t.Errorf("the replica took %d MB", peak)
 	}
 	if replica.Process.Exited() {
--- a/test/soak_upload_test.go
+++ b/test/soak_upload_test.go
@@ -12,8 +12,8 @@
 const (
 	// firstUploadSeed is the first seed in which callers send bodies of all sizes to boxes with little memory.
 	firstUploadSeed = 110_000
-	// soakUploadMemoryMB is the memory of the boxes' machines then, in MiB, soakMemoryLimitMB what their settings
-	// give to the heap.
+	// soakUploadMemoryMB is the memory of the machines then, in MiB, soakMemoryLimitMB what the settings of boxes
+	// and replicas give to the heap.
 	soakUploadMemoryMB = 65
 	soakMemoryLimitMB  = soakUploadMemoryMB * heapFraction
 	// soakMaxBody is the size of the largest body.
@@ -33,7 +33,7 @@
 
 func (x *soak) hasUploads() bool { return x.seed >= firstUploadSeed }
 
-// limitMemory gives the boxes little memory.
+// limitMemory gives a process little memory.
 func (x *soak) limitMemory(s *config.Settings) {
 	s.MemoryLimitMB = soakMemoryLimitMB
 	s.Entry.MaxBody = soakMaxBody
