--- a/test/bodies_test.go
+++ b/test/bodies_test.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"strconv"
 	"strings"
@@ -29,6 +31,8 @@
 	// header has further lines of the head, head is how many bytes of padding it has.
 	header string
 	head   int
+	// chunked sends the body in chunks.
+	chunked bool
 	// patience is for how long the caller waits for its answer.
 	patience time.Duration
 }
@@ -44,14 +48,20 @@
 	began := time.Now()
 	c.SetDeadline(began.Add(u.patience))
 	host := cmp.Or(u.host, "repeatable.test")
-	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: "+host+"\r\nX-Deadline-Ms: %d\r\nX-Padding: %s\r\n%sContent-Length: %d\r\n\r\n",
-		u.patience.Milliseconds(), strings.Repeat("p", u.head), u.header, u.size)
+	framing := fmt.Sprintf("Content-Length: %d", u.size)
+	out := io.Writer(c)
+	if u.chunked {
+		framing = "Transfer-Encoding: chunked"
+		out = httputil.NewChunkedWriter(c)
+	}
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: %d\r\nX-Padding: %s\r\n%s%s\r\n\r\n",
+		host, u.patience.Milliseconds(), strings.Repeat("p", u.head), u.header, framing)
 	piece := bytes.Repeat([]byte("x"), 16<<10)
 	if u.rate > 0 {
 		piece = piece[:max(512, min(len(piece), int(u.rate/50)))]
 	}
 	for sent := 0; sent < u.size; {
-		n, err := c.Write(piece[:min(len(piece), u.size-sent)])
+		n, err := out.Write(piece[:min(len(piece), u.size-sent)])
 		if err != nil {
 			return "reset while sending"
 		}
@@ -60,6 +70,9 @@
 			time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / u.rate * float64(time.Second)))))
 		}
 	}
+	if u.chunked {
+		io.WriteString(c, "0\r\n\r\n")
+	}
 	a, err := http.ReadResponse(bufio.NewReader(c), nil)
 	switch {
 	case os.IsTimeout(err):
@@ -144,6 +157,12 @@
 		{"large bodies, 184 MB", 184, 10, 0, rawUpload{size: 48 << 20, rate: 24 << 20}},
 		{"large bodies, 284 MB", 284, 10, 0, rawUpload{size: 48 << 20, rate: 24 << 20}},
 		{"many large bodies, 184 MB", 184, 200, 0, rawUpload{size: 2 << 20, rate: 1 << 20}},
+		{"a body of the largest size, 136 MB", 136, 1, 0, rawUpload{size: 64 << 20, rate: 24 << 20}},
+		{"three bodies of the largest size, 136 MB", 136, 3, 0, rawUpload{size: 64 << 20, rate: 24 << 20}},
+		{"three bodies of the largest size in chunks, 136 MB", 136, 3, 0, rawUpload{size: 64 << 20, rate: 24 << 20, chunked: true}},
+		{"three bodies of the largest size in chunks, 284 MB", 284, 3, 0, rawUpload{size: 64 << 20, rate: 24 << 20, chunked: true}},
+		{"20 large bodies in chunks, 184 MB", 184, 20, 0, rawUpload{size: 8 << 20, rate: 8 << 20, chunked: true}},
+		{"many large bodies in chunks, 136 MB", 136, 200, 0, rawUpload{size: 2 << 20, rate: 1 << 20, chunked: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
