response: a status outside 100 to 599 is no answer

What callers saw: a target's "HTTP/1.1 000 X" reached them as "HTTP/1.1 200 X" with its body; 001 and 099 came as "HTTP/1.1 1 X" and "99 X"; 101 without a request for an upgrade, and 600, 700 and 999 as they were. A probe that was answered with 000 counted as healthy.

Cause: fasthttp keeps a status of 0 as "not set" and reads it back as 200, and takes any three digits for a status.

Change: package response reads the head of an answer, checks its status line and drops the interim answers before it (each checked the same way). All attempts and probes read through it, relayed ones too. 101 is never asked for, so it answers nothing. What is rejected ends the attempt as broken: retried where that is allowed, otherwise 502 with the outcome unknown, and the line "attempt-ended" names the reason in its field "error".

Evidence: TestMalformedAnswers sends each answer to nine readers (GET, POST, HEAD, a route with large answers, a kept connection, behind an interim and behind a stale answer, a relay, a probe), closed or reset behind it. On the code before, testdata/malformed/statuses fails with 200 "ok" and "healthy: true" for 000; testdata/raw-answers/heads fails with "HTTP/1.1 200 X". Both pass now. The neighbours pass as before: 199 before the answer, 200, 299, 499, 599, a reason that is empty or missing.

Already handled, kept as a test (testdata/malformed/framing passes on both): answers stopped in the middle of a head, closed and reset; lengths and chunks that are none; an answer without a length that is reset.

--- a/pkg/entry/trace.go
+++ b/pkg/entry/trace.go
@@ -50,6 +50,8 @@
 	// sent for its rest and its limit if they couldn't be parsed.
 	report                  routing.TargetReport
 	unreadRest, unreadLimit string
+	// breakErr is why the answer of an attempt that broke off couldn't be read; nil if that isn't known.
+	breakErr error
 	// fingerprint is set for an attempt that broke off and for a call in quarantine. request and
 	// caller are set for the latter only; operators need them to find out who sends the call.
 	fingerprint, request, caller string
@@ -85,6 +87,7 @@
 	s := step{
 		at: now, kind: stepEnded, attempt: finished.number, result: result,
 		declined: a.Declined, report: a.Report, unreadRest: a.UnreadableRest, unreadLimit: a.UnreadableLimit,
+		breakErr: a.BreakErr,
 	}
 	if result == routing.Broken && !c.answered {
 		s.fingerprint = crash.FingerprintOf(&c.identity).String()
@@ -296,6 +299,9 @@
 		if s.result == routing.Declined {
 			f["reason"], f["outcome"] = s.declined.Reason.String(), s.declined.Outcome.String()
 		}
+		if s.breakErr != nil {
+			f["error"] = s.breakErr.Error()
+		}
 		addReportFields(f, &s.report)
 		if s.unreadRest != "" {
 			f["unreadRest"] = s.unreadRest
--- a/pkg/scriptargs/scriptargs.go
+++ b/pkg/scriptargs/scriptargs.go
@@ -2,6 +2,8 @@
 package scriptargs
 
 import (
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,8 +26,17 @@
 	return v
 }
 
-// Unescape returns the raw bytes that a command's input stands for: lines of the file are joined, and `\n` is the
-// end of a line.
+// Unescape returns the raw bytes that a command's input stands for: lines of the file are joined, `\n` is the end of
+// a line, and `\xNN` the byte with that hexadecimal number.
 func Unescape(text string) string {
-	return strings.ReplaceAll(strings.ReplaceAll(text, "\n", ""), `\n`, "\r\n")
+	joined := strings.ReplaceAll(strings.ReplaceAll(text, "\n", ""), `\n`, "\r\n")
+	return escapedByte.ReplaceAllStringFunc(joined, func(escaped string) string {
+		b, err := strconv.ParseUint(escaped[len(`\x`):], 16, 8)
+		if err != nil {
+			return escaped
+		}
+		return string([]byte{byte(b)})
+	})
 }
+
+var escapedByte = regexp.MustCompile(`\\x[0-9a-f]{2}`)
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/response"
 )
 
 // readResponse reads the response, or as much of it as is buffered, and reports whether its body
@@ -18,7 +19,7 @@
 		return routing.Broken, false
 	}
 	r := a.Response
-	if r.Header.ContentLength() < -1 && !a.hasNoBody() {
+	if r.Header.ContentLength() < -1 && !response.HasNoBody(r) {
 		// A response without a length can't be told from a truncated one, unless targets are
 		// known to reset the connections of responses that they truncate.
 		if !a.pools.settings.AllowUnframed {
@@ -48,7 +49,8 @@
 	for range maxStaleResponses + 1 {
 		r.StreamBody = true
 		r.SkipBody = a.Request.Header.IsHead()
-		if err := r.ReadLimitBody(c.reader, 0); err != nil {
+		if err := response.Read(c.reader, r); err != nil {
+			a.BreakErr = err
 			return false
 		}
 		if a.endpoint.Relay == "" {
@@ -81,12 +83,6 @@
 	return len(sent) == 0 || bytes.Equal(sent, a.Response.Header.Peek(header))
 }
 
-// hasNoBody reports whether the response has no body, whatever its head says.
-func (a *Attempt) hasNoBody() bool {
-	code := a.Response.StatusCode()
-	return a.Response.SkipBody || code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified
-}
-
 // largePrefixBytes is how much of a large response is buffered before it is streamed to the
 // caller. If the target fails before that, the call can still be sent elsewhere. A larger prefix
 // would delay the response and need more memory, which is scarce on boxes.
@@ -124,6 +120,7 @@
 		a.prefix = body.Bytes()
 		return a.classifyLong()
 	}
+	a.BreakErr = err
 	return routing.Broken, false
 }
 
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -46,6 +46,8 @@
 	UnreadableRest string
 	// UnreadableLimit is the header value of a limit that couldn't be parsed.
 	UnreadableLimit string
+	// BreakErr is why the response couldn't be read; nil if it could, or if it wasn't waited for.
+	BreakErr error
 	// Refused is set if the target's host refused the connection.
 	Refused bool
 	// Unreachable is set if no connection could be made.
