target: an answer without a length that was reset isn't whole

What callers saw: a target answered a long upload at once with "HTTP/1.1 200 OK" and no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer: an upload held by the box each time, a streamed one now and then.

Cause: the system tells a socket's owner of a reset once. The write that fails with it takes the error, and the read behind it gets an end like that of a connection closed in order. Nothing asked what the writing side had seen.

Change: the body of an answer without a length has a reader of its own. At the end of its input it is whole only if no write on the connection has failed and the connection is still open for writing by its TCP state. Buffered and streamed bodies, probes and stale answers read through it.

An answer whose end was read in order before any reset is whole, also if its request is still being sent; one whose request has met a reset by then isn't, whatever came first. Answers with a length or in chunks are whole by these, as before.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -43,7 +43,7 @@
 		out.Header.Set(target.RelayResultHeader, target.RelayAnswered)
 		setHelperLoad(&out.Header, a.relaysInFlight)
 	}
-	if from.BodyStream() == nil || a.attempt.IsComplete() {
+	if a.attempt.IsComplete() {
 		out.SkipBody = from.SkipBody
 		e.writeWhole(ctx, a)
 		return
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -152,6 +152,46 @@
 	}
 }
 
+// A target answered a long upload at once without a length, sent part of the answer's body and reset the connection
+// while the upload was still being written. The caller took the part for the answer.
+func TestAnEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
+	for name, s := range map[string]struct {
+		memoryMB, size int
+		pause          time.Duration
+	}{
+		"held":     {284, 24 << 20, 0},
+		"streamed": {uploadMemoryMB, streamedBytes, 2 * time.Millisecond},
+	} {
+		for _, resets := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, resets %t", name, resets), func(t *testing.T) {
+				x := startStreamTarget(t, func(r *http.Request, c net.Conn) {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+					if !resets {
+						c.(*net.TCPConn).CloseWrite()
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+					c.(*net.TCPConn).SetLinger(0)
+					c.Close()
+				})
+				e := startTestBox(t, linkTable(x.address), func(c *config.Settings) {
+					c.MemoryLimitMB, c.Entry.MaxBody, c.Entry.Unframed = s.memoryMB, 2*s.size, true
+					c.Entry.ReadTimeout = config.Duration(awaitTimeout)
+				})
+				a, err := sendWhole(e.Address(), "Host: vault\r\n", s.size, s.pause)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(a.Body)
+				whole := a.StatusCode == http.StatusOK && err == nil
+				if whole == resets {
+					t.Errorf("the caller got %s with %q, %v", a.Status, body, err)
+				}
+			})
+		}
+	}
+}
+
 // A streamed body whose target breaks off isn't sent again, and its caller isn't told that it wasn't run.
 func TestAStreamedBodyIsNotSentTwice(t *testing.T) {
 	x := startStreamTarget(t, func(r *http.Request, c net.Conn) {
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -26,8 +26,9 @@
 			return routing.Broken, false
 		}
 		a.unusable = true
+		a.body = &unframedBody{reader: c.reader, conn: c}
 	}
-	if r.BodyStream() == nil {
+	if a.body == nil {
 		a.complete = true
 		return a.classify(), false
 	}
@@ -53,6 +54,7 @@
 			a.BreakErr = err
 			return false
 		}
+		a.body = r.BodyStream()
 		if a.endpoint.Relay == "" {
 			a.readNotice()
 		}
@@ -63,8 +65,8 @@
 			return true
 		}
 		a.unusable = true
-		if stream := r.BodyStream(); stream != nil {
-			if _, err := io.CopyN(io.Discard, stream, maxStaleBytes+1); err != io.EOF {
+		if a.body != nil {
+			if _, err := io.CopyN(io.Discard, a.body, maxStaleBytes+1); err != io.EOF {
 				return false
 			}
 		}
@@ -110,7 +112,7 @@
 		return a.classifyLong()
 	}
 	var body bytes.Buffer
-	_, err := io.CopyN(&body, a.Response.BodyStream(), int64(limit)+1)
+	_, err := io.CopyN(&body, a.body, int64(limit)+1)
 	switch {
 	case errors.Is(err, io.EOF):
 		a.prefix = body.Bytes()
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,6 +76,8 @@
 	// unusable is set if the connection can't be reused: it carried a response to another
 	// call, or it ends with this response.
 	unusable bool
+	// body is what is left to read of the response's body; nil if it has none.
+	body io.Reader
 	// prefix is the buffered beginning of the body, or all of it.
 	prefix []byte
 }
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,8 @@
 type countingConn struct {
 	net.Conn
 	written int64
+	// writeFailed is set once the network has refused a write.
+	writeFailed atomic.Bool
 	// beforeWrite is called once, right before the next write, which fails with its error; nil
 	// means no check. The process may be paused at any moment, so the check is made as close to
 	// the write as possible, so that outdated decisions are rarely sent.
@@ -35,6 +38,9 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -11,7 +11,7 @@
 func (a *Attempt) Stream(onEnd func(routing.AttemptResult)) io.ReadCloser {
 	return &stream{
 		attempt: a,
-		reader:  io.MultiReader(bytes.NewReader(a.prefix), a.Response.BodyStream()),
+		reader:  io.MultiReader(bytes.NewReader(a.prefix), a.body),
 		onEnd:   onEnd,
 	}
 }
