response: each line of a head is a field whose name is a token

What callers saw: "X Y: 1" in an answer's head was passed on with the answer; "Content Length: 2" was passed on and the bytes behind the body's end with it; "Transfer Encoding: chunked" made the chunks' framing the body; a line that began with a blank was joined to the value of the field before, so that a "Content-Length" in it was lost. A probe with such a head counted as healthy.

Cause: the library tolerates a blank in a name, takes out one before the colon and joins folded lines. It ends a line at a line feed without a carriage return, too.

Change: package response checks the lines of each head, interim ones included, before the library reads it: CR LF between them, a token, the colon at once, a value without control bytes but tabs.

A blank before the colon: RFC 9112, 5.1 has a proxy take it out of a response that it forwards, and 5.2 lets it replace a fold by blanks or the response by a 502. Neither is in the grammar of a field, the library did the first and lost fields by the second, and the users call a blank in a name a broken answer; so none is forwarded.

Evidence: testdata/malformed/fields, nine readers a case, 11 of 30 cases wrong on the code before (200 "okMORE", 200 with the framing, 200 "ok", probes healthy); all broken now. Control bytes, bytes over 0x7f and separators in a name, a missing colon or name and control bytes in a value were handled before. Neighbours that pass on both: all bytes of a token, empty values, tabs and blanks around and in values, bytes over 0x7f in values, a field in an interim answer.

--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -87,8 +87,11 @@
 
 // parseHead checks a head and returns its status.
 func parseHead(head []byte) (status int, err error) {
-	line, _, _ := bytes.Cut(head, lineEnd)
-	return parseStatusLine(line)
+	line, fields, _ := bytes.Cut(head, lineEnd)
+	if status, err = parseStatusLine(line); err != nil {
+		return 0, err
+	}
+	return status, checkFields(fields)
 }
 
 const (
