response: a reason has no control bytes

What callers saw: a reason with 0x00, 0x01, 0x7f or a carriage return in it was passed on with the byte.

Cause: the library copies whatever stands behind the status.

Change: the status line's reason is text, as a field's value is.

Evidence: testdata/malformed/reasons, nine readers a case: 4 of 5 cases were answered with 200 on the code before and are broken now. The fifth, with a tab and bytes over 0x7f, passes on both.

--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -102,7 +102,7 @@
 // parseStatusLine checks a status line and returns its status. The blank before an empty reason may be missing.
 func parseStatusLine(line []byte) (status int, err error) {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
-	digits, _, _ := bytes.Cut(rest, []byte(" "))
+	digits, reason, _ := bytes.Cut(rest, []byte(" "))
 	if len(digits) != len("200") {
 		return 0, malformed("status %.40q", digits)
 	}
@@ -119,5 +119,8 @@
 		// No request of this program asks for another protocol.
 		return 0, malformed("status %d without a request for an upgrade", status)
 	}
+	if !isText(reason) {
+		return 0, malformed("reason %.40q", reason)
+	}
 	return status, nil
 }
