response: the version of an answer is HTTP/1.1 or HTTP/1.0

What callers saw: an answer as HTTP/2.0, HTTP/0.9 or HTTP/1.9 was passed on as HTTP/1.1. One as HTTP/1.9 in chunks had the chunks' framing as its body. Blanks or an empty line before the status line, and two blanks behind the version, were passed over.

Cause: the library takes any digit, a point and a digit for a version, and doesn't read chunks where the version isn't 1.1.

Change: the status line begins with HTTP/1.1 or HTTP/1.0 and one blank. RFC 9110, 2.5 would read a higher minor version as 1.1, but none is defined: a target that sends one is broken, and its framing isn't known.

--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -94,6 +94,14 @@
 	return status, checkFields(fields)
 }
 
+const (
+	http10 = "HTTP/1.0"
+	http11 = "HTTP/1.1"
+)
+
+// isSupported reports whether a version is one whose framing is known: no other one has the major version 1.
+func isSupported(version string) bool { return version == http11 || version == http10 }
+
 const (
 	minStatus = 100
 	maxStatus = 599
@@ -101,7 +109,10 @@
 
 // parseStatusLine checks a status line and returns its status. The blank before an empty reason may be missing.
 func parseStatusLine(line []byte) (status int, err error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if !isSupported(string(version)) {
+		return 0, malformed("version %.40q", version)
+	}
 	digits, reason, _ := bytes.Cut(rest, []byte(" "))
 	if len(digits) != len("200") {
 		return 0, malformed("status %.40q", digits)
