response: an answer as HTTP/1.0 with a transfer coding is no answer

What callers saw: the chunks' framing as the body of an answer as HTTP/1.0 in chunks, and a body of the length named beside "Transfer-Encoding".

Cause: the library passes over the transfer coding where the version isn't 1.1. RFC 9112, 6.1 has the framing of such a message treated as faulty.

Change: a head as HTTP/1.0 with that field is rejected.

Evidence: testdata/malformed/version-1.0, nine readers a case: both were answered with 200 on the code before (body "2\r\nok\r\n0\r\n\r\n" in the first) and are broken now. Neighbours that pass on both: 1.0 with a field whose name ends like that one, 1.1 in chunks.

--- a/pkg/response/fields.go
+++ b/pkg/response/fields.go
@@ -1,6 +1,9 @@
 package response
 
-import "bytes"
+import (
+	"bytes"
+	"strings"
+)
 
 // checkFields checks the lines of a head or of a trailer section, up to the empty one. The name of a field is a token
 // directly before the colon. RFC 9112 lets a proxy mend a blank before the colon and a folded line, but a target that sends
@@ -31,6 +34,16 @@
 	return nil
 }
 
+// hasField reports whether a checked block has a field of a name.
+func hasField(block []byte, name string) bool {
+	for line := range bytes.SplitSeq(block, lineEnd) {
+		if field, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(field), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // isToken reports whether a name is a token (RFC 9110, 5.6.2).
 func isToken(name []byte) bool {
 	for _, c := range name {
--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -91,7 +91,13 @@
 	if status, err = parseStatusLine(line); err != nil {
 		return 0, err
 	}
-	return status, checkFields(fields)
+	if err := checkFields(fields); err != nil {
+		return 0, err
+	}
+	if bytes.HasPrefix(line, []byte(http10)) && hasField(fields, fasthttp.HeaderTransferEncoding) {
+		return 0, malformed("a transfer coding in %s, which has none", http10)
+	}
+	return status, nil
 }
 
 const (
