response: a trailer section is held to the same as a head

What callers saw: "X Y: 1" or "X-Y : 1" behind a body in chunks came with the answer as one of its fields, and a folded line was joined to the one before.

Cause: the library reads a trailer section when it reads the end of the body, with the same tolerance as a head, and leaves no place to check it.

Change: package response reads bodies itself: one of an announced length, one in chunks by the standard library's reader, whose trailer section is checked as the fields of a head are before the library parses it. An unframed one stays with package target, which knows the connection.

Evidence: testdata/malformed/trailers, nine readers a case: 3 of 14 cases were answered with 200 on the code before and are broken now (HEAD has no body, so it is answered). testdata/malformed/framing, testdata/endless and testdata/raw-answers are as before: what was no chunk, length or end isn't now, extensions, blanks behind a size and empty trailer sections pass.

--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -79,10 +79,17 @@
 			return 0, err
 		}
 	}
-	if i := bytes.Index(received, blockEnd); i >= 0 {
-		return i + len(blockEnd), nil
+	return blockLength(received), nil
+}
+
+// blockLength returns the length of the lines that the input begins with, up to the first empty one; zero if some of
+// them are missing.
+func blockLength(received []byte) int {
+	i := bytes.Index(received, blockEnd)
+	if i < 0 {
+		return 0
 	}
-	return 0, nil
+	return i + len(blockEnd)
 }
 
 // parseHead checks a head and returns its status.
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -19,7 +19,7 @@
 		return routing.Broken, false
 	}
 	r := a.Response
-	if r.Header.ContentLength() < -1 && !response.HasNoBody(r) {
+	if a.body != nil && r.Header.ContentLength() <= response.Unframed {
 		// A response without a length can't be told from a truncated one, unless targets are
 		// known to reset the connections of responses that they truncate.
 		if !a.pools.settings.AllowUnframed {
@@ -48,13 +48,12 @@
 func (a *Attempt) readOwnResponse(c *conn) bool {
 	r := a.Response
 	for range maxStaleResponses + 1 {
-		r.StreamBody = true
 		r.SkipBody = a.Request.Header.IsHead()
-		if err := response.Read(c.reader, r); err != nil {
+		if err := response.ReadHead(c.reader, &r.Header); err != nil {
 			a.BreakErr = err
 			return false
 		}
-		a.body = r.BodyStream()
+		a.body = response.Body(c.reader, r)
 		if a.endpoint.Relay == "" {
 			a.readNotice()
 		}
@@ -95,16 +94,12 @@
 // call may be retried elsewhere.
 func (a *Attempt) maxPrefixBytes() int {
 	limit := a.pools.settings.MaxBufferedBytes
-	if a.largeResponse && a.Response.Header.ContentLength() >= chunkedContentLength && a.classify() == routing.Answered {
+	if a.largeResponse && a.Response.Header.ContentLength() >= response.Chunked && a.classify() == routing.Answered {
 		return min(limit, largePrefixBytes)
 	}
 	return limit
 }
 
-// chunkedContentLength is what fasthttp returns as the content length of a chunked response. For
-// a response that ends with its connection it returns less.
-const chunkedContentLength = -1
-
 // readBody reads the body up to the buffer limit; a longer one is streamed.
 func (a *Attempt) readBody() (routing.AttemptResult, bool) {
 	limit := a.maxPrefixBytes()
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -98,7 +98,6 @@
 // Release returns the attempt's buffers to their pools; the attempt must not be used afterwards.
 func (a *Attempt) Release() {
 	fasthttp.ReleaseRequest(a.Request)
-	a.Response.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.Response)
 	a.Request, a.Response = nil, nil
 }
@@ -298,7 +297,6 @@
 	}
 	unsent := c.raw.written == a.writtenBefore
 	reusable := a.complete && !a.unusable && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
-	a.Response.CloseBodyStream()
 	c.keepAliveTimeout = parseKeepAlive(&a.Response.Header)
 	if a.detach() && (reusable || unsent) {
 		a.pools.putIdle(a.endpoint, c, a.maxConnections)
