client: answers of servers are read by package response

What operators saw: madderctl took "HTTP/1.1 000 OK" from a server for the acknowledgement of a document, and read tables behind heads and trailer sections whose fields were none.

Cause: the client of the administration API read answers by the library alone, as attempts did before.

Change: response.Transport sends a request and reads its answer with the checks that attempts have; the client uses it. The body of an answer has a bound.

Cut bodies and heads and a reset without a length were errors before.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/reload"
 	"github.com/madderpond/madderpond/pkg/replica"
+	"github.com/madderpond/madderpond/pkg/response"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -34,6 +35,8 @@
 	// requestTimeout bounds one request to a server. It is longer than a watch request waits for
 	// the next change.
 	requestTimeout = 40 * time.Second
+	// maxResponseBytes bounds the body of a response, far above a dump of a large table.
+	maxResponseBytes = 256 << 20
 	// editRetryInterval is the delay before an edit is sent again.
 	editRetryInterval = 200 * time.Millisecond
 )
@@ -44,7 +47,9 @@
 	if len(servers) == 0 {
 		return nil, fault.New(fault.Settings, "name one with --server, or in MADDERPOND_SERVERS", "no server is configured")
 	}
-	c := &Client{servers: servers, editTimeout: editTimeout, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout}}
+	c := &Client{servers: servers, editTimeout: editTimeout, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout, MaxResponseBodySize: maxResponseBytes, Transport: response.Transport{},
+	}}
 	if tokenFile != "" {
 		data, err := os.ReadFile(tokenFile)
 		if err != nil {
@@ -57,9 +62,9 @@
 
 // send sends one request to one server and decodes the response.
 func (c *Client) send(server, method, path string, body, into any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
+	defer fasthttp.ReleaseResponse(answer)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + server + path)
 	if c.token != "" {
@@ -72,26 +77,26 @@
 		}
 		request.SetBody(data)
 	}
-	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
+	if err := c.http.DoTimeout(request, answer, requestTimeout); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check that the server is running, or name another one with --server", "%s doesn't answer", server)
 	}
-	return decodeResponse(response, into)
+	return decodeResponse(answer, into)
 }
 
 // decodeResponse decodes a response into a value; an error of the server is returned as a fault.
-func decodeResponse(response *fasthttp.Response, into any) error {
-	if strings.HasPrefix(string(response.Header.ContentType()), "application/problem+json") {
+func decodeResponse(answer *fasthttp.Response, into any) error {
+	if strings.HasPrefix(string(answer.Header.ContentType()), "application/problem+json") {
 		p := &admin.Problem{}
-		if err := json.Unmarshal(response.Body(), p); err != nil {
+		if err := json.Unmarshal(answer.Body(), p); err != nil {
 			return fault.Wrap(err, fault.Protocol, "use a madderctl of the server's version", "the server's error can't be decoded")
 		}
 		return fault.New(p.Title, p.Remedy, "%s", strings.TrimSuffix(p.Detail, "; "+p.Remedy))
 	}
 	if raw, ok := into.(*json.RawMessage); ok {
-		*raw = append((*raw)[:0], response.Body()...)
+		*raw = append((*raw)[:0], answer.Body()...)
 		return nil
 	}
-	if err := json.Unmarshal(response.Body(), into); err != nil {
+	if err := json.Unmarshal(answer.Body(), into); err != nil {
 		return fault.Wrap(err, fault.Protocol, "use a madderctl of the server's version", "the server's response can't be decoded")
 	}
 	return nil
