client: a failure isn't an acknowledgement, whatever its format

What operators saw: a document, a report or an order was shown as accepted though the answer was a 502 or 404 of something else than madderpond's server.

Cause: only an answer of the type application/problem+json was taken for a failure; where an acknowledgement has no content, any other answer passed, whatever its status.

Change: an acknowledgement has a status of 200 to 299; another status is a fault with an unknown outcome. Answers with content are read as before: an edit that conflicts has its result in a 409.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -93,6 +93,9 @@
 		return fault.New(p.Title, p.Remedy, "%s", strings.TrimSuffix(p.Detail, "; "+p.Remedy))
 	}
 	if raw, ok := into.(*json.RawMessage); ok {
+		if status := answer.StatusCode(); status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
+			return fault.New(fault.Unknown, "check that --server names a server of madderpond", "the server answers with status %d", status)
+		}
 		*raw = append((*raw)[:0], answer.Body()...)
 		return nil
 	}
