boxlist: an answer that is no list, or has no end, is a fault

What operators saw: a box that reads the platform's list by HTTP took one behind "HTTP/1.1 000 OK" or behind a head whose fields were none, and kept a list without end in memory for the 2 s of its request; its process and the calls in it would have ended with that.

Cause: the list was read by the library alone, without a bound. Its timeout left the request running in the background besides.

Change: the list is requested through response.Transport, with a bound of 1 MiB and the timeout on the connection.

--- a/pkg/boxlist/boxlist.go
+++ b/pkg/boxlist/boxlist.go
@@ -15,6 +15,7 @@
 
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/response"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -33,7 +34,7 @@
 // NewSource returns the source at the location in the settings: a file path or an http:// URL.
 func NewSource(location string) Source {
 	if strings.HasPrefix(location, "http://") {
-		return &httpSource{url: location}
+		return newHTTPSource(location)
 	}
 	return &fileSource{path: location}
 }
@@ -49,21 +50,37 @@
 	return parseList(data)
 }
 
-type httpSource struct{ url string }
+type httpSource struct {
+	url    string
+	client *fasthttp.Client
+}
+
+const (
+	// readTimeout bounds one HTTP request to the platform.
+	readTimeout = 2 * time.Second
+	// maxListBytes bounds the answer to it, far above a list of thousands of boxes.
+	maxListBytes = 1 << 20
+)
 
-// readTimeout bounds one HTTP request to the platform.
-const readTimeout = 2 * time.Second
+func newHTTPSource(url string) *httpSource {
+	return &httpSource{url: url, client: &fasthttp.Client{
+		Transport: response.Transport{}, ReadTimeout: readTimeout, MaxResponseBodySize: maxListBytes,
+	}}
+}
 
 // Read requests the list by HTTP.
 func (s *httpSource) Read() (*List, error) {
-	status, data, err := fasthttp.GetTimeout(nil, s.url, readTimeout)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "check platform.list", "the platform doesn't answer")
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(answer)
+	request.SetRequestURI(s.url)
+	if err := s.client.DoTimeout(request, answer, readTimeout); err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "check platform.list", "the platform doesn't answer with a list")
 	}
-	if status != fasthttp.StatusOK {
+	if status := answer.StatusCode(); status != fasthttp.StatusOK {
 		return nil, fault.New(fault.Unavailable, "check platform.list", "the platform answers with status %d", status)
 	}
-	return parseList(data)
+	return parseList(answer.Body())
 }
 
 // parseList parses a list. Entries that aren't non-empty strings are ignored, since other programs
--- a/pkg/boxlist/boxlist_test.go
+++ b/pkg/boxlist/boxlist_test.go
@@ -1,8 +1,14 @@
 package boxlist
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +74,83 @@
 		t.Error(diff)
 	}
 }
+
+// startRawPlatform starts a platform that answers each request with the same bytes, and goes on with others until the
+// connection ends; it closes the connection if there are none.
+func startRawPlatform(t *testing.T, start, again string) (url string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, start)
+				for err == nil && again != "" {
+					_, err = io.WriteString(c, again)
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String() + "/boxes"
+}
+
+func TestAnswersThatAreNoListAreFaults(t *testing.T) {
+	const list = `{"live":["a"],"leaving":["b"]}`
+	scenarios := []struct {
+		testName string
+		start    string
+		isList   bool
+	}{
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 30\r\n\r\n" + list, false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nContent Length: 30\r\n\r\n" + list, false},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n" + list, false},
+		{"status 500", "HTTP/1.1 500 Failing\r\nContent-Length: 30\r\n\r\n" + list, false},
+		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + list, true},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1e\r\n" + list + "\r\n0\r\n\r\n", true},
+		{"without a length", "HTTP/1.0 200 OK\r\n\r\n" + list, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			l, err := NewSource(startRawPlatform(t, s.start, "")).Read()
+			if (err == nil) != s.isList {
+				t.Errorf("read %+v, %v", l, err)
+			}
+		})
+	}
+}
+
+// A list without end was kept in memory until the request's timeout.
+func TestAListWithoutEndTakesBoundedMemory(t *testing.T) {
+	const maxHeapBytes = 32 << 20
+	url := startRawPlatform(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<20))
+	done := make(chan error, 1)
+	go func() {
+		_, err := NewSource(url).Read()
+		done <- err
+	}()
+	for {
+		select {
+		case err := <-done:
+			if err == nil {
+				t.Error("the bytes were taken for a list")
+			}
+			return
+		case <-time.After(time.Millisecond):
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			if m.HeapAlloc > maxHeapBytes {
+				t.Fatalf("%d bytes of heap", m.HeapAlloc)
+			}
+		}
+	}
+}
