target, entry: buffered beginnings of answers have a bound in memory

What callers saw: with 600 calls at once at targets whose answers' bodies had no end, or stopped before it, a box with 184 MB took 308 to 334 MB. It would have ended, and the calls of all others in it.

Cause: a box buffers up to 256 KB of an answer before it passes it on, for each call, in a buffer that grew to twice that. Nothing bounded the sum.

Change: an answer has 16 KB without asking. For more it reserves its length, or the buffer limit where that isn't known, from a memory for answers (0.15 of the process's limit; nobody waits for it, and uploads keep theirs). Without memory it is passed on as it comes, as a long one is. The buffer has the size of the body if that is known, and no more than the limit otherwise; it is returned once the caller has it. GET /v1/dump shows the memory as entry.responses.

--- a/pkg/entry/bodymemory.go
+++ b/pkg/entry/bodymemory.go
@@ -31,6 +31,9 @@
 	// connectionBytes.
 	connectionFraction = 0.3
 	connectionBytes    = 32 << 10
+	// responseFraction is the fraction of the memory limit in which responses are buffered. Without memory they are
+	// passed on as they come.
+	responseFraction = 0.15
 	// maxWaitingBodies bounds the calls whose bodies wait in their connections.
 	maxWaitingBodies = 64
 )
@@ -48,6 +51,23 @@
 	})
 }
 
+// newResponseMemory returns the memory to buffer responses, from which none waits.
+func newResponseMemory(limitMB int) *bodymemory.Memory {
+	if limitMB == 0 {
+		return nil
+	}
+	return bodymemory.NewMemory(bodies.Settings{Limit: int(responseFraction * float64(limitMB) * (1 << 20))})
+}
+
+// reserveResponse reserves memory to buffer a response, if there is any.
+func (e *Entry) reserveResponse(n int) (release func(), ok bool) {
+	id, verdict := e.responses.Reserve(e.Clock.Now(), bodies.Claim{Bytes: n}, 0)
+	if verdict != bodies.Granted {
+		return nil, false
+	}
+	return func() { e.responses.Release(id) }, true
+}
+
 // reserveHead reserves memory for what a long head takes while its call is served, or refuses the call. The id is
 // zero for a short one.
 func (e *Entry) reserveHead(ctx *fasthttp.RequestCtx) (id bodies.ID, ok bool) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -54,15 +54,17 @@
 	// admission keeps the calls that are read to what the box can carry.
 	admission *admission
 	// bodies is the memory for large request bodies; nil without a limit.
-	bodies   *bodymemory.Memory
-	lingerer *lingerer
-	workers  pond.Pool
-	control  *controlClient
-	peers    *peerLinks
-	metrics  *metrics
-	server   *fasthttp.Server
-	listener net.Listener
-	leaving  atomic.Bool
+	bodies *bodymemory.Memory
+	// responses is the memory to buffer responses; nil without a limit.
+	responses *bodymemory.Memory
+	lingerer  *lingerer
+	workers   pond.Pool
+	control   *controlClient
+	peers     *peerLinks
+	metrics   *metrics
+	server    *fasthttp.Server
+	listener  net.Listener
+	leaving   atomic.Bool
 	// loggedRevision is the revision of the table that was logged last.
 	loggedRevision units.Revision
 	// ordinaryCalls counts the calls that were answered at the first attempt, of which a sample is
@@ -95,6 +97,7 @@
 		waitingCalls: map[*call]bool{},
 		workers:      pond.NewPool(s.MaxCalls, pond.WithQueueSize(max(1, s.MaxCalls/queueDivisor)), pond.WithNonBlocking(true)),
 		pacer:        pacing.NewPacer(linkRate, c.Clock),
+		responses:    newResponseMemory(c.Settings.MemoryLimitMB),
 		bodies:       newBodyMemory(c.Settings.MemoryLimitMB, s.MaxBody, float64(linkRate)),
 		lingerer:     newLingerer(c.Clock, c.Log, float64(linkRate)),
 		metrics:      newMetrics(),
@@ -364,6 +367,7 @@
 	Connections int             `json:"connections"`
 	Admission   AdmissionStatus `json:"admission"`
 	Bodies      bodies.Status   `json:"bodies"`
+	Responses   bodies.Status   `json:"responses"`
 	Targets     []target.Status `json:"targets"`
 }
 
@@ -378,6 +382,7 @@
 		Connections: int(e.server.GetOpenConnectionsCount()),
 		Admission:   e.admission.status(),
 		Bodies:      e.bodies.Status(),
+		Responses:   e.responses.Status(),
 		Targets:     e.pools.Status(),
 	}
 }
@@ -394,6 +399,6 @@
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
 		LimitHeader:              s.LimitHeader,
 		StatusMayMeanNotExecuted: s.PromiseStatus, AllowUnframed: s.Unframed,
-		DialRelay: e.dialRelay, Traffic: &e.admission.targets,
+		ReserveMemory: e.reserveResponse, DialRelay: e.dialRelay, Traffic: &e.admission.targets,
 	}
 }
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"time"
 
@@ -84,43 +83,6 @@
 	return len(sent) == 0 || bytes.Equal(sent, a.Response.Header.Peek(header))
 }
 
-// largePrefixBytes is how much of a large response is buffered before it is streamed to the
-// caller. If the target fails before that, the call can still be sent elsewhere. A larger prefix
-// would delay the response and need more memory, which is scarce on boxes.
-const largePrefixBytes = 16 << 10
-
-// maxPrefixBytes returns how much of the response is buffered before it is streamed. A failed
-// response of a route with large responses is buffered like that of any other route, since the
-// call may be retried elsewhere.
-func (a *Attempt) maxPrefixBytes() int {
-	limit := a.pools.settings.MaxBufferedBytes
-	if a.largeResponse && a.Response.Header.ContentLength() >= response.Chunked && a.classify() == routing.Answered {
-		return min(limit, largePrefixBytes)
-	}
-	return limit
-}
-
-// readBody reads the body up to the buffer limit; a longer one is streamed.
-func (a *Attempt) readBody() (routing.AttemptResult, bool) {
-	limit := a.maxPrefixBytes()
-	if !a.largeResponse && a.Response.Header.ContentLength() > limit {
-		return a.classifyLong()
-	}
-	var body bytes.Buffer
-	_, err := io.CopyN(&body, a.body, int64(limit)+1)
-	switch {
-	case errors.Is(err, io.EOF):
-		a.prefix = body.Bytes()
-		a.complete = true
-		return a.classify(), false
-	case err == nil:
-		a.prefix = body.Bytes()
-		return a.classifyLong()
-	}
-	a.BreakErr = err
-	return routing.Broken, false
-}
-
 // classifyLong classifies a response that is too long to be buffered, and reports whether it is
 // streamed. One that sheds the call, or that may mean that the call wasn't executed, isn't passed
 // to the caller whatever its length.
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -80,6 +80,8 @@
 	body io.Reader
 	// prefix is the buffered beginning of the body, or all of it.
 	prefix []byte
+	// releaseMemory returns the memory reserved for prefix; nil if there is none.
+	releaseMemory func()
 }
 
 // NewAttempt returns an attempt that hasn't been sent.
@@ -97,6 +99,7 @@
 
 // Release returns the attempt's buffers to their pools; the attempt must not be used afterwards.
 func (a *Attempt) Release() {
+	a.dropPrefix()
 	fasthttp.ReleaseRequest(a.Request)
 	fasthttp.ReleaseResponse(a.Response)
 	a.Request, a.Response = nil, nil
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -49,6 +49,8 @@
 	StatusMayMeanNotExecuted bool
 	// AllowUnframed accepts responses whose end is the end of their connection.
 	AllowUnframed bool
+	// ReserveMemory reserves memory to buffer a response, in bytes, if there is any; nil means without limit.
+	ReserveMemory func(bytes int) (release func(), ok bool)
 	// Traffic counts what connections to targets put on the link; nil counts nothing.
 	Traffic *traffic.Counter
 	// DialRelay connects to another box to which calls are relayed.
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
@@ -9,17 +8,12 @@
 
 // Stream returns the body of a streamed response. onEnd is called once, when the body is closed.
 func (a *Attempt) Stream(onEnd func(routing.AttemptResult)) io.ReadCloser {
-	return &stream{
-		attempt: a,
-		reader:  io.MultiReader(bytes.NewReader(a.prefix), a.body),
-		onEnd:   onEnd,
-	}
+	return &stream{attempt: a, onEnd: onEnd}
 }
 
 // stream is the body of a target's response; it records how the body ended.
 type stream struct {
 	attempt *Attempt
-	reader  io.Reader
 	onEnd   func(routing.AttemptResult)
 	result  routing.AttemptResult
 	closed  bool
@@ -27,7 +21,14 @@
 
 // Read reads from the body. A truncated body returns an error other than io.EOF.
 func (s *stream) Read(p []byte) (int, error) {
-	n, err := s.reader.Read(p)
+	if a := s.attempt; len(a.prefix) > 0 {
+		n := copy(p, a.prefix)
+		if a.prefix = a.prefix[n:]; len(a.prefix) == 0 {
+			a.dropPrefix()
+		}
+		return n, nil
+	}
+	n, err := s.attempt.body.Read(p)
 	switch {
 	case err == io.EOF:
 		s.result = s.attempt.classify()
