routing: a stopping box takes no work that it may have to cut and that can't be sent again

What callers saw: in a planned stop a box took calls for half of the time that it had left, whatever their deadlines. Those whose targets needed longer were cut at its end without an answer, among them some that may not be repeated.

Cause: only in the second half of that time were calls refused that might outlast the box. Most calls end long before their deadlines, and of one that can be repeated the caller loses time.

Change: work that must not run twice is refused as "stopping" (not run, again after 10 ms) from the signal on if its deadline lies beyond the stop. Another box can take it at once; cut off, it couldn't be sent again. Other calls are taken as before.

--- a/pkg/core/routing/arrival.go
+++ b/pkg/core/routing/arrival.go
@@ -137,7 +137,11 @@
 // Its connection should have been closed by then, so the caller is better served by opening another
 // one elsewhere now than by losing its answer.
 func (r *Router) mayOutlastBox(x *route, requested time.Duration) bool {
-	if r.stopsAt == 0 || r.now < r.stopsAdmittingAt {
+	if r.stopsAt == 0 {
+		return false
+	}
+	// A call that may be sent again is taken at first: most of them end long before their deadline.
+	if x.work != table.AtMostOnce && r.now < r.stopsAdmittingAt {
 		return false
 	}
 	return r.now.Add(x.callDeadline(requested, r.settings.MaxDeadline)) > r.stopsAt
--- a/pkg/core/routing/events.go
+++ b/pkg/core/routing/events.go
@@ -37,8 +37,8 @@
 // RegionsChanged replaces the regions of the failure domains.
 type RegionsChanged struct{ Regions map[units.Domain]units.Region }
 
-// StopPlanned announces when the box will have stopped. In the second half of the time until then,
-// the router only accepts calls that are sure to end before.
+// StopPlanned announces when the box will have stopped. The router accepts work that must not run twice only if it is
+// sure to end before, and in the second half of the time until then any work.
 type StopPlanned struct{ Until units.Instant }
 
 // CapacityChanged reports whether calls need more than the box's own link or processor can carry. Short
