rawserver: one server of raw bytes for the tests; reasons of breaks in the log

An attempt that broke because its answer had neither a length nor chunks, or came behind too many answers to other calls, names that in "attempt-ended" like the other reasons.

--- a/pkg/boxlist/boxlist_test.go
+++ b/pkg/boxlist/boxlist_test.go
@@ -17,6 +17,7 @@
 	"github.com/madderpond/madderpond/pkg/common"
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/units"
 )
 
@@ -78,30 +79,16 @@
 // startRawPlatform starts a platform that answers each request with the same bytes, and goes on with others until the
 // connection ends; it closes the connection if there are none.
 func startRawPlatform(t *testing.T, start, again string) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, start)
-				for err == nil && again != "" {
-					_, err = io.WriteString(c, again)
-				}
-			}()
+	address := rawserver.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
-	}()
-	return "http://" + l.Addr().String() + "/boxes"
+		_, err := io.WriteString(c, start)
+		for err == nil && again != "" {
+			_, err = io.WriteString(c, again)
+		}
+	})
+	return "http://" + address + "/boxes"
 }
 
 func TestAnswersThatAreNoListAreFaults(t *testing.T) {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/madderpond/madderpond/pkg/fault"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
 )
 
@@ -41,25 +42,10 @@
 }
 
 func startRawServer(t *testing.T, script string) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveRaw(c.(*net.TCPConn), script)
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Serve(t, func(c net.Conn) { serveRaw(c.(*net.TCPConn), script) })
 }
 
 func serveRaw(c *net.TCPConn, script string) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	answer, end, _ := strings.Cut(script, "\n")
 	for {
--- a/pkg/entry/raw_answer_test.go
+++ b/pkg/entry/raw_answer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
 )
 
@@ -34,7 +35,7 @@
 
 // startRawAnswerTarget answers each request with the same bytes, and closes the connection then if that is wanted.
 func startRawAnswerTarget(t *testing.T, answer string, closes bool) string {
-	return serveConns(t, func(c net.Conn) {
+	return rawserver.Serve(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for {
 			request, err := http.ReadRequest(reader)
--- a/pkg/entry/raw_test.go
+++ b/pkg/entry/raw_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -40,31 +41,9 @@
 	})
 }
 
-// serveConns serves each connection to an address of its own, and closes it then.
-func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // startRawTarget records each request as it was read, behind the name of the service.
 func startRawTarget(t *testing.T, name string, got chan string) string {
-	return serveConns(t, func(c net.Conn) {
+	return rawserver.Serve(t, func(c net.Conn) {
 		var raw bytes.Buffer
 		request, err := http.ReadRequest(bufio.NewReaderSize(io.TeeReader(c, &raw), 1))
 		if err != nil {
--- a/pkg/entry/stream_test.go
+++ b/pkg/entry/stream_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/target"
 )
 
@@ -30,7 +31,7 @@
 // startStreamTarget starts a target. answer gets each request before its body is read, and the connection.
 func startStreamTarget(t *testing.T, answer func(r *http.Request, c net.Conn)) *streamTarget {
 	x := &streamTarget{}
-	x.address = serveConns(t, func(c net.Conn) {
+	x.address = rawserver.Serve(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(reader)
--- a/pkg/response/response_test.go
+++ b/pkg/response/response_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/madderpond/madderpond/pkg/rawserver"
 )
 
 const wholeHead = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Y: a b\r\nContent-Length: 2\r\n\r\n"
@@ -84,27 +86,14 @@
 
 // startServer answers each request on a connection with the same bytes.
 func startServer(t *testing.T, answer string) (address string, accepted *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	accepted = &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			accepted.Add(1)
-			go serve(c, answer)
-		}
-	}()
-	return l.Addr().String(), accepted
+	return rawserver.Serve(t, func(c net.Conn) {
+		accepted.Add(1)
+		serve(c, answer)
+	}), accepted
 }
 
 func serve(c net.Conn, answer string) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
 		var request fasthttp.Request
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"time"
 
@@ -11,6 +12,11 @@
 	"github.com/madderpond/madderpond/pkg/response"
 )
 
+var (
+	errUnframed = errors.New("the response has neither a length nor chunks")
+	errStale    = errors.New("responses to other calls came first, and they are too many, too long or broken")
+)
+
 // readResponse reads the response, or as much of it as is buffered, and reports whether its body
 // is to be streamed.
 func (a *Attempt) readResponse(c *conn) (routing.AttemptResult, bool) {
@@ -22,6 +28,7 @@
 		// A response without a length can't be told from a truncated one, unless targets are
 		// known to reset the connections of responses that they truncate.
 		if !a.pools.settings.AllowUnframed {
+			a.BreakErr = errUnframed
 			return routing.Broken, false
 		}
 		a.unusable = true
@@ -65,11 +72,13 @@
 		a.unusable = true
 		if a.body != nil {
 			if _, err := io.CopyN(io.Discard, a.body, maxStaleBytes+1); err != io.EOF {
+				a.BreakErr = errStale
 				return false
 			}
 		}
 		r.Reset()
 	}
+	a.BreakErr = errStale
 	return false
 }
 
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/madderpond/madderpond/pkg/clock"
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -23,33 +24,17 @@
 // script, as raw bytes. In a script, the lines "RESET" and "CLOSE" end the connection, a line
 // "BYTES N" stands for N bytes, and a line "LATER" begins the part for the next request.
 type stubTarget struct {
-	listener net.Listener
-	script   string
+	address string
+	script  string
 }
 
 func startStubTarget(t *testing.T, script string) *stubTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := &stubTarget{listener: listener, script: script}
-	t.Cleanup(func() { listener.Close() })
-	go a.serve()
+	a := &stubTarget{script: script}
+	a.address = rawserver.Serve(t, a.serveConn)
 	return a
 }
 
-func (a *stubTarget) serve() {
-	for {
-		conn, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		go a.serveConn(conn)
-	}
-}
-
 func (a *stubTarget) serveConn(conn net.Conn) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for _, part := range strings.Split(a.script, "LATER\n") {
 		request, err := http.ReadRequest(reader)
@@ -103,7 +88,7 @@
 			var lines []string
 			for i := range count {
 				id := fmt.Sprintf("call-%d", i+1)
-				lines = append(lines, callOnce(pools, target.listener.Addr().String(), id, d.HasArg("large")))
+				lines = append(lines, callOnce(pools, target.address, id, d.HasArg("large")))
 			}
 			return strings.Join(lines, "\n") + "\n"
 		})
@@ -138,7 +123,7 @@
 		target := startStubTarget(t, `HTTP/1.1 200 OK\nX-Call: call-1\nContent-Length: 0\n\n`+"\nLATER\nRESET\n")
 		pools := newTestPools()
 		pools.settings.AtMostOnceIdleTimeout = time.Hour
-		address := target.listener.Addr().String()
+		address := target.address
 		first := callOnce(pools, address, "call-1", false)
 		for _, x := range pools.byAddress {
 			for _, c := range x.idle {
@@ -176,7 +161,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			target := startStubTarget(t, `HTTP/1.1 200 OK\nX-Call: call-1\n`+s.header+`\nContent-Length: 0\n\n`+"\n")
 			pools := newTestPools()
-			address := target.listener.Addr().String()
+			address := target.address
 			callOnce(pools, address, "call-1", false)
 			for _, x := range pools.byAddress {
 				for _, c := range x.idle {
--- a/pkg/target/endless_test.go
+++ b/pkg/target/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
 	"github.com/madderpond/madderpond/pkg/traffic"
 )
@@ -43,31 +44,16 @@
 // startEndlessTarget answers each request with the start, and then with the other bytes until the
 // connection ends.
 func startEndlessTarget(t *testing.T, start, again string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	block := []byte(strings.Repeat(again, 1<<10))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
+	return rawserver.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, start)
+		for err == nil {
+			_, err = c.Write(block)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // readEndless makes a call and reports how it ended.
--- a/pkg/target/malformed_test.go
+++ b/pkg/target/malformed_test.go
@@ -78,7 +78,7 @@
 		answer = strings.ReplaceAll(answer, "X-Call: call-1", `X-Call: call-1\n`+RelayResultHeader+": "+RelayAnswered)
 	}
 	x := startStubTarget(t, r.before+answer+"\n"+end+"\n")
-	address := x.listener.Addr().String()
+	address := x.address
 	pools := newPools(64 << 10)
 	pools.settings.DialRelay = func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
--- a/pkg/target/reset_test.go
+++ b/pkg/target/reset_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/madderpond/madderpond/pkg/core/routing"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 )
 
 const (
@@ -27,29 +28,14 @@
 // startEarlyTarget starts a target that answers a request before it has read its body: with the beginning of a response
 // without a length. Then it calls end.
 func startEarlyTarget(t *testing.T, bodyBytes int, end func(c *net.TCPConn, body io.Reader)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s", make([]byte, bodyBytes))
-				end(c.(*net.TCPConn), r.Body)
-			}()
+	return rawserver.Serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return l.Addr().String()
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s", make([]byte, bodyBytes))
+		end(c.(*net.TCPConn), r.Body)
+	})
 }
 
 // resetAfter returns an end of a response that resets its connection.
--- a/pkg/target/rest_test.go
+++ b/pkg/target/rest_test.go
@@ -20,7 +20,7 @@
 		pools.settings.LeavingHeader = "X-Leaving"
 		pools.settings.LimitHeader = "X-Limit"
 		x := &routing.Effect{
-			Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.listener.Addr().String(), Registered: true},
+			Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.address, Registered: true},
 			Deadline: pools.clock.Now().Add(10 * time.Second), NotAfter: pools.clock.Now().Add(time.Minute),
 		}
 		if d.Cmd == "probe" {
@@ -81,7 +81,7 @@
 			pools := newTestPools()
 			now := pools.clock.Now()
 			x := &routing.Effect{
-				Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.listener.Addr().String()},
+				Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: target.address},
 				Deadline: now.Add(10 * time.Second), NotAfter: now.Add(time.Minute), PermitUntil: now.Add(s.permit),
 			}
 			pools.Withhold(x.Endpoint, Withholding{CallsUntil: now.Add(time.Minute), ProbesUntil: now.Add(time.Minute)})
@@ -112,7 +112,7 @@
 func TestNothingIsSentOnAnOldChoice(t *testing.T) {
 	target := startStubTarget(t, `HTTP/1.1 200 OK\nX-Call: call-2\nContent-Length: 0\n\n`+"\n")
 	pools := newTestPools()
-	address := target.listener.Addr().String()
+	address := target.address
 	now := pools.clock.Now()
 	a := pools.NewAttempt(&routing.Effect{
 		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address}, Deadline: now.Add(10 * time.Second), NotAfter: now,
--- a/pkg/target/silent_test.go
+++ b/pkg/target/silent_test.go
@@ -13,7 +13,7 @@
 func TestASilentConnectionIsNeverUsedAgain(t *testing.T) {
 	target := startStubTarget(t, `HTTP/1.1 200 OK\nContent-Length: 0\n\n`+"\n")
 	pools := newTestPools()
-	address := target.listener.Addr().String()
+	address := target.address
 	if got := callOnce(pools, address, "", false); got != `answered "", connections kept: 1` {
 		t.Fatalf("the first call: %s", got)
 	}
@@ -49,7 +49,7 @@
 	target := startStubTarget(t, `HTTP/1.1 200 OK\nContent-Length: 0\n\n`+"\n")
 	pools := newTestPools()
 	pools.settings.ConnectTimeout = 100 * time.Millisecond
-	address := target.listener.Addr().String()
+	address := target.address
 	callOnce(pools, address, "", false)
 	ended := pools.Probe(&routing.Effect{
 		Endpoint: &routing.Endpoint{Service: "s", Target: "t", Address: address, Registered: true},
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/madderpond/madderpond/pkg/config"
 	"github.com/madderpond/madderpond/pkg/core/table"
 	"github.com/madderpond/madderpond/pkg/lab"
+	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/sheet"
 	"github.com/madderpond/madderpond/pkg/units"
 )
@@ -35,30 +36,15 @@
 	v.Name, v.Work, v.Hosts, v.Deadline = "endless", table.AtMostOnce, []string{endlessHost}, 10*time.Second
 	s := sheet.Sheets{Services: []table.Service{v}}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		x.must(err)
-		x.Cleanup(func() { l.Close() })
-		go a.serve(l)
 		r := sheet.NewRow()
-		r.Service, r.Target, r.Address = v.Name, units.TargetID(fmt.Sprintf("endless-%d", i)), l.Addr().String()
+		r.Service, r.Target, r.Address = v.Name, units.TargetID(fmt.Sprintf("endless-%d", i)), rawserver.Serve(x, a.serveConn)
 		s.Rows = append(s.Rows, r)
 	}
 	return s
 }
 
-func (a endlessAnswer) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go a.serveConn(c)
-	}
-}
-
 // serveConn answers health checks, and each call with the answer.
 func (a endlessAnswer) serveConn(c net.Conn) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
