--- a/pkg/target/reset_test.go
+++ b/pkg/target/reset_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -94,8 +93,6 @@
 	awaited <-chan struct{}
 }
 
-var errAborted = errors.New("the body was aborted")
-
 func (b *pacedBody) Read(p []byte) (int, error) {
 	if b.awaited != nil {
 		<-b.awaited
