--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -115,6 +115,7 @@
 // isSupported reports whether a version is one whose framing is known: no other one has the major version 1.
 func isSupported(version string) bool { return version == http11 || version == http10 }
 
+// The range of valid statuses (RFC 9110, 15).
 const (
 	minStatus = 100
 	maxStatus = 599
