Reads of the table show acknowledged edits, also around a planned stop

Cause: GET /v1/table returned the answering replica's own table, also while it lagged behind the leader, and in a planned stop between the end of its log and that of its administration API. An edit that had gone to the next server by then was missing from it; all edits made from such a table conflict. No edit was lost.

TestAReadShowsAcknowledgedEdits (a follower behind a link with 150 ms) failed before: "control-1 shows revision 2, an edit of revision 3 was acknowledged before".

Change: the table is read as documents and rollouts are, by the leader's read index. Where no leader confirms it, the replica's own table is returned with X-Madderpond-Unconfirmed, since without a quorum it may be all that is left. The client then asks the next server, and takes the highest revision if none confirms; madderctl warns. The race is tested as before.

Conclusion: the failure was a stale read, and is mended. Lists (history, targets, workspaces, evacuations) are still the replica's own.

--- a/pkg/admin/handlers.go
+++ b/pkg/admin/handlers.go
@@ -55,11 +55,22 @@
 	return fault.New(fault.Invalid, "ask a box that has the role control", "this process is no control replica")
 }
 
+// UnconfirmedHeader is set on a response whose table may not be the newest.
+const UnconfirmedHeader = "X-Madderpond-Unconfirmed"
+
+// getTable returns the newest table. Without a leader it returns the replica's own with
+// UnconfirmedHeader, since it may be all that is left of the table.
 func (s *Server) getTable(ctx *fasthttp.RequestCtx) error {
 	if err := s.requireReplica(); err != nil {
 		return err
 	}
-	return writeJSON(ctx, s.replica.Table())
+	t, err := s.replica.ReadTable()
+	if err != nil {
+		s.Log.WithError(err).Info("table returned without the leader's word")
+		ctx.Response.Header.Set(UnconfirmedHeader, "true")
+		t = s.replica.Table()
+	}
+	return writeJSON(ctx, t)
 }
 
 func (s *Server) getHistory(ctx *fasthttp.RequestCtx) error {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -62,9 +62,18 @@
 
 // send sends one request to one server and decodes the response.
 func (c *Client) send(server, method, path string, body, into any) error {
-	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
+	answer := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(answer)
+	if err := c.exchange(server, method, path, body, answer); err != nil {
+		return err
+	}
+	return decodeResponse(answer, into)
+}
+
+// exchange sends one request to one server and reads the response.
+func (c *Client) exchange(server, method, path string, body any, answer *fasthttp.Response) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + server + path)
 	if c.token != "" {
@@ -80,7 +89,7 @@
 	if err := c.http.DoTimeout(request, answer, requestTimeout); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check that the server is running, or name another one with --server", "%s doesn't answer", server)
 	}
-	return decodeResponse(answer, into)
+	return nil
 }
 
 // decodeResponse decodes a response into a value; an error of the server is returned as a fault.
@@ -110,18 +119,17 @@
 func (c *Client) sendToAny(method, path string, body, into any) error {
 	var err error
 	for _, s := range c.servers {
-		err = c.send(s, method, path, body, into)
-		if k := fault.KindOf(err); err == nil || k != fault.Unavailable && k != fault.Unknown {
+		if err = c.send(s, method, path, body, into); !mayTryNext(err) {
 			return err
 		}
 	}
 	return err
 }
 
-// Table returns the newest table.
-func (c *Client) Table() (*table.Table, error) {
-	t := table.NewTable()
-	return t, c.sendToAny("GET", "/v1/table", nil, t)
+// mayTryNext reports whether another server may do better than the one that returned an error.
+func mayTryNext(err error) bool {
+	kind := fault.KindOf(err)
+	return err != nil && (kind == fault.Unavailable || kind == fault.Unknown)
 }
 
 // Watch waits until the table is newer than a revision, and returns it.
@@ -271,8 +279,7 @@
 	for {
 		result := &table.Result{}
 		err := c.sendToAny("POST", "/v1/edits", edit, result)
-		kind := fault.KindOf(err)
-		if err == nil || kind != fault.Unavailable && kind != fault.Unknown {
+		if !mayTryNext(err) {
 			return result, err
 		}
 		if time.Now().After(deadline) {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/madderpond/madderpond/pkg/admin"
 	"github.com/madderpond/madderpond/pkg/fault"
 	"github.com/madderpond/madderpond/pkg/rawserver"
 	"github.com/madderpond/madderpond/pkg/scriptargs"
@@ -64,3 +65,40 @@
 		}
 	}
 }
+
+// TestReadsPreferAConfirmedTable runs the servers in testdata, one a line: "confirmed" or "unconfirmed" with the revision
+// of its table, "invalid" for one that refuses the request, or "down". It prints what ReadTable returns.
+func TestReadsPreferAConfirmedTable(t *testing.T) {
+	datadriven.RunTest(t, "testdata/reads", func(t *testing.T, d *datadriven.TestData) string {
+		var servers []string
+		for _, line := range strings.Split(d.Input, "\n") {
+			servers = append(servers, startRawServer(t, tableAnswer(t, line)+"\nCLOSE"))
+		}
+		c, err := NewClient(servers, "", time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := c.ReadTable()
+		return describe(fmt.Sprintf("revision %d, confirmed %t", read.Table.Revision, read.Confirmed), err)
+	})
+}
+
+// tableAnswer returns the script of a server's answer; it is empty for one that is down.
+func tableAnswer(t *testing.T, server string) string {
+	kind, revision, _ := strings.Cut(server, " ")
+	body := fmt.Sprintf(`{"revision":%s}`, revision)
+	header := ""
+	switch kind {
+	case "confirmed":
+	case "unconfirmed":
+		header = admin.UnconfirmedHeader + ": true\\n"
+	case "invalid":
+		body = `{"title":"invalid","detail":"this process is no control replica"}`
+		return fmt.Sprintf("HTTP/1.1 400 Bad Request\\nContent-Type: application/problem+json\\nContent-Length: %d\\n\\n%s", len(body), body)
+	case "down":
+		return ""
+	default:
+		t.Fatalf("unknown server %q", server)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\\nContent-Type: application/json\\n%sContent-Length: %d\\n\\n%s", header, len(body), body)
+}
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -118,7 +118,7 @@
 	Growth          Growth   `json:"growth" doc:"How a cluster with seeds forms and grows; unused with replicas."`
 	MinCopies       int      `json:"minCopies" validate:"min=0,max=7" doc:"How many disks must hold a change before it is accepted, where that is more than a quorum; one more than the disks that may be lost at once. 0 asks for a quorum."`
 	SilentAfter     Duration `json:"silentAfter" validate:"min=0s,max=1h" doc:"How long a registered target may go without a report before it counts as silent; 0s never takes one for silent."`
-	ReadTimeout     Duration `json:"readTimeout" validate:"min=10ms,max=60s" doc:"How long a read of the newest document may wait for the leader's word."`
+	ReadTimeout     Duration `json:"readTimeout" validate:"min=10ms,max=60s" doc:"How long a read of the newest table or document may wait for the leader's word."`
 	EditTimeout     Duration `json:"editTimeout" validate:"min=100ms,max=60s" doc:"How long an edit may wait for a quorum before its outcome is called unknown."`
 	SnapshotEvery   int      `json:"snapshotEvery" validate:"min=10,max=1000000" doc:"How many log entries go between two snapshots at the least; half as many as there are registered targets where that is more."`
 	Rollout         Rollout  `json:"rollout" doc:"Rollouts of new versions of services' software."`
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -57,6 +57,7 @@
 type Tool struct {
 	options Options
 	out     io.Writer
+	errOut  io.Writer
 }
 
 // command is one entry of the command line.
@@ -143,7 +144,7 @@
 // Main runs the tool with the arguments of a command line, without the program's name, and
 // returns its exit code.
 func Main(arguments []string, out, errOut io.Writer) int {
-	t := &Tool{out: out}
+	t := &Tool{out: out, errOut: errOut}
 	parser := flags.NewNamedParser("madderctl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Common options", "", &t.options); err != nil {
 		fmt.Fprintln(errOut, err)
--- a/pkg/ctl/table.go
+++ b/pkg/ctl/table.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"strconv"
@@ -101,12 +102,20 @@
 	return cells
 }
 
+// fetchTable reads the table, and warns if it may not be the newest.
 func (t *Tool) fetchTable() (*table.Table, error) {
 	c, err := t.connect()
 	if err != nil {
 		return nil, err
 	}
-	return c.Table()
+	read, err := c.ReadTable()
+	if err != nil {
+		return nil, err
+	}
+	if !read.Confirmed {
+		fmt.Fprintf(t.errOut, "warning: no leader confirms that revision %d of the table is the newest\n", read.Table.Revision)
+	}
+	return read.Table, nil
 }
 
 // submitEdit sends operations as one edit that is based on the table from, and prints the
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -242,7 +242,7 @@
 	delete(r.pendingAnswers, id)
 }
 
-// Table returns the current table.
+// Table returns the table of this replica, which may lag behind; see ReadTable.
 func (r *Replica) Table() *table.Table {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/pkg/replica/requests.go
+++ b/pkg/replica/requests.go
@@ -29,6 +29,13 @@
 	return a.Document, a.Err
 }
 
+// ReadTable returns the newest table. The error is an Unavailable fault if this replica can't ensure
+// that it is the newest.
+func (r *Replica) ReadTable() (*table.Table, error) {
+	a := r.request(func(id control.RequestID) control.Event { return control.ReadRequested{Request: id} })
+	return a.Table, a.Err
+}
+
 // ReportTarget submits the report of a target that registers itself. If it returns no error,
 // the registration is committed. The error is of kind Invalid, Unknown or Unavailable.
 func (r *Replica) ReportTarget(t *table.Registration) error {
@@ -82,11 +89,11 @@
 // Rollout returns the newest state of a service's last rollout, or nil if it had none. The
 // error is an Unavailable fault if this replica can't ensure that it is the newest.
 func (r *Replica) Rollout(service units.ServiceName) (*table.Rollout, error) {
-	a := r.request(func(id control.RequestID) control.Event { return control.ReadRequested{Request: id} })
-	if a.Err != nil {
-		return nil, a.Err
+	t, err := r.ReadTable()
+	if err != nil {
+		return nil, err
 	}
-	return a.Table.Rollout(service), nil
+	return t.Rollout(service), nil
 }
 
 // TargetReport is a registered target with the age of its last report.
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -199,6 +199,47 @@
 	t.Logf("%d races: %d accepted, %d conflicts", *raceCount, accepted.Load(), conflicts.Load())
 }
 
+func TestAReadShowsAcknowledgedEdits(t *testing.T) {
+	x := startCluster(t, clusterOptions{replicas: 3, boxes: 1, proxied: true})
+	x.mustSetWeight("alpha", 0)
+	delayed := x.otherReplicas(x.leader())[0]
+	x.proxyFor(delayed).SetDelay(150 * time.Millisecond)
+	others := x.otherReplicas(delayed)
+	for i := range 10 {
+		result := x.setWeight("", "alpha", i+1, others...)
+		shown, err := x.api(delayed).Table()
+		x.must(err)
+		if shown.Revision < result.Revision {
+			t.Fatalf("%s shows revision %d, an edit of revision %d was acknowledged before", delayed.Settings.Box, shown.Revision, result.Revision)
+		}
+	}
+}
+
+func TestTheLastReplicaStillReturnsItsTable(t *testing.T) {
+	x := startCluster(t, clusterOptions{replicas: 3, boxes: 1})
+	result := x.mustSetWeight("alpha", 5)
+	read, err := x.api().ReadTable()
+	x.must(err)
+	if !read.Confirmed {
+		t.Fatalf("revision %d isn't confirmed though there is a leader", read.Table.Revision)
+	}
+	left := x.cluster.Replicas[2]
+	x.mustShowWeight("alpha", 5)
+	for _, n := range x.otherReplicas(left) {
+		n.Process.Kill()
+	}
+	x.must(lab.Eventually(waitTimeout, func() error {
+		read, err = x.api().ReadTable()
+		if err == nil && read.Confirmed {
+			err = fmt.Errorf("%s confirms revision %d without a quorum", left.Settings.Box, read.Table.Revision)
+		}
+		return err
+	}))
+	if read.Table.Revision < result.Revision {
+		t.Fatalf("%s shows revision %d, want %d", left.Settings.Box, read.Table.Revision, result.Revision)
+	}
+}
+
 func TestAResentEditGetsItsFirstAnswer(t *testing.T) {
 	x := startCluster(t, clusterOptions{replicas: 3, boxes: 1, adjust: func(s *config.Settings) {
 		s.Control.SnapshotEvery = 20
