Answers with long heads reach their callers

What callers saw: 502 in place of a sound answer whose head takes more than 4 KB, such as one with a field of 6 KB or 12 cookies of 1 KB. A target whose health checks were answered that way counted as failing.

Cause: the head has to fit into the read buffer of the connection, 4 KB.

Change: a head that doesn't fit gets a larger buffer once, up to entry.headerBytes, which bounds callers' heads too; a relayed one may have 1 KB more for what the other box adds. Three times that is reserved from the memory for answers and released with the attempt; without memory the answer is broken, as before. The connection keeps no large buffer.

Tests: TestLongHeadsAreRead failed for all nine readers of answers, TestALongHeadReachesItsCaller with 502. Their neighbours: heads over the limit and heads that are cut off stay broken, for all readers. The endless forms take the new path as well.

--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -154,7 +154,7 @@
 	BufferBody      int                 `json:"bufferBody" validate:"min=0,max=67108864" doc:"Answers up to this many bytes are passed on only once they are whole; longer ones are passed on as they come."`
 	LinkMbps        float64             `json:"linkMbps" validate:"min=0,max=1000000" doc:"How fast this box's link is, in megabits a second. Answers of more than two pieces (8 KB on links of up to 8 Mbit/s, at most 128 KB) are then written piece by piece at three quarters of it, taking turns, and small ones at once. New connections are refused while calls would use more than the link can carry. 0 means that the link isn't a limit."`
 	Cores           float64             `json:"cores" validate:"min=0,max=1024" doc:"How many processor cores this process may use, fractions allowed. 0 means that the processor isn't a limit. A box that gets more calls than its link (linkMbps) or these cores can carry refuses connections until it can serve more, so that callers reach another box."`
-	HeaderBytes     int                 `json:"headerBytes" validate:"min=1024,max=1048576" doc:"The most that a request's head may take, in bytes."`
+	HeaderBytes     int                 `json:"headerBytes" validate:"min=1024,max=1048576" doc:"The most that the head of a request, or of a target's response, may take, in bytes."`
 	ReadTimeout     Duration            `json:"readTimeout" validate:"min=10ms,max=10m" doc:"How long a caller may take to send a request."`
 	IdleTimeout     Duration            `json:"idleTimeout" validate:"min=10ms,max=1h" doc:"How long a caller's connection may be idle."`
 	WriteTimeout    Duration            `json:"writeTimeout" validate:"min=10ms,max=1h" doc:"How long a caller may take to read an answer."`
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -399,6 +399,6 @@
 		IdentityHeader: s.IdentityHeader, TargetHeader: s.TargetHeader, ColdHeader: s.ColdHeader, LeavingHeader: s.LeavingHeader,
 		LimitHeader:              s.LimitHeader,
 		StatusMayMeanNotExecuted: s.PromiseStatus, AllowUnframed: s.Unframed,
-		ReserveMemory: e.reserveResponse, DialRelay: e.dialRelay, Traffic: &e.admission.targets,
+		MaxHeadBytes: s.HeaderBytes, ReserveMemory: e.reserveResponse, DialRelay: e.dialRelay, Traffic: &e.admission.targets,
 	}
 }
--- a/pkg/entry/raw_answer_test.go
+++ b/pkg/entry/raw_answer_test.go
@@ -33,6 +33,33 @@
 	})
 }
 
+// A caller got 502 in place of an answer whose head didn't fit into the buffer of a connection.
+func TestALongHeadReachesItsCaller(t *testing.T) {
+	var cookies strings.Builder
+	for i := range 12 {
+		fmt.Fprintf(&cookies, "Set-Cookie: c%d=%s\r\n", i, strings.Repeat("x", 1<<10))
+	}
+	for name, fields := range map[string]string{
+		"one field": "X-Policy: " + strings.Repeat("x", 6<<10) + "\r\n",
+		"cookies":   cookies.String(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\n"
+			address := startRawAnswerTarget(t, head+"ok", false)
+			e := startRawBox(t, address, address)
+			got := receiveRaw(t, e.Address(), "GET")
+			if !strings.HasPrefix(got, "HTTP/1.1 200 OK\r\n") || !strings.HasSuffix(got, "\r\n\r\nok") {
+				t.Fatalf("the caller got %.80q", got)
+			}
+			for _, line := range strings.SplitAfter(fields, "\r\n") {
+				if !strings.Contains(got, line) {
+					t.Errorf("the caller didn't get %.40q", line)
+				}
+			}
+		})
+	}
+}
+
 // startRawAnswerTarget answers each request with the same bytes, and closes the connection then if that is wanted.
 func startRawAnswerTarget(t *testing.T, answer string, closes bool) string {
 	return rawserver.Serve(t, func(c net.Conn) {
--- a/pkg/target/answer.go
+++ b/pkg/target/answer.go
@@ -55,7 +55,7 @@
 	r := a.Response
 	for range maxStaleResponses + 1 {
 		r.SkipBody = a.Request.Header.IsHead()
-		if err := response.ReadHead(c.reader, &r.Header); err != nil {
+		if err := a.readHead(c); err != nil {
 			a.BreakErr = err
 			return false
 		}
--- a/pkg/target/attempt.go
+++ b/pkg/target/attempt.go
@@ -80,8 +80,8 @@
 	body io.Reader
 	// prefix is the buffered beginning of the body, or all of it.
 	prefix []byte
-	// releaseMemory returns the memory reserved for prefix; nil if there is none.
-	releaseMemory func()
+	// releaseMemory returns the memory reserved for prefix, and releaseHead that for a long head; nil if there is none.
+	releaseMemory, releaseHead func()
 }
 
 // NewAttempt returns an attempt that hasn't been sent.
@@ -100,6 +100,9 @@
 // Release returns the attempt's buffers to their pools; the attempt must not be used afterwards.
 func (a *Attempt) Release() {
 	a.dropPrefix()
+	if a.releaseHead != nil {
+		a.releaseHead()
+	}
 	fasthttp.ReleaseRequest(a.Request)
 	fasthttp.ReleaseResponse(a.Response)
 	a.Request, a.Response = nil, nil
@@ -302,6 +305,7 @@
 	reusable := a.complete && !a.unusable && !a.Response.ConnectionClose() && c.reader.Buffered() == 0
 	c.keepAliveTimeout = parseKeepAlive(&a.Response.Header)
 	if a.detach() && (reusable || unsent) {
+		c.resetReader()
 		a.pools.putIdle(a.endpoint, c, a.maxConnections)
 		return
 	}
--- a/pkg/target/attempt_test.go
+++ b/pkg/target/attempt_test.go
@@ -70,6 +70,7 @@
 		ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxBufferedBytes: bufferBody, ShedHeader: "X-Shed",
 		LoadHeader: "X-Load", DeadlineHeader: "X-Deadline-Ms", CallIDHeader: "X-Call", IdentityHeader: "X-Expected-Target",
 		TargetHeader: "X-Target", StatusMayMeanNotExecuted: true, AllowUnframed: true, ProbePath: "/healthz",
+		MaxHeadBytes: maxTestHeadBytes,
 	}, clock.NewClock())
 }
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -49,6 +49,9 @@
 	StatusMayMeanNotExecuted bool
 	// AllowUnframed accepts responses whose end is the end of their connection.
 	AllowUnframed bool
+	// MaxHeadBytes is the length of the longest head of a response that is read. Shorter ones than the buffer of a
+	// connection are read whatever it is.
+	MaxHeadBytes int
 	// ReserveMemory reserves memory to buffer a response, in bytes, if there is any; nil means without limit.
 	ReserveMemory func(bytes int) (release func(), ok bool)
 	// Traffic counts what connections to targets put on the link; nil counts nothing.
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -76,6 +76,7 @@
 	for _, a := range []endlessAnswer{
 		{name: "head", start: "HTTP/1.1 200 OK\r\n", again: "X-Pad: x\r\n"},
 		{name: "line", start: "HTTP/1.1 200 OK\r\nX-Pad: ", again: "xxxxxxxx"},
+		{name: "silence in a long head", start: "HTTP/1.1 200 OK\r\nX-Pad: " + strings.Repeat("x", 15<<10)},
 		{name: "interim answers", again: "HTTP/1.1 100 Continue\r\n\r\n"},
 		{name: "body in chunks", start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", again: "8\r\nxxxxxxxx\r\n"},
 		{name: "body without a length", start: "HTTP/1.1 200 OK\r\n\r\n", again: "xxxxxxxx"},
