Responses: a status line is parsed once, memory is reserved in one way

The status line of each response was parsed twice where the whole head had come: once to reject what is no response early, once with the head. It is parsed early only while the head is incomplete now.

Heads and the beginnings of bodies each looked whether there is a limit of memory, and copied what reserves it. NewPools sets a function without a limit where there is none, and both take what it returns.

Behaviour is as before: the tests are unchanged and pass.

--- a/pkg/response/head.go
+++ b/pkg/response/head.go
@@ -74,12 +74,15 @@
 // headLength returns the length of the head that the input begins with; zero if some of it is missing. What begins with
 // no status line is rejected without waiting for the rest.
 func headLength(received []byte) (int, error) {
-	if line, _, complete := bytes.Cut(received, lineEnd); complete {
-		if _, err := parseStatusLine(line); err != nil {
-			return 0, err
-		}
+	if n := blockLength(received); n > 0 {
+		return n, nil
+	}
+	line, _, complete := bytes.Cut(received, lineEnd)
+	if !complete {
+		return 0, nil
 	}
-	return blockLength(received), nil
+	_, err := parseStatusLine(line)
+	return 0, err
 }
 
 // blockLength returns the length of the lines that the input begins with, up to the first empty one; zero if some of
--- a/pkg/target/head.go
+++ b/pkg/target/head.go
@@ -47,14 +47,9 @@
 }
 
 // reserveHead reserves memory for a long head, and reports whether there is any.
-func (a *Attempt) reserveHead(bytes int) bool {
-	if a.pools.settings.ReserveMemory == nil {
-		return true
-	}
-	release, ok := a.pools.settings.ReserveMemory(longHeadCopies * bytes)
-	if ok {
-		a.releaseHead = release
-	}
+func (a *Attempt) reserveHead(n int) bool {
+	var ok bool
+	a.releaseHead, ok = a.pools.settings.ReserveMemory(longHeadCopies * n)
 	return ok
 }
 
--- a/pkg/target/pool.go
+++ b/pkg/target/pool.go
@@ -79,9 +79,14 @@
 
 // NewPools returns empty pools.
 func NewPools(s Settings, c *clock.Clock) *Pools {
+	if s.ReserveMemory == nil {
+		s.ReserveMemory = reserveUnlimited
+	}
 	return &Pools{settings: s, clock: c, byAddress: map[string]*pool{}, withheld: map[*routing.Endpoint]Withholding{}}
 }
 
+func reserveUnlimited(int) (release func(), ok bool) { return func() {}, true }
+
 // takeIdle returns an idle connection that is still usable and has been idle for no longer than a
 // timeout, or nil. It closes the connections it finds that are dead or that their target may be
 // about to close.
--- a/pkg/target/prefix.go
+++ b/pkg/target/prefix.go
@@ -78,16 +78,11 @@
 
 // reservePrefix reserves memory to buffer up to a number of bytes, and reports whether there is any.
 func (a *Attempt) reservePrefix(limit int) bool {
-	if a.pools.settings.ReserveMemory == nil {
-		return true
-	}
 	if length := a.Response.Header.ContentLength(); length >= 0 {
 		limit = min(limit, length)
 	}
-	release, ok := a.pools.settings.ReserveMemory(limit)
-	if ok {
-		a.releaseMemory = release
-	}
+	var ok bool
+	a.releaseMemory, ok = a.pools.settings.ReserveMemory(limit)
 	return ok
 }
 
