Tests: raw servers share their ways to answer

Four packages had the same loop, which reads a request and answers it with raw bytes, and two the one that goes on without end. rawserver has them now: AnswerOne, AnswerAll and AnswerEndlessly. What the servers send and what the tests check is as before.

--- a/pkg/boxlist/boxlist_test.go
+++ b/pkg/boxlist/boxlist_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -76,19 +74,9 @@
 	}
 }
 
-// startRawPlatform starts a platform that answers each request with the same bytes, and goes on with others until the
-// connection ends; it closes the connection if there are none.
-func startRawPlatform(t *testing.T, start, again string) (url string) {
-	address := rawserver.Serve(t, func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, err := io.WriteString(c, start)
-		for err == nil && again != "" {
-			_, err = io.WriteString(c, again)
-		}
-	})
-	return "http://" + address + "/boxes"
+// startRawPlatform starts a platform that serves each connection by a function.
+func startRawPlatform(t *testing.T, serve func(net.Conn)) (url string) {
+	return "http://" + rawserver.Serve(t, serve) + "/boxes"
 }
 
 func TestAnswersThatAreNoListAreFaults(t *testing.T) {
@@ -108,7 +96,8 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			l, err := NewSource(startRawPlatform(t, s.start, "")).Read()
+			url := startRawPlatform(t, func(c net.Conn) { rawserver.AnswerOne(c, bufio.NewReader(c), s.start) })
+			l, err := NewSource(url).Read()
 			if (err == nil) != s.isList {
 				t.Errorf("read %+v, %v", l, err)
 			}
@@ -119,7 +108,8 @@
 // A list without end was kept in memory until the request's timeout.
 func TestAListWithoutEndTakesBoundedMemory(t *testing.T) {
 	const maxHeapBytes = 32 << 20
-	url := startRawPlatform(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<20))
+	block := strings.Repeat("x", 1<<20)
+	url := startRawPlatform(t, func(c net.Conn) { rawserver.AnswerEndlessly(c, "HTTP/1.1 200 OK\r\n\r\n", block) })
 	done := make(chan error, 1)
 	go func() {
 		_, err := NewSource(url).Read()
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -47,22 +45,15 @@
 }
 
 func serveRaw(c *net.TCPConn, script string) {
-	reader := bufio.NewReader(c)
 	answer, end, _ := strings.Cut(script, "\n")
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		io.WriteString(c, scriptargs.Unescape(answer))
-		switch end {
-		case "RESET":
-			c.SetLinger(0)
-			return
-		case "CLOSE":
-			return
-		}
+	answer = scriptargs.Unescape(answer)
+	if end == "" {
+		rawserver.AnswerAll(c, answer)
+		return
+	}
+	rawserver.AnswerOne(c, bufio.NewReader(c), answer)
+	if end == "RESET" {
+		c.SetLinger(0)
 	}
 }
 
--- a/pkg/entry/raw_answer_test.go
+++ b/pkg/entry/raw_answer_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -63,18 +62,11 @@
 // startRawAnswerTarget answers each request with the same bytes, and closes the connection then if that is wanted.
 func startRawAnswerTarget(t *testing.T, answer string, closes bool) string {
 	return rawserver.Serve(t, func(c net.Conn) {
-		reader := bufio.NewReader(c)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, request.Body)
-			io.WriteString(c, answer)
-			if closes {
-				return
-			}
+		if closes {
+			rawserver.AnswerOne(c, bufio.NewReader(c), answer)
+			return
 		}
+		rawserver.AnswerAll(c, answer)
 	})
 }
 
--- a/pkg/response/response_test.go
+++ b/pkg/response/response_test.go
@@ -89,19 +89,6 @@
 	accepted = &atomic.Int64{}
 	return rawserver.Serve(t, func(c net.Conn) {
 		accepted.Add(1)
-		serve(c, answer)
+		rawserver.AnswerAll(c, answer)
 	}), accepted
 }
-
-func serve(c net.Conn, answer string) {
-	reader := bufio.NewReader(c)
-	for {
-		var request fasthttp.Request
-		if err := request.Read(reader); err != nil {
-			return
-		}
-		if _, err := io.WriteString(c, answer); err != nil {
-			return
-		}
-	}
-}
--- a/pkg/target/endless_test.go
+++ b/pkg/target/endless_test.go
@@ -1,11 +1,9 @@
 package target
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -44,16 +42,8 @@
 // startEndlessTarget answers each request with the start, and then with the other bytes until the
 // connection ends.
 func startEndlessTarget(t *testing.T, start, again string) string {
-	block := []byte(strings.Repeat(again, 1<<10))
-	return rawserver.Serve(t, func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, err := io.WriteString(c, start)
-		for err == nil {
-			_, err = c.Write(block)
-		}
-	})
+	block := strings.Repeat(again, 1<<10)
+	return rawserver.Serve(t, func(c net.Conn) { rawserver.AnswerEndlessly(c, start, block) })
 }
 
 // readEndless makes a call and reports how it ended.
