--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -14,6 +14,10 @@
 const limit = 115 * time.Second
 
 func main() {
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand-2 departure")
+		os.Exit(2)
+	}
 	play := cases[os.Args[1]]
 	r, err := newRecord()
 	if err != nil {
