--- a/review/stand-2/departure.go
+++ b/review/stand-2/departure.go
@@ -80,7 +80,7 @@
 	r.say("%d changes of the configuration have been acknowledged", changes)
 	time.Sleep(time.Second)
 
-	// Two of the fourteen endpoints end and start again, each under its id (srv_crash, share 0.16 at most).
+	// Two of the fourteen endpoints end and start again, each under its id (srv_crash, share 0.15 at most).
 	var leaving []*endpoint
 	for i := range 2 {
 		all[i].crash()
