--- a/review/stand-2/endpoint.go
+++ b/review/stand-2/endpoint.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,12 +14,15 @@
 
 // endpoint is a stand-in for a back end, as PROTOCOL.md describes one.
 type endpoint struct {
-	f                *fleet
-	id, service      string
-	zone, address    string
-	born             int64
-	work             time.Duration
-	slots            int
+	f             *fleet
+	id, service   string
+	zone, address string
+	born          int64
+	work          time.Duration
+	slots         int
+	// queue is how many requests wait for a slot; zero turns away what finds none.
+	queue            int
+	working          chan struct{}
 	tellsLoad        bool
 	sequence         atomic.Int64
 	leaving, stopped atomic.Bool
@@ -37,6 +41,7 @@
 		return err
 	}
 	e.quit = make(chan struct{})
+	e.working = make(chan struct{}, e.slots)
 	e.server = &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
 	go e.server.Serve(l)
 	return nil
@@ -65,7 +70,7 @@
 		w.WriteHeader(421)
 		return
 	}
-	if e.running.Add(1) > int64(e.slots) {
+	if e.running.Add(1) > int64(e.slots+e.queue) {
 		e.running.Add(-1)
 		h.Set("Madderpond-Not-Executed", "1")
 		w.WriteHeader(503)
@@ -73,6 +78,15 @@
 	}
 	defer e.running.Add(-1)
 	io.Copy(io.Discard, r.Body)
+	if e.queue > 0 {
+		if !e.awaitSlot(r, at) {
+			h.Set("Madderpond-Not-Executed", "1")
+			w.WriteHeader(503)
+			return
+		}
+		defer func() { <-e.working }()
+		at = time.Now()
+	}
 	if e.ran != nil {
 		e.ran(e, id, r.Method, r.URL.RequestURI(), at)
 	}
@@ -81,6 +95,23 @@
 	fmt.Fprintf(w, "the body for %s", id)
 }
 
+// awaitSlot waits for a slot, until the request's deadline or its connection's end.
+func (e *endpoint) awaitSlot(r *http.Request, came time.Time) bool {
+	left := time.Minute
+	if ms, err := strconv.Atoi(r.Header.Get("Madderpond-Request-Deadline-Ms")); err == nil {
+		left = time.Until(came.Add(time.Duration(ms) * time.Millisecond))
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case e.working <- struct{}{}:
+		return true
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
 func (e *endpoint) beatBody(state string) map[string]any {
 	b := map[string]any{
 		"address": e.address,
